--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -119,3 +119,19 @@
 	WaitUrgentMS     int64
 	WaitBackgroundMS int64
 }
+
+// Held is a grant in use, as the gateway that holds it reports it to a group's
+// owner. A new owner rebuilds its state from these.
+type Held struct {
+	Request   Request
+	Grant     Grant
+	Generated int
+}
+
+// Decision is the end of a request's wait: a grant, or a refusal if Refusal is
+// not nil.
+type Decision struct {
+	Request Request
+	Grant   Grant
+	Refusal *Refusal
+}
