--- /dev/null
+++ b/internal/process/gateway/gateway.go
@@ -0,0 +1,155 @@
+// Package gateway is the daemon that serves callers: it authenticates them,
+// gets a replica from the scheduler, relays streams and routes service calls.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+
+	"persimmonwing/internal/process/health"
+	"persimmonwing/internal/process/limits"
+	"persimmonwing/internal/process/logging"
+	"persimmonwing/internal/process/telemetry"
+	"persimmonwing/internal/request/explain"
+	"persimmonwing/internal/request/responseid"
+)
+
+// Retry budget of each backend server: 10% of its recent successes and 3
+// without any.
+const (
+	retryRatio   = 0.1
+	retryReserve = 3
+)
+
+// Deps are the parts that a gateway works with.
+type Deps struct {
+	Scheduler Scheduler
+	Catalogue Catalogue
+	Backends  Backends
+	Engines   Engines
+	Services  Services
+	Claims    Claims
+	Suspects  Suspects
+	Limits    *limits.Limiter
+	Metrics   *telemetry.Metrics
+	Logger    log.Logger
+	// StatusSources complete the answer of /status.
+	StatusSources []StatusSource
+}
+
+// Gateway serves callers and operators over HTTP.
+type Gateway struct {
+	opts          *Options
+	scheduler     Scheduler
+	catalogue     Catalogue
+	backends      Backends
+	engines       Engines
+	services      Services
+	claims        Claims
+	suspects      Suspects
+	limits        *limits.Limiter
+	metrics       *telemetry.Metrics
+	logger        log.Logger
+	statusSources []StatusSource
+
+	ids         *responseid.Codec
+	explain     *explain.Log
+	retryBudget *health.Budget
+	serviceSets serviceSets
+	stopping    atomic.Bool
+	inProgress  atomic.Int64
+}
+
+// New returns a gateway with valid options.
+func New(o *Options, d Deps) (*Gateway, error) {
+	ids, err := responseid.NewCodec(o.ResponseKeys)
+	if err != nil {
+		return nil, err
+	}
+	return &Gateway{
+		opts:          o,
+		scheduler:     d.Scheduler,
+		catalogue:     d.Catalogue,
+		backends:      d.Backends,
+		engines:       d.Engines,
+		services:      d.Services,
+		claims:        d.Claims,
+		suspects:      d.Suspects,
+		limits:        d.Limits,
+		metrics:       d.Metrics,
+		logger:        logging.Part(d.Logger, "gateway"),
+		statusSources: d.StatusSources,
+		ids:           ids,
+		explain:       explain.NewLog(explain.DefaultRecords),
+		retryBudget:   health.NewBudget(retryRatio, retryReserve),
+	}, nil
+}
+
+func (g *Gateway) disabled(mechanism string) bool {
+	return slices.Contains(g.opts.Disable, mechanism)
+}
+
+// CallerHandler serves the callers' interface.
+func (g *Gateway) CallerHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/responses", g.authenticated(g.createResponse)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/responses/{id}", g.authenticated(g.resumeResponse)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/responses/{id}/cancel", g.authenticated(g.cancelResponse)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/services/{entry}", g.authenticated(g.callService))
+	r.HandleFunc("/v1/services/{entry}/{rest:.*}", g.authenticated(g.callService))
+	r.Use(g.countInProgress)
+	return r
+}
+
+func (g *Gateway) countInProgress(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.inProgress.Add(1)
+		defer g.inProgress.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// adminReadTimeout bounds requests of operators.
+const adminReadTimeout = 5 * time.Second
+
+// Run serves until ctx ends, then finishes every request in progress and
+// returns. The deadlines of the entries bound the time that takes.
+func (g *Gateway) Run(ctx context.Context, callers, admin net.Listener) error {
+	callerServer := &http.Server{
+		Handler:           g.CallerHandler(),
+		ReadHeaderTimeout: g.opts.HTTP.HeaderTimeout,
+		MaxHeaderBytes:    g.opts.HTTP.MaxHeaderBytes,
+	}
+	adminServer := &http.Server{Handler: g.adminRouter(), ReadHeaderTimeout: adminReadTimeout, ReadTimeout: adminReadTimeout}
+	failed := make(chan error, 2)
+	go func() { failed <- callerServer.Serve(callers) }()
+	go func() { failed <- adminServer.Serve(admin) }()
+	_ = level.Info(g.logger).Log("msg", "serving", "callers", callers.Addr(), "admin", admin.Addr())
+	select {
+	case err := <-failed:
+		return errors.Join(err, callerServer.Close(), adminServer.Close())
+	case <-ctx.Done():
+	}
+	return errors.Join(g.drain(callerServer), adminServer.Close())
+}
+
+// drain fails readiness, waits for the balancer to notice, and then lets all
+// requests in progress end.
+func (g *Gateway) drain(server *http.Server) error {
+	g.stopping.Store(true)
+	server.SetKeepAlivesEnabled(false)
+	_ = level.Info(g.logger).Log("msg", "stopping", "in_progress", g.inProgress.Load(), "delay", g.opts.DrainDelay)
+	time.Sleep(g.opts.DrainDelay)
+	err := server.Shutdown(context.Background())
+	_ = level.Info(g.logger).Log("msg", "stopped")
+	return err
+}
--- /dev/null
+++ b/internal/process/gateway/generate.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// maxPrefixBlocks bounds the prefix hashes of one request; 64 blocks cover 16 KiB.
+const maxPrefixBlocks = 64
+
+// Priorities towards engines.
+const (
+	priorityUrgent     = 10
+	priorityBackground = 0
+)
+
+// createResponse serves POST /v1/responses.
+func (g *Gateway) createResponse(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
+	body, ferr := g.readCreate(w, r)
+	if ferr != nil {
+		return ferr
+	}
+	if ferr = c.useEntry(body.Model, catalogue.Generation); ferr != nil {
+		return ferr
+	}
+	deadline, ferr := c.deadline(r)
+	if ferr != nil {
+		return ferr
+	}
+	lease, ferr := g.limits.Acquire(time.Now(), c.workspace, c.entry)
+	if ferr != nil {
+		return ferr
+	}
+	defer lease.Release()
+	gen := g.newGeneration(c, body, deadline)
+	gen.lease = lease
+	if body.Stream {
+		return gen.stream(w, r)
+	}
+	return gen.whole(w, r)
+}
+
+// readCreate reads and checks the body of a create request.
+func (g *Gateway) readCreate(w http.ResponseWriter, r *http.Request) (api.CreateRequest, *fault.Error) {
+	var body api.CreateRequest
+	raw, ferr := g.readBody(w, r)
+	if ferr != nil {
+		return body, ferr
+	}
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return body, fault.Wrap(err, fault.BadRequest, "read", "", api.NotRun)
+	}
+	switch {
+	case body.Model == "":
+		return body, fault.New(fault.BadRequest, "read", "", api.NotRun, "model: an entry name is needed")
+	case body.Input == "":
+		return body, fault.New(fault.BadRequest, "read", "", api.NotRun, "input: a text is needed")
+	case body.MaxOutputTokens < 0:
+		return body, fault.New(fault.BadRequest, "read", "", api.NotRun, "max_output_tokens: %d is negative", body.MaxOutputTokens)
+	}
+	return body, nil
+}
+
+// readBody reads a body within the limits of size and time.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(g.opts.HTTP.BodyTimeout)); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "read", "", api.NotRun)
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.opts.HTTP.MaxBodyBytes))
+	// The deadline must not end the connection while the answer is streamed.
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fault.New(fault.BodyTooLarge, "read", "", api.NotRun, "the body is larger than %d bytes", tooLarge.Limit)
+	case err != nil:
+		return nil, fault.Wrap(err, fault.BadRequest, "read", "", api.NotRun)
+	}
+	return raw, nil
+}
+
+// newGeneration prepares the scheduling request of a create request.
+func (g *Gateway) newGeneration(c *call, body api.CreateRequest, deadline time.Time) *generation {
+	maxTokens := c.entry.MaxOutputTokens
+	if body.MaxOutputTokens > 0 && (maxTokens == 0 || body.MaxOutputTokens < maxTokens) {
+		maxTokens = body.MaxOutputTokens
+	}
+	body.MaxOutputTokens = maxTokens
+	return &generation{
+		g:        g,
+		call:     c,
+		body:     body,
+		deadline: deadline,
+		request: schedule.Request{
+			Gateway:              g.opts.Name,
+			Workspace:            c.workspace.Name,
+			Weight:               c.workspace.Weight,
+			Entry:                c.entry.Name,
+			Class:                c.entry.Class,
+			Model:                c.entry.Model,
+			PromptTokens:         api.EstimateTokens(body.Input),
+			MaxOutputTokens:      maxTokens,
+			ExpectedOutputTokens: c.entry.ExpectedOutputTokens,
+			TokenGap:             c.entry.Targets.TokenGap,
+			Fingerprint:          fingerprint(c.workspace.Name, c.entry.Name, body.Input),
+			PrefixHashes:         api.PrefixHashes(body.Input, maxPrefixBlocks),
+		},
+	}
+}
+
+// fingerprint identifies a request that is sent again.
+func fingerprint(workspace, entry, input string) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{workspace, entry, input} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// queueDeadline is the time until which the request may wait for a replica.
+func (g *Gateway) queueDeadline(class catalogue.Class, deadline time.Time) time.Time {
+	patience := g.opts.Queue.BackgroundTimeout
+	if class == catalogue.Urgent {
+		patience = g.opts.Queue.UrgentTimeout
+	}
+	if limit := time.Now().Add(patience); limit.Before(deadline) {
+		return limit
+	}
+	return deadline
+}
+
+func enginePriority(class catalogue.Class) int {
+	if class == catalogue.Urgent {
+		return priorityUrgent
+	}
+	return priorityBackground
+}
+
+// cancelTimeout bounds a cancel that is sent to an engine on the gateway's own
+// account.
+const cancelTimeout = 2 * time.Second
+
+// cancelAtEngine ends a generation that nobody waits for any more. Failure does
+// no harm: the engine ends a stream without a reader by itself.
+func (g *Gateway) cancelAtEngine(grant schedule.Grant, engineID string) {
+	if engineID == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = g.engines.Cancel(ctx, grant.Backend, grant.Address, engineID)
+	}()
+}
--- /dev/null
+++ b/internal/process/gateway/resume.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"persimmonwing/internal/process/telemetry"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/request/relay"
+	"persimmonwing/internal/request/responseid"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// resumeResponse serves GET /v1/responses/{id}?stream=true&starting_after=N.
+func (g *Gateway) resumeResponse(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
+	ref, ferr := g.reference(r, c)
+	if ferr != nil {
+		return ferr
+	}
+	after, ferr := resumePosition(r)
+	if ferr != nil {
+		return ferr
+	}
+	deadline, ferr := c.deadline(r)
+	if ferr != nil {
+		return ferr
+	}
+	lease, ferr := g.limits.Acquire(time.Now(), c.workspace, c.entry)
+	if ferr != nil {
+		return ferr
+	}
+	defer lease.Release()
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	src, err := g.engines.Resume(ctx, ref.Backend, ref.Address, ref.EngineID, after)
+	if err != nil {
+		return resumeFault(fault.From(err))
+	}
+	sink := newStreamSink(r, w, g.opts.HTTP.WriteTimeout, c.entry.Name)
+	sink.responseID = mux.Vars(r)["id"]
+	sink.next = after + 1
+	var stalled time.Duration
+	reopen := func(ctx context.Context, id string, after int64) (relay.Source, error) {
+		return g.engines.Resume(ctx, ref.Backend, ref.Address, id, after)
+	}
+	opts := relay.Options(g.opts.Relay)
+	_, err = relay.NewResumed(ref.Backend, ref.EngineID, after, sink, reopen, opts, g.observer(c, &stalled)).Run(ctx, src)
+	if err == nil || !sink.started {
+		return asFault(err)
+	}
+	ferr = fault.From(err)
+	g.count(c, ferr)
+	sink.fail(ferr, c.id)
+	return nil
+}
+
+// asFault returns nil for a nil error, which fault.From does not.
+func asFault(err error) *fault.Error {
+	if err == nil {
+		return nil
+	}
+	return fault.From(err)
+}
+
+// resumeFault tells a reader that the engine no longer has its stream. The
+// generation was accepted once, so it has run at least in part.
+func resumeFault(e *fault.Error) *fault.Error {
+	if e.Code == fault.SequenceOutOfRange {
+		return e
+	}
+	if e.Code == fault.UnknownResponse {
+		return fault.Wrap(e, fault.EngineLost, "resume", e.Peer, api.Ran)
+	}
+	e.Execution = api.Ran
+	return e
+}
+
+// resumePosition reads the sequence number after which the stream shall go on.
+func resumePosition(r *http.Request) (int64, *fault.Error) {
+	query := r.URL.Query()
+	if query.Get("stream") != "true" {
+		return 0, fault.New(fault.BadRequest, "resume", "", api.NotRun, "stream: only stream=true is supported")
+	}
+	text := query.Get("starting_after")
+	if text == "" {
+		return -1, nil
+	}
+	after, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || after < 0 {
+		return 0, fault.New(fault.BadRequest, "resume", "", api.NotRun, "starting_after: %.32q is not a sequence number", text)
+	}
+	return after, nil
+}
+
+// cancelResponse serves POST /v1/responses/{id}/cancel.
+func (g *Gateway) cancelResponse(w http.ResponseWriter, r *http.Request, c *call) *fault.Error {
+	ref, ferr := g.reference(r, c)
+	if ferr != nil {
+		return ferr
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), cancelTimeout)
+	defer cancel()
+	if err := g.engines.Cancel(ctx, ref.Backend, ref.Address, ref.EngineID); err != nil {
+		return resumeFault(fault.From(err))
+	}
+	c.record.Step("cancelled", ref.Backend, "")
+	writeJSON(w, http.StatusOK, api.Response{ID: mux.Vars(r)["id"], Object: "response", Model: ref.Entry, Status: api.StatusCancelled})
+	return nil
+}
+
+// reference decodes the response id of the path. An id of another workspace is
+// answered like one that does not exist.
+func (g *Gateway) reference(r *http.Request, c *call) (responseid.Ref, *fault.Error) {
+	ref, err := g.ids.Decode(mux.Vars(r)["id"], time.Now())
+	if err != nil {
+		return ref, fault.Wrap(err, fault.UnknownResponse, "response id", "", api.Unknown)
+	}
+	if ref.Workspace != c.workspace.Name {
+		return ref, fault.Wrap(responseid.ErrInvalid, fault.UnknownResponse, "response id", "", api.Unknown)
+	}
+	c.record.Step("response id", ref.Backend, "of request "+ref.RequestID)
+	return ref, c.useEntry(ref.Entry, catalogue.Generation)
+}
+
+// observer returns hooks that feed the histograms of the call's workspace and
+// class and add up the stall time.
+func (g *Gateway) observer(c *call, stalled *time.Duration) relay.Hooks {
+	class := string(c.entry.Class)
+	gaps := g.metrics.Histogram(telemetry.TokenGap, c.workspace.Name, class)
+	target := c.entry.Targets.TokenGap
+	return relay.Hooks{
+		Token: func(count int, gap time.Duration) {
+			if count == 1 {
+				g.metrics.Observe(telemetry.FirstToken, c.workspace.Name, class, time.Since(c.arrived))
+				return
+			}
+			gaps.Update(gap.Microseconds())
+			if target > 0 && gap > target {
+				*stalled += gap - target
+			}
+		},
+		Dropped: func(reason relay.DropReason) { g.metrics.Counter("events_dropped", string(reason)).Inc(1) },
+		Resumed: func() { g.metrics.Counter("links_resumed").Inc(1) },
+	}
+}
--- /dev/null
+++ b/internal/process/health/health_test.go
@@ -0,0 +1,91 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"persimmonwing/internal/process/membership"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func backends(n int) []membership.Backend {
+	list := make([]membership.Backend, n)
+	for i := range list {
+		list[i] = membership.Backend{Name: fmt.Sprintf("app-%d", i), Accepting: true}
+	}
+	return list
+}
+
+// Guards against ejecting a whole service when all its replicas fail, and
+// against in-flight counts that leak.
+func TestEjectionIsCapped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewSet(DefaultOptions())
+		list := backends(rapid.IntRange(1, 6).Draw(t, "replicas"))
+		now := start
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			_, done, ok := s.Pick(now, list, nil)
+			if !ok {
+				t.Fatal("no replica left")
+			}
+			done(now, rapid.SampledFrom([]Result{Success, Failure, Failure, Failure, Abandoned}).Draw(t, "result"))
+			if s.Ejected(now)*2 > len(list) {
+				t.Fatalf("%d of %d ejected", s.Ejected(now), len(list))
+			}
+		}
+		for name, r := range s.replicas {
+			if r.inFlight != 0 {
+				t.Fatalf("%s leaks %d in flight", name, r.inFlight)
+			}
+		}
+	})
+}
+
+// Guards against sending a returning replica its full share at once, and
+// against picking excluded or leaving replicas.
+func TestPick(t *testing.T) {
+	is := is.New(t)
+	s := NewSet(DefaultOptions())
+	list := backends(2)
+	list[1].Accepting = false
+	_, _, ok := s.Pick(start, list, []string{"app-0"})
+	is.True(!ok)
+	list[1].Accepting = true
+	for range DefaultOptions().FailuresToEject {
+		_, done, _ := s.Pick(start, list, []string{"app-1"})
+		done(start, Failure)
+	}
+	is.Equal(s.Ejected(start), 1)
+	back := start.Add(6 * time.Second)
+	counts := map[string]int{}
+	for range 12 {
+		b, _, _ := s.Pick(back, list, nil)
+		counts[b.Name]++
+	}
+	is.True(counts["app-0"] < counts["app-1"])
+	is.True(counts["app-0"] > 0)
+}
+
+// Guards against a retry storm: with no success the budget ends.
+func TestBudgetEnds(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(0.1, 3)
+	allowed := 0
+	for range 100 {
+		if b.Allow("engine-1") {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 3)
+	for range 11 {
+		b.Success("engine-1")
+	}
+	is.True(b.Allow("engine-1"))
+	is.True(!b.Allow("engine-1"))
+}
--- /dev/null
+++ b/internal/request/relay/pump.go
@@ -0,0 +1,46 @@
+package relay
+
+import "persimmonwing/internal/request/api"
+
+// pumpBuffer is the number of events read ahead of the reader.
+const pumpBuffer = 32
+
+// item is an event or the error that ended the link.
+type item struct {
+	event api.Event
+	err   error
+}
+
+// pump reads a source in its own goroutine, so that a stalled link can be
+// given up.
+type pump struct {
+	src   Source
+	items chan item
+	quit  chan struct{}
+}
+
+func startPump(src Source) *pump {
+	p := &pump{src: src, items: make(chan item, pumpBuffer), quit: make(chan struct{})}
+	go p.run()
+	return p
+}
+
+func (p *pump) run() {
+	for {
+		e, err := p.src.Next()
+		select {
+		case p.items <- item{e, err}:
+		case <-p.quit:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// stop closes the source, which ends a pending Next.
+func (p *pump) stop() {
+	close(p.quit)
+	_ = p.src.Close()
+}
