Add the HTTP client of an engine

A stream that was not read to its end closes its connection, so that late bytes cannot reach the next request.

--- /dev/null
+++ b/internal/connection/engine/stream.go
@@ -0,0 +1,142 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"iter"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/tmaxmax/go-sse"
+
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+)
+
+// maxEventBytes bounds one event, so that a faulty engine cannot exhaust a
+// gateway's memory.
+const maxEventBytes = 256 << 10
+
+// drainTimeout bounds the wait for the end of the body after the terminal
+// event; a connection whose body ends in time is reused.
+const drainTimeout = time.Second
+
+// Stream reads the events of one generation. Next is for one goroutine; Close
+// may be called by any, also during Next.
+type Stream struct {
+	call   call
+	ctx    context.Context
+	cancel context.CancelFunc
+	body   io.Closer
+	closed atomic.Bool
+
+	mu       sync.Mutex
+	next     func() (sse.Event, error, bool)
+	stop     func()
+	terminal bool
+	err      error
+}
+
+// open sends a call that is answered with an event stream.
+func (c *Client) open(ctx context.Context, k call) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := c.do(ctx, k)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if !isEventStream(resp) {
+		cancel()
+		resp.Body.Close()
+		cause := eris.Errorf("answer has content type %q", resp.Header.Get("Content-Type"))
+		return nil, k.fault(cause, fault.EngineProtocol, api.Unknown)
+	}
+	s := &Stream{call: k, ctx: ctx, cancel: cancel, body: resp.Body}
+	s.call.step = StepStream
+	events := sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes})
+	s.next, s.stop = iter.Pull2(iter.Seq2[sse.Event, error](events))
+	return s, nil
+}
+
+// Next returns the next event. It returns io.EOF after the terminal event or
+// when the engine closed the stream cleanly, and another error, which is final,
+// when the link broke or an event is malformed.
+func (s *Stream) Next() (api.Event, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return api.Event{}, s.err
+	}
+	event, err := s.readLocked()
+	s.err = err
+	if err == nil && event.Type.Terminal() {
+		s.terminal = true
+		s.err = io.EOF
+	}
+	return event, err
+}
+
+func (s *Stream) readLocked() (api.Event, error) {
+	raw, err, ok := s.next()
+	switch {
+	case s.closed.Load():
+		cause := eris.New("stream was closed by its reader")
+		return api.Event{}, s.call.fault(cause, fault.Cancelled, api.Unknown)
+	case err != nil:
+		return api.Event{}, s.call.fault(err, linkCode(s.ctx, err), api.Unknown)
+	case !ok:
+		return api.Event{}, io.EOF
+	}
+	var event api.Event
+	if err := json.Unmarshal([]byte(raw.Data), &event); err != nil {
+		return api.Event{}, s.call.fault(err, fault.EngineProtocol, api.Unknown)
+	}
+	if event.Type == "" || (raw.Type != "" && raw.Type != string(event.Type)) {
+		cause := eris.Errorf("event %q carries type %q", raw.Type, event.Type)
+		return api.Event{}, s.call.fault(cause, fault.EngineProtocol, api.Unknown)
+	}
+	return event, nil
+}
+
+// Close ends reading. The connection is reused only if the body ends right
+// after the terminal event; otherwise it is closed. The generation goes on.
+func (s *Stream) Close() error {
+	if s.closed.Swap(true) {
+		return nil
+	}
+	if s.mu.TryLock() {
+		terminal := s.terminal
+		s.mu.Unlock()
+		if terminal {
+			go s.drain()
+			return nil
+		}
+	}
+	s.abandon()
+	return nil
+}
+
+// abandon closes the connection, which also ends a Next that is blocked.
+func (s *Stream) abandon() {
+	s.cancel()
+	_ = s.body.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop()
+}
+
+// drain reads the end of the body behind the terminal event.
+func (s *Stream) drain() {
+	timer := time.AfterFunc(drainTimeout, s.cancel)
+	defer timer.Stop()
+	s.mu.Lock()
+	_, err, ok := s.next()
+	s.mu.Unlock()
+	if err == nil && !ok {
+		_ = s.body.Close()
+	}
+	s.abandon()
+}
