--- /dev/null
+++ b/internal/connection/engine/client_test.go
@@ -0,0 +1,203 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+)
+
+const (
+	createdEvent   = "event: response.created\ndata: {\"type\":\"response.created\",\"sequence_number\":0}\n\n"
+	completedEvent = "event: response.completed\ndata: {\"type\":\"response.completed\",\"sequence_number\":1}\n\n"
+)
+
+// serve starts a server and returns a client and the server's address.
+func serve(t *testing.T, h http.HandlerFunc) (*Client, string) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	transport := NewTransport()
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		server.Close()
+	})
+	return New(&http.Client{Transport: transport}), server.Listener.Addr().String()
+}
+
+func answer(status int, contentType, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		w.WriteHeader(status)
+		fmt.Fprint(w, body)
+	}
+}
+
+func errorBody(code, execution string) string {
+	return fmt.Sprintf(`{"error":{"code":%q,"message":"m","execution":%q}}`, code, execution)
+}
+
+// Guards against a failure that claims not_run although bytes were sent and no
+// trusted body says so, which would let a request run twice.
+func TestCreateErrorsCarryTheExecution(t *testing.T) {
+	reset := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	redirect := func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "http://127.0.0.1:1/", http.StatusTemporaryRedirect)
+	}
+	const json, events = "application/json", "text/event-stream"
+	tests := map[string]struct {
+		handler   http.HandlerFunc
+		code      fault.Code
+		execution api.Execution
+	}{
+		"refusal":            {answer(503, json, errorBody("draining", "not_run")), fault.EngineRefused, api.NotRun},
+		"conflict":           {answer(409, json, errorBody("stale_fencing", "not_run")), "stale_fencing", api.NotRun},
+		"refusal after run":  {answer(503, json, errorBody("overloaded", "ran")), fault.EngineRefused, api.Unknown},
+		"503 without a body": {answer(503, json, ""), fault.EngineLost, api.Unknown},
+		"503 from a proxy":   {answer(503, "text/html", "<html>busy"), fault.EngineLost, api.Unknown},
+		"500 without a body": {answer(500, json, ""), fault.EngineLost, api.Unknown},
+		"500 that claims":    {answer(500, json, errorBody("internal", "not_run")), fault.Internal, api.Unknown},
+		"not a stream":       {answer(200, json, "{}"), fault.EngineProtocol, api.Unknown},
+		"empty stream type":  {answer(200, "", createdEvent), fault.EngineProtocol, api.Unknown},
+		"reset":              {reset, fault.EngineLost, api.Unknown},
+		"redirect":           {redirect, fault.EngineProtocol, api.Unknown},
+		"wrong status":       {answer(204, events, ""), fault.EngineProtocol, api.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, address := serve(t, tt.handler)
+			_, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+			var f *fault.Error
+			is.True(errors.As(err, &f))
+			is.Equal(f.Code, tt.code)
+			is.Equal(f.Execution, tt.execution)
+			is.Equal(f.Step, StepDispatch)
+			is.Equal(f.Peer, "e1")
+		})
+	}
+}
+
+// Guards against a refused connection that blocks the retry at another engine.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	c := New(&http.Client{Transport: NewTransport()})
+	_, err = c.Create(t.Context(), "e1", l.Addr().String(), api.CreateRequest{})
+	is.Equal(fault.From(err).Code, fault.EngineLost)
+	is.Equal(fault.From(err).Execution, api.NotRun)
+}
+
+// Guards against a timeout after the request was sent that claims not_run.
+func TestTimeoutAfterSendingIsUnknown(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	c, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		cancel()
+		<-r.Context().Done()
+	})
+	_, err := c.Create(ctx, "e1", address, api.CreateRequest{})
+	is.Equal(fault.From(err).Code, fault.Cancelled)
+	is.Equal(fault.From(err).Execution, api.Unknown)
+}
+
+// Guards against broken, malformed or oversized streams that end like whole ones.
+func TestStreamErrors(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		code fault.Code
+	}{
+		"malformed JSON":  {"event: response.created\ndata: {\n\n", fault.EngineProtocol},
+		"types differ":    {"event: response.failed\ndata: {\"type\":\"response.created\"}\n\n", fault.EngineProtocol},
+		"no type":         {"data: {}\n\n", fault.EngineProtocol},
+		"oversized event": {"data: " + strings.Repeat("x", maxEventBytes+1) + "\n\n", fault.EngineProtocol},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, address := serve(t, answer(200, "text/event-stream", tt.body))
+			s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+			is.NoErr(err)
+			defer s.Close()
+			_, err = s.Next()
+			is.Equal(fault.From(err).Code, tt.code)
+			is.Equal(fault.From(err).Step, StepStream)
+			_, again := s.Next()
+			is.Equal(again, err)
+		})
+	}
+}
+
+// Guards against a reader that hangs when another goroutine closes its stream.
+func TestCloseEndsABlockedNext(t *testing.T) {
+	is := is.New(t)
+	c, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		answer(200, "text/event-stream", createdEvent)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+	is.NoErr(err)
+	_, err = s.Next()
+	is.NoErr(err)
+	failed := make(chan error)
+	go func() {
+		_, err := s.Next()
+		failed <- err
+	}()
+	is.NoErr(s.Close())
+	is.Equal(fault.From(<-failed).Code, fault.Cancelled)
+}
+
+// Guards against a late event of an abandoned stream that reaches the next
+// request on the same connection, whether its bytes are still to come or were
+// sent and not read.
+func TestConnectionOfAnUnreadStreamIsNotReused(t *testing.T) {
+	const delta = "event: response.output_text.delta\ndata: {\"type\":\"response.output_text.delta\"}\n\n"
+	tests := map[string]func(w http.ResponseWriter, r *http.Request){
+		"events to come": func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		},
+		"events unread": func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, strings.Repeat(delta, 1<<20/len(delta))+completedEvent)
+		},
+	}
+	for name, rest := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			addresses := map[string]int{}
+			c, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				addresses[r.RemoteAddr]++
+				mu.Unlock()
+				answer(200, "text/event-stream", createdEvent)(w, r)
+				rest(w, r)
+			})
+			for range 4 {
+				s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+				is.NoErr(err)
+				_, err = s.Next()
+				is.NoErr(err)
+				is.NoErr(s.Close())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			is.Equal(len(addresses), 4)
+		})
+	}
+}
