Cut streams whose reader does not read; bound the answer of a cancel

The answer of a cancel leaves the output text out, because it could exceed the client's bound on JSON bodies.

The contract tests' endless inputs now have KV memory without a practical limit; with the default of 65,536 tokens they ended after that many steps.

--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -38,7 +38,7 @@
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, stop)
 	logger := logging.New(os.Stderr, s.Log, "standin-engine")
-	if err := engine.Run(ctx, s, logger, os.Exit); err != nil {
+	if err := engine.Run(ctx, s, logger); err != nil {
 		fmt.Fprintln(os.Stderr, "standin-engine:", err)
 		return settings.ExitFailure
 	}
--- a/internal/connection/engine/client_test.go
+++ b/internal/connection/engine/client_test.go
@@ -201,3 +201,23 @@
 		})
 	}
 }
+
+// Guards against a new connection for each stream that was read to its end.
+func TestConnectionOfAReadStreamIsReused(t *testing.T) {
+	is := is.New(t)
+	addresses := map[string]int{}
+	c, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		addresses[r.RemoteAddr]++
+		answer(200, "text/event-stream", createdEvent+completedEvent)(w, r)
+	})
+	for range 4 {
+		s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+		is.NoErr(err)
+		for err == nil {
+			_, err = s.Next()
+		}
+		is.Equal(err, io.EOF)
+		s.drain() // Close runs it in the background
+	}
+	is.Equal(len(addresses), 1)
+}
--- a/internal/connection/engine/errors.go
+++ b/internal/connection/engine/errors.go
@@ -17,9 +17,9 @@
 	"persimmonwing/internal/request/fault"
 )
 
-// maxBodyBytes bounds JSON answers. A cancel returns the whole output text, of
-// up to 30,000 tokens.
-const maxBodyBytes = 8 << 20
+// maxBodyBytes bounds JSON answers. The largest is a cancel's answer of an
+// engine that includes the output text, of up to 30,000 tokens.
+const maxBodyBytes = 4 << 20
 
 // Refused is the cause of an error that the engine answered with a typed body.
 type Refused struct {
--- a/internal/process/standin/engine/contract_test.go
+++ b/internal/process/standin/engine/contract_test.go
@@ -42,6 +42,7 @@
 	s.Name = testName
 	s.Models = []string{testModel}
 	s.TimeScale = 0.001
+	s.KVCapacityTokens = maxTokens
 	s.OrphanTimeout = time.Hour
 	s.EndedRetention = time.Hour
 	if change != nil {
--- a/internal/process/standin/engine/engine.go
+++ b/internal/process/standin/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"sync"
 	"time"
 
@@ -23,8 +24,8 @@
 // Engine is one simulated engine. A single goroutine owns the batch and the
 // orders; other goroutines send it commands.
 type Engine struct {
-	// Exit ends the process. A test may replace it before Start; when it
-	// returns, the engine stops and breaks all connections.
+	// Exit ends the process; the default is os.Exit. A test may replace it
+	// before Start; the engine has then stopped and breaks all connections.
 	Exit func(code int)
 
 	settings    Settings
@@ -56,6 +57,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Engine{
+		Exit:        os.Exit,
 		settings:    s,
 		logger:      logging.Part(logger, "engine"),
 		incarnation: ulid.Make().String(),
--- a/internal/process/standin/engine/http.go
+++ b/internal/process/standin/engine/http.go
@@ -154,13 +154,15 @@
 	e.serveStream(w, r, st, after+1)
 }
 
+// cancel answers without the output text, which can be megabytes long.
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	st := e.find(w, r)
 	if st == nil {
 		return
 	}
 	e.onLoop(r, func() { e.batch.cancel(st.id(), api.ReasonCancelled) })
-	e.reply(w, st.response())
+	summary, _ := st.summary()
+	e.reply(w, summary)
 }
 
 func (e *Engine) getLoad(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/standin/engine/run.go
+++ b/internal/process/standin/engine/run.go
@@ -18,13 +18,12 @@
 const shutdownTimeout = 5 * time.Second
 
 // Run serves until ctx is done, then refuses new work, finishes all running
-// generations and returns nil. exit is called at a crash marker.
-func Run(ctx context.Context, s Settings, logger log.Logger, exit func(code int)) error {
+// generations and returns nil.
+func Run(ctx context.Context, s Settings, logger log.Logger) error {
 	e, err := New(s, logger)
 	if err != nil {
 		return err
 	}
-	e.Exit = exit
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return eris.Wrap(err, "listen")
--- a/internal/process/standin/engine/sse.go
+++ b/internal/process/standin/engine/sse.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"sync"
+	"time"
 
 	"persimmonwing/internal/request/api"
 )
@@ -16,6 +18,7 @@
 	foreign chan api.Event
 	buffer  bytes.Buffer
 	next    int64
+	broken  bool
 }
 
 // serveStream sends the events from sequence number next on until the terminal
@@ -31,6 +34,8 @@
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
 	out.flush()
+	release := e.unblockOnCut(w, cut)
+	defer release()
 	for {
 		f, changed := e.faults.get()
 		if !f.Freeze && !f.StallStreams {
@@ -54,11 +59,32 @@
 	}
 }
 
+// unblockOnCut ends a write to a reader that does not read when the streams are
+// cut or the engine stops. The returned function must be called before the
+// handler returns.
+func (e *Engine) unblockOnCut(w http.ResponseWriter, cut <-chan struct{}) (release func()) {
+	var watcher sync.WaitGroup
+	done := make(chan struct{})
+	watcher.Go(func() {
+		select {
+		case <-cut:
+		case <-e.stopped.Done():
+		case <-done:
+			return
+		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now())
+	})
+	return func() {
+		close(done)
+		watcher.Wait()
+	}
+}
+
 // send writes all events that exist and returns true after the terminal one.
 func (o *writer) send(f Faults) bool {
 	for {
 		events := o.stream.read(o.next)
-		if len(events) == 0 {
+		if len(events) == 0 || o.broken {
 			break
 		}
 		for _, event := range events {
@@ -103,10 +129,11 @@
 	o.buffer.WriteString("\n\n")
 }
 
-// flush writes the buffer to the connection in one write. A broken connection
-// shows in the request's context.
+// flush writes the buffer to the connection in one write. After a failed write
+// the handler waits for the end of the request's context or for the cut.
 func (o *writer) flush() {
-	_, _ = o.w.Write(o.buffer.Bytes())
+	_, err := o.w.Write(o.buffer.Bytes())
 	o.buffer.Reset()
-	_ = http.NewResponseController(o.w).Flush()
+	flushErr := http.NewResponseController(o.w).Flush()
+	o.broken = o.broken || err != nil || flushErr != nil
 }
--- a/internal/process/standin/engine/stream.go
+++ b/internal/process/standin/engine/stream.go
@@ -142,16 +142,22 @@
 	}
 }
 
-// response returns the whole response as it is now.
-func (s *stream) response() api.Response {
+// summary returns the response as it is now without its text, and the number
+// of its tokens.
+func (s *stream) summary() (api.Response, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.created
 	if s.final != nil {
-		r = *s.final.Response
+		return *s.final.Response, s.tokens
 	}
+	return s.created, s.tokens
+}
+
+// response returns the response as it is now with its text.
+func (s *stream) response() api.Response {
+	r, tokens := s.summary()
 	var text strings.Builder
-	for i := range s.tokens {
+	for i := range tokens {
 		text.WriteString(s.tokenText(i))
 	}
 	r.OutputText = text.String()
