Add platform and application stand-ins and their clients

What: stand-ins of the platform (etcd JSON table, S3-subset objects, host list, weight store) and of an application server, with faults by HTTP control calls; clients towards both; contract tests that run the table suite against an in-memory fake and against the HTTP client with the stand-in.

Why: claims, the catalogue and the host list need a table whose failures tell a write that certainly had no effect from one that may have had. Both clients use the transport's connection trace for this: without a connection nothing was sent, whatever the error says.

net/http repeats a request on a broken reused connection if its method or an Idempotency-Key header makes it look repeatable. The service client sends bodies that cannot be rewound.

--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,10 @@
+// Command standin-platform runs the platform stand-in.
+package main
+
+import (
+	"os"
+
+	"persimmonwing/internal/process/standin/platform"
+)
+
+func main() { os.Exit(platform.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/connection/platform/hosts.go
@@ -0,0 +1,77 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// HostList is the client of a host list in Prometheus HTTP service discovery
+// format.
+type HostList struct{ caller caller }
+
+// NewHostList returns a client for the service at the base URL.
+func NewHostList(base string, c *http.Client, timeout time.Duration) *HostList {
+	return &HostList{caller: newCaller(base, c, timeout)}
+}
+
+// targetGroup is one element of the list.
+type targetGroup struct {
+	Targets []string   `json:"targets"`
+	Labels  hostLabels `json:"labels"`
+}
+
+// hostLabels are the labels that the project reads; others are ignored.
+type hostLabels struct {
+	Name       string    `json:"name"`
+	Kind       HostKind  `json:"kind"`
+	DataCentre string    `json:"data_centre"`
+	State      HostState `json:"state"`
+	Service    string    `json:"service"`
+}
+
+const stepHosts = "hosts.list"
+
+// Hosts returns the list as the platform has it, which lags.
+func (l *HostList) Hosts(ctx context.Context) ([]Host, error) {
+	_, body, err := l.caller.do(ctx, call{step: stepHosts, method: http.MethodGet, path: "/hosts"})
+	if err != nil {
+		return nil, err
+	}
+	var groups []targetGroup
+	if err := json.Unmarshal(body, &groups); err != nil {
+		return nil, NewError(stepHosts, l.caller.base, ErrNotApplied, err)
+	}
+	hosts := make([]Host, 0, len(groups))
+	for _, g := range groups {
+		h, err := g.host()
+		if err != nil {
+			return nil, NewError(stepHosts, l.caller.base, ErrNotApplied, err)
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts, nil
+}
+
+// host refuses values that would otherwise send work to the wrong place.
+func (g targetGroup) host() (Host, error) {
+	l := g.Labels
+	switch {
+	case len(g.Targets) != 1:
+		return Host{}, fmt.Errorf("host %q has %d targets; 1 is allowed", l.Name, len(g.Targets))
+	case l.Kind != KindEngine && l.Kind != KindApp:
+		return Host{}, fmt.Errorf("host %q: kind %q is not allowed", l.Name, l.Kind)
+	case l.State != HostLive && l.State != HostLeaving:
+		return Host{}, fmt.Errorf("host %q: state %q is not allowed", l.Name, l.State)
+	}
+	return Host{
+		Name:       l.Name,
+		Kind:       l.Kind,
+		Address:    g.Targets[0],
+		DataCentre: l.DataCentre,
+		State:      l.State,
+		Service:    l.Service,
+	}, nil
+}
--- /dev/null
+++ b/internal/connection/service/client_test.go
@@ -0,0 +1,159 @@
+package service_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/standin/app"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+)
+
+func start(t *testing.T) (*app.Server, string) {
+	s := app.DefaultSettings()
+	s.DrainNotice = 0
+	srv := app.New(s)
+	h := httptest.NewServer(srv)
+	t.Cleanup(h.Close)
+	return srv, strings.TrimPrefix(h.URL, "http://")
+}
+
+func newClient(t *testing.T) *service.Client {
+	tr := &http.Transport{}
+	t.Cleanup(tr.CloseIdleConnections)
+	return service.New(&http.Client{Transport: tr})
+}
+
+func post(call string) service.Request {
+	return service.Request{
+		Method: http.MethodPost,
+		Path:   "/book",
+		Header: http.Header{app.HeaderCallID: {call}, "Idempotency-Key": {call}},
+		Body:   []byte("seat 4"),
+	}
+}
+
+// Guards against an execution state that promises more than is known: not_run
+// for a call that ran, or unknown for a provable refusal.
+func TestExecutionOfFaults(t *testing.T) {
+	cases := map[string]struct {
+		faults    app.Faults
+		execution api.Execution
+		runs      int
+	}{
+		"reset before": {app.Faults{ResetBefore: 1}, api.Unknown, 0},
+		"reset after":  {app.Faults{ResetAfter: 1}, api.Unknown, 1},
+		"refusal":      {app.Faults{ErrorWithBody: 1}, api.NotRun, 0},
+		"drain":        {app.Faults{Drain: true}, api.NotRun, 0},
+		"timeout":      {app.Faults{DelayMS: 300}, api.Unknown, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			srv, addr := start(t)
+			srv.SetFaults(c.faults)
+			ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+			defer cancel()
+			_, err := newClient(t).Do(ctx, "app-1", addr, post("c"))
+			is.True(err != nil)
+			f := fault.From(err)
+			is.Equal(f.Execution, c.execution)
+			is.Equal(f.Peer, "app-1")
+			is.Equal(f.Step, "dispatch")
+			is.Equal(srv.Runs()["c"], c.runs)
+		})
+	}
+}
+
+// Guards against an error answer of the application being taken for a failed
+// call, which would let it run again.
+func TestErrorStatusIsAnAnswer(t *testing.T) {
+	is := is.New(t)
+	srv, addr := start(t)
+	srv.SetFaults(app.Faults{ErrorWithoutBody: 1})
+	c := newClient(t)
+	resp, err := c.Do(t.Context(), "app-1", addr, post("c"))
+	is.NoErr(err)
+	is.Equal(resp.Status, http.StatusInternalServerError)
+	is.Equal(srv.Runs()["c"], 1)
+	report, err := c.Load(t.Context(), "app-1", addr)
+	is.NoErr(err)
+	is.Equal(report.Name, "app-1")
+	is.True(report.Incarnation != "")
+}
+
+// Guards against a refused dial being reported as unknown, which would forbid
+// a safe retry elsewhere.
+func TestRefusedDialDidNotRun(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	is.NoErr(ln.Close())
+	_, err = newClient(t).Do(t.Context(), "app-1", addr, post("c"))
+	is.Equal(fault.From(err).Execution, api.NotRun)
+}
+
+// Guards against net/http repeating a call by itself: it does so on a reused
+// connection that breaks, for GET and for any call with an Idempotency-Key.
+func TestNoSilentRepeatOnReusedConnection(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		for _, body := range []string{"", "seat 4"} {
+			t.Run(method+body, func(t *testing.T) {
+				is := is.New(t)
+				var seen atomic.Int64
+				h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					if r.URL.Path == "/warm" {
+						return
+					}
+					seen.Add(1)
+					panic(http.ErrAbortHandler)
+				}))
+				defer h.Close()
+				addr := strings.TrimPrefix(h.URL, "http://")
+				c := newClient(t)
+				_, err := c.Do(t.Context(), "app-1", addr, service.Request{Method: method, Path: "/warm"})
+				is.NoErr(err)
+				r := post("c")
+				r.Method, r.Body = method, []byte(body)
+				_, err = c.Do(t.Context(), "app-1", addr, r)
+				is.Equal(fault.From(err).Execution, api.Unknown)
+				is.Equal(seen.Load(), int64(1))
+			})
+		}
+	}
+}
+
+// Guards against headers of one connection leaking to the other side, and
+// against a followed redirect, which would send the call twice.
+func TestHopByHopHeadersAndRedirects(t *testing.T) {
+	is := is.New(t)
+	var got http.Header
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set("X-Kept", "1")
+		http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+	}))
+	defer h.Close()
+	r := post("c")
+	r.Header.Set("Connection", "X-Private, close")
+	r.Header.Set("X-Private", "1")
+	r.Header.Set("Te", "trailers")
+	resp, err := newClient(t).Do(t.Context(), "app-1", strings.TrimPrefix(h.URL, "http://"), r)
+	is.NoErr(err)
+	is.Equal(resp.Status, http.StatusTemporaryRedirect)
+	is.Equal(got.Get("X-Private")+got.Get("Te")+resp.Header.Get("Keep-Alive"), "")
+	is.Equal(resp.Header.Get("X-Kept")+got.Get("Idempotency-Key"), "1c")
+}
--- /dev/null
+++ b/internal/process/standin/app/server.go
@@ -0,0 +1,195 @@
+package app
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
+	"github.com/oklog/ulid/v2"
+
+	"persimmonwing/internal/process/logging"
+	"persimmonwing/internal/process/standin/serve"
+	"persimmonwing/internal/request/api"
+)
+
+// HeaderCallID names the call that a run is counted under; without it the
+// idempotency key does.
+const (
+	HeaderCallID         = "X-Call-Id"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+// Answer is the body of a call that ran.
+type Answer struct {
+	Server string `json:"server"`
+	Call   string `json:"call"`
+	// Runs counts the runs of this call at this server, this one included.
+	Runs int    `json:"runs"`
+	Path string `json:"path"`
+}
+
+// Server is the stand-in's state.
+type Server struct {
+	settings    *Settings
+	incarnation string
+	faults      *faultState
+	router      *mux.Router
+	// stopped ends the calls that a freeze holds at shutdown.
+	stopped context.Context
+	stop    context.CancelFunc
+
+	mu       sync.Mutex
+	running  int
+	draining bool
+	runs     map[string]int
+}
+
+// New returns a stand-in with valid settings.
+func New(s *Settings) *Server {
+	srv := &Server{
+		settings:    s,
+		incarnation: ulid.Make().String(),
+		faults:      newFaultState(),
+		router:      mux.NewRouter().SkipClean(true),
+		runs:        map[string]int{},
+	}
+	srv.stopped, srv.stop = context.WithCancel(context.Background())
+	srv.router.HandleFunc("/control/faults", srv.serveFaults).Methods(http.MethodPut)
+	srv.router.HandleFunc("/control/runs", srv.serveRuns).Methods(http.MethodGet)
+	srv.router.HandleFunc("/v1/load", srv.serveLoad).Methods(http.MethodGet)
+	srv.router.PathPrefix("/").HandlerFunc(srv.serveCall)
+	return srv
+}
+
+// Main runs the binary and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	s := DefaultSettings()
+	options := func() logging.Options { return s.Log }
+	return serve.Main("standin-app", args, stdout, stderr, s, options,
+		func(ctx context.Context, l log.Logger) error {
+			srv := New(s)
+			return serve.HTTP(ctx, l, s.Listen, srv, srv.Drain)
+		})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// Drain refuses new calls and returns after the drain notice.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	time.Sleep(s.settings.DrainNotice)
+	s.stop()
+}
+
+// SetFaults replaces all faults.
+func (s *Server) SetFaults(f Faults) { s.faults.set(f) }
+
+// Runs returns the number of runs by call id.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if serve.ReadJSON(w, r, &f) {
+		s.SetFaults(f)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (s *Server) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	serve.WriteJSON(w, http.StatusOK, s.Runs())
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if !s.faults.waitThawed(r.Context()) {
+		serve.Abort()
+	}
+	s.mu.Lock()
+	report := api.LoadReport{
+		Name:         s.settings.Name,
+		Running:      s.running,
+		Draining:     s.draining || s.faults.current().Drain,
+		Incarnation:  s.incarnation,
+		ReportedAtMS: time.Now().UnixMilli(),
+	}
+	s.mu.Unlock()
+	serve.WriteJSON(w, http.StatusOK, report)
+}
+
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || !s.faults.waitThawed(s.stopped) {
+		serve.Abort()
+	}
+	fate := s.faults.next()
+	if fate == resetBefore {
+		serve.Abort()
+	}
+	if fate == errorWithBody {
+		refuse(w, "overloaded")
+		return
+	}
+	if code := s.enter(); code != "" {
+		refuse(w, code)
+		return
+	}
+	defer s.leave()
+	a := s.run(r)
+	switch fate {
+	case resetAfter:
+		serve.Abort()
+	case errorWithoutBody:
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		serve.WriteJSON(w, http.StatusOK, a)
+	}
+}
+
+// enter counts the call as running, or returns the code of the refusal.
+func (s *Server) enter() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.draining || s.faults.current().Drain:
+		return "draining"
+	case s.settings.MaxConcurrent > 0 && s.running >= s.settings.MaxConcurrent:
+		return "overloaded"
+	}
+	s.running++
+	return ""
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// run counts the run at its start, as a call that is cut off has an effect.
+func (s *Server) run(r *http.Request) Answer {
+	call := r.Header.Get(HeaderCallID)
+	if call == "" {
+		call = r.Header.Get(headerIdempotencyKey)
+	}
+	s.mu.Lock()
+	s.runs[call]++
+	a := Answer{Server: s.settings.Name, Call: call, Runs: s.runs[call], Path: r.URL.Path}
+	s.mu.Unlock()
+	time.Sleep(s.settings.Delay + time.Duration(s.faults.current().DelayMS)*time.Millisecond)
+	return a
+}
+
+func refuse(w http.ResponseWriter, code string) {
+	body := api.ErrorBody{Error: api.Error{Code: code, Message: "the call was not run", Execution: api.NotRun}}
+	serve.WriteJSON(w, http.StatusServiceUnavailable, body)
+}
--- /dev/null
+++ b/internal/process/standin/platform/server.go
@@ -0,0 +1,116 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
+
+	"persimmonwing/internal/connection/platform/etcdjson"
+	"persimmonwing/internal/process/logging"
+	"persimmonwing/internal/process/standin/serve"
+)
+
+// Server is the stand-in's state.
+type Server struct {
+	settings *Settings
+	gate     *gate
+	hosts    *hostList
+	router   *mux.Router
+}
+
+// New returns a stand-in with valid settings.
+func New(s *Settings) *Server {
+	srv := &Server{
+		settings: s,
+		gate:     newGate(s),
+		hosts:    newHostList(s.Hosts, s.HostListLag, time.Now),
+		router:   mux.NewRouter().UseEncodedPath(),
+	}
+	srv.routeServices()
+	srv.routeControl()
+	return srv
+}
+
+// Main runs the binary and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	s := DefaultSettings()
+	options := func() logging.Options { return s.Log }
+	return serve.Main("standin-platform", args, stdout, stderr, s, options,
+		func(ctx context.Context, l log.Logger) error {
+			return serve.HTTP(ctx, l, s.Listen, New(s), func() {})
+		})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// SetFaults replaces all faults.
+func (s *Server) SetFaults(f Faults) {
+	s.gate.set(f)
+	s.hosts.freeze(f.HostListFrozen)
+}
+
+// Counters returns the counts since the start.
+func (s *Server) Counters() Counters { return s.gate.counters() }
+
+func (s *Server) routeServices() {
+	t, o := newTable(), newObjects()
+	s.handle(http.MethodPost, etcdjson.PathRange, readCall, t.serveRange)
+	s.handle(http.MethodPost, etcdjson.PathTxn, writeCall, t.serveTxn)
+	const object = "/objects/{bucket}/{key:.+}"
+	s.handle(http.MethodPut, object, writeCall, o.put)
+	s.handle(http.MethodGet, object, readCall, o.get)
+	s.handle(http.MethodHead, object, readCall, o.get)
+	s.handle(http.MethodGet, "/hosts", readCall, s.hosts.serveList)
+	s.handle(http.MethodGet, "/weights/{name}", weightCall, serveWeights)
+}
+
+func (s *Server) handle(method, path string, k callKind, h http.HandlerFunc) {
+	s.router.HandleFunc(path, s.gate.wrap(k, h)).Methods(method)
+}
+
+func (s *Server) routeControl() {
+	s.router.HandleFunc("/control/faults", s.serveFaults).Methods(http.MethodPut)
+	s.router.HandleFunc("/control/counters", s.serveCounters).Methods(http.MethodGet)
+	s.router.HandleFunc("/control/hosts", s.hosts.servePut).Methods(http.MethodPut)
+	s.router.HandleFunc("/control/hosts/{name}/state", s.hosts.serveState).Methods(http.MethodPut)
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if serve.ReadJSON(w, r, &f) {
+		s.SetFaults(f)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (s *Server) serveCounters(w http.ResponseWriter, _ *http.Request) {
+	serve.WriteJSON(w, http.StatusOK, s.Counters())
+}
+
+// maxWeights bounds the answer of one weight read, in bytes.
+const maxWeights = 1 << 30
+
+// serveWeights answers with the number of bytes that the query asks for.
+func serveWeights(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64)
+	if err != nil || n < 0 || n > maxWeights {
+		http.Error(w, "bytes: give a number from 0 to "+strconv.Itoa(maxWeights), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	_, _ = io.CopyN(w, zeros{}, n)
+}
+
+// zeros is an endless reader of zero bytes.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
