Add the decision packages for generations

This adds the length estimate (survival), the KV memory projection (memory), the two-class fair queue (fairqueue) and the group that combines them (schedule).

Ruled out: Kaplan-Meier over completed generations only, which favours short ones while long ones still run; tokens of running generations are counted as at risk instead. Floating-point sums in the projection, which leave residue after many additions; sums are whole numbers. An LRU cache for prefixes, which allocates for each new block; a fixed table is used.

--- /dev/null
+++ b/internal/process/fairqueue/flow.go
@@ -0,0 +1,193 @@
+package fairqueue
+
+import "container/heap"
+
+// maxIdleFlows bounds the workspaces remembered without waiting requests.
+const maxIdleFlows = 4096
+
+type lane struct {
+	workspace string
+	isolated  bool
+}
+
+// flow is the queue of one workspace in one class.
+type flow[T any] struct {
+	weight     float64
+	virtual    float64
+	head, tail *Entry[T]
+	length     int
+	// index is the position in the active heap, or -1.
+	index int
+	aside bool
+}
+
+// classQueue is the queue of one class.
+type classQueue[T any] struct {
+	flows  map[lane]*flow[T]
+	active flowHeap[T]
+	aside  []*flow[T]
+	length int
+	// virtual is the highest virtual time at which a request was served.
+	virtual float64
+}
+
+func (c *classQueue[T]) flow(l lane) *flow[T] {
+	if f, known := c.flows[l]; known {
+		return f
+	}
+	if len(c.flows) >= maxIdleFlows {
+		c.dropIdle()
+	}
+	f := &flow[T]{weight: 1, virtual: c.virtual, index: -1}
+	c.flows[l] = f
+	return f
+}
+
+// dropIdle forgets idle workspaces without debt; they start afresh on return.
+func (c *classQueue[T]) dropIdle() {
+	for l, f := range c.flows {
+		if f.length == 0 && !f.aside && f.virtual <= c.virtual {
+			delete(c.flows, l)
+		}
+	}
+}
+
+// start is the virtual time at which a workspace that becomes active joins.
+func (c *classQueue[T]) start() float64 {
+	if len(c.active) == 0 && len(c.aside) == 0 {
+		return c.virtual
+	}
+	lowest := c.virtual
+	if len(c.active) > 0 {
+		lowest = c.active[0].virtual
+	} else {
+		lowest = c.aside[0].virtual
+	}
+	for _, f := range c.aside {
+		lowest = min(lowest, f.virtual)
+	}
+	return lowest
+}
+
+func (c *classQueue[T]) append(f *flow[T], e *Entry[T]) {
+	e.flow = f
+	e.prev = f.tail
+	if f.tail != nil {
+		f.tail.next = e
+	} else {
+		f.head = e
+	}
+	f.tail = e
+	f.length++
+	c.length++
+	if f.length == 1 && !f.aside {
+		// An idle workspace keeps a debt but no credit.
+		f.virtual = max(f.virtual, c.start())
+		heap.Push(&c.active, f)
+	}
+}
+
+// unlink removes an entry from its flow and puts the flow in its place.
+func (c *classQueue[T]) unlink(e *Entry[T]) {
+	f := e.flow
+	if e.prev != nil {
+		e.prev.next = e.next
+	} else {
+		f.head = e.next
+	}
+	if e.next != nil {
+		e.next.prev = e.prev
+	} else {
+		f.tail = e.prev
+	}
+	f.length--
+	c.length--
+	switch {
+	case f.index < 0:
+	case f.length == 0:
+		heap.Remove(&c.active, f.index)
+	default:
+		heap.Fix(&c.active, f.index)
+	}
+}
+
+func (c *classQueue[T]) charge(f *flow[T], delta float64) {
+	f.virtual += delta / f.weight
+	if f.index >= 0 {
+		heap.Fix(&c.active, f.index)
+	}
+}
+
+func (c *classQueue[T]) setAside(f *flow[T]) {
+	if f.aside {
+		return
+	}
+	heap.Remove(&c.active, f.index)
+	f.aside = true
+	c.aside = append(c.aside, f)
+}
+
+func (c *classQueue[T]) restore() {
+	for i, f := range c.aside {
+		f.aside = false
+		if f.length > 0 {
+			heap.Push(&c.active, f)
+		}
+		c.aside[i] = nil
+	}
+	c.aside = c.aside[:0]
+}
+
+// flowHeap orders flows by virtual time, then by arrival of the first request.
+type flowHeap[T any] []*flow[T]
+
+func (h flowHeap[T]) Len() int { return len(h) }
+func (h flowHeap[T]) Less(i, j int) bool {
+	if h[i].virtual != h[j].virtual {
+		return h[i].virtual < h[j].virtual
+	}
+	if h[i].head == nil || h[j].head == nil {
+		return h[j].head != nil
+	}
+	return h[i].head.number < h[j].head.number
+}
+func (h flowHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *flowHeap[T]) Push(x any) {
+	f := x.(*flow[T])
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+func (h *flowHeap[T]) Pop() any {
+	last := len(*h) - 1
+	f := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	f.index = -1
+	return f
+}
+
+// deadlineHeap orders entries by deadline.
+type deadlineHeap[T any] []*Entry[T]
+
+func (h deadlineHeap[T]) Len() int           { return len(h) }
+func (h deadlineHeap[T]) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+func (h deadlineHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].deadlineIndex, h[j].deadlineIndex = i, j
+}
+func (h *deadlineHeap[T]) Push(x any) {
+	e := x.(*Entry[T])
+	e.deadlineIndex = len(*h)
+	*h = append(*h, e)
+}
+func (h *deadlineHeap[T]) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	e.deadlineIndex = -1
+	return e
+}
--- /dev/null
+++ b/internal/process/schedule/dispatch.go
@@ -0,0 +1,214 @@
+package schedule
+
+import (
+	"time"
+
+	"persimmonwing/internal/process/fairqueue"
+	"persimmonwing/internal/process/memory"
+	"persimmonwing/internal/version/catalogue"
+)
+
+const (
+	// maxSkips bounds the workspaces that are passed over in one Dispatch for
+	// lack of room, and so its cost.
+	maxSkips = 8
+	// maxIsolatedSkips bounds those passed over because suspects must end first.
+	maxIsolatedSkips = 64
+	// maxBypassed is the number of times that smaller requests may overtake one
+	// that does not fit. After that its class waits for it.
+	maxBypassed = 32
+)
+
+// pass is the state of one Dispatch.
+type pass struct {
+	now       time.Time
+	decisions []Decision
+	// closed classes are not tried again in this pass.
+	closed [2]bool
+	skips  [2]int
+	// urgentWaits is set when an urgent request lacks room, so that background
+	// work does not take the room that it waits for.
+	urgentWaits bool
+}
+
+func classIndex(c catalogue.Class) int {
+	if c == catalogue.Background {
+		return 1
+	}
+	return 0
+}
+
+// Dispatch returns the decisions that can be made now: grants, and refusals of
+// requests whose deadline has passed or that had no replica for too long.
+func (g *Group) Dispatch(now time.Time) []Decision {
+	p := &pass{now: now}
+	g.refuseExpired(p)
+	g.refuseUnplaceable(p)
+	g.warmUp(now)
+	for !g.saturated() {
+		class, open := g.nextClass(p)
+		if !open {
+			break
+		}
+		g.dispatchOne(p, class)
+	}
+	g.queue.Restore()
+	return p.decisions
+}
+
+func (p *pass) refuse(t ticket, reason string) {
+	p.decisions = append(p.decisions, Decision{Request: t.request, Refusal: &Refusal{Reason: reason}})
+}
+
+func (g *Group) refuseExpired(p *pass) {
+	for {
+		t, expired := g.queue.PopExpired(p.now)
+		if !expired {
+			return
+		}
+		p.refuse(t, ReasonDeadline)
+	}
+}
+
+// refuseUnplaceable empties the queue when no replica has accepted work for long.
+func (g *Group) refuseUnplaceable(p *pass) {
+	if g.unavailableSince.IsZero() || p.now.Sub(g.unavailableSince) < noReplicaPatience {
+		return
+	}
+	for _, class := range [...]catalogue.Class{catalogue.Urgent, catalogue.Background} {
+		for e := g.queue.Next(class); e != nil; e = g.queue.Next(class) {
+			p.refuse(g.queue.Take(e, 0), ReasonNoReplica)
+		}
+	}
+}
+
+// warmUp updates the loads of replicas whose bound grows with time.
+func (g *Group) warmUp(now time.Time) {
+	for _, r := range g.replicas {
+		if r.returnedAt.IsZero() {
+			continue
+		}
+		if now.Sub(r.returnedAt) >= slowStart {
+			r.returnedAt = time.Time{}
+		}
+		g.update(r, now)
+	}
+}
+
+// saturated reports whether no replica can take another request.
+func (g *Group) saturated() bool {
+	if len(g.available) == 0 {
+		return true
+	}
+	return g.o.Policy != PolicyBaseline && g.available[0].load >= 1
+}
+
+// nextClass returns the class to serve next: background while it is below its
+// floor, else urgent, and background when no urgent request waits for room.
+func (g *Group) nextClass(p *pass) (catalogue.Class, bool) {
+	for _, class := range [...]catalogue.Class{catalogue.Urgent, catalogue.Background} {
+		i := classIndex(class)
+		p.closed[i] = p.closed[i] || g.queue.Next(class) == nil
+	}
+	urgent, background := !p.closed[0], !p.closed[1]
+	switch {
+	case g.o.NoClasses:
+		return catalogue.Urgent, urgent
+	case background && g.floorDue(p.now):
+		return catalogue.Background, true
+	case urgent:
+		return catalogue.Urgent, true
+	case background && !p.urgentWaits:
+		return catalogue.Background, true
+	}
+	return "", false
+}
+
+// floorDue reports whether background work is below its floor.
+func (g *Group) floorDue(now time.Time) bool {
+	urgent, background := g.admitted.tokens(now)
+	return background < g.o.BackgroundFloor*(urgent+background)
+}
+
+// dispatchOne grants or passes over the next request of a class.
+func (g *Group) dispatchOne(p *pass, class catalogue.Class) {
+	e := g.queue.Next(class)
+	q := &e.Value.request
+	s := memory.NewSequence(g.length(q), q.PromptTokens, 0, q.MaxOutputTokens)
+	r, reason, why := g.place(p.now, q, &s)
+	if why == placed {
+		g.grant(p, e, r, reason, s)
+		return
+	}
+	if why == noneAccepts && p.now.Sub(e.Value.enqueued) >= noReplicaPatience {
+		p.refuse(g.queue.Take(e, 0), ReasonNoReplica)
+		return
+	}
+	g.passOver(p, e, classIndex(class), why)
+}
+
+// grant gives a request to a replica.
+func (g *Group) grant(p *pass, e *fairqueue.Entry[ticket], r *replica, reason string, s memory.Sequence) {
+	tokens := g.expectedTokens(&e.Value.request)
+	t := g.queue.Take(e, tokens)
+	q := &t.request
+	g.hold(p.now, q, r, s, tokens)
+	g.prefixes.remember(q.PrefixHashes, r)
+	// Only work admitted while background waits counts towards its floor, so
+	// that background gains no credit while it has nothing to run.
+	counted := g.queue.Len(catalogue.Background) > 0 || q.Class == catalogue.Background
+	g.admitted.add(p.now, q.Class, tokens, counted)
+	p.decisions = append(p.decisions, Decision{
+		Request: *q,
+		Grant: Grant{
+			ID:        q.ID,
+			Group:     g.key,
+			Backend:   r.Name,
+			Address:   r.Address,
+			Owner:     g.o.Owner,
+			QueuedFor: p.now.Sub(t.enqueued),
+			Reason:    reason,
+		},
+	})
+}
+
+// passOver leaves a request queued and lets other workspaces go first.
+func (g *Group) passOver(p *pass, e *fairqueue.Entry[ticket], class int, why placement) {
+	limit := maxIsolatedSkips
+	if why == noRoom {
+		limit = maxSkips
+		e.Bypassed++
+		p.urgentWaits = p.urgentWaits || class == 0
+	}
+	p.skips[class]++
+	if p.skips[class] >= limit || e.Bypassed > maxBypassed {
+		p.closed[class] = true
+	}
+	g.queue.SetAside(e)
+}
+
+// NextWake returns when Dispatch must be called at the latest.
+func (g *Group) NextWake(now time.Time) time.Time {
+	wake := now.Add(time.Second)
+	if g.waiting() == 0 {
+		return wake
+	}
+	if deadline, any := g.queue.NextDeadline(); any && deadline.Before(wake) {
+		wake = deadline
+	}
+	if !g.unavailableSince.IsZero() {
+		if at := g.unavailableSince.Add(noReplicaPatience); at.Before(wake) {
+			wake = at
+		}
+		return wake
+	}
+	for _, r := range g.available {
+		if at := now.Add(warmUpInterval); !r.returnedAt.IsZero() && at.Before(wake) {
+			wake = at
+		}
+	}
+	return wake
+}
+
+// warmUpInterval is how often the bound of a returning replica is applied.
+const warmUpInterval = 250 * time.Millisecond
--- /dev/null
+++ b/internal/process/schedule/place.go
@@ -0,0 +1,147 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"persimmonwing/internal/process/memory"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// The reasons of a Grant.
+const (
+	ReasonPrefix      = "prefix"
+	ReasonLeastLoad   = "least_load"
+	ReasonFingerprint = "same_fingerprint"
+)
+
+const (
+	// affinityBound is the multiple of the mean load up to which a replica is
+	// preferred for its cached prefix.
+	affinityBound = 1.25
+	// placementTries bounds the replicas tried for an ordinary request, least
+	// loaded first. It covers a whole shard.
+	placementTries = 16
+)
+
+// placement says why a request was or was not placed.
+type placement int
+
+const (
+	placed placement = iota
+	// noRoom means that slots or memory are short.
+	noRoom
+	// isolated means that suspects or equal fingerprints must end first.
+	isolated
+	// noneAccepts means that every replica is excluded or not accepting.
+	noneAccepts
+)
+
+// place chooses a replica for a request.
+func (g *Group) place(now time.Time, q *Request, s *memory.Sequence) (*replica, string, placement) {
+	if g.o.Policy == PolicyBaseline {
+		return g.leastLoaded(now, q, s)
+	}
+	if p, pinned := g.pinned[q.Fingerprint]; pinned && q.Fingerprint != 0 {
+		if g.usable(p.replica, q) && g.hasRoom(now, p.replica, q, s) {
+			return p.replica, ReasonFingerprint, placed
+		}
+		return nil, "", isolated
+	}
+	if r := g.affine(now, q, s); r != nil {
+		return r, ReasonPrefix, placed
+	}
+	return g.leastLoaded(now, q, s)
+}
+
+// leastLoaded tries replicas in the order of the heap array, which starts with
+// the least loaded one.
+func (g *Group) leastLoaded(now time.Time, q *Request, s *memory.Sequence) (*replica, string, placement) {
+	tries := len(g.available)
+	if !q.Suspect && len(q.Exclude) == 0 {
+		tries = min(tries, placementTries)
+	}
+	var best *replica
+	why := noneAccepts
+	for _, r := range g.available[:tries] {
+		if best != nil && best.load <= r.load {
+			continue
+		}
+		switch {
+		case slices.Contains(q.Exclude, r.Name):
+		case q.Suspect && r.suspects > 0:
+			why = min(why, isolated)
+		case !g.hasRoom(now, r, q, s):
+			why = noRoom
+		default:
+			best = r
+		}
+		if best == g.available[0] && best != nil {
+			break
+		}
+	}
+	if best != nil {
+		return best, ReasonLeastLoad, placed
+	}
+	return nil, "", why
+}
+
+// usable reports whether a replica may run the request, room aside.
+func (g *Group) usable(r *replica, q *Request) bool {
+	if !r.accepting() || slices.Contains(q.Exclude, r.Name) {
+		return false
+	}
+	return !q.Suspect || r.suspects == 0
+}
+
+// hasRoom reports whether the replica has a slot and memory for the request.
+func (g *Group) hasRoom(now time.Time, r *replica, q *Request, s *memory.Sequence) bool {
+	if g.o.Policy == PolicyBaseline {
+		return true
+	}
+	slots := g.slots(r, now)
+	if r.occupied() >= slots {
+		return false
+	}
+	background := q.Class == catalogue.Background && !g.o.NoClasses
+	if background && r.background >= g.backgroundSlots(slots) {
+		return false
+	}
+	// A request that fits nowhere else runs on an empty replica.
+	if !g.limitsMemory(r) || r.occupied() == 0 {
+		return true
+	}
+	capacity := g.capacityFor(r)
+	if background {
+		reserve := int(g.o.UrgentReserve * float64(capacity))
+		if r.background > 0 && !r.backgroundMem.Fits(s, capacity, reserve) {
+			return false
+		}
+	}
+	return r.all.Fits(s, capacity, 0)
+}
+
+// backgroundSlots returns the slots of a replica that background may use; one
+// slot is always open to it.
+func (g *Group) backgroundSlots(slots int) int {
+	return max(1, int((1-g.o.UrgentReserve)*float64(slots)))
+}
+
+// affine returns the replica that holds the longest known prefix, if its load
+// is near the mean and it has room.
+func (g *Group) affine(now time.Time, q *Request, s *memory.Sequence) *replica {
+	if g.o.NoAffinity || len(g.available) == 0 {
+		return nil
+	}
+	mean := float64(g.inFlight+1) / float64(len(g.available))
+	for i := len(q.PrefixHashes) - 1; i >= 0; i-- {
+		r := g.prefixes.lookup(q.PrefixHashes[i])
+		if r == nil || !g.usable(r, q) {
+			continue
+		}
+		if float64(len(r.running)) < affinityBound*mean && g.hasRoom(now, r, q, s) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/schedule/replica.go
@@ -0,0 +1,322 @@
+package schedule
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"persimmonwing/internal/process/memory"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/version/catalogue"
+)
+
+const (
+	// defaultTokenGap is the token gap target of the design page.
+	defaultTokenGap = 26 * time.Millisecond
+	// raiseBelow is the fraction of the target under which the batch bound rises.
+	raiseBelow = 0.9
+	// farAbove is the multiple of the target above which the batch bound falls by
+	// a sixteenth instead of by one, so that a start with too large a batch ends
+	// within seconds.
+	farAbove     = 1.25
+	farStep      = 16
+	defaultBatch = 64
+	// slowStart is the time in which a returning replica's bound grows to full.
+	slowStart     = 10 * time.Second
+	slowStartFrom = 0.25
+	// foreignReports is the number of reports that must agree before sequences
+	// beyond the own view are taken for those of another gateway.
+	foreignReports = 4
+)
+
+// replica is the state of one engine.
+type replica struct {
+	Replica
+	listed   bool
+	draining bool
+	// bound is the largest batch that keeps the token gap target.
+	bound      int
+	running    []*grant
+	background int
+	suspects   int
+	// all projects every sequence and own those of the background class.
+	all           memory.Projection
+	backgroundMem memory.Projection
+	// foreign counts running sequences that this group did not grant.
+	foreign       int
+	views         [foreignReports]int
+	reports       int
+	lastReport    int64
+	incarnation   string
+	returnedAt    time.Time
+	load          float64
+	index         int
+	reportedBatch int
+	reportedKV    int
+}
+
+func (r *replica) accepting() bool { return r.listed && r.Accepting && !r.draining }
+
+// maxBatch returns the engine's own limit.
+func (r *replica) maxBatch() int {
+	switch {
+	case r.MaxBatch > 0:
+		return r.MaxBatch
+	case r.reportedBatch > 0:
+		return r.reportedBatch
+	}
+	return defaultBatch
+}
+
+// capacity returns the KV capacity in tokens, or 0 while it is not known.
+func (r *replica) capacity() int {
+	if r.KVCapacityTokens > 0 {
+		return r.KVCapacityTokens
+	}
+	return r.reportedKV
+}
+
+// occupied returns the slots in use.
+func (r *replica) occupied() int { return len(r.running) + r.foreign }
+
+// slots returns how many sequences the replica may run now.
+func (g *Group) slots(r *replica, now time.Time) int {
+	if g.o.Policy == PolicyBaseline {
+		return math.MaxInt
+	}
+	slots := r.bound
+	if g.o.NoBatchBound {
+		slots = r.maxBatch()
+	}
+	fraction := g.share * r.warmth(now)
+	return max(1, int(float64(slots)*fraction))
+}
+
+// warmth is the fraction of its bound that a returning replica may use.
+func (r *replica) warmth(now time.Time) float64 {
+	if r.returnedAt.IsZero() {
+		return 1
+	}
+	passed := float64(now.Sub(r.returnedAt)) / float64(slowStart)
+	return min(1, slowStartFrom+(1-slowStartFrom)*max(0, passed))
+}
+
+// capacityFor returns the KV tokens that this gateway may use.
+func (g *Group) capacityFor(r *replica) int {
+	return int(float64(r.capacity()) * g.share)
+}
+
+// limitsMemory reports whether memory bounds admission to the replica.
+func (g *Group) limitsMemory(r *replica) bool {
+	return !g.o.NoMemoryAdmission && r.capacity() > 0
+}
+
+// loadOf returns the larger of the used fractions of slots and memory; at 1 or
+// more the replica takes no more work. In the baseline it is the number in flight.
+func (g *Group) loadOf(r *replica, now time.Time) float64 {
+	if g.o.Policy == PolicyBaseline {
+		return float64(len(r.running))
+	}
+	load := float64(r.occupied()) / float64(g.slots(r, now))
+	if g.limitsMemory(r) && r.occupied() > 0 {
+		load = max(load, r.all.Peak()/float64(g.capacityFor(r)))
+	}
+	return load
+}
+
+// update restores the order of the available replicas after a change of r.
+func (g *Group) update(r *replica, now time.Time) {
+	r.load = g.loadOf(r, now)
+	accepting := r.accepting()
+	switch {
+	case accepting && r.index >= 0:
+		heap.Fix(&g.available, r.index)
+	case accepting:
+		heap.Push(&g.available, r)
+		g.inFlight += len(r.running)
+	case r.index >= 0:
+		heap.Remove(&g.available, r.index)
+		g.inFlight -= len(r.running)
+	}
+}
+
+// reorder recomputes every load.
+func (g *Group) reorder() {
+	for _, r := range g.available {
+		r.load = g.loadOf(r, time.Time{})
+	}
+	heap.Init(&g.available)
+}
+
+// replica returns the state of a replica, created when it is not known.
+func (g *Group) replica(name string) *replica {
+	r, known := g.replicas[name]
+	if !known {
+		r = &replica{Replica: Replica{Name: name}, index: -1}
+		g.replicas[name] = r
+	}
+	return r
+}
+
+// SetReplicas states the replicas of the group. Those left out take no new
+// work and are forgotten when their last grant ends.
+func (g *Group) SetReplicas(now time.Time, replicas []Replica) {
+	for _, r := range g.replicas {
+		r.listed = false
+	}
+	for _, next := range replicas {
+		r := g.replica(next.Name)
+		was := r.index >= 0
+		r.Replica = next
+		r.listed = true
+		r.bound = boundWithin(r.bound, r.maxBatch())
+		if r.accepting() && !was && g.started {
+			r.returnedAt = now
+		}
+	}
+	g.started = g.started || len(replicas) > 0
+	for name, r := range g.replicas {
+		g.update(r, now)
+		if !r.listed && len(r.running) == 0 {
+			delete(g.replicas, name)
+		}
+	}
+	g.noteUnavailable(now)
+}
+
+// boundWithin returns a batch bound within the engine's limit; 0 means unset.
+func boundWithin(bound, limit int) int {
+	if bound <= 0 {
+		return limit
+	}
+	return min(bound, limit)
+}
+
+// noteUnavailable records since when no replica takes new work.
+func (g *Group) noteUnavailable(now time.Time) {
+	switch {
+	case len(g.available) > 0:
+		g.unavailableSince = time.Time{}
+	case g.unavailableSince.IsZero():
+		g.unavailableSince = now
+	}
+}
+
+// Report takes an engine's load report into account.
+func (g *Group) Report(now time.Time, name string, report api.LoadReport) {
+	r, known := g.replicas[name]
+	if !known || (report.ReportedAtMS != 0 && report.ReportedAtMS == r.lastReport) {
+		return
+	}
+	r.lastReport = report.ReportedAtMS
+	r.reportedBatch = report.MaxBatch
+	r.reportedKV = report.KVCapacityTokens
+	if r.incarnation != "" && report.Incarnation != r.incarnation {
+		r.restarted(now)
+	}
+	r.incarnation = report.Incarnation
+	if r.draining && !report.Draining {
+		r.returnedAt = now
+	}
+	r.draining = report.Draining
+	if g.o.Policy == PolicyOwner || g.o.Policy == "" {
+		r.reconcile(report)
+	}
+	r.bound = boundWithin(r.bound, r.maxBatch())
+	r.adjustBound(report)
+	g.update(r, now)
+	g.noteUnavailable(now)
+}
+
+// restarted drops what the former incarnation reported.
+func (r *replica) restarted(now time.Time) {
+	r.returnedAt = now
+	r.all.Forget()
+	r.foreign = 0
+	r.views = [foreignReports]int{}
+}
+
+// reconcile counts the work of other gateways: what the engine reports beyond
+// the largest own view of the last reports. A single report is not enough
+// because it may still count sequences that have ended since.
+func (r *replica) reconcile(report api.LoadReport) {
+	r.all.Report(report.KVUsedTokens)
+	r.views[r.reports%foreignReports] = len(r.running)
+	r.reports++
+	own := 0
+	for _, v := range r.views {
+		own = max(own, v)
+	}
+	r.foreign = max(0, report.Running+report.Waiting-own)
+}
+
+// target returns the smallest token gap target of the running requests.
+func (r *replica) target() time.Duration {
+	target := time.Duration(0)
+	for _, held := range r.running {
+		gap := held.request.TokenGap
+		if gap > 0 && (target == 0 || gap < target) {
+			target = gap
+		}
+	}
+	if target == 0 {
+		return defaultTokenGap
+	}
+	return target
+}
+
+// adjustBound moves the batch bound by one report.
+func (r *replica) adjustBound(report api.LoadReport) {
+	if report.StepMS <= 0 {
+		return
+	}
+	ratio := report.StepMS * float64(time.Millisecond) / float64(r.target())
+	running := max(report.Running, len(r.running))
+	switch {
+	case ratio > farAbove:
+		// The step time belongs to the batch that ran, not to an unused bound.
+		r.bound = min(r.bound, max(running, 1))
+		r.bound -= max(1, r.bound/farStep)
+	case ratio > 1:
+		r.bound = min(r.bound, max(running, 1)) - 1
+	case ratio < raiseBelow && running+1 >= r.bound:
+		r.bound++
+	}
+	r.bound = min(max(r.bound, 1), r.maxBatch())
+}
+
+// countBackground returns 1 for a background request.
+func countBackground(r *Request) int {
+	if r.Class == catalogue.Background {
+		return 1
+	}
+	return 0
+}
+
+// replicaHeap orders replicas by load, then by name.
+type replicaHeap []*replica
+
+func (h replicaHeap) Len() int { return len(h) }
+func (h replicaHeap) Less(i, j int) bool {
+	if h[i].load != h[j].load {
+		return h[i].load < h[j].load
+	}
+	return h[i].Name < h[j].Name
+}
+func (h replicaHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *replicaHeap) Push(x any) {
+	r := x.(*replica)
+	r.index = len(*h)
+	*h = append(*h, r)
+}
+func (h *replicaHeap) Pop() any {
+	last := len(*h) - 1
+	r := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	r.index = -1
+	return r
+}
