Test the decision packages and bound the cost of a decision

Tries without memory are now bounded to 16 and a candidate is rejected at the first horizon that does not fit.

Ruled out: finer buckets, which cost more for each end and need more observations. The hazard is now ended over at risk for each bucket, with a linear curve within it.

--- a/internal/process/fairqueue/flow.go
+++ b/internal/process/fairqueue/flow.go
@@ -1,6 +1,9 @@
 package fairqueue
 
-import "container/heap"
+import (
+	"container/heap"
+	"math"
+)
 
 // maxIdleFlows bounds the workspaces remembered without waiting requests.
 const maxIdleFlows = 4096
@@ -57,11 +60,9 @@
 	if len(c.active) == 0 && len(c.aside) == 0 {
 		return c.virtual
 	}
-	lowest := c.virtual
+	lowest := math.Inf(1)
 	if len(c.active) > 0 {
 		lowest = c.active[0].virtual
-	} else {
-		lowest = c.aside[0].virtual
 	}
 	for _, f := range c.aside {
 		lowest = min(lowest, f.virtual)
--- /dev/null
+++ b/internal/process/fairqueue/queue_test.go
@@ -0,0 +1,195 @@
+package fairqueue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"persimmonwing/internal/version/catalogue"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func item(id, workspace string) Item[string] {
+	return Item[string]{ID: id, Workspace: workspace, Class: catalogue.Urgent, Weight: 1, Value: id}
+}
+
+func pop(q *Queue[string], cost float64) string {
+	e := q.Next(catalogue.Urgent)
+	if e == nil {
+		return ""
+	}
+	return q.Take(e, cost)
+}
+
+// Guards against items that are lost, served twice or served after they were
+// cancelled or expired, against a workspace served out of order, and against
+// lengths that do not match.
+func TestEveryItemLeavesOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[string](Options{ClassBound: 30, WorkspaceBound: 12})
+		waiting := map[string][]string{}
+		now, pushed, count := start, 0, 0
+		leave := func(id string, first bool) {
+			lane := id[:2]
+			list := waiting[lane]
+			for i, w := range list {
+				if w == id {
+					if first && i != 0 {
+						t.Fatalf("%s left before %s", id, list[0])
+					}
+					waiting[lane] = append(append([]string{}, list[:i]...), list[i+1:]...)
+					count--
+					return
+				}
+			}
+			t.Fatalf("%s was not waiting", id)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				lane := fmt.Sprintf("%c%d", "ub"[rapid.IntRange(0, 1).Draw(t, "class")], rapid.IntRange(0, 4).Draw(t, "workspace"))
+				it := item(fmt.Sprintf("%s-%d", lane, pushed), lane[1:])
+				pushed++
+				it.Weight = rapid.Float64Range(0, 4).Draw(t, "weight")
+				it.Deadline = now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "deadline")) * time.Second)
+				if lane[0] == 'b' {
+					it.Class = catalogue.Background
+				}
+				if q.Push(it) == nil {
+					waiting[lane] = append(waiting[lane], it.ID)
+					count++
+				}
+			},
+			"take": func(t *rapid.T) {
+				class := rapid.SampledFrom([]catalogue.Class{catalogue.Urgent, catalogue.Background}).Draw(t, "class")
+				if rapid.Bool().Draw(t, "aside") {
+					if e := q.Next(class); e != nil {
+						q.SetAside(e)
+					}
+				}
+				if e := q.Next(class); e != nil {
+					leave(q.Take(e, rapid.Float64Range(0, 1000).Draw(t, "cost")), true)
+				}
+				q.Restore()
+			},
+			"cancel": func(t *rapid.T) {
+				id := fmt.Sprintf("u%d-%d", rapid.IntRange(0, 4).Draw(t, "workspace"), rapid.IntRange(0, 100).Draw(t, "number"))
+				if _, ok := q.Cancel(id); ok {
+					leave(id, false)
+				}
+			},
+			"charge": func(t *rapid.T) {
+				w := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "workspace"))
+				q.Charge(w, catalogue.Urgent, rapid.Float64Range(-500, 500).Draw(t, "delta"))
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(5 * time.Second)
+				for id, ok := q.PopExpired(now); ok; id, ok = q.PopExpired(now) {
+					leave(id, false)
+				}
+			},
+			"": func(t *rapid.T) {
+				if got := q.Len(catalogue.Urgent) + q.Len(catalogue.Background); got != count {
+					t.Fatalf("%d waiting, want %d", got, count)
+				}
+			},
+		})
+	})
+}
+
+// Guards against unfair service: between two workspaces that always have work
+// waiting, service by weight differs by at most one request of each.
+func TestServiceDifferenceIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[string](Options{})
+		const largest = 1000.0
+		n := rapid.IntRange(2, 6).Draw(t, "workspaces")
+		weight, served := make([]float64, n), make([]float64, n)
+		for w := range n {
+			weight[w] = rapid.Float64Range(0.1, 10).Draw(t, "weight")
+			for i := range 200 {
+				it := item(fmt.Sprintf("%d-%d", w, i), fmt.Sprint(w))
+				it.Weight = weight[w]
+				_ = q.Push(it)
+			}
+		}
+		for range 150 {
+			e := q.Next(catalogue.Urgent)
+			var w int
+			_, _ = fmt.Sscanf(e.Workspace, "%d", &w)
+			cost := rapid.Float64Range(1, largest).Draw(t, "cost")
+			q.Take(e, cost)
+			served[w] += cost
+			for a := range n {
+				for b := range n {
+					gap := served[a]/weight[a] - served[b]/weight[b]
+					if gap > largest/weight[a]+largest/weight[b]+1e-6 {
+						t.Fatalf("workspace %d is %.0f ahead of %d", a, gap, b)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against credit for idle time and against a debt that is forgotten
+// when a workspace is idle for a moment.
+func TestIdleWorkspaceKeepsDebtButNoCredit(t *testing.T) {
+	is := is.New(t)
+	q := New[string](Options{})
+	for i := range 100 {
+		is.NoErr(q.Push(item(fmt.Sprint("busy", i), "busy")))
+		is.NoErr(q.Push(item(fmt.Sprint("other", i), "other")))
+	}
+	for range 60 {
+		pop(q, 100)
+	}
+	for i := range 20 {
+		is.NoErr(q.Push(item(fmt.Sprint("late", i), "late")))
+	}
+	late := 0
+	for range 30 {
+		if id := pop(q, 100); id[:4] == "late" {
+			late++
+		}
+	}
+	is.True(late >= 9 && late <= 11) // a third, not all of the first ones
+
+	debtor := New[string](Options{})
+	is.NoErr(debtor.Push(item("d0", "debtor")))
+	pop(debtor, 1000)
+	is.NoErr(debtor.Push(item("n0", "new")))
+	is.NoErr(debtor.Push(item("d1", "debtor")))
+	is.NoErr(debtor.Push(item("n1", "new")))
+	is.Equal(pop(debtor, 100), "n0")
+	is.Equal(pop(debtor, 100), "n1")
+}
+
+// Guards against corrections that do not move a workspace in the order.
+func TestChargeMovesWorkspace(t *testing.T) {
+	is := is.New(t)
+	q := New[string](Options{})
+	is.NoErr(q.Push(item("a0", "a")))
+	is.NoErr(q.Push(item("b0", "b")))
+	q.Charge("a", catalogue.Urgent, 10)
+	is.Equal(pop(q, 1), "b0")
+}
+
+// Guards against a baseline that is not first come first served.
+func TestUnfairServesInOrderOfArrival(t *testing.T) {
+	is := is.New(t)
+	q := New[string](Options{Unfair: true, Classless: true})
+	for i, w := range []string{"a", "a", "a", "b", "a"} {
+		it := item(fmt.Sprint(i), w)
+		if i == 1 {
+			it.Class = catalogue.Background
+		}
+		is.NoErr(q.Push(it))
+	}
+	for i := range 5 {
+		is.Equal(pop(q, 100), fmt.Sprint(i))
+	}
+}
--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -117,21 +117,26 @@
 
 // Peak returns the highest projected use in tokens over all horizons.
 func (p *Projection) Peak() float64 {
-	return p.peakWith(&Sequence{})
-}
-
-func (p *Projection) peakWith(s *Sequence) float64 {
 	peak := 0.0
 	for i := range horizons {
-		mean := float64(p.mean[i] + s.mean[i] + p.foreign)
-		sd := math.Sqrt(float64(p.variance[i] + s.variance[i]))
-		peak = math.Max(peak, mean+deviations*sd)
+		peak = max(peak, p.projected(p.mean[i], p.variance[i]))
 	}
 	return peak
 }
 
+// projected returns the use for sums of mean and variance.
+func (p *Projection) projected(mean, variance int64) float64 {
+	return float64(mean+p.foreign) + deviations*math.Sqrt(float64(variance))
+}
+
 // Fits reports whether the candidate keeps the projection within capacity less
 // reserve, in tokens, at every horizon.
 func (p *Projection) Fits(candidate *Sequence, capacity, reserve int) bool {
-	return p.peakWith(candidate) <= float64(capacity-reserve)
+	limit := float64(capacity - reserve)
+	for i := range horizons {
+		if p.projected(p.mean[i]+candidate.mean[i], p.variance[i]+candidate.variance[i]) > limit {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"persimmonwing/internal/process/fairqueue"
@@ -84,17 +85,24 @@
 
 // warmUp updates the loads of replicas whose bound grows with time.
 func (g *Group) warmUp(now time.Time) {
-	for _, r := range g.replicas {
-		if r.returnedAt.IsZero() {
-			continue
-		}
+	for i := len(g.warming) - 1; i >= 0; i-- {
+		r := g.warming[i]
 		if now.Sub(r.returnedAt) >= slowStart {
 			r.returnedAt = time.Time{}
+			g.warming = slices.Delete(g.warming, i, i+1)
 		}
 		g.update(r, now)
 	}
 }
 
+// returned starts the slow start of a replica.
+func (g *Group) returned(now time.Time, r *replica) {
+	if r.returnedAt.IsZero() {
+		g.warming = append(g.warming, r)
+	}
+	r.returnedAt = now
+}
+
 // saturated reports whether no replica can take another request.
 func (g *Group) saturated() bool {
 	if len(g.available) == 0 {
@@ -202,10 +210,8 @@
 		}
 		return wake
 	}
-	for _, r := range g.available {
-		if at := now.Add(warmUpInterval); !r.returnedAt.IsZero() && at.Before(wake) {
-			wake = at
-		}
+	if at := now.Add(warmUpInterval); len(g.warming) > 0 && at.Before(wake) {
+		wake = at
 	}
 	return wake
 }
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -90,9 +90,7 @@
 	*h = grant{nextSpare: g.freeGrant}
 	g.freeGrant = h
 	g.update(r, now)
-	if !r.listed && len(r.running) == 0 {
-		delete(g.replicas, r.Name)
-	}
+	g.forgetIdle(r)
 }
 
 func (g *Group) unpin(fingerprint uint64) {
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -84,7 +84,9 @@
 	// available orders the replicas that take new work by load.
 	available replicaHeap
 	// inFlight counts the grants on available replicas.
-	inFlight  int
+	inFlight int
+	// warming lists the replicas in slow start.
+	warming   []*replica
 	grants    map[string]*grant
 	freeGrant *grant
 	// pinned counts the grants of each fingerprint and their replica.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -20,11 +20,14 @@
 	// preferred for its cached prefix.
 	affinityBound = 1.25
 	// placementTries bounds the replicas tried for an ordinary request, least
-	// loaded first. It covers a whole shard.
-	placementTries = 16
+	// loaded first. It covers a whole shard, also an uneven one.
+	placementTries = 32
+	// memoryTries bounds those found short of memory: the next ones are fuller.
+	memoryTries = 16
 )
 
-// placement says why a request was or was not placed.
+// placement says why a request was or was not placed. Of several reasons, the
+// lowest counts.
 type placement int
 
 const (
@@ -63,7 +66,11 @@
 	}
 	var best *replica
 	why := noneAccepts
+	misses := 0
 	for _, r := range g.available[:tries] {
+		if misses == memoryTries && !q.Suspect {
+			break
+		}
 		if best != nil && best.load <= r.load {
 			continue
 		}
@@ -71,8 +78,11 @@
 		case slices.Contains(q.Exclude, r.Name):
 		case q.Suspect && r.suspects > 0:
 			why = min(why, isolated)
-		case !g.hasRoom(now, r, q, s):
+		case !g.hasSlot(now, r, q):
 			why = noRoom
+		case !g.hasMemory(r, q, s):
+			why = noRoom
+			misses++
 		default:
 			best = r
 		}
@@ -96,25 +106,31 @@
 
 // hasRoom reports whether the replica has a slot and memory for the request.
 func (g *Group) hasRoom(now time.Time, r *replica, q *Request, s *memory.Sequence) bool {
-	if g.o.Policy == PolicyBaseline {
-		return true
-	}
+	return g.hasSlot(now, r, q) && g.hasMemory(r, q, s)
+}
+
+// reserves reports whether the request must leave the urgent reserve free.
+func (g *Group) reserves(q *Request) bool {
+	return q.Class == catalogue.Background && !g.o.NoClasses
+}
+
+func (g *Group) hasSlot(now time.Time, r *replica, q *Request) bool {
 	slots := g.slots(r, now)
 	if r.occupied() >= slots {
 		return false
 	}
-	background := q.Class == catalogue.Background && !g.o.NoClasses
-	if background && r.background >= g.backgroundSlots(slots) {
-		return false
-	}
+	return !g.reserves(q) || r.background < g.backgroundSlots(slots)
+}
+
+func (g *Group) hasMemory(r *replica, q *Request, s *memory.Sequence) bool {
 	// A request that fits nowhere else runs on an empty replica.
 	if !g.limitsMemory(r) || r.occupied() == 0 {
 		return true
 	}
 	capacity := g.capacityFor(r)
-	if background {
+	if g.reserves(q) && r.background > 0 {
 		reserve := int(g.o.UrgentReserve * float64(capacity))
-		if r.background > 0 && !r.backgroundMem.Fits(s, capacity, reserve) {
+		if !r.backgroundMem.Fits(s, capacity, reserve) {
 			return false
 		}
 	}
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"persimmonwing/internal/process/memory"
@@ -171,19 +172,31 @@
 		r.listed = true
 		r.bound = boundWithin(r.bound, r.maxBatch())
 		if r.accepting() && !was && g.started {
-			r.returnedAt = now
+			g.returned(now, r)
 		}
+		g.update(r, now)
 	}
 	g.started = g.started || len(replicas) > 0
-	for name, r := range g.replicas {
-		g.update(r, now)
-		if !r.listed && len(r.running) == 0 {
-			delete(g.replicas, name)
+	for _, r := range g.replicas {
+		if !r.listed {
+			g.update(r, now)
+			g.forgetIdle(r)
 		}
 	}
 	g.noteUnavailable(now)
 }
 
+// forgetIdle drops a replica that has left once its last grant has ended.
+func (g *Group) forgetIdle(r *replica) {
+	if r.listed || len(r.running) > 0 {
+		return
+	}
+	delete(g.replicas, r.Name)
+	if i := slices.Index(g.warming, r); i >= 0 {
+		g.warming = slices.Delete(g.warming, i, i+1)
+	}
+}
+
 // boundWithin returns a batch bound within the engine's limit; 0 means unset.
 func boundWithin(bound, limit int) int {
 	if bound <= 0 {
@@ -212,11 +225,12 @@
 	r.reportedBatch = report.MaxBatch
 	r.reportedKV = report.KVCapacityTokens
 	if r.incarnation != "" && report.Incarnation != r.incarnation {
-		r.restarted(now)
+		g.returned(now, r)
+		r.restarted()
 	}
 	r.incarnation = report.Incarnation
 	if r.draining && !report.Draining {
-		r.returnedAt = now
+		g.returned(now, r)
 	}
 	r.draining = report.Draining
 	if g.o.Policy == PolicyOwner || g.o.Policy == "" {
@@ -229,8 +243,7 @@
 }
 
 // restarted drops what the former incarnation reported.
-func (r *replica) restarted(now time.Time) {
-	r.returnedAt = now
+func (r *replica) restarted() {
 	r.all.Forget()
 	r.foreign = 0
 	r.views = [foreignReports]int{}
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -23,13 +23,17 @@
 
 // waitOf returns the time for n grants of a class at its recent rate.
 func (g *Group) waitOf(now time.Time, class catalogue.Class, n float64) time.Duration {
-	if g.o.NoClasses {
-		class = catalogue.Urgent
-	}
-	rate := g.admitted.rate(now, class)
-	if rate == 0 {
+	urgent, background := g.admitted.rates(now)
+	rate := urgent
+	switch {
+	case urgent+background == 0:
 		rate = unknownRate * float64(max(len(g.available), 1))
+	case g.o.NoClasses:
+		rate += background
+	case class == catalogue.Background:
+		rate = background
 	}
+	// A class without any recent grant has no rate and waits the longest.
 	seconds := min(n/rate, maxRetry.Seconds())
 	return time.Duration(seconds * float64(time.Second))
 }
--- a/internal/process/schedule/window.go
+++ b/internal/process/schedule/window.go
@@ -66,10 +66,10 @@
 	return w.total.tokens[0], w.total.tokens[1]
 }
 
-// rate returns the grants per second of a class.
-func (w *window) rate(now time.Time, class catalogue.Class) float64 {
+// rates returns the grants per second of urgent and background work.
+func (w *window) rates(now time.Time) (urgent, background float64) {
 	w.advance(now)
 	span := min(now.Sub(w.first), windowSlices*sliceLength)
 	seconds := max(span, sliceLength).Seconds()
-	return float64(w.total.grants[classIndex(class)]) / seconds
+	return float64(w.total.grants[0]) / seconds, float64(w.total.grants[1]) / seconds
 }
--- a/internal/process/survival/survival.go
+++ b/internal/process/survival/survival.go
@@ -22,24 +22,29 @@
 	priorTail = 0.25
 	// defaultExpected is used where the catalogue states no expected length.
 	defaultExpected = 240
+	// maxHazard keeps a positive probability of reaching every length.
+	maxHazard = 0.999
 	// rebuildEvery bounds the cost of learning: the curve is recomputed after
 	// this many ends once it has settled.
 	rebuildEvery = 8
 )
 
-// Estimator is the survival curve of the output lengths of one entry. It uses
-// a constant hazard in each bucket: ended sequences over sequences at risk,
-// where a sequence that is still running or was cut off counts as at risk only
-// for the tokens it has generated. It is not safe for concurrent use.
+// Estimator is the survival curve of the output lengths of one entry. The
+// hazard of a bucket is the number of sequences that ended in it over those at
+// risk, as in the Kaplan-Meier estimator. A sequence that is still running or
+// was cut off counts as at risk only for the part of the bucket it has covered.
+// The curve is linear within a bucket. It is not safe for concurrent use.
 type Estimator struct {
 	atRisk, ended           [buckets]float64
 	priorAtRisk, priorEnded [buckets]float64
-	// cumulative[i] is the cumulative hazard at the lower edge of bucket i.
-	cumulative [buckets + 1]float64
-	// remaining[i] is the mean number of tokens beyond the lower edge of bucket i.
-	remaining [buckets + 1]float64
-	ends      int
-	stale     int
+	// survive[i] is the probability of reaching the lower edge of bucket i.
+	survive [buckets + 1]float64
+	// area[i] is the integral of the curve above the lower edge of bucket i.
+	area [buckets + 1]float64
+	// tailRate is the hazard per token beyond the last bucket.
+	tailRate float64
+	ends     int
+	stale    int
 }
 
 // New returns an estimator whose prior is a heavy-tailed (log-logistic, shape 2)
@@ -55,7 +60,7 @@
 		low, high := survive(lowerEdge(i)), survive(lowerEdge(i+1))
 		weight := math.Max(priorSequences*low, priorTail)
 		e.priorAtRisk[i] = weight
-		e.priorEnded[i] = weight * math.Log(low/high)
+		e.priorEnded[i] = weight * (1 - high/low)
 	}
 	e.rebuild()
 	return e
@@ -99,14 +104,14 @@
 
 // End records that a generation that was exposed up to this length ended there.
 func (e *Estimator) End(length int) {
-	// The last token counts as half at risk, because the end falls within it.
-	last := bucketOf(max(length, 1) - 1)
 	for i := range buckets {
 		e.atRisk[i] *= forgetting
 		e.ended[i] *= forgetting
 	}
-	width := lowerEdge(last+1) - lowerEdge(last)
-	e.atRisk[last] = math.Max(0, e.atRisk[last]-0.5/width)
+	length = min(max(length, 1), MaxTokens)
+	last := bucketOf(length - 1)
+	// An ended sequence was at risk for its whole last bucket.
+	e.expose(float64(length), lowerEdge(last+1))
 	e.ended[last]++
 	e.ends++
 	e.stale++
@@ -127,34 +132,33 @@
 // rebuild recomputes the curve from the counts.
 func (e *Estimator) rebuild() {
 	e.stale = 0
+	e.survive[0] = 1
 	for i := range buckets {
-		e.cumulative[i+1] = e.cumulative[i] + e.hazard(i)
+		e.survive[i+1] = e.survive[i] * (1 - e.hazard(i))
 	}
 	last := buckets - 1
-	e.remaining[buckets] = (lowerEdge(buckets) - lowerEdge(last)) / e.hazard(last)
+	e.tailRate = -math.Log1p(-e.hazard(last)) / (lowerEdge(buckets) - lowerEdge(last))
+	e.area[buckets] = e.survive[buckets] / e.tailRate
 	for i := last; i >= 0; i-- {
 		width := lowerEdge(i+1) - lowerEdge(i)
-		e.remaining[i] = within(e.hazard(i)/width, width, e.remaining[i+1])
+		e.area[i] = e.area[i+1] + width*(e.survive[i]+e.survive[i+1])/2
 	}
 }
 
-// hazard returns the integrated hazard over bucket i.
+// hazard returns the probability of ending within bucket i.
 func (e *Estimator) hazard(i int) float64 {
-	return (e.ended[i] + e.priorEnded[i]) / (e.atRisk[i] + e.priorAtRisk[i])
+	h := (e.ended[i] + e.priorEnded[i]) / (e.atRisk[i] + e.priorAtRisk[i])
+	return min(h, maxHazard)
 }
 
-// within returns the mean remaining tokens when the hazard per token is rate
-// for width tokens and the mean is after at their end.
-func within(rate, width, after float64) float64 {
-	s := math.Exp(-rate * width)
-	return (1-s)/rate + s*after
-}
-
-// cumulativeAt returns the cumulative hazard at x tokens.
-func (e *Estimator) cumulativeAt(x int) float64 {
+// at returns the probability of reaching x tokens.
+func (e *Estimator) at(x int) float64 {
+	if x >= MaxTokens {
+		return e.survive[buckets] * math.Exp(-e.tailRate*float64(x-MaxTokens))
+	}
 	i := bucketOf(x)
 	low, high := lowerEdge(i), lowerEdge(i+1)
-	return e.cumulative[i] + (e.cumulative[i+1]-e.cumulative[i])*(float64(x)-low)/(high-low)
+	return e.survive[i] + (e.survive[i+1]-e.survive[i])*(float64(x)-low)/(high-low)
 }
 
 // Survive returns the probability that a generation with g tokens is longer
@@ -163,16 +167,19 @@
 	if h <= 0 {
 		return 1
 	}
-	return math.Exp(e.cumulativeAt(g) - e.cumulativeAt(g+h))
+	if g >= MaxTokens {
+		return math.Exp(-e.tailRate * float64(h))
+	}
+	return min(1, e.at(g+h)/e.at(g))
 }
 
 // Mean returns the expected number of further tokens of a generation with g tokens.
 func (e *Estimator) Mean(g int) float64 {
-	i := bucketOf(g)
 	if g >= MaxTokens {
-		return e.remaining[buckets]
+		return 1 / e.tailRate
 	}
-	low, high := lowerEdge(i), lowerEdge(i+1)
-	rate := (e.cumulative[i+1] - e.cumulative[i]) / (high - low)
-	return within(rate, high-float64(g), e.remaining[i+1])
+	i := bucketOf(g)
+	here := e.at(g)
+	rest := (lowerEdge(i+1) - float64(g)) * (here + e.survive[i+1]) / 2
+	return (rest + e.area[i+1]) / here
 }
