--- a/internal/process/fairqueue/flow.go
+++ b/internal/process/fairqueue/flow.go
@@ -41,7 +41,7 @@
 	if len(c.flows) >= maxIdleFlows {
 		c.dropIdle()
 	}
-	f := &flow[T]{weight: 1, virtual: c.virtual, index: -1}
+	f := &flow[T]{weight: 1, virtual: math.Inf(-1), index: -1}
 	c.flows[l] = f
 	return f
 }
--- a/internal/process/fairqueue/queue_test.go
+++ b/internal/process/fairqueue/queue_test.go
@@ -140,6 +140,8 @@
 func TestIdleWorkspaceKeepsDebtButNoCredit(t *testing.T) {
 	is := is.New(t)
 	q := New[string](Options{})
+	is.NoErr(q.Push(item("late", "late")))
+	pop(q, 1)
 	for i := range 100 {
 		is.NoErr(q.Push(item(fmt.Sprint("busy", i), "busy")))
 		is.NoErr(q.Push(item(fmt.Sprint("other", i), "other")))
@@ -168,6 +170,25 @@
 	is.Equal(pop(debtor, 100), "n1")
 }
 
+// Guards against a new workspace that starts behind the active ones, because
+// the workspace first in line was set aside and a later one was served.
+func TestNewWorkspaceStartsAtLowestActive(t *testing.T) {
+	is := is.New(t)
+	q := New[string](Options{})
+	for i := range 3 {
+		is.NoErr(q.Push(item(fmt.Sprint("a", i), "a")))
+		is.NoErr(q.Push(item(fmt.Sprint("b", i), "b")))
+	}
+	q.SetAside(q.Next(catalogue.Urgent))
+	pop(q, 100)
+	pop(q, 100)
+	q.Restore()
+	is.Equal(pop(q, 50), "a0")
+	is.NoErr(q.Push(item("new", "new")))
+	is.Equal(pop(q, 1), "a1") // equal virtual time, earlier arrival
+	is.Equal(pop(q, 1), "new")
+}
+
 // Guards against corrections that do not move a workspace in the order.
 func TestChargeMovesWorkspace(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/internal/process/schedule/machine_test.go
@@ -0,0 +1,229 @@
+package schedule
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// machine drives a group and keeps its own account of what must hold.
+type machine struct {
+	g       *Group
+	now     time.Time
+	next    int
+	waiting map[string]bool
+	held    map[string]Decision
+	decided map[string]int
+}
+
+func newMachine(t *rapid.T) *machine {
+	o := Options{
+		BackgroundFloor: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "floor"),
+		UrgentReserve:   rapid.SampledFrom([]float64{0, 0.25}).Draw(t, "reserve"),
+		QueueBound:      20,
+	}
+	m := &machine{now: start, waiting: map[string]bool{}, held: map[string]Decision{}, decided: map[string]int{}}
+	m.g = testGroup(o, 3, 4, 4000)
+	return m
+}
+
+func (m *machine) enqueue(t *rapid.T) {
+	m.next++
+	q := testRequest(fmt.Sprint("q", m.next), fmt.Sprint("w", m.next%3), catalogue.Urgent)
+	if rapid.Bool().Draw(t, "background") {
+		q.Class = catalogue.Background
+	}
+	q.PromptTokens = rapid.IntRange(1, 1500).Draw(t, "prompt")
+	q.MaxOutputTokens = rapid.IntRange(1, 1500).Draw(t, "max")
+	q.Fingerprint = uint64(rapid.IntRange(1, 6).Draw(t, "fingerprint"))
+	q.Suspect = rapid.IntRange(0, 3).Draw(t, "suspect") == 0
+	q.PrefixHashes = []uint64{uint64(m.next % 4)}
+	q.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "deadline")) * time.Second)
+	if rapid.IntRange(0, 3).Draw(t, "excluded") == 0 {
+		q.Exclude = []string{"r001"}
+	}
+	if m.g.Enqueue(m.now, q) == nil {
+		m.waiting[q.ID] = true
+	}
+}
+
+func (m *machine) dispatch(t *rapid.T) {
+	for _, d := range m.g.Dispatch(m.now) {
+		id := d.Request.ID
+		if !m.waiting[id] {
+			t.Fatalf("%s was decided but not waiting", id)
+		}
+		delete(m.waiting, id)
+		m.decided[id]++
+		if d.Refusal != nil {
+			continue
+		}
+		m.checkGrant(t, d)
+		m.held[id] = d
+	}
+}
+
+func (m *machine) checkGrant(t *rapid.T, d Decision) {
+	r := m.g.replicas[d.Grant.Backend]
+	if !r.accepting() {
+		t.Fatalf("%s was granted a replica that takes no work", d.Grant.ID)
+	}
+	if !d.Request.Deadline.After(m.now) {
+		t.Fatalf("%s was granted after its deadline", d.Grant.ID)
+	}
+	if slices.Contains(d.Request.Exclude, d.Grant.Backend) {
+		t.Fatalf("%s was granted an excluded replica", d.Grant.ID)
+	}
+	if len(r.running) > m.g.slots(r, m.now) {
+		t.Fatalf("%s runs %d, bound %d", r.Name, len(r.running), m.g.slots(r, m.now))
+	}
+	if len(r.running) > 1 && r.all.Peak() > float64(r.capacity()) {
+		t.Fatalf("%s projects %.0f of %d tokens", r.Name, r.all.Peak(), r.capacity())
+	}
+	for id, other := range m.held {
+		same := other.Request.Fingerprint == d.Request.Fingerprint
+		if same && other.Grant.Backend != d.Grant.Backend {
+			t.Fatalf("%s and %s are equal but run on two replicas", id, d.Grant.ID)
+		}
+		if other.Request.Suspect && d.Request.Suspect && other.Grant.Backend == d.Grant.Backend {
+			t.Fatalf("suspects %s and %s share a replica", id, d.Grant.ID)
+		}
+	}
+}
+
+// pick draws one of the held grants, or "".
+func (m *machine) pick(t *rapid.T) string {
+	ids := make([]string, 0, len(m.held))
+	for id := range m.held {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	slices.Sort(ids)
+	return rapid.SampledFrom(ids).Draw(t, "grant")
+}
+
+func (m *machine) report(t *rapid.T) {
+	name := fmt.Sprintf("r%03d", rapid.IntRange(0, 2).Draw(t, "replica"))
+	r := m.g.replicas[name]
+	m.g.Report(m.now, name, api.LoadReport{
+		ReportedAtMS: m.now.UnixMilli(),
+		Running:      len(r.running),
+		KVUsedTokens: r.all.Used(),
+		StepMS:       rapid.Float64Range(0, 60).Draw(t, "step"),
+		Draining:     rapid.IntRange(0, 4).Draw(t, "draining") == 0,
+		Incarnation:  "1",
+	})
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"enqueue":  m.enqueue,
+		"enqueue2": m.enqueue,
+		"dispatch": m.dispatch,
+		"report":   m.report,
+		"cancel": func(t *rapid.T) {
+			id := fmt.Sprint("q", rapid.IntRange(1, m.next+1).Draw(t, "id"))
+			if m.g.Cancel(id) != m.waiting[id] {
+				t.Fatalf("Cancel(%s) does not match", id)
+			}
+			delete(m.waiting, id)
+		},
+		"progress": func(t *rapid.T) {
+			if id := m.pick(t); id != "" {
+				m.g.Progress(m.now, id, rapid.IntRange(0, 1500).Draw(t, "generated"))
+			}
+		},
+		"release": func(t *rapid.T) {
+			if id := m.pick(t); id != "" {
+				o := Outcome{Generated: rapid.IntRange(0, 1500).Draw(t, "length"), Completed: rapid.Bool().Draw(t, "completed")}
+				m.g.Release(m.now, id, o)
+				delete(m.held, id)
+			}
+		},
+		"replicas": func(t *rapid.T) {
+			list := testReplicas(3, 4, 4000)
+			list[0].Accepting = rapid.Bool().Draw(t, "accepting")
+			m.g.SetReplicas(m.now, list[:rapid.IntRange(2, 3).Draw(t, "listed")])
+			m.g.SetReplicas(m.now, list)
+		},
+		"wait": func(t *rapid.T) {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+		},
+		"": m.check,
+	}
+}
+
+func (m *machine) check(t *rapid.T) {
+	running, suspects, inFlight := 0, 0, 0
+	for name, r := range m.g.replicas {
+		running += len(r.running)
+		suspects += r.suspects
+		if r.index >= 0 {
+			inFlight += len(r.running)
+		}
+		if r.all.Count() != len(r.running) || r.backgroundMem.Count() != r.background {
+			t.Fatalf("counts of %s do not match", name)
+		}
+		if len(m.g.Running(name)) != len(r.running) {
+			t.Fatalf("Running(%s) does not match", name)
+		}
+	}
+	if running != len(m.held) || len(m.g.grants) != len(m.held) || inFlight != m.g.inFlight {
+		t.Fatalf("%d running, %d grants, %d in flight, want %d", running, len(m.g.grants), m.g.inFlight, len(m.held))
+	}
+	if m.g.waiting() != len(m.waiting) {
+		t.Fatalf("%d waiting, want %d", m.g.waiting(), len(m.waiting))
+	}
+	for id, n := range m.decided {
+		if n > 1 {
+			t.Fatalf("%s was decided %d times", id, n)
+		}
+	}
+}
+
+// drain ends all work and requires that every request gets its decision and
+// nothing is left over.
+func (m *machine) drain(t *rapid.T) {
+	m.g.SetReplicas(m.now, testReplicas(3, 4, 4000))
+	for range 200 {
+		for id := range m.held {
+			m.g.Release(m.now, id, Outcome{Generated: 10})
+			delete(m.held, id)
+		}
+		if len(m.waiting) == 0 {
+			break
+		}
+		m.now = m.now.Add(time.Second)
+		m.dispatch(t)
+	}
+	if len(m.waiting) > 0 {
+		t.Fatalf("never decided: %v", m.waiting)
+	}
+	for _, r := range m.g.replicas {
+		if r.all.Peak() != 0 || r.backgroundMem.Peak() != 0 || r.suspects != 0 || r.background != 0 {
+			t.Fatalf("%s keeps a residue", r.Name)
+		}
+	}
+	if len(m.g.pinned) > 0 {
+		t.Fatalf("fingerprints stay pinned: %v", m.g.pinned)
+	}
+}
+
+// Guards against batches or memory over their bounds, work for replicas that
+// take none, suspects that meet, equal requests on two replicas, requests with
+// no or two decisions, and counts that drift.
+func TestGroupHoldsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(m.actions())
+		m.drain(t)
+	})
+}
