--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -78,6 +78,9 @@
 
 // Advance moves a counted sequence to a number of generated tokens.
 func (p *Projection) Advance(s *Sequence, e *survival.Estimator, generated int) {
+	// Tokens that become known late explain part of what the report showed.
+	growth := int64(generated - s.generated)
+	p.foreign = max(0, p.foreign-max(0, growth))
 	p.shift(s, -1)
 	s.generated = generated
 	s.project(e)
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -6,6 +6,7 @@
 
 	"persimmonwing/internal/process/memory"
 	"persimmonwing/internal/process/survival"
+	"persimmonwing/internal/version/catalogue"
 )
 
 // grant is a permission in use.
@@ -21,6 +22,14 @@
 	nextSpare *grant
 }
 
+// countBackground returns 1 for a background request.
+func countBackground(r *Request) int {
+	if r.Class == catalogue.Background {
+		return 1
+	}
+	return 0
+}
+
 // pin counts the grants of one fingerprint on its replica.
 type pin struct {
 	replica *replica
@@ -39,6 +48,10 @@
 
 // hold counts a generation as running on a replica.
 func (g *Group) hold(now time.Time, q *Request, r *replica, s memory.Sequence, charged float64) {
+	if former, known := g.grants[q.ID]; known {
+		// The gateway asked again because the first answer was lost.
+		g.drop(now, q.ID, former)
+	}
 	h := g.newGrant()
 	h.request = *q
 	h.replica = r
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -145,7 +145,7 @@
 		ID:        r.ID,
 		Workspace: r.Workspace,
 		Class:     r.Class,
-		Isolated:  r.Suspect,
+		Isolated:  r.Suspect && g.o.Policy != PolicyBaseline,
 		Weight:    r.Weight,
 		Deadline:  r.Deadline,
 		Value:     ticket{request: r, enqueued: now},
--- a/internal/process/schedule/group_test.go
+++ b/internal/process/schedule/group_test.go
@@ -16,6 +16,10 @@
 func testGroup(o Options, replicas, batch, capacity int) *Group {
 	g := NewGroup(GroupKey{DataCentre: "hobart", Model: "m"}, o)
 	g.SetReplicas(start, testReplicas(replicas, batch, capacity))
+	for _, r := range g.replicas {
+		r.bound = batch // as if learned
+		g.update(r, start)
+	}
 	return g
 }
 
@@ -140,13 +144,21 @@
 // wrong way or leaves its limits.
 func TestBatchBoundFollowsStepTime(t *testing.T) {
 	is := is.New(t)
-	g := testGroup(Options{}, 1, 20, 0)
+	g := NewGroup(GroupKey{}, Options{})
+	g.SetReplicas(start, testReplicas(1, 20, 0))
 	r := g.replicas["r000"]
 	at := int64(0)
 	report := func(step float64, running int) {
 		at++
 		g.Report(start, "r000", api.LoadReport{ReportedAtMS: at, StepMS: step, Running: running})
 	}
+	is.Equal(r.bound, 16) // the start is below the engine's limit
+	report(20, 16)
+	is.Equal(r.bound, 17)
+	report(15, 17)
+	is.Equal(r.bound, 19) // far below the target
+	report(20, 19)
+	is.Equal(r.bound, 20)
 	report(27, 20)
 	is.Equal(r.bound, 19)
 	g.Report(start, "r000", api.LoadReport{ReportedAtMS: at, StepMS: 27, Running: 19})
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -2,33 +2,16 @@
 
 import (
 	"container/heap"
-	"math"
 	"slices"
 	"time"
 
 	"persimmonwing/internal/process/memory"
 	"persimmonwing/internal/request/api"
-	"persimmonwing/internal/version/catalogue"
 )
 
-const (
-	// defaultTokenGap is the token gap target of the design page.
-	defaultTokenGap = 26 * time.Millisecond
-	// raiseBelow is the fraction of the target under which the batch bound rises.
-	raiseBelow = 0.9
-	// farAbove is the multiple of the target above which the batch bound falls by
-	// a sixteenth instead of by one, so that a start with too large a batch ends
-	// within seconds.
-	farAbove     = 1.25
-	farStep      = 16
-	defaultBatch = 64
-	// slowStart is the time in which a returning replica's bound grows to full.
-	slowStart     = 10 * time.Second
-	slowStartFrom = 0.25
-	// foreignReports is the number of reports that must agree before sequences
-	// beyond the own view are taken for those of another gateway.
-	foreignReports = 4
-)
+// foreignReports is the number of reports that must agree before sequences
+// beyond the own view are taken for those of another gateway.
+const foreignReports = 4
 
 // replica is the state of one engine.
 type replica struct {
@@ -47,6 +30,7 @@
 	foreign       int
 	views         [foreignReports]int
 	reports       int
+	reported      bool
 	lastReport    int64
 	incarnation   string
 	returnedAt    time.Time
@@ -80,28 +64,6 @@
 // occupied returns the slots in use.
 func (r *replica) occupied() int { return len(r.running) + r.foreign }
 
-// slots returns how many sequences the replica may run now.
-func (g *Group) slots(r *replica, now time.Time) int {
-	if g.o.Policy == PolicyBaseline {
-		return math.MaxInt
-	}
-	slots := r.bound
-	if g.o.NoBatchBound {
-		slots = r.maxBatch()
-	}
-	fraction := g.share * r.warmth(now)
-	return max(1, int(float64(slots)*fraction))
-}
-
-// warmth is the fraction of its bound that a returning replica may use.
-func (r *replica) warmth(now time.Time) float64 {
-	if r.returnedAt.IsZero() {
-		return 1
-	}
-	passed := float64(now.Sub(r.returnedAt)) / float64(slowStart)
-	return min(1, slowStartFrom+(1-slowStartFrom)*max(0, passed))
-}
-
 // capacityFor returns the KV tokens that this gateway may use.
 func (g *Group) capacityFor(r *replica) int {
 	return int(float64(r.capacity()) * g.share)
@@ -197,14 +159,6 @@
 	}
 }
 
-// boundWithin returns a batch bound within the engine's limit; 0 means unset.
-func boundWithin(bound, limit int) int {
-	if bound <= 0 {
-		return limit
-	}
-	return min(bound, limit)
-}
-
 // noteUnavailable records since when no replica takes new work.
 func (g *Group) noteUnavailable(now time.Time) {
 	switch {
@@ -237,6 +191,11 @@
 		r.reconcile(report)
 	}
 	r.bound = boundWithin(r.bound, r.maxBatch())
+	if !r.reported {
+		// A new owner goes on from the batch that the engine runs.
+		r.bound = max(r.bound, min(report.Running, r.maxBatch()))
+		r.reported = true
+	}
 	r.adjustBound(report)
 	g.update(r, now)
 	g.noteUnavailable(now)
@@ -262,74 +221,3 @@
 	}
 	r.foreign = max(0, report.Running+report.Waiting-own)
 }
-
-// target returns the smallest token gap target of the running requests.
-func (r *replica) target() time.Duration {
-	target := time.Duration(0)
-	for _, held := range r.running {
-		gap := held.request.TokenGap
-		if gap > 0 && (target == 0 || gap < target) {
-			target = gap
-		}
-	}
-	if target == 0 {
-		return defaultTokenGap
-	}
-	return target
-}
-
-// adjustBound moves the batch bound by one report.
-func (r *replica) adjustBound(report api.LoadReport) {
-	if report.StepMS <= 0 {
-		return
-	}
-	ratio := report.StepMS * float64(time.Millisecond) / float64(r.target())
-	running := max(report.Running, len(r.running))
-	switch {
-	case ratio > farAbove:
-		// The step time belongs to the batch that ran, not to an unused bound.
-		r.bound = min(r.bound, max(running, 1))
-		r.bound -= max(1, r.bound/farStep)
-	case ratio > 1:
-		r.bound = min(r.bound, max(running, 1)) - 1
-	case ratio < raiseBelow && running+1 >= r.bound:
-		r.bound++
-	}
-	r.bound = min(max(r.bound, 1), r.maxBatch())
-}
-
-// countBackground returns 1 for a background request.
-func countBackground(r *Request) int {
-	if r.Class == catalogue.Background {
-		return 1
-	}
-	return 0
-}
-
-// replicaHeap orders replicas by load, then by name.
-type replicaHeap []*replica
-
-func (h replicaHeap) Len() int { return len(h) }
-func (h replicaHeap) Less(i, j int) bool {
-	if h[i].load != h[j].load {
-		return h[i].load < h[j].load
-	}
-	return h[i].Name < h[j].Name
-}
-func (h replicaHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *replicaHeap) Push(x any) {
-	r := x.(*replica)
-	r.index = len(*h)
-	*h = append(*h, r)
-}
-func (h *replicaHeap) Pop() any {
-	last := len(*h) - 1
-	r := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	r.index = -1
-	return r
-}
--- a/internal/process/schedule/sim_test.go
+++ b/internal/process/schedule/sim_test.go
@@ -38,7 +38,7 @@
 	running, queue []*simSequence
 	used           int
 	next           float64
-	lastStep       float64
+	meanStep       float64
 }
 
 // simResult holds what a run measured; times are in ms.
@@ -59,8 +59,9 @@
 }
 
 func newSimulation(o Options, seed int64) *simulation {
-	s := &simulation{g: testGroup(o, simReplicas, simBatch, simCapacity), rnd: rand.New(rand.NewSource(seed)),
+	s := &simulation{g: NewGroup(GroupKey{}, o), rnd: rand.New(rand.NewSource(seed)),
 		engines: map[string]*simEngine{}, pending: map[string]*simSequence{}}
+	s.g.SetReplicas(start, testReplicas(simReplicas, simBatch, simCapacity))
 	for _, r := range testReplicas(simReplicas, simBatch, simCapacity) {
 		s.engines[r.Name] = &simEngine{}
 		s.names = append(s.names, r.Name)
@@ -104,8 +105,9 @@
 		e.used += need
 		prefill += need
 	}
-	e.lastStep = stepBase + stepPerSequence*float64(len(e.running)) + stepPerPrompt*float64(prefill)
-	end := s.now + e.lastStep
+	step := stepBase + stepPerSequence*float64(len(e.running)) + stepPerPrompt*float64(prefill)
+	e.meanStep += (step - e.meanStep) / 8
+	end := s.now + step
 	kept := e.running[:0]
 	for _, q := range e.running {
 		s.token(q, e, end)
@@ -146,7 +148,7 @@
 	for _, name := range s.names {
 		e := s.engines[name]
 		s.g.Report(s.time(), name, api.LoadReport{ReportedAtMS: int64(s.now) + 1, Running: len(e.running),
-			Waiting: len(e.queue), KVUsedTokens: e.used, StepMS: e.lastStep})
+			Waiting: len(e.queue), KVUsedTokens: e.used, StepMS: e.meanStep})
 		for _, q := range e.running {
 			s.g.Progress(s.time(), q.id, q.generated)
 		}
