Order replicas by the mean of squares of slot and memory use

Ordering by the larger of the two balanced projected memory and left batches uneven, so that some ran steps of 1 to 2 ms over the target below saturation.

--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -74,17 +74,23 @@
 	return !g.o.NoMemoryAdmission && r.capacity() > 0
 }
 
-// loadOf returns the larger of the used fractions of slots and memory; at 1 or
-// more the replica takes no more work. In the baseline it is the number in flight.
+// loadOf returns 1 or more when the replica takes no more work, and less than 1
+// otherwise. In the baseline it is the number in flight.
 func (g *Group) loadOf(r *replica, now time.Time) float64 {
 	if g.o.Policy == PolicyBaseline {
 		return float64(len(r.running))
 	}
-	load := float64(r.occupied()) / float64(g.slots(r, now))
-	if g.limitsMemory(r) && r.occupied() > 0 {
-		load = max(load, r.all.Peak()/float64(g.capacityFor(r)))
+	slots := float64(r.occupied()) / float64(g.slots(r, now))
+	if !g.limitsMemory(r) || r.occupied() == 0 {
+		return slots
 	}
-	return load
+	memory := r.all.Peak() / float64(g.capacityFor(r))
+	if slots >= 1 || memory >= 1 {
+		return max(slots, memory)
+	}
+	// The mean of squares avoids both long steps and preemptions; the larger of
+	// the two balances memory alone and leaves batches uneven.
+	return (slots*slots + memory*memory) / 2
 }
 
 // update restores the order of the available replicas after a change of r.
