Close gaps in the tests of the decision packages

Five faults put in by hand passed all tests: a Charge without the weight, work of another owner that takes no slots, tokens known late that count twice, a request whose replicas are all excluded that waits on, and an advantage over a workspace that ran alone. Two more had not been tried: the memory part of the urgent reserve and the correction at release.

Ruled out: none needed a change of the code.

Each of the seven now fails a test.

--- a/internal/process/fairqueue/queue_test.go
+++ b/internal/process/fairqueue/queue_test.go
@@ -167,6 +167,19 @@
 	is.NoErr(debtor.Push(item("n1", "new")))
 	is.Equal(pop(debtor, 100), "n0")
 	is.Equal(pop(debtor, 100), "n1")
+
+	alone := New[string](Options{})
+	for i := range 10 {
+		is.NoErr(alone.Push(item(fmt.Sprint("a", i), "alone")))
+		pop(alone, 100)
+	}
+	is.NoErr(alone.Push(item("n0", "new"))) // while nobody waits
+	is.NoErr(alone.Push(item("n1", "new")))
+	is.NoErr(alone.Push(item("n2", "new")))
+	is.NoErr(alone.Push(item("a", "alone")))
+	is.Equal(pop(alone, 100), "n0")
+	is.Equal(pop(alone, 100), "n1") // equal virtual time, earlier arrival
+	is.Equal(pop(alone, 100), "a")
 }
 
 // Guards against a new workspace that starts behind the active ones, because
@@ -194,8 +207,13 @@
 	q := New[string](Options{})
 	is.NoErr(q.Push(item("a0", "a")))
 	is.NoErr(q.Push(item("b0", "b")))
+	heavy := item("c0", "c")
+	heavy.Weight = 4
+	is.NoErr(q.Push(heavy))
 	q.Charge("a", catalogue.Urgent, 10)
+	q.Charge("c", catalogue.Urgent, 20) // 5 for its weight
 	is.Equal(pop(q, 1), "b0")
+	is.Equal(pop(q, 1), "c0")
 }
 
 // Guards against a baseline that is not first come first served.
--- a/internal/process/memory/memory_test.go
+++ b/internal/process/memory/memory_test.go
@@ -74,6 +74,9 @@
 	p.Add(&s)
 	p.Report(5000)
 	is.Equal(p.Used(), 5000) // the larger of the two views
+	p.Advance(&s, e, 100)
+	is.Equal(p.Used(), 5000) // tokens known late were in the report
+	p.Advance(&s, e, 0)
 	p.Report(400)
 	is.Equal(p.Used(), 1000)
 
--- a/internal/process/schedule/group_test.go
+++ b/internal/process/schedule/group_test.go
@@ -77,7 +77,25 @@
 	is.Equal(background, 2)
 }
 
-// Guards against background work that fills the slots kept for urgent work.
+// Guards against work of another owner that is overlooked, and against slots
+// that stay taken because a lagging report still counts released work.
+func TestForeignSequencesTakeSlots(t *testing.T) {
+	is := is.New(t)
+	g := testGroup(Options{}, 1, 8, 0)
+	report(g, 1, 0, 3)
+	is.Equal(g.Summary(start).FreeSlots, 5)
+	add(g, start, "a", 5, catalogue.Urgent)
+	is.Equal(len(g.Dispatch(start)), 5)
+	report(g, 2, 0, 8)
+	for i := range 5 {
+		g.Release(start, fmt.Sprint("a", i), Outcome{})
+	}
+	report(g, 3, 0, 8)
+	is.Equal(g.Summary(start).FreeSlots, 5)
+}
+
+// Guards against background work that fills the slots or the memory kept for
+// urgent work.
 func TestBackgroundLeavesReserve(t *testing.T) {
 	is := is.New(t)
 	g := testGroup(Options{UrgentReserve: 0.25}, 2, 8, 100_000)
@@ -85,6 +103,13 @@
 	is.Equal(len(g.Dispatch(start)), 12)
 	add(g, start, "u", 8, catalogue.Urgent)
 	is.Equal(len(g.Dispatch(start)), 4)
+
+	g = testGroup(Options{UrgentReserve: 0.5}, 1, 200, 10_000)
+	add(g, start, "b", 100, catalogue.Background)
+	g.Dispatch(start)
+	is.True(g.replicas["r000"].all.Peak() <= 5000)
+	add(g, start, "u", 10, catalogue.Urgent)
+	is.Equal(len(g.Dispatch(start)), 10)
 }
 
 // Guards against a batch bound that moves on a repeated report, moves the
@@ -239,6 +264,13 @@
 	is.Equal(g.NextWake(start.Add(1500*time.Millisecond)), later)
 	is.Equal(g.Dispatch(later)[0].Refusal.Reason, ReasonNoReplica)
 
+	excluded := testGroup(Options{}, 1, 1, 0)
+	q := testRequest("x", "w", catalogue.Urgent)
+	q.Exclude = []string{"r000"}
+	excluded.Enqueue(start, q)
+	is.Equal(len(excluded.Dispatch(start)), 0)
+	is.Equal(excluded.Dispatch(later)[0].Refusal.Reason, ReasonNoReplica)
+
 	busy := testGroup(Options{QueueBound: 100}, 1, 1, 0)
 	now := start
 	add(busy, now, "", 100, catalogue.Urgent)
