Do not count an adopted grant twice

After an owner change the engines' reports arrive before the gateways renew their grants. Each adopted sequence then counted as foreign and as own until the next report, so that a new owner granted nothing for up to 250 ms.

Ruled out: ignoring reports until all gateways have renewed, which a new owner cannot know. Adoption now takes the sequence out of the foreign count.

Test group, 4 slots, one sequence adopted after a report of two: free slots 1 before, 2 after.

--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -70,6 +70,12 @@
 	p.shift(s, 1)
 }
 
+// Recognize takes a sequence out of what the report showed beyond the own view,
+// because it is about to be added to the own view.
+func (p *Projection) Recognize(s *Sequence) {
+	p.foreign = max(0, p.foreign-s.mean[0])
+}
+
 // Remove stops counting a sequence.
 func (p *Projection) Remove(s *Sequence) {
 	p.count--
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -163,7 +163,11 @@
 	s := memory.NewSequence(g.length(&q), q.PromptTokens, held.Generated, q.MaxOutputTokens)
 	// The former owner has charged the work so far.
 	charged := float64(q.PromptTokens + held.Generated)
-	g.hold(now, &q, g.replica(held.Grant.Backend), s, charged)
+	r := g.replica(held.Grant.Backend)
+	// A report may have shown it before its gateway did.
+	r.foreign = max(0, r.foreign-1)
+	r.all.Recognize(&s)
+	g.hold(now, &q, r, s, charged)
 }
 
 // Release ends a grant.
--- a/internal/process/schedule/group_test.go
+++ b/internal/process/schedule/group_test.go
@@ -239,8 +239,12 @@
 	g.SetReplicas(start, testReplicas(1, 4, 10_000))
 	r := g.replicas["r000"]
 	is.Equal(r.all.Used(), 140)
+	g.Report(start, "r000", api.LoadReport{ReportedAtMS: 1, Running: 2, KVUsedTokens: 280})
+	is.Equal(g.Summary(start).FreeSlots, 2)
 	held.Grant.ID = "b"
-	g.Adopt(start, held)
+	g.Adopt(start, held) // seen in the report already
+	is.Equal(r.all.Used(), 280)
+	is.Equal(g.Summary(start).FreeSlots, 2)
 	held.Generated = 60
 	g.Adopt(start.Add(2*time.Second), held)
 	is.Equal(r.all.Used(), 300)
