Add the peer protocol: net/rpc between gateways

Gateways call each other over one TCP connection per pair. An HMAC challenge-response from a shared secret precedes the first call, so that a stranger cannot call. A call ends with its context. While calls are pending the connection is pinged, because a call that waits for a grant may last long and its length does not show a frozen peer. A peer that cannot be dialled fails callers at once until the back-off ends (at most 1 s and jitter).

peertest is an in-memory network with cuts and freezes that works under testing/synctest.

--- /dev/null
+++ b/internal/connection/peer/peer_test.go
@@ -0,0 +1,119 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/connection/peer"
+	"persimmonwing/internal/connection/peer/peertest"
+)
+
+type echo struct{ hold chan struct{} }
+
+func (echo) Echo(in *string, out *string) error { *out = *in; return nil }
+
+func (e echo) Hold(*struct{}, *struct{}) error { <-e.hold; return nil }
+
+func start(t *testing.T, l net.Listener, secret string) (*peer.Server, echo) {
+	t.Helper()
+	s, err := peer.NewServer([]byte(secret), log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := echo{make(chan struct{})}
+	if err := s.Register("Echo", e); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	return s, e
+}
+
+// Guards against calls from a stranger, and against a client that talks to a
+// server without the secret.
+func TestStrangerIsRefused(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s, _ := start(t, l, "right")
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	for secret, want := range map[string]bool{"right": true, "wrong": false} {
+		p := peer.NewPool([]byte(secret), peer.DialTCP)
+		in, out := "hello", ""
+		err := p.Call(ctx, l.Addr().String(), "Echo.Echo", &in, &out)
+		is.Equal(err == nil, want)
+		is.Equal(out == "hello", want)
+		p.Close()
+	}
+	is.True(s.Traffic().In() > 0 && s.Traffic().Out() > 0)
+}
+
+// Guards against a frozen peer that holds callers past their deadline, holds a
+// long call for ever, or stays unreachable after it wakes.
+func TestFrozenPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := peertest.NewNetwork()
+		s, e := start(t, n.Listen("b"), "x")
+		p := peer.NewPool([]byte("x"), n.Dialer("a"))
+		defer s.Close()
+		defer close(e.hold)
+		defer p.Close()
+		call := func(d time.Duration, method string) (time.Duration, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), d)
+			defer cancel()
+			in, out, begin := "hello", "", time.Now()
+			if method == "Echo.Hold" {
+				err := p.Call(ctx, "b", method, &struct{}{}, &struct{}{})
+				return time.Since(begin), err
+			}
+			err := p.Call(ctx, "b", method, &in, &out)
+			return time.Since(begin), err
+		}
+		took, err := call(10*time.Second, "Echo.Hold")
+		is.True(errors.Is(err, context.DeadlineExceeded)) // a long call to a healthy peer is kept
+		is.Equal(took, 10*time.Second)
+		n.Freeze("b")
+		took, err = call(100*time.Millisecond, "Echo.Echo")
+		is.True(errors.Is(err, peer.ErrUnavailable))
+		is.Equal(took, 100*time.Millisecond)
+		took, err = call(time.Minute, "Echo.Hold")
+		is.True(errors.Is(err, peer.ErrUnavailable))
+		is.True(took <= 3*time.Second) // ping interval, ping timeout, dial timeout
+		time.Sleep(10 * time.Millisecond)
+		_, _ = call(time.Minute, "Echo.Echo")
+		took, err = call(time.Minute, "Echo.Echo")
+		is.True(errors.Is(err, peer.ErrUnavailable))
+		is.Equal(took, time.Duration(0)) // fails fast while backing off
+		n.Thaw("b")
+		time.Sleep(2 * time.Second)
+		_, err = call(time.Second, "Echo.Echo")
+		is.NoErr(err)
+	})
+}
+
+// Guards against a restarted peer whose closed connection fails the next call.
+func TestRestartedPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := peertest.NewNetwork()
+		p := peer.NewPool([]byte("x"), n.Dialer("a"))
+		defer p.Close()
+		for range 3 {
+			s, _ := start(t, n.Listen("b"), "x")
+			in, out := "hello", ""
+			is.NoErr(p.Call(t.Context(), "b", "Echo.Echo", &in, &out))
+			is.Equal(out, "hello")
+			s.Close()
+			synctest.Wait()
+		}
+	})
+}
