Add membership gossip, crash guard and the owner of groups

Membership: hosts merge as a lattice by incarnation and heartbeat; liveness is judged by the local clock. Messages carry ids and heartbeats packed in bytes and names only on demand, so that their size is bounded. What is known of backend servers travels as versioned facts, fresh ones at once and others when digests differ.

Owner: the Manager implements the gateway's Scheduler. It runs the groups that this gateway owns and asks the next gateway in rank when an owner is lost. A cancel names the attempt, so that one that arrives late does not end the wait of a later attempt.

--- a/internal/connection/peer/remote.go
+++ b/internal/connection/peer/remote.go
@@ -14,7 +14,7 @@
 // bound lets a healed partition rejoin within 3 s.
 const (
 	backoffFirst = 100 * time.Millisecond
-	backoffMost  = time.Second
+	backoffMost  = 500 * time.Millisecond
 )
 
 // errBackingOff fails calls to a peer whose last dial failed.
--- /dev/null
+++ b/internal/process/membership/backends.go
@@ -0,0 +1,140 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"persimmonwing/internal/connection/platform"
+)
+
+// leavingHold is the time for which a host that was leaving must be listed as
+// live before it counts so again: two copies of a lagging list may disagree.
+const leavingHold = 10 * time.Second
+
+// SetHosts takes over an answer of the host list. An empty answer is taken for
+// a fault of the list, and the last good copy stays.
+func (g *Gossiper) SetHosts(hosts []platform.Host) {
+	if len(hosts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	listed := make(map[string]bool, len(hosts))
+	centres := map[string]bool{}
+	for _, h := range hosts {
+		listed[h.Name] = true
+		centres[h.DataCentre] = true
+		g.setHost(time.Now(), h)
+	}
+	for _, k := range slices.Clone(g.state.facts.keys) {
+		f, _ := g.state.facts.Get(k)
+		if k.Kind == FactHost && !listed[k.Name] && centres[f.DataCentre] {
+			f.Leaving = true
+			g.state.facts.State(time.Now(), f)
+		}
+	}
+	g.mu.Unlock()
+	g.changed()
+}
+
+func (g *Gossiper) setHost(now time.Time, h platform.Host) {
+	f := Fact{
+		FactKey: FactKey{FactHost, h.Name}, Leaving: h.State == platform.HostLeaving,
+		Address: h.Address, DataCentre: h.DataCentre, Service: h.Service,
+	}
+	old, ok := g.state.facts.Get(f.FactKey)
+	returns := ok && old.Leaving && !f.Leaving && old.Address == f.Address
+	if !returns {
+		delete(g.steady, h.Name)
+		g.state.facts.State(now, f)
+		return
+	}
+	since, ok := g.steady[h.Name]
+	if !ok {
+		g.steady[h.Name] = now
+		return
+	}
+	if now.Sub(since) >= leavingHold {
+		delete(g.steady, h.Name)
+		g.state.facts.State(now, f)
+	}
+}
+
+// SetReport publishes what a backend server says of itself.
+func (g *Gossiper) SetReport(name string, draining bool, models []string, incarnation string) {
+	g.mu.Lock()
+	changed := g.state.facts.State(time.Now(), Fact{
+		FactKey: FactKey{FactReport, name}, Leaving: draining,
+		Models: slices.Sorted(slices.Values(models)), Incarnation: incarnation,
+	})
+	g.mu.Unlock()
+	if changed {
+		g.changed()
+	}
+}
+
+// Reported returns the models and the incarnation that an engine last reported
+// to anybody.
+func (g *Gossiper) Reported(name string) (models []string, incarnation string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f, _ := g.state.facts.Get(FactKey{FactReport, name})
+	return f.Models, f.Incarnation
+}
+
+// SetFailed marks a backend server as unreachable from this gateway, or
+// reachable again. It is not told to others, whose links may work.
+func (g *Gossiper) SetFailed(name string, failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if failed {
+		g.failed[name] = true
+	} else {
+		delete(g.failed, name)
+	}
+}
+
+// Services returns the replicas of a service, those of the own data centre
+// first, then sorted by name.
+func (g *Gossiper) Services(service string) []Backend {
+	out := g.backends(func(f Fact) bool { return f.Service == service && service != "" })
+	own := g.opt.Self.DataCentre
+	sort.SliceStable(out, func(i, j int) bool {
+		return out[i].DataCentre == own && out[j].DataCentre != own
+	})
+	return out
+}
+
+// Engines returns the engines of a data centre, or of all for "", by name.
+func (g *Gossiper) Engines(dataCentre string) []Backend {
+	return g.backends(func(f Fact) bool {
+		return f.Service == "" && (dataCentre == "" || f.DataCentre == dataCentre)
+	})
+}
+
+// Applications returns all application servers of a data centre by name.
+func (g *Gossiper) Applications(dataCentre string) []Backend {
+	return g.backends(func(f Fact) bool { return f.Service != "" && f.DataCentre == dataCentre })
+}
+
+// backends combines host list, reports, catalogue and failures: any one of them
+// is enough to stop new work.
+func (g *Gossiper) backends(keep func(Fact) bool) []Backend {
+	draining := g.opt.Draining()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Backend
+	for _, k := range g.state.facts.keys {
+		f, _ := g.state.facts.Get(k)
+		if k.Kind != FactHost || !keep(f) {
+			continue
+		}
+		report, _ := g.state.facts.Get(FactKey{FactReport, k.Name})
+		stopped := f.Leaving || report.Leaving || g.failed[k.Name] || slices.Contains(draining, k.Name)
+		out = append(out, Backend{
+			Name: k.Name, Address: f.Address, DataCentre: f.DataCentre,
+			Service: f.Service, Accepting: !stopped,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/membership/message.go
@@ -0,0 +1,227 @@
+package membership
+
+import (
+	"encoding/binary"
+	"sort"
+	"time"
+
+	"persimmonwing/internal/process/schedule"
+)
+
+// The bounds of one message. With them a message stays under 1.5 KB at 50
+// gateways in each of 8 data centres when nothing changes.
+const (
+	// maxLocalBeats bounds the heartbeats of the own data centre; above it they
+	// are sent in turn.
+	maxLocalBeats = 64
+	// maxRemoteBeats bounds those of other data centres, sent in turn.
+	maxRemoteBeats = 24
+	// maxRemoteRows bounds the summaries of other data centres, sent in turn.
+	maxRemoteRows = 8
+	// maxFreshFacts bounds the facts that are sent because they are new.
+	maxFreshFacts = 32
+	// maxRepairFacts bounds the facts sent in turn when digests differ.
+	maxRepairFacts = 16
+	// maxNames bounds the full entries sent because the peer asked for them.
+	maxNames = 64
+)
+
+// Message is the argument and the answer of Membership.Exchange.
+type Message struct {
+	From Host
+	// Beats holds (id, heartbeat) pairs, see appendBeat.
+	Beats []byte
+	Rows  []summaryRow
+	Facts []Fact
+	// Digest covers all facts of the sender.
+	Digest uint64
+	// Hosts and Groups are full entries: those that the peer asked for and
+	// hosts that have just left.
+	Hosts  []Host
+	Groups []schedule.GroupKey
+	// Want lists ids whose names the sender does not know.
+	Want []uint32
+	// NamesOnly marks a follow-up that only asks for names or sends them.
+	NamesOnly bool
+}
+
+// appendBeat appends 4 bytes of id and the heartbeat as a varint.
+func appendBeat(b []byte, id uint32, heartbeat uint64) []byte {
+	b = binary.LittleEndian.AppendUint32(b, id)
+	return binary.AppendUvarint(b, heartbeat)
+}
+
+// readBeats calls f for each pair; malformed trailing bytes are ignored.
+func readBeats(b []byte, f func(id uint32, heartbeat uint64)) {
+	for len(b) > 4 {
+		id := binary.LittleEndian.Uint32(b)
+		heartbeat, n := binary.Uvarint(b[4:])
+		if n <= 0 {
+			return
+		}
+		f(id, heartbeat)
+		b = b[4+n:]
+	}
+}
+
+// state is what gossip replicates.
+type state struct {
+	table      *Table
+	facts      *Facts
+	summaries  *summaries
+	nextLocal  int
+	nextRemote int
+}
+
+func newState(self Host) *state {
+	return &state{table: NewTable(self), facts: newFacts(), summaries: newSummaries()}
+}
+
+// compose makes a message for a peer. request is the message to which it
+// answers, or nil.
+func (s *state) compose(now time.Time, request *Message) Message {
+	m := Message{From: s.table.self, Digest: s.facts.digest}
+	peerBeats, peerRows := map[uint32]uint64{}, map[uint32]int64{}
+	if request != nil {
+		readBeats(request.Beats, func(id uint32, h uint64) { peerBeats[id] = h })
+		for _, r := range request.Rows {
+			peerRows[r.Group] = r.Version
+		}
+	}
+	local, remote := s.usable(now)
+	m.Beats = s.beats(m.Beats, local, maxLocalBeats, &s.nextLocal, peerBeats)
+	m.Beats = s.beats(m.Beats, remote, maxRemoteBeats, &s.nextRemote, peerBeats)
+	m.Rows = s.summaries.rows(now, s.table.self.DataCentre, maxRemoteRows, peerRows)
+	m.Facts = s.facts.fresh(now, maxFreshFacts)
+	if request != nil && request.Digest != s.facts.digest {
+		m.Facts = append(m.Facts, s.facts.rotate(maxRepairFacts)...)
+	}
+	m.Hosts = s.justLeft(now)
+	return m
+}
+
+// usable returns the live hosts of the own and of other data centres, sorted
+// by name.
+func (s *state) usable(now time.Time) (local, remote []Host) {
+	for name, k := range s.table.hosts {
+		if st := s.table.stateOf(now, k); st != Live && st != Suspect || name == s.table.self.Name {
+			continue
+		}
+		if k.DataCentre == s.table.self.DataCentre {
+			local = append(local, k.Host)
+		} else {
+			remote = append(remote, k.Host)
+		}
+	}
+	byName := func(h []Host) { sort.Slice(h, func(i, j int) bool { return h[i].Name < h[j].Name }) }
+	byName(local)
+	byName(remote)
+	return local, remote
+}
+
+func (s *state) beats(b []byte, hosts []Host, limit int, next *int, peerHas map[uint32]uint64) []byte {
+	for range min(limit, len(hosts)) {
+		*next = (*next + 1) % len(hosts)
+		h := hosts[*next]
+		if id := h.ID(); peerHas[id] < h.Heartbeat {
+			b = appendBeat(b, id, h.Heartbeat)
+		}
+	}
+	return b
+}
+
+// justLeft returns hosts whose end is news.
+func (s *state) justLeft(now time.Time) []Host {
+	var out []Host
+	for _, k := range s.table.hosts {
+		if k.Left && now.Sub(k.seen) <= freshFor && len(out) < maxNames {
+			out = append(out, k.Host)
+		}
+	}
+	return out
+}
+
+// absorb takes over a message and returns the ids whose names are unknown.
+func (s *state) absorb(now time.Time, m *Message) []uint32 {
+	s.table.Merge(now, m.From)
+	for _, h := range m.Hosts {
+		s.table.Merge(now, h)
+	}
+	for _, k := range m.Groups {
+		s.summaries.groups[groupID(k)] = k
+	}
+	for _, f := range m.Facts {
+		s.facts.Merge(now, f)
+	}
+	ids, owners := s.index()
+	var want []uint32
+	readBeats(m.Beats, func(id uint32, heartbeat uint64) {
+		name, ok := ids[id]
+		if name == s.table.self.Name {
+			return
+		}
+		if !ok {
+			want = append(want, id)
+			return
+		}
+		h := s.table.hosts[name].Host
+		h.Heartbeat = heartbeat
+		s.table.Merge(now, h)
+	})
+	for _, r := range m.Rows {
+		want = append(want, s.absorbRow(now, r, owners)...)
+	}
+	return want[:min(len(want), maxNames)]
+}
+
+// index maps host ids, and ids of names alone, to names.
+func (s *state) index() (ids, owners map[uint32]string) {
+	ids, owners = make(map[uint32]string, len(s.table.hosts)+1), make(map[uint32]string, len(s.table.hosts)+1)
+	for name, k := range s.table.hosts {
+		ids[k.ID()] = name
+		owners[hashID(name)] = name
+	}
+	self := s.table.self
+	ids[self.ID()] = self.Name
+	owners[hashID(self.Name)] = self.Name
+	return ids, owners
+}
+
+func (s *state) absorbRow(now time.Time, r summaryRow, owners map[uint32]string) (want []uint32) {
+	k, ok := s.summaries.groups[r.Group]
+	if !ok {
+		return []uint32{r.Group}
+	}
+	s.summaries.merge(schedule.Summary{
+		Group: k, Owner: owners[r.Owner], Replicas: r.Replicas, FreeSlots: r.Free,
+		QueuedUrgent: r.Urgent, QueuedBackground: r.Background,
+		WaitUrgentMS: r.UrgentMS, WaitBackgroundMS: r.BackgroundWaitMS,
+	}, r.Version, now.Add(-time.Duration(r.AgeMS)*time.Millisecond))
+	return nil
+}
+
+// names returns a message with the full entries of ids that a peer asked for.
+func (s *state) names(want []uint32) Message {
+	m := Message{From: s.table.self, NamesOnly: true, Digest: s.facts.digest}
+	ids, _ := s.index()
+	for _, id := range want[:min(len(want), maxNames)] {
+		if k, ok := s.summaries.groups[id]; ok {
+			m.Groups = append(m.Groups, k)
+		}
+		if name, ok := ids[id]; ok && name != s.table.self.Name {
+			m.Hosts = append(m.Hosts, s.table.hosts[name].Host)
+		}
+	}
+	return m
+}
+
+// answer absorbs a request and makes its answer.
+func (s *state) answer(now time.Time, m *Message) Message {
+	want := s.absorb(now, m)
+	if m.NamesOnly {
+		return s.names(m.Want)
+	}
+	out := s.compose(now, m)
+	out.Want = want
+	return out
+}
--- /dev/null
+++ b/internal/process/membership/rank.go
@@ -0,0 +1,44 @@
+package membership
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// pollers is the number of gateways of a data centre that poll one source.
+const pollers = 2
+
+// score is the rendezvous hash of a gateway for a key.
+func score(gateway, key string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(gateway)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
+// rank sorts gateway names by their rendezvous hash for key, highest first.
+func rank(names []string, key string) []string {
+	out := append([]string(nil), names...)
+	scores := make(map[string]uint64, len(out))
+	for _, n := range out {
+		scores[n] = score(n, key)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := scores[out[i]], scores[out[j]]
+		return a > b || (a == b && out[i] < out[j])
+	})
+	return out
+}
+
+// first returns the name with the highest rendezvous hash, or "".
+func first(names []string, key string) string {
+	best, high := "", uint64(0)
+	for _, n := range names {
+		if s := score(n, key); best == "" || s > high || (s == high && n < best) {
+			best, high = n, s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/process/membership/table.go
@@ -0,0 +1,167 @@
+package membership
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// suspectAfter marks a host whose heartbeat is late by two periods.
+	suspectAfter = 2 * time.Second
+	// deadAfter is the time without a new heartbeat after which a host of the
+	// same data centre no longer counts live.
+	deadAfter = 3 * time.Second
+	// remoteDeadAfter is deadAfter for other data centres. Their heartbeats come
+	// in a rotating part of each message, so they arrive less often; a call to a
+	// dead host fails over sooner than that.
+	remoteDeadAfter = 20 * time.Second
+	// forgetAfter is the time after which a dead host is no longer retried.
+	forgetAfter = 5 * time.Minute
+)
+
+// known is a host with the local time of its last news.
+type known struct {
+	Host
+	seen time.Time
+}
+
+// Table holds the hosts that a gateway knows. It is not safe for concurrent use.
+type Table struct {
+	self  Host
+	hosts map[string]known
+}
+
+// NewTable returns a table that knows only this gateway.
+func NewTable(self Host) *Table { return &Table{self: self, hosts: map[string]known{}} }
+
+// Self returns this gateway's own entry.
+func (t *Table) Self() Host { return t.self }
+
+// Beat advances this gateway's heartbeat.
+func (t *Table) Beat(revision int64) {
+	t.self.Heartbeat++
+	t.self.CatalogueRevision = max(t.self.CatalogueRevision, revision)
+}
+
+// Leave marks this gateway as left.
+func (t *Table) Leave() { t.self.Left = true }
+
+// Merge joins an entry with the known one and reports whether it told news.
+func (t *Table) Merge(now time.Time, h Host) bool {
+	if h.Name == t.self.Name {
+		return t.mergeSelf(h)
+	}
+	old, ok := t.hosts[h.Name]
+	if !ok {
+		t.hosts[h.Name] = known{h, now}
+		return true
+	}
+	joined, seen := join(old.Host, h), old.seen
+	if h.newer(old.Host) {
+		seen = now
+	}
+	t.hosts[h.Name] = known{joined, seen}
+	return joined != old.Host
+}
+
+// mergeSelf outbids an entry with this gateway's name and address that stems
+// from an earlier start whose clock was ahead. An entry with another address is
+// a replacement of this gateway and is left alone.
+func (t *Table) mergeSelf(h Host) bool {
+	outbid := h.PeerAddress == t.self.PeerAddress && !t.self.Left &&
+		(h.Incarnation > t.self.Incarnation || (h.Incarnation == t.self.Incarnation && h.Left))
+	if outbid {
+		t.self.Incarnation = h.Incarnation + 1
+	}
+	return outbid
+}
+
+// Forget drops hosts without news for 5 minutes.
+func (t *Table) Forget(now time.Time) {
+	for name, k := range t.hosts {
+		if now.Sub(k.seen) > forgetAfter {
+			delete(t.hosts, name)
+		}
+	}
+}
+
+// State returns the state of a host; an unknown host is dead.
+func (t *Table) State(now time.Time, name string) State {
+	if name == t.self.Name {
+		return t.selfState()
+	}
+	k, ok := t.hosts[name]
+	if !ok {
+		return Dead
+	}
+	return t.stateOf(now, k)
+}
+
+func (t *Table) selfState() State {
+	if t.self.Left {
+		return Left
+	}
+	return Live
+}
+
+func (t *Table) stateOf(now time.Time, k known) State {
+	limit := deadAfter
+	if k.DataCentre != t.self.DataCentre {
+		limit = remoteDeadAfter
+	}
+	quiet := now.Sub(k.seen)
+	switch {
+	case k.Left:
+		return Left
+	case quiet > limit || t.replaced(k.Host):
+		return Dead
+	case quiet > limit-deadAfter+suspectAfter:
+		return Suspect
+	}
+	return Live
+}
+
+// replaced reports whether a newer host uses the same address.
+func (t *Table) replaced(h Host) bool {
+	if h.PeerAddress == "" {
+		return false
+	}
+	if t.self.PeerAddress == h.PeerAddress {
+		return true
+	}
+	for _, o := range t.hosts {
+		if o.PeerAddress == h.PeerAddress && o.Name != h.Name && supersedes(o.Host, h) {
+			return true
+		}
+	}
+	return false
+}
+
+func supersedes(a, b Host) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Name > b.Name
+}
+
+// Hosts returns all known hosts with their states, this gateway included,
+// sorted by name.
+func (t *Table) Hosts(now time.Time) []HostState {
+	out := make([]HostState, 0, len(t.hosts)+1)
+	out = append(out, HostState{t.self, t.selfState()})
+	for _, k := range t.hosts {
+		out = append(out, HostState{k.Host, t.stateOf(now, k)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// HostState is a host with its state.
+type HostState struct {
+	Host
+	State State
+}
+
+// Usable reports whether the host counts live. A suspect does, so that one late
+// heartbeat moves no group.
+func (s HostState) Usable() bool { return s.State == Live || s.State == Suspect }
--- /dev/null
+++ b/internal/process/membership/view.go
@@ -0,0 +1,143 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"persimmonwing/internal/process/schedule"
+)
+
+// Self returns this gateway's own entry.
+func (g *Gossiper) Self() Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.table.self
+}
+
+// Hosts returns all known gateways with their states, sorted by name.
+func (g *Gossiper) Hosts() []HostState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.table.Hosts(time.Now())
+}
+
+// Live returns the live gateways sorted by name, this one included.
+func (g *Gossiper) Live() []Gateway {
+	var out []Gateway
+	for _, s := range g.Hosts() {
+		if s.Usable() {
+			out = append(out, Gateway{
+				Name: s.Name, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress,
+				Incarnation: s.Incarnation, Live: true,
+			})
+		}
+	}
+	return out
+}
+
+// Peer returns the peer address of a live gateway.
+func (g *Gossiper) Peer(name string) (string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if name == g.state.table.self.Name {
+		return g.state.table.self.PeerAddress, true
+	}
+	k, ok := g.state.table.hosts[name]
+	if !ok {
+		return "", false
+	}
+	return k.PeerAddress, HostState{k.Host, g.state.table.stateOf(time.Now(), k)}.Usable()
+}
+
+// names returns the live gateways of a data centre.
+func (g *Gossiper) names(dataCentre string) []string {
+	now := time.Now()
+	var out []string
+	t := g.state.table
+	if t.self.DataCentre == dataCentre && !t.self.Left {
+		out = append(out, t.self.Name)
+	}
+	for name, k := range t.hosts {
+		if k.DataCentre == dataCentre && (HostState{k.Host, t.stateOf(now, k)}).Usable() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Owner returns the owner of a group in this gateway's view, or "".
+func (g *Gossiper) Owner(k schedule.GroupKey) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return first(g.names(k.DataCentre), k.String())
+}
+
+// Rank returns the live gateways of a group's data centre, the owner first and
+// then those to ask when it cannot be reached.
+func (g *Gossiper) Rank(k schedule.GroupKey) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return rank(g.names(k.DataCentre), k.String())
+}
+
+// Discovers reports whether this gateway polls a backend server whose poller
+// does not follow from a group: application servers, and engines whose models
+// are unknown.
+func (g *Gossiper) Discovers(backend string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self := g.state.table.self
+	return first(g.names(self.DataCentre), "backend/"+backend) == self.Name
+}
+
+// Polls reports whether this gateway is one of the two of its data centre that
+// poll the platform for purpose.
+func (g *Gossiper) Polls(purpose string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self := g.state.table.self
+	names, all := []string(nil), g.names(self.DataCentre)
+	for _, name := range all {
+		if f, _ := g.state.facts.Get(pollerKey(purpose, name)); !f.Leaving {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		names = all
+	}
+	order := rank(names, "poll/"+purpose)
+	return slices.Contains(order[:min(pollers, len(order))], self.Name)
+}
+
+func pollerKey(purpose, gateway string) FactKey {
+	return FactKey{FactPoller, purpose + "/" + gateway}
+}
+
+// SetPolled records whether this gateway could read the source of a purpose. A
+// failure lets another gateway be elected.
+func (g *Gossiper) SetPolled(purpose string, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := Fact{FactKey: pollerKey(purpose, g.state.table.self.Name), Leaving: !ok}
+	if _, known := g.state.facts.Get(f.FactKey); known || !ok {
+		g.state.facts.State(time.Now(), f)
+	}
+}
+
+// Summaries returns the fresh group summaries sorted by group.
+func (g *Gossiper) Summaries() []schedule.Summary {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.summaries.list(time.Now())
+}
+
+// NewestRevision returns the highest catalogue revision that a live gateway has
+// told, and that gateway's peer address.
+func (g *Gossiper) NewestRevision() (revision int64, peerAddress string) {
+	for _, s := range g.Hosts() {
+		if s.Usable() && s.CatalogueRevision > revision {
+			revision, peerAddress = s.CatalogueRevision, s.PeerAddress
+		}
+	}
+	return revision, peerAddress
+}
--- /dev/null
+++ b/internal/process/owner/engines.go
@@ -0,0 +1,181 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/request/api"
+)
+
+const (
+	// pollTimeout bounds one poll of an engine.
+	pollTimeout = time.Second
+	// discoverPeriod is the time between polls of an engine that belongs to no
+	// group that this gateway runs.
+	discoverPeriod = time.Second
+	// lostAfter is the number of failed polls after which an engine counts lost.
+	lostAfter = 3
+)
+
+// engine is the state of the polls of one engine.
+type engine struct {
+	report    api.LoadReport
+	polled    bool // report is set
+	failures  int
+	inFlight  bool
+	startedAt time.Time
+}
+
+// usable reports whether the last polls let the engine take new work.
+func (e *engine) usable() bool {
+	return e.polled && e.failures < lostAfter && !e.report.Draining
+}
+
+// poll starts the polls that are due.
+func (m *Manager) poll(ctx context.Context, now time.Time) {
+	grouped := m.grouped()
+	listed := map[string]bool{}
+	for _, b := range m.opt.View.Engines(m.scope()) {
+		listed[b.Name] = true
+		discovers := m.opt.View.Discovers(b.Name)
+		if (grouped[b.Name] || discovers) && m.startPoll(now, b.Name, grouped[b.Name]) {
+			m.later(func() { m.pollOne(ctx, b) })
+		}
+	}
+	m.forgetEngines(listed)
+}
+
+// grouped returns the engines of the groups that this gateway runs.
+func (m *Manager) grouped() map[string]bool {
+	out := map[string]bool{}
+	for _, r := range m.existing() {
+		r.mu.Lock()
+		for _, p := range r.replicas {
+			out[p.Name] = true
+		}
+		r.mu.Unlock()
+	}
+	return out
+}
+
+// startPoll reports whether a poll is due and marks it as in flight.
+func (m *Manager) startPoll(now time.Time, name string, grouped bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.engines[name]
+	if e == nil {
+		e = &engine{}
+		m.engines[name] = e
+	}
+	if e.inFlight || (!grouped && e.polled && now.Sub(e.startedAt) < discoverPeriod) {
+		return false
+	}
+	e.inFlight, e.startedAt = true, now
+	return true
+}
+
+func (m *Manager) forgetEngines(listed map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, e := range m.engines {
+		if !listed[name] && !e.inFlight {
+			delete(m.engines, name)
+		}
+	}
+}
+
+func (m *Manager) pollOne(ctx context.Context, b membership.Backend) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := m.opt.Loads.Load(ctx, b.Name, b.Address)
+	if err != nil {
+		m.pollFailed(b.Name, err)
+		return
+	}
+	m.pollDone(b.Name, report)
+}
+
+func (m *Manager) pollFailed(name string, err error) {
+	m.mu.Lock()
+	e := m.engines[name]
+	e.inFlight = false
+	e.failures++
+	lost := e.failures == lostAfter
+	incarnation := e.report.Incarnation
+	m.mu.Unlock()
+	if !lost {
+		return
+	}
+	level.Warn(m.opt.Logger).Log("msg", "engine lost, its polls fail", "engine", name, "err", err)
+	m.opt.View.SetFailed(name, true)
+	m.engineLost(name, incarnation)
+	m.refresh()
+}
+
+func (m *Manager) pollDone(name string, report api.LoadReport) {
+	m.mu.Lock()
+	e := m.engines[name]
+	old := e.report
+	restarted := e.polled && old.Incarnation != report.Incarnation
+	changed := !e.polled || restarted || e.failures >= lostAfter || old.Draining != report.Draining ||
+		!slices.Equal(old.Models, report.Models)
+	e.report, e.polled, e.failures, e.inFlight = report, true, 0, false
+	m.mu.Unlock()
+	if restarted {
+		level.Warn(m.opt.Logger).Log("msg", "engine restarted", "engine", name)
+		m.engineLost(name, old.Incarnation)
+	}
+	m.opt.View.SetFailed(name, false)
+	m.opt.View.SetReport(name, report.Draining, report.Models, report.Incarnation)
+	if changed {
+		m.refresh()
+	}
+	for _, r := range m.existing() {
+		r.report(time.Now(), name, report)
+	}
+}
+
+// refresh passes changed replicas to the groups at once.
+func (m *Manager) refresh() {
+	for _, r := range m.existing() {
+		r.setReplicas(time.Now(), m.replicas(r.key))
+	}
+}
+
+// incarnation returns an engine's incarnation as far as anybody knows it.
+func (m *Manager) incarnation(name string) string {
+	if known, ok := m.polledIncarnation(name); ok {
+		return known
+	}
+	_, incarnation := m.opt.View.Reported(name)
+	return incarnation
+}
+
+func (m *Manager) polledIncarnation(name string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.engines[name]
+	if e == nil || !e.polled {
+		return "", false
+	}
+	return e.report.Incarnation, true
+}
+
+// doubt stops grants of an engine that this gateway polls, until the next poll
+// succeeds, because somebody says that its current start is lost.
+func (m *Manager) doubt(name, incarnation string) {
+	m.mu.Lock()
+	e := m.engines[name]
+	doubted := e != nil && e.polled && e.report.Incarnation == incarnation
+	if doubted {
+		e.failures = max(e.failures, lostAfter)
+	}
+	m.mu.Unlock()
+	if doubted {
+		m.refresh()
+	}
+}
--- /dev/null
+++ b/internal/process/owner/grants.go
@@ -0,0 +1,166 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"persimmonwing/internal/process/schedule"
+)
+
+// hold records a grant of this gateway.
+func (m *Manager) hold(r schedule.Request, reply AcquireReply, owner string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held[reply.Grant.ID] = &held{
+		Held:        schedule.Held{Request: r, Grant: reply.Grant},
+		incarnation: reply.Incarnation,
+		owner:       owner,
+	}
+}
+
+// Progress records the number of tokens generated under a grant; the owner
+// learns it with the next renewal.
+func (m *Manager) Progress(grantID string, generated int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h := m.held[grantID]; h != nil {
+		h.Generated = max(h.Generated, generated)
+	}
+}
+
+// Release ends a grant. It does not wait for the owner.
+func (m *Manager) Release(grantID string, o schedule.Outcome) {
+	m.mu.Lock()
+	h := m.held[grantID]
+	m.mu.Unlock()
+	if h == nil {
+		return
+	}
+	if o.EngineLost {
+		m.doubt(h.Grant.Backend, h.incarnation)
+		m.engineLost(h.Grant.Backend, h.incarnation)
+	}
+	m.mu.Lock()
+	delete(m.held, grantID)
+	owner := h.owner
+	m.mu.Unlock()
+	args := ReleaseArgs{Group: h.Grant.Group, ID: grantID, Outcome: o}
+	if owner == m.self() {
+		m.serveRelease(args)
+	} else {
+		m.inBackground(owner, "Release", &args)
+	}
+	if o.Completed && !o.EngineLost {
+		m.finished(h.Request.Fingerprint)
+	}
+}
+
+// renewal is the grants to renew at one owner.
+type renewal struct {
+	args RenewArgs
+	full map[string]schedule.Held
+}
+
+// renewAll renews all held grants, in one call for each owner. After a change
+// of ownership the new owner does not know them and gets them in full.
+func (m *Manager) renewAll(ctx context.Context) {
+	var wait sync.WaitGroup
+	for owner, r := range m.renewals() {
+		wait.Go(func() { m.renew(ctx, owner, r) })
+	}
+	wait.Wait()
+}
+
+// renewals sorts the held grants by the gateway that now owns their group. A
+// group whose data centre shows no live gateway stays where it was.
+func (m *Manager) renewals() map[string]*renewal {
+	owners := map[schedule.GroupKey]string{}
+	out := map[string]*renewal{}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, h := range m.held {
+		k := h.Grant.Group
+		if _, ok := owners[k]; !ok {
+			owners[k] = m.ownerNow(k)
+		}
+		if owners[k] != "" {
+			h.owner = owners[k]
+		}
+		r := out[h.owner]
+		if r == nil {
+			r = &renewal{full: map[string]schedule.Held{}}
+			out[h.owner] = r
+		}
+		r.args.Groups = append(r.args.Groups, k)
+		r.args.IDs = append(r.args.IDs, id)
+		r.args.Generated = append(r.args.Generated, h.Generated)
+		r.full[id] = h.Held
+	}
+	return out
+}
+
+func (m *Manager) ownerNow(k schedule.GroupKey) string {
+	if m.opt.Policy != PolicyOwner {
+		return m.self()
+	}
+	return m.opt.View.Owner(k)
+}
+
+func (m *Manager) renew(ctx context.Context, owner string, r *renewal) {
+	ctx, cancel := context.WithTimeout(ctx, renewPeriod)
+	defer cancel()
+	reply, err := m.callRenew(ctx, owner, r.args)
+	if err != nil {
+		level.Debug(m.opt.Logger).Log("msg", "grants not renewed", "owner", owner, "grants", len(r.args.IDs), "err", err)
+		return
+	}
+	full := m.stillHeld(reply.Unknown, r.full)
+	if len(full) == 0 {
+		return
+	}
+	if _, err := m.callRenew(ctx, owner, RenewArgs{Full: full}); err != nil {
+		level.Debug(m.opt.Logger).Log("msg", "grants not registered", "owner", owner, "grants", len(full), "err", err)
+	}
+}
+
+// stillHeld returns the unknown grants that have not been released meanwhile.
+func (m *Manager) stillHeld(ids []string, full map[string]schedule.Held) []schedule.Held {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []schedule.Held
+	for _, id := range ids {
+		if m.held[id] != nil {
+			out = append(out, full[id])
+		}
+	}
+	return out
+}
+
+func (m *Manager) callRenew(ctx context.Context, owner string, a RenewArgs) (RenewReply, error) {
+	if owner == m.self() {
+		return m.serveRenew(a), nil
+	}
+	address, ok := m.opt.View.Peer(owner)
+	if !ok {
+		return RenewReply{}, errNotLive
+	}
+	reply := new(RenewReply)
+	if err := m.opt.Caller.Call(ctx, address, ServiceName+".Renew", &a, reply); err != nil {
+		return RenewReply{}, err
+	}
+	return *reply, nil
+}
+
+// ownSummaries returns the summaries of groups that this gateway runs as owner.
+func (m *Manager) ownSummaries(model string) []schedule.Summary {
+	var out []schedule.Summary
+	for _, r := range m.existing() {
+		if r.key.Model == model && m.owns(r.key) {
+			out = append(out, r.summary(time.Now()))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/owner/groups.go
@@ -0,0 +1,118 @@
+package owner
+
+import (
+	"slices"
+	"sort"
+
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/schedule"
+)
+
+// scope is the data centre whose groups this gateway may own; without owners
+// each gateway runs all groups of all data centres, for which it is "".
+func (m *Manager) scope() string {
+	if m.opt.Policy != PolicyOwner {
+		return ""
+	}
+	return m.opt.View.Self().DataCentre
+}
+
+// ownGroups returns the groups that this gateway owns, as far as it knows the
+// models of engines.
+func (m *Manager) ownGroups() []schedule.GroupKey {
+	var out []schedule.GroupKey
+	for _, k := range m.knownGroups() {
+		if m.owns(k) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+type serving struct{ dataCentre, model string }
+
+// knownGroups derives groups from the models that engines report.
+func (m *Manager) knownGroups() []schedule.GroupKey {
+	names := map[serving][]string{}
+	for _, b := range m.opt.View.Engines(m.scope()) {
+		models, _ := m.opt.View.Reported(b.Name)
+		for _, model := range models {
+			s := serving{b.DataCentre, model}
+			names[s] = append(names[s], b.Name)
+		}
+	}
+	seen := map[schedule.GroupKey]bool{}
+	var out []schedule.GroupKey
+	for s, engines := range names {
+		shards := m.opt.ShardCount(len(engines))
+		for _, name := range engines {
+			k := schedule.GroupKey{DataCentre: s.dataCentre, Model: s.model, Shard: m.opt.ShardOf(name, shards)}
+			if !seen[k] {
+				seen[k] = true
+				out = append(out, k)
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].String() < out[j].String() })
+	return out
+}
+
+// replicas returns the engines of a group. One that this gateway has not polled
+// is not accepting, because its batch and memory are unknown.
+func (m *Manager) replicas(k schedule.GroupKey) []schedule.Replica {
+	var serve []membership.Backend
+	for _, b := range m.opt.View.Engines(k.DataCentre) {
+		models, _ := m.opt.View.Reported(b.Name)
+		if slices.Contains(models, k.Model) {
+			serve = append(serve, b)
+		}
+	}
+	shards := m.opt.ShardCount(len(serve))
+	var out []schedule.Replica
+	for _, b := range serve {
+		if m.opt.ShardOf(b.Name, shards) == k.Shard {
+			out = append(out, m.replica(b))
+		}
+	}
+	return out
+}
+
+// replica joins what is known of an engine with its last report.
+func (m *Manager) replica(b membership.Backend) schedule.Replica {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := schedule.Replica{Name: b.Name, Address: b.Address}
+	if e := m.engines[b.Name]; e != nil {
+		r.MaxBatch = e.report.MaxBatch
+		r.KVCapacityTokens = e.report.KVCapacityTokens
+		r.Accepting = b.Accepting && e.usable()
+	}
+	return r
+}
+
+// candidates returns the summaries of all groups of a model: fresh ones of this
+// gateway, gossiped ones, and empty ones of local groups that have no summary yet.
+func (m *Manager) candidates(model string, skip map[schedule.GroupKey]bool) []schedule.Summary {
+	seen := map[schedule.GroupKey]bool{}
+	var out []schedule.Summary
+	add := func(s schedule.Summary) {
+		if s.Group.Model == model && !seen[s.Group] && !skip[s.Group] {
+			seen[s.Group] = true
+			out = append(out, s)
+		}
+	}
+	for _, s := range m.ownSummaries(model) {
+		add(s)
+	}
+	if m.opt.Policy == PolicyOwner {
+		for _, s := range m.opt.View.Summaries() {
+			add(s)
+		}
+	}
+	if len(out) == 0 {
+		for _, k := range m.knownGroups() {
+			add(schedule.Summary{Group: k, Owner: m.opt.View.Owner(k)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/owner/manager.go
@@ -0,0 +1,226 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"persimmonwing/internal/process/schedule"
+)
+
+const (
+	// tickPeriod is the time between two looks at groups and engines.
+	tickPeriod = 250 * time.Millisecond
+	// renewPeriod is the time between two renewals of held grants; a grant
+	// outlives four lost ones.
+	renewPeriod = 500 * time.Millisecond
+	// frozenAfter is the gap between two ticks after which this process must
+	// have been paused, so that its waiting callers have left.
+	frozenAfter = 1500 * time.Millisecond
+	// summaryEvery makes every 4th tick publish summaries: one each second.
+	summaryEvery = 4
+)
+
+// held is a grant that this gateway uses.
+type held struct {
+	schedule.Held
+	// incarnation is the engine's at the time of the grant.
+	incarnation string
+	// owner is the gateway that was last told of the grant.
+	owner string
+}
+
+// Manager grants for the groups of this gateway and asks the owners of others.
+// It implements the gateway's Scheduler interface.
+type Manager struct {
+	opt   Options
+	guard *guard
+
+	mu       sync.Mutex
+	stopping bool
+	runners  map[schedule.GroupKey]*runner
+	held     map[string]*held
+	engines  map[string]*engine
+	ticks    int
+	lastTick time.Time
+
+	// background counts calls that outlive their callers, such as releases.
+	background sync.WaitGroup
+}
+
+// New returns a Manager; Run makes it work.
+func New(opt Options) *Manager {
+	return &Manager{
+		opt:     opt,
+		guard:   newGuard(),
+		runners: map[schedule.GroupKey]*runner{},
+		held:    map[string]*held{},
+		engines: map[string]*engine{},
+	}
+}
+
+// Run keeps groups, polls engines and renews grants until ctx ends. It then
+// sends waiting requests to other owners.
+func (m *Manager) Run(ctx context.Context) error {
+	var wait sync.WaitGroup
+	wait.Go(func() { every(ctx, tickPeriod, func() { m.tick(ctx, time.Now()) }) })
+	wait.Go(func() { every(ctx, renewPeriod, func() { m.renewAll(ctx) }) })
+	wait.Wait()
+	m.close()
+	return nil
+}
+
+// every calls f at once and then each period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		f()
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *Manager) close() {
+	m.mu.Lock()
+	m.stopping = true
+	runners := m.runners
+	m.runners = map[schedule.GroupKey]*runner{}
+	m.mu.Unlock()
+	for _, r := range runners {
+		r.close()
+	}
+	m.background.Wait()
+}
+
+// Held returns the number of grants that this gateway uses.
+func (m *Manager) Held() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.held)
+}
+
+func (m *Manager) isStopping() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping
+}
+
+// later runs f in the background, or at once when the Manager has stopped and
+// nobody would wait for it.
+func (m *Manager) later(f func()) {
+	m.mu.Lock()
+	if m.stopping {
+		m.mu.Unlock()
+		f()
+		return
+	}
+	m.background.Go(f)
+	m.mu.Unlock()
+}
+
+// errStopping is returned by calls to a Manager that has stopped.
+var errStopping = eris.New("scheduler is stopping")
+
+// runner returns the runner of a group and starts it if necessary.
+func (m *Manager) runner(k schedule.GroupKey) (*runner, error) {
+	m.mu.Lock()
+	r, ok := m.runners[k]
+	if m.stopping {
+		m.mu.Unlock()
+		return nil, errStopping
+	}
+	if !ok {
+		r = newRunner(k, m.self(), m.opt.NewGroup(k), m.guard.check)
+		m.runners[k] = r
+		go r.run()
+	}
+	m.mu.Unlock()
+	if !ok {
+		m.equip(time.Now(), r)
+	}
+	return r, nil
+}
+
+// existing returns the runners in no order.
+func (m *Manager) existing() []*runner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*runner, 0, len(m.runners))
+	for _, r := range m.runners {
+		out = append(out, r)
+	}
+	return out
+}
+
+func (m *Manager) self() string { return m.opt.View.Self().Name }
+
+// tick brings groups in line with membership and starts due polls.
+func (m *Manager) tick(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	paused := !m.lastTick.IsZero() && now.Sub(m.lastTick) > frozenAfter
+	m.lastTick = now
+	m.ticks++
+	publish := m.ticks%summaryEvery == 1
+	m.mu.Unlock()
+	for _, k := range m.ownGroups() {
+		if r, err := m.runner(k); err == nil {
+			r.setOwned(true)
+		}
+	}
+	for _, r := range m.existing() {
+		m.keep(now, r, paused, publish)
+	}
+	m.poll(ctx, now)
+}
+
+// keep does the periodic work of one group.
+func (m *Manager) keep(now time.Time, r *runner, paused, publish bool) {
+	r.setOwned(m.owns(r.key))
+	if paused {
+		r.move(func(t *ticket) bool { return t.request.Gateway != r.self })
+	}
+	r.move(func(t *ticket) bool { return m.gone(t.request.Gateway) })
+	r.expire(now)
+	m.equip(now, r)
+	if publish && m.owns(r.key) && m.opt.Policy == PolicyOwner {
+		m.opt.View.SetSummary(r.summary(now))
+	}
+	if r.idle(now) {
+		m.mu.Lock()
+		delete(m.runners, r.key)
+		m.mu.Unlock()
+		r.close()
+	}
+}
+
+// gone reports whether a gateway that waits here no longer counts live.
+func (m *Manager) gone(gateway string) bool {
+	_, live := m.opt.View.Peer(gateway)
+	return !live && gateway != m.self()
+}
+
+// owns reports whether this gateway runs a group for its data centre, or for
+// itself under a policy without owners.
+func (m *Manager) owns(k schedule.GroupKey) bool {
+	if m.opt.Policy != PolicyOwner {
+		return true
+	}
+	return m.opt.View.Owner(k) == m.self()
+}
+
+// equip passes replicas, share and floors to a group.
+func (m *Manager) equip(now time.Time, r *runner) {
+	share := 1.0
+	if m.opt.Policy == PolicyShares {
+		share = 1 / float64(max(1, len(m.opt.View.Live())))
+	}
+	floor, reserve := m.opt.Floors()
+	r.configure(share, floor, reserve)
+	r.setReplicas(now, m.replicas(r.key))
+}
--- /dev/null
+++ b/internal/process/owner/options.go
@@ -0,0 +1,86 @@
+// Package owner runs the replica groups that this gateway owns, finds the
+// owners of others, and keeps the grants that this gateway holds.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/api"
+)
+
+// Group schedules the replicas of one group. The Manager never calls two
+// methods of one Group at a time.
+type Group interface {
+	SetReplicas(now time.Time, replicas []schedule.Replica)
+	Report(now time.Time, replica string, r api.LoadReport)
+	Enqueue(now time.Time, r schedule.Request) *schedule.Refusal
+	Cancel(id string) bool
+	Dispatch(now time.Time) []schedule.Decision
+	Progress(now time.Time, id string, generated int)
+	Adopt(now time.Time, h schedule.Held)
+	Release(now time.Time, id string, o schedule.Outcome)
+	Expire(now time.Time, notRenewedFor time.Duration) []string
+	Running(replica string) []schedule.Request
+	Summary(now time.Time) schedule.Summary
+	NextWake(now time.Time) time.Time
+	SetShare(share float64)
+	SetFloor(backgroundFloor, urgentReserve float64)
+}
+
+// Policy selects who schedules a replica.
+type Policy string
+
+// The policies. All but PolicyOwner are for comparison.
+const (
+	// PolicyOwner gives each group one owner that grants for all gateways.
+	PolicyOwner Policy = "owner"
+	// PolicyShares lets each gateway schedule its share of every replica.
+	PolicyShares Policy = "shares"
+	// PolicyBaseline lets each gateway schedule every replica on its own.
+	PolicyBaseline Policy = "baseline"
+)
+
+// View is what the Manager needs of membership.Gossiper.
+type View interface {
+	Self() membership.Host
+	Live() []membership.Gateway
+	Peer(name string) (address string, live bool)
+	Owner(k schedule.GroupKey) string
+	Rank(k schedule.GroupKey) []string
+	Discovers(backend string) bool
+	Engines(dataCentre string) []membership.Backend
+	Reported(engine string) (models []string, incarnation string)
+	SetReport(engine string, draining bool, models []string, incarnation string)
+	SetFailed(engine string, failed bool)
+	SetSummary(s schedule.Summary)
+	Summaries() []schedule.Summary
+}
+
+// LoadSource asks an engine for its load.
+type LoadSource interface {
+	Load(ctx context.Context, name, address string) (api.LoadReport, error)
+}
+
+// Options configures a Manager.
+type Options struct {
+	Policy Policy
+	View   View
+	Caller membership.Caller
+	Loads  LoadSource
+	Logger log.Logger
+
+	// NewGroup makes an empty group.
+	NewGroup func(schedule.GroupKey) Group
+	// PickGroup chooses among groups of the request's model.
+	PickGroup func(candidates []schedule.Summary, r schedule.Request, localDataCentre string) (schedule.GroupKey, bool)
+	// ShardCount and ShardOf split the replicas of a model in a data centre.
+	ShardCount func(replicas int) int
+	ShardOf    func(replica string, shards int) int
+	// Floors returns the catalogue's background floor and urgent reserve.
+	Floors func() (backgroundFloor, urgentReserve float64)
+}
--- /dev/null
+++ b/internal/process/owner/service.go
@@ -0,0 +1,202 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"persimmonwing/internal/process/crashguard"
+	"persimmonwing/internal/process/schedule"
+)
+
+// The names under which the Manager serves its peers.
+const (
+	ServiceName         = "Scheduler"
+	SuspectsServiceName = "Suspects"
+)
+
+// errNotLive fails a request to a gateway that no longer counts live.
+var errNotLive = eris.New("gateway is not live")
+
+// Empty is the answer of calls without one.
+type Empty struct{}
+
+// AcquireArgs asks for a grant of a group.
+type AcquireArgs struct {
+	Group   schedule.GroupKey
+	Request schedule.Request
+	// Attempt counts the owners that the gateway has asked for this request.
+	Attempt int
+	// Remaining is the time to the request's deadline, which the owner restates
+	// by its own clock; 0 means none.
+	Remaining time.Duration
+}
+
+// AcquireReply is a grant, a refusal, or the advice to ask another gateway.
+type AcquireReply struct {
+	Grant   schedule.Grant
+	Refusal *schedule.Refusal
+	// Incarnation is the engine's as the owner knows it.
+	Incarnation string
+	Moved       bool
+	// Hint is the group's owner in the view of the asked gateway.
+	Hint string
+}
+
+// CancelArgs ends the wait for a request, or releases its grant.
+type CancelArgs struct {
+	Group   schedule.GroupKey
+	ID      string
+	Attempt int
+}
+
+// ReleaseArgs ends a grant.
+type ReleaseArgs struct {
+	Group   schedule.GroupKey
+	ID      string
+	Outcome schedule.Outcome
+}
+
+// RenewArgs renews grants. Groups, IDs and Generated have the same length.
+type RenewArgs struct {
+	Groups    []schedule.GroupKey
+	IDs       []string
+	Generated []int
+	// Full re-registers grants that the owner did not know.
+	Full []schedule.Held
+}
+
+// RenewReply lists the grants that the owner does not know.
+type RenewReply struct{ Unknown []string }
+
+// Service serves Scheduler calls to peers.
+type Service struct{ m *Manager }
+
+// Service returns the receiver to register under ServiceName.
+func (m *Manager) Service() *Service { return &Service{m} }
+
+// Acquire blocks until the request is granted, refused, cancelled or moved.
+func (s *Service) Acquire(in *AcquireArgs, out *AcquireReply) error {
+	if in.Remaining > 0 {
+		in.Request.Deadline = time.Now().Add(in.Remaining)
+	}
+	ctx, cancel := s.m.waitLimit(in.Request)
+	defer cancel()
+	reply, err := s.m.serveAcquire(ctx, *in)
+	if err != nil {
+		s.m.serveCancel(CancelArgs{Group: in.Group, ID: in.Request.ID, Attempt: in.Attempt})
+		return err
+	}
+	*out = reply
+	return nil
+}
+
+// Cancel ends a wait.
+func (s *Service) Cancel(in *CancelArgs, _ *Empty) error {
+	s.m.serveCancel(*in)
+	return nil
+}
+
+// Release ends a grant.
+func (s *Service) Release(in *ReleaseArgs, _ *Empty) error {
+	s.m.serveRelease(*in)
+	return nil
+}
+
+// Renew keeps grants alive.
+func (s *Service) Renew(in *RenewArgs, out *RenewReply) error {
+	*out = s.m.serveRenew(*in)
+	return nil
+}
+
+// SuspectService serves Suspects calls to peers.
+type SuspectService struct{ m *Manager }
+
+// Suspects returns the receiver to register under SuspectsServiceName.
+func (m *Manager) Suspects() *SuspectService { return &SuspectService{m} }
+
+// Report takes over another gateway's suspects.
+func (s *SuspectService) Report(in *crashguard.Report, _ *Empty) error {
+	if in.Loss.Engine != "" {
+		s.m.doubt(in.Loss.Engine, in.Loss.Incarnation)
+	}
+	if news := s.m.guard.merge(*in); len(news) > 0 {
+		s.m.recheck()
+	}
+	return nil
+}
+
+// waitLimit bounds the wait of a peer's request, whose group refuses it at its
+// deadline, in case that the group does not.
+func (m *Manager) waitLimit(r schedule.Request) (context.Context, context.CancelFunc) {
+	const grace, most = time.Second, time.Hour
+	limit := most
+	if !r.Deadline.IsZero() {
+		limit = time.Until(r.Deadline) + grace
+	}
+	return context.WithTimeout(context.Background(), limit)
+}
+
+func (m *Manager) serveAcquire(ctx context.Context, a AcquireArgs) (AcquireReply, error) {
+	r, err := m.runner(a.Group)
+	if err != nil {
+		return m.moved(a.Group), nil
+	}
+	t := r.enqueue(time.Now(), a.Request, a.Attempt)
+	select {
+	case <-t.done:
+	case <-ctx.Done():
+		return AcquireReply{}, ctx.Err()
+	}
+	if t.result.moved {
+		return m.moved(a.Group), nil
+	}
+	reply := AcquireReply{Grant: t.result.grant, Refusal: t.result.refusal, Hint: m.opt.View.Owner(a.Group)}
+	if reply.Refusal == nil {
+		reply.Incarnation = m.incarnation(reply.Grant.Backend)
+	}
+	return reply, nil
+}
+
+func (m *Manager) moved(k schedule.GroupKey) AcquireReply {
+	return AcquireReply{Moved: true, Hint: m.opt.View.Owner(k)}
+}
+
+// known returns the runner of a group without starting one.
+func (m *Manager) known(k schedule.GroupKey) *runner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runners[k]
+}
+
+func (m *Manager) serveCancel(a CancelArgs) {
+	// A runner is started if necessary, so that a cancel that overtakes its
+	// request is remembered.
+	if r, err := m.runner(a.Group); err == nil {
+		r.cancel(time.Now(), a.ID, a.Attempt)
+	}
+}
+
+func (m *Manager) serveRelease(a ReleaseArgs) {
+	if r := m.known(a.Group); r != nil {
+		r.release(time.Now(), a.ID, a.Outcome)
+	}
+}
+
+func (m *Manager) serveRenew(a RenewArgs) RenewReply {
+	var reply RenewReply
+	now := time.Now()
+	for i, id := range a.IDs[:min(len(a.IDs), len(a.Groups), len(a.Generated))] {
+		r := m.known(a.Groups[i])
+		if r == nil || !r.renew(now, id, a.Generated[i]) {
+			reply.Unknown = append(reply.Unknown, id)
+		}
+	}
+	for _, h := range a.Full {
+		if r, err := m.runner(h.Grant.Group); err == nil {
+			r.adopt(now, h)
+		}
+	}
+	return reply
+}
