--- a/internal/connection/peer/conn.go
+++ b/internal/connection/peer/conn.go
@@ -44,10 +44,10 @@
 	cause   error
 }
 
+// newConn returns a connection whose watch the caller starts.
 func newConn(c net.Conn, lost func(*conn, error)) *conn {
 	n := &conn{client: rpc.NewClient(c), lost: lost, ended: make(chan struct{})}
 	n.touch()
-	go n.watch()
 	return n
 }
 
--- a/internal/connection/peer/peertest/network.go
+++ b/internal/connection/peer/peertest/network.go
@@ -136,10 +136,17 @@
 	}
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. Connections that nobody accepted are closed.
 func (l *listener) Close() error {
 	l.once.Do(func() { close(l.closed) })
-	return nil
+	for {
+		select {
+		case c := <-l.queue:
+			_ = c.Close()
+		default:
+			return nil
+		}
+	}
 }
 
 // Addr implements net.Listener.
--- a/internal/connection/peer/pool.go
+++ b/internal/connection/peer/pool.go
@@ -35,6 +35,9 @@
 	secret  []byte
 	dial    Dialer
 	traffic Traffic
+	ctx     context.Context // ends with Close
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
 
 	mu     sync.Mutex
 	closed bool
@@ -43,7 +46,8 @@
 
 // NewPool returns an empty pool.
 func NewPool(secret []byte, dial Dialer) *Pool {
-	return &Pool{secret: secret, dial: dial, peers: map[string]*remote{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{secret: secret, dial: dial, ctx: ctx, cancel: cancel, peers: map[string]*remote{}}
 }
 
 // Traffic returns the pool's byte counters.
@@ -114,7 +118,9 @@
 	peers := p.peers
 	p.peers = map[string]*remote{}
 	p.mu.Unlock()
+	p.cancel()
 	for _, r := range peers {
 		r.close()
 	}
+	p.wait.Wait()
 }
--- a/internal/connection/peer/remote.go
+++ b/internal/connection/peer/remote.go
@@ -49,13 +49,18 @@
 		defer r.mu.Unlock()
 		return r.conn, nil
 	}
+	if r.closed {
+		defer r.mu.Unlock()
+		return nil, net.ErrClosed
+	}
 	if r.dialing == nil && time.Now().Before(r.retryAt) {
 		defer r.mu.Unlock()
 		return nil, eris.Wrap(errBackingOff, r.lastErr.Error())
 	}
 	if r.dialing == nil {
 		r.dialing = make(chan struct{})
-		go r.connect(r.dialing)
+		dialing := r.dialing
+		r.pool.wait.Go(func() { r.connect(dialing) })
 	}
 	done := r.dialing
 	r.mu.Unlock()
@@ -89,17 +94,20 @@
 	}
 	r.wait.Reset()
 	r.conn = newConn(c, r.lost)
+	r.pool.wait.Go(r.conn.watch)
 }
 
 // open dials and proves the secret.
 func (r *remote) open() (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(r.pool.ctx, dialTimeout)
 	defer cancel()
 	raw, err := r.pool.dial(ctx, r.address)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial peer")
 	}
 	c := countedConn{raw, &r.pool.traffic}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
 	deadline, _ := ctx.Deadline()
 	if err := dialHandshake(c, r.pool.secret, deadline); err != nil {
 		_ = c.Close()
--- /dev/null
+++ b/internal/process/membership/table_test.go
@@ -0,0 +1,143 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"persimmonwing/internal/process/schedule"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func drawHost(t *rapid.T) Host {
+	return Host{
+		Name:              rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"),
+		DataCentre:        rapid.SampledFrom([]string{"hobart", "burnie"}).Draw(t, "dc"),
+		PeerAddress:       rapid.SampledFrom([]string{"1", "2"}).Draw(t, "address"),
+		Incarnation:       rapid.Int64Range(1, 3).Draw(t, "incarnation"),
+		Heartbeat:         rapid.Uint64Range(1, 4).Draw(t, "heartbeat"),
+		Left:              rapid.Bool().Draw(t, "left"),
+		CatalogueRevision: rapid.Int64Range(0, 3).Draw(t, "revision"),
+	}
+}
+
+func merged(hosts []Host) *Table {
+	t := NewTable(Host{Name: "self", DataCentre: "hobart", PeerAddress: "0", Incarnation: 1})
+	for _, h := range hosts {
+		t.Merge(epoch, h)
+	}
+	return t
+}
+
+// Guards against gateways that disagree for ever because messages reach them
+// in different orders or twice.
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.SliceOfN(rapid.Custom(drawHost), 1, 8).Draw(t, "hosts")
+		twice := append(rapid.Permutation(hosts).Draw(t, "order"), hosts...)
+		if d := cmp.Diff(merged(hosts).Hosts(epoch), merged(twice).Hosts(epoch)); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// Guards against an old message that takes back what is known of a host.
+func TestMergeIsMonotone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := merged(nil)
+		for _, h := range rapid.SliceOfN(rapid.Custom(drawHost), 1, 8).Draw(t, "hosts") {
+			before, had := table.hosts[h.Name]
+			table.Merge(epoch, h)
+			after := table.hosts[h.Name]
+			if had && before.newer(after.Host) {
+				t.Fatalf("%+v replaced %+v", after, before)
+			}
+			if h.newer(after.Host) {
+				t.Fatalf("%+v was ignored", h)
+			}
+		}
+	})
+}
+
+// Guards against facts that differ between gateways after the same messages.
+func TestFactsMergeIsCommutative(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.Custom(func(t *rapid.T) Fact {
+			v := rapid.Int64Range(1, 4).Draw(t, "version")
+			return Fact{
+				FactKey: FactKey{FactHost, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "name")},
+				Version: epoch.UnixMilli() + v, Leaving: v%2 == 0,
+			}
+		})
+		facts := rapid.SliceOfN(draw, 1, 8).Draw(t, "facts")
+		a, b := newFacts(), newFacts()
+		for _, f := range facts {
+			a.Merge(epoch, f)
+		}
+		for _, f := range append(rapid.Permutation(facts).Draw(t, "order"), facts...) {
+			b.Merge(epoch, f)
+		}
+		if a.digest != b.digest {
+			t.Fatal("digests differ")
+		}
+		for k := range a.facts {
+			if !a.facts[k].same(b.facts[k].Fact) || a.facts[k].Version != b.facts[k].Version {
+				t.Fatalf("%v differs", k)
+			}
+		}
+	})
+}
+
+// Guards against a host that counts live after it has died, left, or been
+// replaced under its name or its address.
+func TestHostStates(t *testing.T) {
+	old := Host{Name: "a", DataCentre: "hobart", PeerAddress: "1", Incarnation: 5, Heartbeat: 100}
+	with := func(change func(*Host)) Host { h := old; change(&h); return h }
+	for name, c := range map[string]struct {
+		news  []Host
+		after time.Duration
+		want  State
+	}{
+		"fresh":                {nil, time.Second, Live},
+		"late":                 {nil, 2500 * time.Millisecond, Suspect},
+		"dead":                 {nil, 3100 * time.Millisecond, Dead},
+		"left":                 {[]Host{with(func(h *Host) { h.Left = true })}, 0, Left},
+		"heartbeat after left": {[]Host{with(func(h *Host) { h.Left = true }), with(func(h *Host) { h.Heartbeat++ })}, 0, Left},
+		"restarted after left": {[]Host{with(func(h *Host) { h.Left = true }), with(func(h *Host) { h.Incarnation++; h.Heartbeat = 1 })}, 0, Live},
+		"same address":         {[]Host{with(func(h *Host) { h.Name = "b"; h.Incarnation++ })}, 0, Dead},
+		"older at the address": {[]Host{with(func(h *Host) { h.Name = "b"; h.Incarnation-- })}, 0, Live},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := merged(append([]Host{old}, c.news...))
+			is.Equal(table.State(epoch.Add(c.after), "a"), c.want)
+		})
+	}
+}
+
+// Guards against a gateway whose clock went back at its restart, so that its
+// earlier start hides it.
+func TestRestartWithEarlierClockOutbids(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Host{Name: "a", PeerAddress: "1", Incarnation: 3})
+	table.Merge(epoch, Host{Name: "a", PeerAddress: "1", Incarnation: 9})
+	is.Equal(table.Self().Incarnation, int64(10))
+	table.Merge(epoch, Host{Name: "a", PeerAddress: "2", Incarnation: 99})
+	is.Equal(table.Self().Incarnation, int64(10)) // its replacement elsewhere stands
+}
+
+// Guards against a summary of an old owner that hides the new owner's, and
+// against summaries that are kept after their owner's end.
+func TestSummaries(t *testing.T) {
+	is := is.New(t)
+	k := schedule.GroupKey{DataCentre: "hobart", Model: "m"}
+	s := newSummaries()
+	s.merge(schedule.Summary{Group: k, Owner: "a"}, epoch.Add(time.Hour).UnixMilli(), epoch)
+	s.state(epoch, schedule.Summary{Group: k, Owner: "b"}) // this clock is an hour behind
+	is.Equal(s.list(epoch)[0].Owner, "b")
+	is.Equal(len(s.list(epoch.Add(summaryLife+time.Millisecond))), 0)
+}
