Renew grants at the next owner as soon as a call fails

A new owner first waits 600 ms, in which gateways register the grants that an earlier owner gave. Without it, a test showed slots granted twice after an owner was killed. Fault tests run three gateways on an in-memory network.

--- /dev/null
+++ b/internal/process/membership/cost_test.go
@@ -0,0 +1,196 @@
+package membership
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"persimmonwing/internal/process/schedule"
+)
+
+// traffic is what one gateway costs in a second.
+type traffic struct {
+	inOut float64 // bytes received and sent, without TCP/IP headers
+	core  float64 // fraction of a core, with encoding
+}
+
+// wire carries messages through gob streams whose types are already known, as
+// on connections that stay open.
+type wire struct {
+	buf bytes.Buffer
+	enc *gob.Encoder
+	dec *gob.Decoder
+}
+
+func newWire() *wire {
+	w := &wire{}
+	w.enc, w.dec = gob.NewEncoder(&w.buf), gob.NewDecoder(&w.buf)
+	return w
+}
+
+// send returns the message as its receiver gets it, and its size with the
+// header that net/rpc adds.
+func (w *wire) send(header any, got any, m Message) (Message, int) {
+	var out Message
+	_ = w.enc.Encode(header)
+	_ = w.enc.Encode(m)
+	size := w.buf.Len()
+	if err := w.dec.Decode(got); err != nil {
+		panic(err)
+	}
+	if err := w.dec.Decode(&out); err != nil {
+		panic(err)
+	}
+	return out, size
+}
+
+// simulate runs gossip between gateways for some seconds and returns the mean
+// cost of a gateway after the first half, and the least number of hosts that
+// any gateway counts live at the end.
+func simulate(perCentre, centres, seconds int) (cost traffic, live int) {
+	random := rand.New(rand.NewPCG(3, 4))
+	now := epoch
+	var all []*state
+	for dc := range centres {
+		for i := range perCentre {
+			all = append(all, newState(Host{
+				Name: fmt.Sprintf("gateway-%d-%03d", dc, i), DataCentre: fmt.Sprint("centre-", dc),
+				PeerAddress: fmt.Sprintf("10.%d.0.%d:7400", dc, i), Incarnation: epoch.UnixMilli() + 12345,
+			}))
+		}
+	}
+	for _, a := range all {
+		for _, b := range all {
+			if a != b {
+				a.table.Merge(now, b.table.self)
+			}
+		}
+	}
+	w, bytes, took := newWire(), 0, time.Duration(0)
+	exchange := func(a, b *state) {
+		request, n := w.send(rpc.Request{ServiceMethod: "Membership.Exchange", Seq: 1 << 15}, new(rpc.Request), a.compose(now, nil))
+		answer, k := w.send(rpc.Response{ServiceMethod: "Membership.Exchange", Seq: 1 << 15}, new(rpc.Response), b.answer(now, &request))
+		bytes += 2 * (n + k) // each byte is sent by one gateway and received by another
+		want := a.absorb(now, &answer)
+		if len(want) > 0 || len(answer.Want) > 0 {
+			follow := a.names(answer.Want)
+			follow.Want = want
+			names, n := w.send(rpc.Request{ServiceMethod: "Membership.Exchange"}, new(rpc.Request), follow)
+			answer, k = w.send(rpc.Response{ServiceMethod: "Membership.Exchange"}, new(rpc.Response), b.answer(now, &names))
+			bytes += 2 * (n + k)
+			a.absorb(now, &answer)
+		}
+	}
+	for second := range seconds {
+		if second == seconds/2 {
+			bytes, took = 0, 0
+		}
+		begin := time.Now()
+		for i, a := range all {
+			dc := i / perCentre
+			a.table.Beat(7)
+			if model := i % perCentre; model < 10 { // ten models, one group each
+				a.summaries.state(now, schedule.Summary{
+					Group: schedule.GroupKey{DataCentre: a.table.self.DataCentre, Model: fmt.Sprint("model-", model)},
+					Owner: a.table.self.Name, Replicas: 8, FreeSlots: random.IntN(200),
+					QueuedUrgent: random.IntN(9), WaitUrgentMS: random.Int64N(900), WaitBackgroundMS: random.Int64N(9000),
+				})
+			}
+			for range min(gossipFanout, perCentre-1) {
+				j := (i%perCentre + 1 + random.IntN(perCentre-1)) % perCentre
+				exchange(a, all[dc*perCentre+j])
+			}
+			if second%remoteEvery == i%remoteEvery && centres > 1 {
+				j := (dc + 1 + random.IntN(centres-1)) % centres
+				exchange(a, all[j*perCentre+random.IntN(perCentre)])
+			}
+		}
+		took += time.Since(begin)
+		now = now.Add(time.Second)
+	}
+	live = len(all)
+	for _, a := range all {
+		local, remote := a.usable(now.Add(-time.Second))
+		live = min(live, len(local)+len(remote)+1)
+	}
+	nodeSeconds := float64(len(all) * (seconds - seconds/2))
+	return traffic{float64(bytes) / nodeSeconds, took.Seconds() / nodeSeconds}, live
+}
+
+// gossipBudget is the control traffic that a gateway may cause, in bytes/s.
+const gossipBudget = 17e3
+
+// Guards against gossip that exceeds its budget, or whose bounded messages let
+// live gateways count dead, in a fleet of today's size.
+func TestGossipCostToday(t *testing.T) {
+	for _, centres := range []int{1, 4} {
+		cost, live := simulate(7, centres, 24)
+		t.Logf("%d x 7 gateways: %.1f KB/s in and out", centres, cost.inOut/1e3)
+		if cost.inOut > gossipBudget {
+			t.Errorf("%d x 7 gateways: %.0f bytes/s", centres, cost.inOut)
+		}
+		if live != 7*centres {
+			t.Errorf("%d x 7 gateways: some gateway counts only %d live", centres, live)
+		}
+	}
+}
+
+// Guards against messages that exceed the budget at the target of 400 gateways
+// and 80 groups, when each side has newer heartbeats of half of the hosts.
+func TestMessageSizeAtTarget(t *testing.T) {
+	now, w, total := epoch, newWire(), 0
+	ends := [2]*state{}
+	for i := range ends {
+		ends[i] = newState(Host{Name: fmt.Sprint("end-", i), DataCentre: "centre-0", PeerAddress: fmt.Sprint(i), Incarnation: 1})
+	}
+	const rounds = 20
+	for round := range uint64(rounds) {
+		now = now.Add(time.Second)
+		for i := range uint64(400) {
+			centre := fmt.Sprint("centre-", i%8)
+			h := Host{Name: fmt.Sprint("gateway-", i), DataCentre: centre, PeerAddress: fmt.Sprint("10.0.0.", i), Incarnation: 1}
+			for e, end := range ends {
+				h.Heartbeat = 1<<20 + 2*round + (i+uint64(e))%2
+				end.table.Merge(now, h)
+				if i < 80 {
+					k := schedule.GroupKey{DataCentre: centre, Model: fmt.Sprint("model-", i/8)}
+					end.summaries.merge(schedule.Summary{
+						Group: k, Owner: h.Name, Replicas: 8, FreeSlots: 100, QueuedUrgent: 10, QueuedBackground: 1000,
+						WaitUrgentMS: 500, WaitBackgroundMS: 50000,
+					}, now.UnixMilli()+int64((i+uint64(e))%2), now)
+				}
+			}
+		}
+		request, n := w.send(rpc.Request{ServiceMethod: "Membership.Exchange", Seq: 1 << 15}, new(rpc.Request), ends[0].compose(now, nil))
+		_, k := w.send(rpc.Response{ServiceMethod: "Membership.Exchange", Seq: 1 << 15}, new(rpc.Response), ends[1].answer(now, &request))
+		if round > 0 { // the first carries gob's type descriptions
+			total += n + k
+		}
+	}
+	// Each second a gateway starts 3.5 exchanges and answers as many.
+	perSecond := float64(total) / (rounds - 1) * 2 * (gossipFanout + 1.0/remoteEvery)
+	t.Logf("%.1f KB/s in and out", perSecond/1e3)
+	if perSecond > gossipBudget {
+		t.Errorf("%.0f bytes/s", perSecond)
+	}
+}
+
+// BenchmarkGossip reports the cost of a gateway against the number of gateways.
+func BenchmarkGossip(b *testing.B) {
+	for _, perCentre := range []int{7, 25, 50, 100} {
+		for _, centres := range []int{1, 8} {
+			b.Run(fmt.Sprintf("centres=%d/gateways=%d", centres, perCentre), func(b *testing.B) {
+				for b.Loop() {
+					cost, live := simulate(perCentre, centres, 24)
+					b.ReportMetric(cost.inOut/1e3, "KB/s")
+					b.ReportMetric(100*cost.core, "%core")
+					b.ReportMetric(float64(live), "least-live")
+				}
+			})
+		}
+	}
+}
--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -134,7 +134,7 @@
 }
 
 // lost returns the addresses of dead hosts and of seeds that no live host has.
-func (g *Gossiper) lost(now time.Time, local, remote []Host) []string {
+func (g *Gossiper) lost(now time.Time, local, remote []known) []string {
 	skip := map[string]bool{g.opt.Self.PeerAddress: true}
 	for _, a := range addresses(append(local, remote...)) {
 		skip[a] = true
@@ -157,7 +157,7 @@
 	return out
 }
 
-func addresses(hosts []Host) []string {
+func addresses(hosts []known) []string {
 	out := make([]string, len(hosts))
 	for i, h := range hosts {
 		out[i] = h.PeerAddress
--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"sort"
 	"time"
 
 	"persimmonwing/internal/process/schedule"
@@ -102,29 +101,27 @@
 
 // usable returns the live hosts of the own and of other data centres, sorted
 // by name.
-func (s *state) usable(now time.Time) (local, remote []Host) {
-	for name, k := range s.table.hosts {
-		if st := s.table.stateOf(now, k); st != Live && st != Suspect || name == s.table.self.Name {
+func (s *state) usable(now time.Time) (local, remote []known) {
+	for _, name := range s.table.look().names {
+		k := s.table.hosts[name]
+		if !(HostState{k.Host, s.table.stateOf(now, k)}).Usable() {
 			continue
 		}
 		if k.DataCentre == s.table.self.DataCentre {
-			local = append(local, k.Host)
+			local = append(local, k)
 		} else {
-			remote = append(remote, k.Host)
+			remote = append(remote, k)
 		}
 	}
-	byName := func(h []Host) { sort.Slice(h, func(i, j int) bool { return h[i].Name < h[j].Name }) }
-	byName(local)
-	byName(remote)
 	return local, remote
 }
 
-func (s *state) beats(b []byte, hosts []Host, limit int, next *int, peerHas map[uint32]uint64) []byte {
+func (s *state) beats(b []byte, hosts []known, limit int, next *int, peerHas map[uint32]uint64) []byte {
 	for range min(limit, len(hosts)) {
 		*next = (*next + 1) % len(hosts)
 		h := hosts[*next]
-		if id := h.ID(); peerHas[id] < h.Heartbeat {
-			b = appendBeat(b, id, h.Heartbeat)
+		if peerHas[h.id] < h.Heartbeat {
+			b = appendBeat(b, h.id, h.Heartbeat)
 		}
 	}
 	return b
@@ -153,10 +150,10 @@
 	for _, f := range m.Facts {
 		s.facts.Merge(now, f)
 	}
-	ids, owners := s.index()
+	x := s.table.look()
 	var want []uint32
 	readBeats(m.Beats, func(id uint32, heartbeat uint64) {
-		name, ok := ids[id]
+		name, ok := x.byID[id]
 		if name == s.table.self.Name {
 			return
 		}
@@ -169,24 +166,11 @@
 		s.table.Merge(now, h)
 	})
 	for _, r := range m.Rows {
-		want = append(want, s.absorbRow(now, r, owners)...)
+		want = append(want, s.absorbRow(now, r, x.byName)...)
 	}
 	return want[:min(len(want), maxNames)]
 }
 
-// index maps host ids, and ids of names alone, to names.
-func (s *state) index() (ids, owners map[uint32]string) {
-	ids, owners = make(map[uint32]string, len(s.table.hosts)+1), make(map[uint32]string, len(s.table.hosts)+1)
-	for name, k := range s.table.hosts {
-		ids[k.ID()] = name
-		owners[hashID(name)] = name
-	}
-	self := s.table.self
-	ids[self.ID()] = self.Name
-	owners[hashID(self.Name)] = self.Name
-	return ids, owners
-}
-
 func (s *state) absorbRow(now time.Time, r summaryRow, owners map[uint32]string) (want []uint32) {
 	k, ok := s.summaries.groups[r.Group]
 	if !ok {
@@ -203,7 +187,7 @@
 // names returns a message with the full entries of ids that a peer asked for.
 func (s *state) names(want []uint32) Message {
 	m := Message{From: s.table.self, NamesOnly: true, Digest: s.facts.digest}
-	ids, _ := s.index()
+	ids := s.table.look().byID
 	for _, id := range want[:min(len(want), maxNames)] {
 		if k, ok := s.summaries.groups[id]; ok {
 			m.Groups = append(m.Groups, k)
--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -19,9 +20,10 @@
 	forgetAfter = 5 * time.Minute
 )
 
-// known is a host with the local time of its last news.
+// known is a host with its id and the local time of its last news.
 type known struct {
 	Host
+	id   uint32
 	seen time.Time
 }
 
@@ -29,6 +31,8 @@
 type Table struct {
 	self  Host
 	hosts map[string]known
+	// index is nil after a change of names, addresses or incarnations.
+	index *index
 }
 
 // NewTable returns a table that knows only this gateway.
@@ -53,15 +57,20 @@
 	}
 	old, ok := t.hosts[h.Name]
 	if !ok {
-		t.hosts[h.Name] = known{h, now}
+		t.index = nil
+		t.hosts[h.Name] = known{h, h.ID(), now}
 		return true
 	}
-	joined, seen := join(old.Host, h), old.seen
+	next := known{join(old.Host, h), old.id, old.seen}
 	if h.newer(old.Host) {
-		seen = now
+		next.seen = now
 	}
-	t.hosts[h.Name] = known{joined, seen}
-	return joined != old.Host
+	if next.Incarnation != old.Incarnation || next.PeerAddress != old.PeerAddress || next.DataCentre != old.DataCentre {
+		t.index = nil
+		next.id = next.ID()
+	}
+	t.hosts[h.Name] = next
+	return next.Host != old.Host
 }
 
 // mergeSelf outbids an entry with this gateway's name and address that stems
@@ -72,6 +81,7 @@
 		(h.Incarnation > t.self.Incarnation || (h.Incarnation == t.self.Incarnation && h.Left))
 	if outbid {
 		t.self.Incarnation = h.Incarnation + 1
+		t.index = nil
 	}
 	return outbid
 }
@@ -81,6 +91,7 @@
 	for name, k := range t.hosts {
 		if now.Sub(k.seen) > forgetAfter {
 			delete(t.hosts, name)
+			t.index = nil
 		}
 	}
 }
@@ -123,18 +134,10 @@
 
 // replaced reports whether a newer host uses the same address.
 func (t *Table) replaced(h Host) bool {
-	if h.PeerAddress == "" {
-		return false
-	}
 	if t.self.PeerAddress == h.PeerAddress {
 		return true
 	}
-	for _, o := range t.hosts {
-		if o.PeerAddress == h.PeerAddress && o.Name != h.Name && supersedes(o.Host, h) {
-			return true
-		}
-	}
-	return false
+	return t.look().atAddress[h.PeerAddress] != h.Name
 }
 
 func supersedes(a, b Host) bool {
@@ -148,12 +151,13 @@
 // sorted by name.
 func (t *Table) Hosts(now time.Time) []HostState {
 	out := make([]HostState, 0, len(t.hosts)+1)
-	out = append(out, HostState{t.self, t.selfState()})
-	for _, k := range t.hosts {
+	for _, name := range t.look().names {
+		k := t.hosts[name]
 		out = append(out, HostState{k.Host, t.stateOf(now, k)})
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return out
+	self := HostState{t.self, t.selfState()}
+	i := sort.Search(len(out), func(i int) bool { return out[i].Name > self.Name })
+	return slices.Insert(out, i, self)
 }
 
 // HostState is a host with its state.
--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -87,6 +87,7 @@
 	case err != nil:
 		level.Warn(m.opt.Logger).Log("msg", "group owner lost, asking the next", "group", k, "owner", gateway, "err", err)
 		m.abandon(gateway, k, s)
+		m.avoid(gateway)
 		s.failed[gateway] = true
 	case reply.Moved:
 		s.failed[gateway] = true
@@ -123,13 +124,10 @@
 
 // next returns the gateway to ask for a group, or "" if all have failed.
 func (m *Manager) next(s *search, k schedule.GroupKey) string {
-	if m.opt.Policy != PolicyOwner {
-		return m.self()
-	}
 	if s.hint != "" && !s.failed[s.hint] {
 		return s.hint
 	}
-	for _, name := range m.opt.View.Rank(k) {
+	for _, name := range m.order(k) {
 		if !s.failed[name] {
 			return name
 		}
--- a/internal/process/owner/grants.go
+++ b/internal/process/owner/grants.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -65,27 +66,43 @@
 }
 
 // renewAll renews all held grants, in one call for each owner. After a change
-// of ownership the new owner does not know them and gets them in full.
+// of ownership the new owner does not know them and gets them in full. When a
+// call fails, its grants go to the next owner at once.
 func (m *Manager) renewAll(ctx context.Context) {
+	if !m.renewOnce(ctx) {
+		m.renewOnce(ctx)
+	}
+}
+
+// renewOnce reports whether all owners were reached.
+func (m *Manager) renewOnce(ctx context.Context) bool {
 	var wait sync.WaitGroup
+	var failed atomic.Bool
 	for owner, r := range m.renewals() {
-		wait.Go(func() { m.renew(ctx, owner, r) })
+		wait.Go(func() {
+			if !m.renew(ctx, owner, r) {
+				failed.Store(true)
+			}
+		})
 	}
 	wait.Wait()
+	return !failed.Load()
 }
 
 // renewals sorts the held grants by the gateway that now owns their group. A
 // group whose data centre shows no live gateway stays where it was.
 func (m *Manager) renewals() map[string]*renewal {
 	owners := map[schedule.GroupKey]string{}
+	for _, k := range m.heldGroups() {
+		if order := m.order(k); len(order) > 0 {
+			owners[k] = order[0]
+		}
+	}
 	out := map[string]*renewal{}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, h := range m.held {
 		k := h.Grant.Group
-		if _, ok := owners[k]; !ok {
-			owners[k] = m.ownerNow(k)
-		}
 		if owners[k] != "" {
 			h.owner = owners[k]
 		}
@@ -102,28 +119,40 @@
 	return out
 }
 
-func (m *Manager) ownerNow(k schedule.GroupKey) string {
-	if m.opt.Policy != PolicyOwner {
-		return m.self()
+// heldGroups returns the groups of the held grants.
+func (m *Manager) heldGroups() []schedule.GroupKey {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := map[schedule.GroupKey]bool{}
+	var out []schedule.GroupKey
+	for _, h := range m.held {
+		if k := h.Grant.Group; !seen[k] {
+			seen[k] = true
+			out = append(out, k)
+		}
 	}
-	return m.opt.View.Owner(k)
+	return out
 }
 
-func (m *Manager) renew(ctx context.Context, owner string, r *renewal) {
+// renew reports whether the owner was reached.
+func (m *Manager) renew(ctx context.Context, owner string, r *renewal) bool {
 	ctx, cancel := context.WithTimeout(ctx, renewPeriod)
 	defer cancel()
 	reply, err := m.callRenew(ctx, owner, r.args)
 	if err != nil {
+		m.avoid(owner)
 		level.Debug(m.opt.Logger).Log("msg", "grants not renewed", "owner", owner, "grants", len(r.args.IDs), "err", err)
-		return
+		return false
 	}
+	m.reached(owner)
 	full := m.stillHeld(reply.Unknown, r.full)
 	if len(full) == 0 {
-		return
+		return true
 	}
 	if _, err := m.callRenew(ctx, owner, RenewArgs{Full: full}); err != nil {
 		level.Debug(m.opt.Logger).Log("msg", "grants not registered", "owner", owner, "grants", len(full), "err", err)
 	}
+	return true
 }
 
 // stillHeld returns the unknown grants that have not been released meanwhile.
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -43,6 +43,7 @@
 	runners  map[schedule.GroupKey]*runner
 	held     map[string]*held
 	engines  map[string]*engine
+	avoided  map[string]time.Time
 	ticks    int
 	lastTick time.Time
 
@@ -58,6 +59,7 @@
 		runners: map[schedule.GroupKey]*runner{},
 		held:    map[string]*held{},
 		engines: map[string]*engine{},
+		avoided: map[string]time.Time{},
 	}
 }
 
@@ -137,6 +139,9 @@
 	}
 	if !ok {
 		r = newRunner(k, m.self(), m.opt.NewGroup(k), m.guard.check)
+		if m.opt.Policy == PolicyOwner {
+			r.readyAt = time.Now().Add(takeover)
+		}
 		m.runners[k] = r
 		go r.run()
 	}
--- /dev/null
+++ b/internal/process/owner/manager_test.go
@@ -0,0 +1,217 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/process/owner"
+	"persimmonwing/internal/process/schedule"
+)
+
+// settle is enough for start: host list, gossip, first polls, summaries.
+const settle = 6 * time.Second
+
+// withFleet runs a test on three gateways and the given engines.
+func withFleet(t *testing.T, slots int, engineNames []string, test func(*is.I, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, slots, engineNames...)
+		defer f.stop()
+		for _, name := range []string{"a", "b", "c"} {
+			f.start(name)
+		}
+		time.Sleep(settle)
+		test(is.New(t), f)
+	})
+}
+
+// Guards against grants beyond the slots of a replica when several gateways ask,
+// and against a slot that is not given on after its release.
+func TestOneOwnerGrantsForAll(t *testing.T) {
+	withFleet(t, 1, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		grant, err := g[1].acquire("1", 1, time.Second)
+		is.NoErr(err)
+		is.Equal(grant.Owner, g[0].name)
+		is.Equal(grant.Backend, "e")
+		_, err = g[2].acquire("2", 2, 10*time.Second)
+		is.True(err != nil) // the grant is renewed, so its slot stays taken
+		g[1].Release(grant.ID, schedule.Outcome{Completed: true})
+		time.Sleep(time.Millisecond)
+		_, err = g[2].acquire("3", 3, time.Second)
+		is.NoErr(err)
+	})
+}
+
+// Guards against waits and grants that are lost with their owner: a killed
+// owner's callers go to the next one, which learns of the grants in use before
+// it gives their slots away for long.
+func TestOwnerFaults(t *testing.T) {
+	for name, fail := range map[string]func(*fleet, *gateway){
+		"killed": func(_ *fleet, g *gateway) { g.stop() },
+		"frozen": func(f *fleet, g *gateway) { f.network.Freeze(g.address) },
+		"left":   func(_ *fleet, g *gateway) { g.view.Leave(context.Background()); g.stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 2, []string{"e"}, func(is *is.I, f *fleet) {
+				g := f.byRank()
+				used, err := g[1].acquire("used", 1, time.Second)
+				is.NoErr(err)
+				_, err = g[2].acquire("used too", 2, time.Second)
+				is.NoErr(err)
+				go func() {
+					time.Sleep(time.Second)
+					fail(f, g[0])
+					time.Sleep(6 * time.Second)
+					g[1].Release(used.ID, schedule.Outcome{})
+				}()
+				begin := time.Now()
+				late, err := g[2].acquire("waiting", 3, 20*time.Second)
+				is.NoErr(err)
+				is.Equal(late.Owner, g[1].name)
+				is.True(time.Since(begin) < 8*time.Second)
+				is.Equal(g[2].Held(), 2)
+				f.network.Thaw(g[0].address)
+			})
+		})
+	}
+}
+
+// Guards against a grant that stays at its owner after its caller has left.
+func TestLateGrantIsReleased(t *testing.T) {
+	withFleet(t, 1, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		first, err := g[1].acquire("1", 1, time.Second)
+		is.NoErr(err)
+		for i := range 3 {
+			_, err = g[2].acquire(fmt.Sprint("gone", i), 2, time.Second)
+			is.True(err != nil)
+		}
+		g[1].Release(first.ID, schedule.Outcome{})
+		begin := time.Now()
+		_, err = g[1].acquire("2", 3, 10*time.Second)
+		is.NoErr(err)
+		is.True(time.Since(begin) < 100*time.Millisecond)
+		is.Equal(g[2].Held(), 0)
+	})
+}
+
+// Guards against slots that stay taken by a gateway that was killed.
+func TestGrantsOfKilledGatewayExpire(t *testing.T) {
+	withFleet(t, 1, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		_, err := g[1].acquire("1", 1, time.Second)
+		is.NoErr(err)
+		g[1].stop()
+		begin := time.Now()
+		_, err = g[2].acquire("2", 2, 10*time.Second)
+		is.NoErr(err)
+		took := time.Since(begin)
+		is.True(took > 2*time.Second && took < 4*time.Second)
+	})
+}
+
+// Guards against a partition between gateways that stops either side, and
+// against two owners that still disagree after it has healed.
+func TestTwoOwnersDuringPartition(t *testing.T) {
+	withFleet(t, 4, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		one, rest := []string{g[0].address}, []string{g[1].address, g[2].address}
+		f.network.Cut(one, rest)
+		here, err := g[0].acquire("1", 1, time.Second)
+		is.NoErr(err)
+		there, err := g[2].acquire("2", 2, 8*time.Second)
+		is.NoErr(err)
+		is.Equal(here.Owner, g[0].name)
+		is.Equal(there.Owner, g[1].name)
+		f.network.Heal(one, rest)
+		time.Sleep(5 * time.Second)
+		again, err := g[2].acquire("3", 3, time.Second)
+		is.NoErr(err)
+		is.Equal(again.Owner, g[0].name)
+		// The healed owner knows of all three grants: one more fits, two do not.
+		_, err = g[1].acquire("4", 4, time.Second)
+		is.NoErr(err)
+		_, err = g[1].acquire("5", 5, 2*time.Second)
+		is.True(err != nil)
+	})
+}
+
+// Guards against a lost engine that still gets work, and against requests that
+// ran there and are not known as suspects at every gateway.
+func TestEngineLostMarksSuspects(t *testing.T) {
+	for name, restart := range map[string]bool{"gone": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 8, []string{"e", "f"}, func(is *is.I, f *fleet) {
+				g := f.byRank()
+				engineOf := map[string]string{}
+				for round := range 2 {
+					grant, err := g[1+round].acquire(fmt.Sprint("x", round), 666, time.Second)
+					is.NoErr(err)
+					engineOf[grant.ID] = grant.Backend
+					f.engines.crash(grant.Backend, restart)
+					g[1+round].ReportLost(grant.Backend)
+					time.Sleep(2 * time.Second) // the owner's polls see the same loss
+					g[1+round].Release(grant.ID, schedule.Outcome{EngineLost: true})
+				}
+				for _, at := range g {
+					_, err := at.acquire("again "+at.name, 666, time.Second)
+					var refusal *schedule.Refusal
+					is.True(errors.As(err, &refusal))
+					is.Equal(refusal.Reason, schedule.ReasonCrashes)
+				}
+				if !restart {
+					is.True(engineOf["x0"] != engineOf["x1"])
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that waits at the owner and is granted although its
+// fingerprint crashed two engines meanwhile.
+func TestWaitingSuspectIsRefused(t *testing.T) {
+	withFleet(t, 1, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		_, err := g[1].acquire("1", 666, time.Second)
+		is.NoErr(err)
+		go func() {
+			for range 2 {
+				time.Sleep(time.Second)
+				f.engines.crash("e", true)
+			}
+		}()
+		_, err = g[2].acquire("2", 666, 10*time.Second)
+		var refusal *schedule.Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Reason, schedule.ReasonCrashes)
+	})
+}
+
+// Guards against the comparison policies that depend on peers: each gateway
+// serves while it is cut off from all others.
+func TestPoliciesWithoutOwners(t *testing.T) {
+	for _, policy := range []owner.Policy{owner.PolicyShares, owner.PolicyBaseline} {
+		t.Run(string(policy), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 1, "e")
+				f.policy = policy
+				defer f.stop()
+				a, b := f.start("a"), f.start("b")
+				time.Sleep(settle)
+				f.network.Cut([]string{a.address}, []string{b.address})
+				for _, g := range f.gateways {
+					grant, err := g.acquire("at "+g.name, 1, time.Second)
+					is.NoErr(err)
+					is.Equal(grant.Owner, g.name)
+				}
+			})
+		})
+	}
+}
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -17,6 +17,10 @@
 	// endedIDs bounds the ids remembered so that a cancel or release that
 	// overtakes its request or renewal still holds.
 	endedIDs = 4096
+	// takeover is the time for which a new runner grants nothing under
+	// PolicyOwner, so that gateways first register the grants of an earlier owner.
+	// It is longer than renewPeriod.
+	takeover = 600 * time.Millisecond
 	// longWait bounds the sleep of a group that has nothing to do.
 	longWait = time.Second
 )
@@ -58,6 +62,8 @@
 	check func(fingerprint uint64) crashguard.Verdict
 	wake  chan struct{}
 	stop  chan struct{}
+	// readyAt is the time of the first dispatch.
+	readyAt time.Time
 
 	mu      sync.Mutex
 	group   Group
@@ -106,6 +112,9 @@
 func (r *runner) dispatch(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.Before(r.readyAt) {
+		return r.readyAt.Sub(now)
+	}
 	for _, d := range r.group.Dispatch(now) {
 		r.decide(now, d)
 	}
