Keep refused requests refused while they are being sent

The crash guard's property failed (3 engines lost): a request that keeps coming expired at a gateway that it had not reached for 10 minutes and ran there again. A refusal now extends the suspicion and is told to the others every 2 minutes.

The in-memory listener chose at random between refusing and queueing a connection when closed, which made an owner test flaky; it now refuses.

--- a/internal/connection/peer/peertest/network.go
+++ b/internal/connection/peer/peertest/network.go
@@ -109,21 +109,24 @@
 	network *Network
 	address string
 	queue   chan net.Conn
-	once    sync.Once
 	closed  chan struct{}
+
+	mu   sync.Mutex
+	down bool
 }
 
 func (l *listener) connect(from string) (net.Conn, error) {
 	if l.network == nil {
 		return nil, eris.New("connection refused")
 	}
-	a, b := newLink(l.network, from, l.address)
-	select {
-	case <-l.closed:
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
 		return nil, eris.New("connection refused")
-	case l.queue <- b:
-		return a, nil
 	}
+	a, b := newLink(l.network, from, l.address)
+	l.queue <- b
+	return a, nil
 }
 
 // Accept implements net.Listener.
@@ -138,7 +141,12 @@
 
 // Close implements net.Listener. Connections that nobody accepted are closed.
 func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.down {
+		l.down = true
+		close(l.closed)
+	}
 	for {
 		select {
 		case c := <-l.queue:
--- a/internal/process/crashguard/guard.go
+++ b/internal/process/crashguard/guard.go
@@ -11,8 +11,13 @@
 )
 
 const (
-	// suspectLife is the time after its last loss for which a request is a suspect.
+	// suspectLife is the time after its last loss or refusal for which a request
+	// is a suspect.
 	suspectLife = 10 * time.Minute
+	// retellAfter is the time after which a refusal is told to the other gateways
+	// again. Without that, a request that keeps coming would expire at a gateway
+	// that it has not reached for a while, and take down a third engine there.
+	retellAfter = 2 * time.Minute
 	// maxSuspects bounds the table: 8,192 entries take about 2 MB. A loss of 14
 	// engines makes about 500 suspects.
 	maxSuspects = 8192
@@ -49,11 +54,16 @@
 	Fingerprints []uint64
 	// Finished lists requests that ran to their end after a loss.
 	Finished []uint64
+	// Refused lists requests that are still being sent and refused.
+	Refused []uint64
 }
 
 type suspect struct {
-	losses map[Loss]time.Time
-	until  time.Time
+	losses  map[Loss]time.Time
+	refused bool
+	until   time.Time
+	// told is the time when the others last heard of it.
+	told time.Time
 }
 
 // Guard is the table of suspects. It is not safe for concurrent use.
@@ -80,11 +90,7 @@
 }
 
 func (g *Guard) add(now time.Time, fingerprint uint64, l Loss) bool {
-	s := g.find(now, fingerprint)
-	if s == nil {
-		s = &suspect{losses: map[Loss]time.Time{}}
-		g.suspects.Add(fingerprint, s)
-	}
+	s := g.obtain(now, fingerprint)
 	for known, at := range s.losses {
 		if known == l {
 			return false
@@ -97,10 +103,21 @@
 	if len(s.losses) < refuseAt {
 		s.losses[l] = now
 	}
-	s.until = now.Add(suspectLife)
+	s.refused = s.refused || len(s.losses) >= refuseAt
+	s.until, s.told = now.Add(suspectLife), now
 	return true
 }
 
+// obtain returns a suspect, a new one if there is none.
+func (g *Guard) obtain(now time.Time, fingerprint uint64) *suspect {
+	s := g.find(now, fingerprint)
+	if s == nil {
+		s = &suspect{losses: map[Loss]time.Time{}}
+		g.suspects.Add(fingerprint, s)
+	}
+	return s
+}
+
 // find returns a suspect that has not expired, or nil.
 func (g *Guard) find(now time.Time, fingerprint uint64) *suspect {
 	s, ok := g.suspects.Get(fingerprint)
@@ -120,10 +137,25 @@
 	switch {
 	case s == nil:
 		return Clear
-	case len(s.losses) < refuseAt:
-		return Isolate
+	case s.refused:
+		return Refuse
+	}
+	return Isolate
+}
+
+// Refused records that a request was refused, so that it stays a suspect while
+// it is being sent. It reports whether the other gateways are to be told.
+func (g *Guard) Refused(now time.Time, fingerprint uint64) bool {
+	s := g.find(now, fingerprint)
+	if s == nil || !s.refused {
+		return false
 	}
-	return Refuse
+	s.until = now.Add(suspectLife)
+	if now.Sub(s.told) < retellAfter {
+		return false
+	}
+	s.told = now
+	return true
 }
 
 // Finished clears a request that ran to its end and reports whether it was a
@@ -134,6 +166,13 @@
 // verdict changed.
 func (g *Guard) Merge(now time.Time, r Report) []uint64 {
 	news := g.EngineLost(now, r.Loss.Engine, r.Loss.Incarnation, r.Fingerprints)
+	for _, f := range r.Refused {
+		s := g.obtain(now, f)
+		if !s.refused {
+			news = append(news, f)
+		}
+		s.refused, s.until, s.told = true, now.Add(suspectLife), now
+	}
 	for _, f := range r.Finished {
 		if g.Finished(f) {
 			news = append(news, f)
--- a/internal/process/crashguard/guard_test.go
+++ b/internal/process/crashguard/guard_test.go
@@ -24,11 +24,16 @@
 		}
 		now, lost := epoch, 0
 		isolated := func(f uint64) bool { return guards[0].Check(now, f) == crashguard.Isolate }
-		for range rapid.IntRange(1, 20).Draw(t, "resends") {
-			now = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds")) * time.Second)
+		for range rapid.IntRange(1, 40).Draw(t, "resends") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 470).Draw(t, "seconds")) * time.Second)
 			gateway := guards[rapid.IntRange(0, gateways-1).Draw(t, "gateway")]
 			verdict := gateway.Check(now, crasher)
 			if verdict == crashguard.Refuse {
+				if gateway.Refused(now, crasher) {
+					for _, g := range guards {
+						g.Merge(now, crashguard.Report{Refused: []uint64{crasher}})
+					}
+				}
 				continue
 			}
 			running := []uint64{crasher}
--- a/internal/process/owner/guard.go
+++ b/internal/process/owner/guard.go
@@ -9,16 +9,26 @@
 
 // guard is a crash guard for concurrent use.
 type guard struct {
+	// tell sends a report to the other gateways without waiting.
+	tell  func(crashguard.Report)
 	mu    sync.Mutex
 	table *crashguard.Guard
 }
 
-func newGuard() *guard { return &guard{table: crashguard.New()} }
+func newGuard(tell func(crashguard.Report)) *guard {
+	return &guard{tell: tell, table: crashguard.New()}
+}
 
+// check returns the verdict on a request that is about to wait or run.
 func (g *guard) check(fingerprint uint64) crashguard.Verdict {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.table.Check(time.Now(), fingerprint)
+	verdict := g.table.Check(time.Now(), fingerprint)
+	retell := verdict == crashguard.Refuse && g.table.Refused(time.Now(), fingerprint)
+	g.mu.Unlock()
+	if retell {
+		g.tell(crashguard.Report{Refused: []uint64{fingerprint}})
+	}
+	return verdict
 }
 
 func (g *guard) lost(engine, incarnation string, fingerprints []uint64) []uint64 {
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -53,14 +53,15 @@
 
 // New returns a Manager; Run makes it work.
 func New(opt Options) *Manager {
-	return &Manager{
+	m := &Manager{
 		opt:     opt,
-		guard:   newGuard(),
 		runners: map[schedule.GroupKey]*runner{},
 		held:    map[string]*held{},
 		engines: map[string]*engine{},
 		avoided: map[string]time.Time{},
 	}
+	m.guard = newGuard(m.tell)
+	return m
 }
 
 // Run keeps groups, polls engines and renews grants until ctx ends. It then
--- a/internal/process/owner/manager_test.go
+++ b/internal/process/owner/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,16 +65,19 @@
 				is.NoErr(err)
 				_, err = g[2].acquire("used too", 2, time.Second)
 				is.NoErr(err)
-				go func() {
+				var wait sync.WaitGroup
+				defer wait.Wait()
+				wait.Go(func() {
 					time.Sleep(time.Second)
 					fail(f, g[0])
 					time.Sleep(6 * time.Second)
 					g[1].Release(used.ID, schedule.Outcome{})
-				}()
+				})
 				begin := time.Now()
 				late, err := g[2].acquire("waiting", 3, 20*time.Second)
 				is.NoErr(err)
 				is.Equal(late.Owner, g[1].name)
+				is.True(time.Since(begin) >= 7*time.Second) // both slots were taken
 				is.True(time.Since(begin) < 8*time.Second)
 				is.Equal(g[2].Held(), 2)
 				f.network.Thaw(g[0].address)
@@ -180,12 +184,14 @@
 		g := f.byRank()
 		_, err := g[1].acquire("1", 666, time.Second)
 		is.NoErr(err)
-		go func() {
+		var wait sync.WaitGroup
+		defer wait.Wait()
+		wait.Go(func() {
 			for range 2 {
 				time.Sleep(time.Second)
 				f.engines.crash("e", true)
 			}
-		}()
+		})
 		_, err = g[2].acquire("2", 666, 10*time.Second)
 		var refusal *schedule.Refusal
 		is.True(errors.As(err, &refusal))
--- a/internal/process/owner/suspects.go
+++ b/internal/process/owner/suspects.go
@@ -91,7 +91,12 @@
 		return
 	}
 	m.recheck()
-	m.later(func() { m.broadcast(crashguard.Report{Finished: []uint64{fingerprint}}) })
+	m.tell(crashguard.Report{Finished: []uint64{fingerprint}})
+}
+
+// tell broadcasts a report for which nobody waits.
+func (m *Manager) tell(report crashguard.Report) {
+	m.later(func() { m.broadcast(report) })
 }
 
 // recheck applies changed verdicts to waiting requests.
