--- a/internal/process/owner/grants.go
+++ b/internal/process/owner/grants.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/process/schedule"
@@ -61,8 +62,28 @@
 
 // renewal is the grants to renew at one owner.
 type renewal struct {
-	args RenewArgs
-	full map[string]schedule.Held
+	groups map[schedule.GroupKey]*GroupGrants
+	full   map[uint64]schedule.Held
+}
+
+func (r *renewal) add(h schedule.Held) {
+	g := r.groups[h.Grant.Group]
+	if g == nil {
+		g = &GroupGrants{Group: h.Grant.Group}
+		r.groups[h.Grant.Group] = g
+	}
+	hash := xxhash.Sum64String(h.Grant.ID)
+	g.Grants = append(g.Grants, hash)
+	g.Generated = append(g.Generated, h.Generated)
+	r.full[hash] = h
+}
+
+func (r *renewal) args() RenewArgs {
+	var a RenewArgs
+	for _, g := range r.groups {
+		a.Groups = append(a.Groups, *g)
+	}
+	return a
 }
 
 // renewAll renews all held grants, in one call for each owner. After a change
@@ -101,20 +122,17 @@
 	out := map[string]*renewal{}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for id, h := range m.held {
+	for _, h := range m.held {
 		k := h.Grant.Group
 		if owners[k] != "" {
 			h.owner = owners[k]
 		}
 		r := out[h.owner]
 		if r == nil {
-			r = &renewal{full: map[string]schedule.Held{}}
+			r = &renewal{groups: map[schedule.GroupKey]*GroupGrants{}, full: map[uint64]schedule.Held{}}
 			out[h.owner] = r
 		}
-		r.args.Groups = append(r.args.Groups, k)
-		r.args.IDs = append(r.args.IDs, id)
-		r.args.Generated = append(r.args.Generated, h.Generated)
-		r.full[id] = h.Held
+		r.add(h.Held)
 	}
 	return out
 }
@@ -138,10 +156,10 @@
 func (m *Manager) renew(ctx context.Context, owner string, r *renewal) bool {
 	ctx, cancel := context.WithTimeout(ctx, renewPeriod)
 	defer cancel()
-	reply, err := m.callRenew(ctx, owner, r.args)
+	reply, err := m.callRenew(ctx, owner, r.args())
 	if err != nil {
 		m.avoid(owner)
-		level.Debug(m.opt.Logger).Log("msg", "grants not renewed", "owner", owner, "grants", len(r.args.IDs), "err", err)
+		level.Debug(m.opt.Logger).Log("msg", "grants not renewed", "owner", owner, "grants", len(r.full), "err", err)
 		return false
 	}
 	m.reached(owner)
@@ -156,13 +174,13 @@
 }
 
 // stillHeld returns the unknown grants that have not been released meanwhile.
-func (m *Manager) stillHeld(ids []string, full map[string]schedule.Held) []schedule.Held {
+func (m *Manager) stillHeld(unknown []uint64, full map[uint64]schedule.Held) []schedule.Held {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []schedule.Held
-	for _, id := range ids {
-		if m.held[id] != nil {
-			out = append(out, full[id])
+	for _, hash := range unknown {
+		if h, ok := full[hash]; ok && m.held[h.Grant.ID] != nil {
+			out = append(out, h)
 		}
 	}
 	return out
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"persimmonwing/internal/process/crashguard"
@@ -69,6 +70,7 @@
 	group   Group
 	waiting map[string]*ticket
 	granted map[string]given
+	byHash  map[uint64]string // ids of granted
 	// ended holds the highest attempt that was cancelled or released of an id.
 	ended    *simplelru.LRU[string, int]
 	replicas []schedule.Replica
@@ -82,7 +84,7 @@
 	return &runner{
 		key: key, self: self, check: check, group: g, ended: ended, usedAt: time.Now(),
 		wake: make(chan struct{}, 1), stop: make(chan struct{}),
-		waiting: map[string]*ticket{}, granted: map[string]given{},
+		waiting: map[string]*ticket{}, granted: map[string]given{}, byHash: map[uint64]string{},
 	}
 }
 
@@ -141,7 +143,7 @@
 		return
 	}
 	d.Grant.ID, d.Grant.Group, d.Grant.Owner = d.Request.ID, r.key, r.self
-	r.granted[d.Grant.ID] = given{d.Grant, t.attempt}
+	r.keep(given{d.Grant, t.attempt})
 	t.end(result{grant: d.Grant})
 }
 
@@ -228,21 +230,32 @@
 	r.drop(now, id, o)
 }
 
+func (r *runner) keep(g given) {
+	r.granted[g.grant.ID] = g
+	r.byHash[xxhash.Sum64String(g.grant.ID)] = g.grant.ID
+}
+
+func (r *runner) forget(id string) {
+	delete(r.granted, id)
+	delete(r.byHash, xxhash.Sum64String(id))
+}
+
 func (r *runner) drop(now time.Time, id string, o schedule.Outcome) {
 	if _, ok := r.granted[id]; !ok {
 		return
 	}
-	delete(r.granted, id)
+	r.forget(id)
 	r.group.Release(now, id, o)
 	r.usedAt = now
 	r.poke()
 }
 
 // renew takes over the progress of a grant and reports whether it is known.
-func (r *runner) renew(now time.Time, id string, generated int) bool {
+func (r *runner) renew(now time.Time, hash uint64, generated int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.granted[id]; !ok {
+	id, ok := r.byHash[hash]
+	if !ok {
 		return false
 	}
 	r.group.Progress(now, id, generated)
@@ -257,7 +270,7 @@
 	if _, known := r.granted[h.Grant.ID]; known || r.closed || r.released(h.Grant.ID) {
 		return
 	}
-	r.granted[h.Grant.ID] = given{grant: h.Grant}
+	r.keep(given{grant: h.Grant})
 	r.group.Adopt(now, h)
 	r.usedAt = now
 }
@@ -274,7 +287,7 @@
 	defer r.mu.Unlock()
 	expired := r.group.Expire(now, grantLife)
 	for _, id := range expired {
-		delete(r.granted, id)
+		r.forget(id)
 	}
 	if len(expired) > 0 {
 		r.poke()
--- a/internal/process/owner/service.go
+++ b/internal/process/owner/service.go
@@ -58,17 +58,24 @@
 	Outcome schedule.Outcome
 }
 
-// RenewArgs renews grants. Groups, IDs and Generated have the same length.
+// RenewArgs renews grants.
 type RenewArgs struct {
-	Groups    []schedule.GroupKey
-	IDs       []string
-	Generated []int
+	Groups []GroupGrants
 	// Full re-registers grants that the owner did not know.
 	Full []schedule.Held
 }
 
+// GroupGrants are the grants of one group. Grants are named by the xxhash of
+// their ids, because 50 ids in full, twice a second, would be 2.6 KB/s.
+type GroupGrants struct {
+	Group schedule.GroupKey
+	// Grants and Generated have the same length.
+	Grants    []uint64
+	Generated []int
+}
+
 // RenewReply lists the grants that the owner does not know.
-type RenewReply struct{ Unknown []string }
+type RenewReply struct{ Unknown []uint64 }
 
 // Service serves Scheduler calls to peers.
 type Service struct{ m *Manager }
@@ -187,10 +194,12 @@
 func (m *Manager) serveRenew(a RenewArgs) RenewReply {
 	var reply RenewReply
 	now := time.Now()
-	for i, id := range a.IDs[:min(len(a.IDs), len(a.Groups), len(a.Generated))] {
-		r := m.known(a.Groups[i])
-		if r == nil || !r.renew(now, id, a.Generated[i]) {
-			reply.Unknown = append(reply.Unknown, id)
+	for _, g := range a.Groups {
+		r := m.known(g.Group)
+		for i, grant := range g.Grants[:min(len(g.Grants), len(g.Generated))] {
+			if r == nil || !r.renew(now, grant, g.Generated[i]) {
+				reply.Unknown = append(reply.Unknown, grant)
+			}
 		}
 	}
 	for _, h := range a.Full {
