--- a/internal/process/membership/poller.go
+++ b/internal/process/membership/poller.go
@@ -89,10 +89,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var wait sync.WaitGroup
-	for _, b := range g.Applications(g.opt.Self.DataCentre) {
-		if !g.Discovers(b.Name) {
-			continue
-		}
+	for _, b := range g.Discovers(g.Applications(g.opt.Self.DataCentre)) {
 		wait.Go(func() {
 			ready, err := prober.Ready(ctx, b)
 			mu.Lock()
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -80,14 +80,21 @@
 	return rank(g.names(k.DataCentre), k.String())
 }
 
-// Discovers reports whether this gateway polls a backend server whose poller
-// does not follow from a group: application servers, and engines whose models
-// are unknown.
-func (g *Gossiper) Discovers(backend string) bool {
+// Discovers returns the backend servers that this gateway polls although their
+// poller does not follow from a group: application servers, and engines whose
+// models may be unknown.
+func (g *Gossiper) Discovers(backends []Backend) []Backend {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	self := g.state.table.self
-	return first(g.names(self.DataCentre), "backend/"+backend) == self.Name
+	names := g.names(self.DataCentre)
+	var out []Backend
+	for _, b := range backends {
+		if b.DataCentre == self.DataCentre && first(names, "backend/"+b.Name) == self.Name {
+			out = append(out, b)
+		}
+	}
+	return out
 }
 
 // Polls reports whether this gateway is one of the two of its data centre that
--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -14,20 +14,16 @@
 const (
 	// pollTimeout bounds one poll of an engine.
 	pollTimeout = time.Second
-	// discoverPeriod is the time between polls of an engine that belongs to no
-	// group that this gateway runs.
-	discoverPeriod = time.Second
 	// lostAfter is the number of failed polls after which an engine counts lost.
 	lostAfter = 3
 )
 
 // engine is the state of the polls of one engine.
 type engine struct {
-	report    api.LoadReport
-	polled    bool // report is set
-	failures  int
-	inFlight  bool
-	startedAt time.Time
+	report   api.LoadReport
+	polled   bool // report is set
+	failures int
+	inFlight bool
 }
 
 // usable reports whether the last polls let the engine take new work.
@@ -35,14 +31,20 @@
 	return e.polled && e.failures < lostAfter && !e.report.Draining
 }
 
-// poll starts the polls that are due.
-func (m *Manager) poll(ctx context.Context, now time.Time) {
-	grouped := m.grouped()
-	listed := map[string]bool{}
-	for _, b := range m.opt.View.Engines(m.scope()) {
+// poll starts the polls that are due: those of the engines of own groups, and
+// every second those of the engines that this gateway discovers.
+func (m *Manager) poll(ctx context.Context, discover bool) {
+	engines := m.opt.View.Engines(m.scope())
+	due := m.grouped()
+	if discover {
+		for _, b := range m.opt.View.Discovers(engines) {
+			due[b.Name] = true
+		}
+	}
+	listed := make(map[string]bool, len(engines))
+	for _, b := range engines {
 		listed[b.Name] = true
-		discovers := m.opt.View.Discovers(b.Name)
-		if (grouped[b.Name] || discovers) && m.startPoll(now, b.Name, grouped[b.Name]) {
+		if due[b.Name] && m.startPoll(b.Name) {
 			m.later(func() { m.pollOne(ctx, b) })
 		}
 	}
@@ -62,8 +64,8 @@
 	return out
 }
 
-// startPoll reports whether a poll is due and marks it as in flight.
-func (m *Manager) startPoll(now time.Time, name string, grouped bool) bool {
+// startPoll marks a poll as in flight; it reports false if one already is.
+func (m *Manager) startPoll(name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e := m.engines[name]
@@ -71,10 +73,10 @@
 		e = &engine{}
 		m.engines[name] = e
 	}
-	if e.inFlight || (!grouped && e.polled && now.Sub(e.startedAt) < discoverPeriod) {
+	if e.inFlight {
 		return false
 	}
-	e.inFlight, e.startedAt = true, now
+	e.inFlight = true
 	return true
 }
 
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -19,8 +19,9 @@
 	// frozenAfter is the gap between two ticks after which this process must
 	// have been paused, so that its waiting callers have left.
 	frozenAfter = 1500 * time.Millisecond
-	// summaryEvery makes every 4th tick publish summaries: one each second.
-	summaryEvery = 4
+	// slowEvery makes every 4th tick, one each second, publish summaries and
+	// discover engines.
+	slowEvery = 4
 )
 
 // held is a grant that this gateway uses.
@@ -172,7 +173,7 @@
 	paused := !m.lastTick.IsZero() && now.Sub(m.lastTick) > frozenAfter
 	m.lastTick = now
 	m.ticks++
-	publish := m.ticks%summaryEvery == 1
+	slow := m.ticks%slowEvery == 1
 	m.mu.Unlock()
 	for _, k := range m.ownGroups() {
 		if r, err := m.runner(k); err == nil {
@@ -180,9 +181,9 @@
 		}
 	}
 	for _, r := range m.existing() {
-		m.keep(now, r, paused, publish)
+		m.keep(now, r, paused, slow)
 	}
-	m.poll(ctx, now)
+	m.poll(ctx, slow)
 }
 
 // keep does the periodic work of one group.
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -52,7 +52,7 @@
 	Peer(name string) (address string, live bool)
 	Owner(k schedule.GroupKey) string
 	Rank(k schedule.GroupKey) []string
-	Discovers(backend string) bool
+	Discovers(backends []membership.Backend) []membership.Backend
 	Engines(dataCentre string) []membership.Backend
 	Reported(engine string) (models []string, incarnation string)
 	SetReport(engine string, draining bool, models []string, incarnation string)
