Let a gateway that has left finish its requests

Owners dropped the waiting requests of a gateway that had announced its end. Heartbeats now go on after that, and owners drop only those of gateways that no longer run. The last gateway of a data centre serves its own groups meanwhile.

--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -87,7 +87,7 @@
 			peerRows[r.Group] = r.Version
 		}
 	}
-	local, remote := s.usable(now)
+	local, remote := s.beating(now)
 	m.Beats = s.beats(m.Beats, local, maxLocalBeats, &s.nextLocal, peerBeats)
 	m.Beats = s.beats(m.Beats, remote, maxRemoteBeats, &s.nextRemote, peerBeats)
 	m.Rows = s.summaries.rows(now, s.table.self.DataCentre, maxRemoteRows, peerRows)
@@ -99,12 +99,21 @@
 	return m
 }
 
-// usable returns the live hosts of the own and of other data centres, sorted
-// by name.
+// beating returns the hosts whose processes run, of the own and of other data
+// centres, sorted by name.
+func (s *state) beating(now time.Time) (local, remote []known) {
+	return s.split(func(k known) bool { return s.table.alive(now, k) })
+}
+
+// usable returns those of beating that have not left.
 func (s *state) usable(now time.Time) (local, remote []known) {
+	return s.split(func(k known) bool { return s.table.alive(now, k) && !k.Left })
+}
+
+func (s *state) split(keep func(known) bool) (local, remote []known) {
 	for _, name := range s.table.look().names {
 		k := s.table.hosts[name]
-		if !(HostState{k.Host, s.table.stateOf(now, k)}).Usable() {
+		if !keep(k) {
 			continue
 		}
 		if k.DataCentre == s.table.self.DataCentre {
--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -116,22 +116,31 @@
 }
 
 func (t *Table) stateOf(now time.Time, k known) State {
-	limit := deadAfter
-	if k.DataCentre != t.self.DataCentre {
-		limit = remoteDeadAfter
-	}
-	quiet := now.Sub(k.seen)
 	switch {
 	case k.Left:
 		return Left
-	case quiet > limit || t.replaced(k.Host):
+	case !t.alive(now, k):
 		return Dead
-	case quiet > limit-deadAfter+suspectAfter:
+	case now.Sub(k.seen) > t.limit(k)-deadAfter+suspectAfter:
 		return Suspect
 	}
 	return Live
 }
 
+// limit returns the time without a heartbeat after which a host is dead.
+func (t *Table) limit(k known) time.Duration {
+	if k.DataCentre != t.self.DataCentre {
+		return remoteDeadAfter
+	}
+	return deadAfter
+}
+
+// alive reports whether a host's process still runs. One that has left may, to
+// finish its requests.
+func (t *Table) alive(now time.Time, k known) bool {
+	return now.Sub(k.seen) <= t.limit(k) && !t.replaced(k.Host)
+}
+
 // replaced reports whether a newer host uses the same address.
 func (t *Table) replaced(h Host) bool {
 	if t.self.PeerAddress == h.PeerAddress {
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -49,6 +49,15 @@
 	return k.PeerAddress, HostState{k.Host, g.state.table.stateOf(time.Now(), k)}.Usable()
 }
 
+// Alive reports whether a gateway's process runs. It may have left and be
+// finishing its requests.
+func (g *Gossiper) Alive(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k, ok := g.state.table.hosts[name]
+	return name == g.state.table.self.Name || (ok && g.state.table.alive(time.Now(), k))
+}
+
 // names returns the live gateways of a data centre.
 func (g *Gossiper) names(dataCentre string) []string {
 	now := time.Now()
--- a/internal/process/owner/avoid.go
+++ b/internal/process/owner/avoid.go
@@ -31,6 +31,9 @@
 		return []string{m.self()}
 	}
 	ranked := m.opt.View.Rank(k)
+	if len(ranked) == 0 && m.isLast(k) {
+		return []string{m.self()}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var first, last []string
--- a/internal/process/owner/groups.go
+++ b/internal/process/owner/groups.go
@@ -109,7 +109,8 @@
 			add(s)
 		}
 	}
-	if len(out) == 0 {
+	local := m.opt.View.Self().DataCentre
+	if !slices.ContainsFunc(out, func(s schedule.Summary) bool { return s.Group.DataCentre == local }) {
 		for _, k := range m.knownGroups() {
 			add(schedule.Summary{Group: k, Owner: m.opt.View.Owner(k)})
 		}
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -206,10 +206,9 @@
 	}
 }
 
-// gone reports whether a gateway that waits here no longer counts live.
+// gone reports whether a gateway that waits here no longer runs.
 func (m *Manager) gone(gateway string) bool {
-	_, live := m.opt.View.Peer(gateway)
-	return !live && gateway != m.self()
+	return gateway != m.self() && !m.opt.View.Alive(gateway)
 }
 
 // owns reports whether this gateway runs a group for its data centre, or for
@@ -218,7 +217,14 @@
 	if m.opt.Policy != PolicyOwner {
 		return true
 	}
-	return m.opt.View.Owner(k) == m.self()
+	owner := m.opt.View.Owner(k)
+	return owner == m.self() || (owner == "" && m.isLast(k))
+}
+
+// isLast reports whether a group has no live gateway left but this one, which
+// has announced its end and finishes its requests.
+func (m *Manager) isLast(k schedule.GroupKey) bool {
+	return k.DataCentre == m.opt.View.Self().DataCentre
 }
 
 // equip passes replicas, share and floors to a group.
--- a/internal/process/owner/manager_test.go
+++ b/internal/process/owner/manager_test.go
@@ -105,6 +105,34 @@
 	})
 }
 
+// Guards against a graceful end that cuts off requests: a gateway that has left
+// still gets grants for what it waits for, from others or as the last one.
+func TestLeavingGatewayFinishesItsRequests(t *testing.T) {
+	for name, last := range map[string]bool{"others stay": false, "all leave": true} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 1, []string{"e"}, func(is *is.I, f *fleet) {
+				g := f.byRank()
+				used, err := g[0].acquire("used", 1, time.Second)
+				is.NoErr(err)
+				var wait sync.WaitGroup
+				defer wait.Wait()
+				wait.Go(func() {
+					time.Sleep(time.Second)
+					g[2].view.Leave(context.Background())
+					if last {
+						g[1].view.Leave(context.Background())
+						g[0].view.Leave(context.Background())
+					}
+					time.Sleep(15 * time.Second)
+					g[0].Release(used.ID, schedule.Outcome{})
+				})
+				_, err = g[2].acquire("waiting", 2, 20*time.Second)
+				is.NoErr(err)
+			})
+		})
+	}
+}
+
 // Guards against slots that stay taken by a gateway that was killed.
 func TestGrantsOfKilledGatewayExpire(t *testing.T) {
 	withFleet(t, 1, []string{"e"}, func(is *is.I, f *fleet) {
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -50,6 +50,7 @@
 	Self() membership.Host
 	Live() []membership.Gateway
 	Peer(name string) (address string, live bool)
+	Alive(name string) bool
 	Owner(k schedule.GroupKey) string
 	Rank(k schedule.GroupKey) []string
 	Discovers(backends []membership.Backend) []membership.Backend
