Keep backend servers through a long outage of the host list

Facts that say that a server is live no longer expire; only those that stop new work do, after an hour without a restatement. A poll in flight when an engine is reported lost no longer hides later failed polls.

--- a/internal/process/membership/backends.go
+++ b/internal/process/membership/backends.go
@@ -28,7 +28,7 @@
 	}
 	for _, k := range slices.Clone(g.state.facts.keys) {
 		f, _ := g.state.facts.Get(k)
-		if k.Kind == FactHost && !listed[k.Name] && centres[f.DataCentre] {
+		if k.Kind == FactHost && !f.Leaving && !listed[k.Name] && centres[f.DataCentre] {
 			f.Leaving = true
 			g.state.facts.State(time.Now(), f)
 		}
--- a/internal/process/membership/facts.go
+++ b/internal/process/membership/facts.go
@@ -68,12 +68,11 @@
 	return d.Sum64()
 }
 
-// At 1,200 facts, restating each every 25 minutes adds about two facts to a
-// message; every 4 minutes, it would cost more than the gossip budget.
 const (
-	// factLife is the time after which a fact that nobody restates is dropped.
+	// factLife is the time after which a fact that stops new work is dropped
+	// unless it is restated. Other facts stay, however long the host list is out.
 	factLife = time.Hour
-	// restateAfter is the age at which the maker of a fact states it again.
+	// restateAfter is the age at which the maker of such a fact states it again.
 	restateAfter = 25 * time.Minute
 	// freshFor is the time for which a new fact goes with every message, some 20
 	// messages of each gateway. A fact that is still missing somewhere is found
@@ -81,6 +80,11 @@
 	freshFor = 3 * time.Second
 )
 
+// expired reports whether a fact is to be dropped.
+func (f Fact) expired(now time.Time) bool {
+	return f.Leaving && now.UnixMilli()-f.Version > factLife.Milliseconds()
+}
+
 type knownFact struct {
 	Fact
 	learned time.Time
@@ -101,7 +105,8 @@
 func (s *Facts) State(now time.Time, f Fact) bool {
 	old, ok := s.facts[f.FactKey]
 	changed := !ok || !old.same(f)
-	if !changed && now.UnixMilli()-old.Version < restateAfter.Milliseconds() {
+	restate := f.Leaving && now.UnixMilli()-old.Version >= restateAfter.Milliseconds()
+	if !changed && !restate {
 		return false
 	}
 	f.Version = max(now.UnixMilli(), old.Version+1)
@@ -115,7 +120,7 @@
 	if ok && old.Version >= f.Version {
 		return false
 	}
-	if now.UnixMilli()-f.Version > factLife.Milliseconds() {
+	if f.expired(now) {
 		return false
 	}
 	s.put(now, f)
@@ -146,17 +151,30 @@
 	return f.Fact, ok
 }
 
-// Forget drops facts that nobody has restated.
+// Forget drops expired facts, and with the row of a host its old report.
 func (s *Facts) Forget(now time.Time) {
-	s.keys = slices.DeleteFunc(s.keys, func(k FactKey) bool {
-		f := s.facts[k]
-		if now.UnixMilli()-f.Version <= factLife.Milliseconds() {
-			return false
+	var drop []FactKey
+	for _, k := range s.keys {
+		if f := s.facts[k]; f.expired(now) {
+			drop = append(drop, k)
 		}
-		s.digest ^= f.hash()
-		delete(s.facts, k)
-		return true
-	})
+	}
+	for _, k := range drop {
+		s.drop(k)
+		if k.Kind == FactHost {
+			s.drop(FactKey{FactReport, k.Name})
+		}
+	}
+}
+
+func (s *Facts) drop(k FactKey) {
+	f, ok := s.facts[k]
+	if !ok {
+		return
+	}
+	s.digest ^= f.hash()
+	delete(s.facts, k)
+	s.keys = slices.DeleteFunc(s.keys, func(o FactKey) bool { return o == k })
 }
 
 // fresh returns up to limit facts learned recently, the newest first.
--- a/internal/process/membership/table_test.go
+++ b/internal/process/membership/table_test.go
@@ -92,6 +92,26 @@
 	})
 }
 
+// Guards against servers that are forgotten in a long outage of the host list,
+// and against the rows of removed hosts that pile up.
+func TestFactsLife(t *testing.T) {
+	is := is.New(t)
+	s := newFacts()
+	for name, leaving := range map[string]bool{"live": false, "gone": true} {
+		s.State(epoch, Fact{FactKey: FactKey{FactHost, name}, Leaving: leaving})
+		s.State(epoch, Fact{FactKey: FactKey{FactReport, name}})
+	}
+	old := s.facts[FactKey{FactHost, "gone"}].Fact
+	later := epoch.Add(24 * time.Hour)
+	s.Forget(later)
+	is.Equal(s.keys, []FactKey{{FactHost, "live"}, {FactReport, "live"}})
+	is.True(!s.Merge(later, old)) // a peer that has not dropped it yet
+	s.State(later, Fact{FactKey: FactKey{FactHost, "live"}, Leaving: true})
+	s.State(later.Add(restateAfter), Fact{FactKey: FactKey{FactHost, "live"}, Leaving: true})
+	s.Forget(later.Add(factLife + time.Minute)) // still listed as leaving
+	is.Equal(len(s.keys), 2)
+}
+
 // Guards against a host that counts live after it has died, left, or been
 // replaced under its name or its address.
 func TestHostStates(t *testing.T) {
--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -24,11 +24,14 @@
 	polled   bool // report is set
 	failures int
 	inFlight bool
+	// doubted is set while somebody says that the engine is lost and no later
+	// poll has succeeded.
+	doubted bool
 }
 
 // usable reports whether the last polls let the engine take new work.
 func (e *engine) usable() bool {
-	return e.polled && e.failures < lostAfter && !e.report.Draining
+	return e.polled && !e.doubted && e.failures < lostAfter && !e.report.Draining
 }
 
 // poll starts the polls that are due: those of the engines of own groups, and
@@ -123,9 +126,9 @@
 	e := m.engines[name]
 	old := e.report
 	restarted := e.polled && old.Incarnation != report.Incarnation
-	changed := !e.polled || restarted || e.failures >= lostAfter || old.Draining != report.Draining ||
+	changed := !e.polled || restarted || e.doubted || e.failures >= lostAfter || old.Draining != report.Draining ||
 		!slices.Equal(old.Models, report.Models)
-	e.report, e.polled, e.failures, e.inFlight = report, true, 0, false
+	e.report, e.polled, e.failures, e.inFlight, e.doubted = report, true, 0, false, false
 	m.mu.Unlock()
 	if restarted {
 		level.Warn(m.opt.Logger).Log("msg", "engine restarted", "engine", name)
@@ -174,7 +177,7 @@
 	e := m.engines[name]
 	doubted := e != nil && e.polled && e.report.Incarnation == incarnation
 	if doubted {
-		e.failures = max(e.failures, lostAfter)
+		e.doubted = true
 	}
 	m.mu.Unlock()
 	if doubted {
--- a/internal/process/owner/manager_test.go
+++ b/internal/process/owner/manager_test.go
@@ -174,6 +174,25 @@
 	})
 }
 
+// Guards against an owner that does not learn of grants again whose gateway was
+// frozen or cut off for longer than they live.
+func TestGrantsAreRegisteredAgainAfterAPause(t *testing.T) {
+	withFleet(t, 1, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		_, err := g[2].acquire("1", 1, time.Second)
+		is.NoErr(err)
+		f.network.Freeze(g[2].address)
+		time.Sleep(10 * time.Second)
+		other, err := g[1].acquire("2", 2, time.Second)
+		is.NoErr(err) // the grant has expired
+		g[1].Release(other.ID, schedule.Outcome{})
+		f.network.Thaw(g[2].address)
+		time.Sleep(5 * time.Second)
+		_, err = g[1].acquire("3", 3, 2*time.Second)
+		is.True(err != nil) // the slot is taken again
+	})
+}
+
 // Guards against a lost engine that still gets work, and against requests that
 // ran there and are not known as suspects at every gateway.
 func TestEngineLostMarksSuspects(t *testing.T) {
