--- /dev/null
+++ b/internal/process/owner/grants.go
@@ -0,0 +1,213 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"persimmonwing/internal/process/schedule"
+)
+
+// hold records a grant of this gateway.
+func (m *Manager) hold(r schedule.Request, reply AcquireReply, owner string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held[reply.Grant.ID] = &held{
+		Held:        schedule.Held{Request: r, Grant: reply.Grant},
+		incarnation: reply.Incarnation,
+		owner:       owner,
+	}
+}
+
+// Progress records the number of tokens generated under a grant; the owner
+// learns it with the next renewal.
+func (m *Manager) Progress(grantID string, generated int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h := m.held[grantID]; h != nil {
+		h.Generated = max(h.Generated, generated)
+	}
+}
+
+// Release ends a grant. It does not wait for the owner.
+func (m *Manager) Release(grantID string, o schedule.Outcome) {
+	m.mu.Lock()
+	h := m.held[grantID]
+	m.mu.Unlock()
+	if h == nil {
+		return
+	}
+	if o.EngineLost {
+		m.doubt(h.Grant.Backend, h.incarnation)
+		m.engineLost(h.Grant.Backend, h.incarnation)
+	}
+	m.mu.Lock()
+	delete(m.held, grantID)
+	owner := h.owner
+	m.mu.Unlock()
+	args := ReleaseArgs{Group: h.Grant.Group, ID: grantID, Outcome: o}
+	if owner == m.self() {
+		m.serveRelease(args)
+	} else {
+		m.inBackground(owner, "Release", &args)
+	}
+	if o.Completed && !o.EngineLost {
+		m.finished(h.Request.Fingerprint)
+	}
+}
+
+// renewal is the grants to renew at one owner.
+type renewal struct {
+	groups map[schedule.GroupKey]*GroupGrants
+	full   map[uint64]schedule.Held
+}
+
+func (r *renewal) add(h schedule.Held) {
+	g := r.groups[h.Grant.Group]
+	if g == nil {
+		g = &GroupGrants{Group: h.Grant.Group}
+		r.groups[h.Grant.Group] = g
+	}
+	hash := xxhash.Sum64String(h.Grant.ID)
+	g.Grants = append(g.Grants, hash)
+	g.Generated = append(g.Generated, h.Generated)
+	r.full[hash] = h
+}
+
+func (r *renewal) args() RenewArgs {
+	var a RenewArgs
+	for _, g := range r.groups {
+		a.Groups = append(a.Groups, *g)
+	}
+	return a
+}
+
+// renewAll renews all held grants, in one call for each owner. After a change
+// of ownership the new owner does not know them and gets them in full. When a
+// call fails, its grants go to the next owner at once.
+func (m *Manager) renewAll(ctx context.Context) {
+	if !m.renewOnce(ctx) {
+		m.renewOnce(ctx)
+	}
+}
+
+// renewOnce reports whether all owners were reached.
+func (m *Manager) renewOnce(ctx context.Context) bool {
+	var wait sync.WaitGroup
+	var failed atomic.Bool
+	for owner, r := range m.renewals() {
+		wait.Go(func() {
+			if !m.renew(ctx, owner, r) {
+				failed.Store(true)
+			}
+		})
+	}
+	wait.Wait()
+	return !failed.Load()
+}
+
+// renewals sorts the held grants by the gateway that now owns their group. A
+// group whose data centre shows no live gateway stays where it was.
+func (m *Manager) renewals() map[string]*renewal {
+	owners := map[schedule.GroupKey]string{}
+	for _, k := range m.heldGroups() {
+		if order := m.order(k); len(order) > 0 {
+			owners[k] = order[0]
+		}
+	}
+	out := map[string]*renewal{}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range m.held {
+		k := h.Grant.Group
+		if owners[k] != "" {
+			h.owner = owners[k]
+		}
+		r := out[h.owner]
+		if r == nil {
+			r = &renewal{groups: map[schedule.GroupKey]*GroupGrants{}, full: map[uint64]schedule.Held{}}
+			out[h.owner] = r
+		}
+		r.add(h.Held)
+	}
+	return out
+}
+
+// heldGroups returns the groups of the held grants.
+func (m *Manager) heldGroups() []schedule.GroupKey {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := map[schedule.GroupKey]bool{}
+	var out []schedule.GroupKey
+	for _, h := range m.held {
+		if k := h.Grant.Group; !seen[k] {
+			seen[k] = true
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// renew reports whether the owner was reached.
+func (m *Manager) renew(ctx context.Context, owner string, r *renewal) bool {
+	ctx, cancel := context.WithTimeout(ctx, renewPeriod)
+	defer cancel()
+	reply, err := m.callRenew(ctx, owner, r.args())
+	if err != nil {
+		m.avoid(owner)
+		level.Debug(m.opt.Logger).Log("msg", "grants not renewed", "owner", owner, "grants", len(r.full), "err", err)
+		return false
+	}
+	m.reached(owner)
+	full := m.stillHeld(reply.Unknown, r.full)
+	if len(full) == 0 {
+		return true
+	}
+	if _, err := m.callRenew(ctx, owner, RenewArgs{Full: full}); err != nil {
+		level.Debug(m.opt.Logger).Log("msg", "grants not registered", "owner", owner, "grants", len(full), "err", err)
+	}
+	return true
+}
+
+// stillHeld returns the unknown grants that have not been released meanwhile.
+func (m *Manager) stillHeld(unknown []uint64, full map[uint64]schedule.Held) []schedule.Held {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []schedule.Held
+	for _, hash := range unknown {
+		if h, ok := full[hash]; ok && m.held[h.Grant.ID] != nil {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (m *Manager) callRenew(ctx context.Context, owner string, a RenewArgs) (RenewReply, error) {
+	if owner == m.self() {
+		return m.serveRenew(a), nil
+	}
+	address, ok := m.opt.View.Peer(owner)
+	if !ok {
+		return RenewReply{}, errNotLive
+	}
+	reply := new(RenewReply)
+	if err := m.opt.Caller.Call(ctx, address, ServiceName+".Renew", &a, reply); err != nil {
+		return RenewReply{}, err
+	}
+	return *reply, nil
+}
+
+// ownSummaries returns the summaries of groups that this gateway runs as owner.
+func (m *Manager) ownSummaries(model string) []schedule.Summary {
+	var out []schedule.Summary
+	for _, r := range m.existing() {
+		if r.key.Model == model && m.owns(r.key) {
+			out = append(out, r.summary(time.Now()))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/owner/guard.go
@@ -0,0 +1,50 @@
+package owner
+
+import (
+	"sync"
+	"time"
+
+	"persimmonwing/internal/process/crashguard"
+)
+
+// guard is a crash guard for concurrent use.
+type guard struct {
+	// tell sends a report to the other gateways without waiting.
+	tell  func(crashguard.Report)
+	mu    sync.Mutex
+	table *crashguard.Guard
+}
+
+func newGuard(tell func(crashguard.Report)) *guard {
+	return &guard{tell: tell, table: crashguard.New()}
+}
+
+// check returns the verdict on a request that is about to wait or run.
+func (g *guard) check(fingerprint uint64) crashguard.Verdict {
+	g.mu.Lock()
+	verdict := g.table.Check(time.Now(), fingerprint)
+	retell := verdict == crashguard.Refuse && g.table.Refused(time.Now(), fingerprint)
+	g.mu.Unlock()
+	if retell {
+		g.tell(crashguard.Report{Refused: []uint64{fingerprint}})
+	}
+	return verdict
+}
+
+func (g *guard) lost(engine, incarnation string, fingerprints []uint64) []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.EngineLost(time.Now(), engine, incarnation, fingerprints)
+}
+
+func (g *guard) finished(fingerprint uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Finished(fingerprint)
+}
+
+func (g *guard) merge(r crashguard.Report) []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Merge(time.Now(), r)
+}
