--- /dev/null
+++ b/internal/process/loadgen/arrivals.go
@@ -0,0 +1,134 @@
+package loadgen
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonwing/internal/version/catalogue"
+)
+
+// arrival is one request of a stream. All of its random values are drawn in a
+// fixed order, so that a seed gives the same requests at any speed of answers.
+type arrival struct {
+	// at is the intended time since the start of the run.
+	at     time.Duration
+	number int
+	prompt int
+	output int
+	// prefix is the number of the common prefix, or -1.
+	prefix int
+	resend bool
+}
+
+// arrivals produces the arrivals of one stream as a Poisson process whose rate
+// follows the phases.
+type arrivals struct {
+	stream   *Stream
+	prefixes int
+	random   *rand.Rand
+	now      float64
+	number   int
+	// initial holds the generations that the run starts with, and following the
+	// next arrival of the Poisson process.
+	initial   []arrival
+	following arrival
+	exhausted bool
+}
+
+// initialSpread is the time over which the initial generations are sent, so
+// that their prefill does not come at one moment.
+const initialSpread = 2 * time.Second
+
+func newArrivals(s *Stream, prefixes int, seed uint64) *arrivals {
+	a := &arrivals{
+		stream:   s,
+		prefixes: prefixes,
+		random:   rand.New(rand.NewPCG(seed, xxhash.Sum64String(s.Name))),
+	}
+	if s.InitialGap > 0 && s.Kind == catalogue.Generation {
+		a.drawInitial(int(s.Rate * s.Output.Mean() * s.InitialGap.Seconds()))
+	}
+	a.follow()
+	return a
+}
+
+func (a *arrivals) drawInitial(count int) {
+	for i := range count {
+		first := a.draw(time.Duration(i) * initialSpread / time.Duration(count))
+		first.output = a.stream.Output.residual(a.random)
+		a.initial = append(a.initial, first)
+	}
+}
+
+// follow draws the next arrival of the Poisson process.
+func (a *arrivals) follow() {
+	at, ok := a.advance(a.random.ExpFloat64())
+	a.exhausted = !ok
+	if ok {
+		a.following = a.draw(at)
+	}
+}
+
+// next returns the arrivals in order of time, or false when the rate stays 0.
+func (a *arrivals) next() (arrival, bool) {
+	if len(a.initial) > 0 && (a.exhausted || a.initial[0].at <= a.following.at) {
+		first := a.initial[0]
+		a.initial = a.initial[1:]
+		return first, true
+	}
+	if a.exhausted {
+		return arrival{}, false
+	}
+	next := a.following
+	a.follow()
+	return next, true
+}
+
+func (a *arrivals) draw(at time.Duration) arrival {
+	next := arrival{
+		at:     at,
+		number: a.number,
+		prompt: a.stream.Prompt.sample(a.random),
+		output: a.stream.Output.sample(a.random),
+		prefix: -1,
+	}
+	a.number++
+	shared := a.random.Float64() < a.stream.SharedPrefix
+	if n := a.random.IntN(max(1, a.prefixes)); shared {
+		next.prefix = n
+	}
+	next.resend = a.random.Float64() < a.stream.Resend
+	return next
+}
+
+// advance moves the clock until the integral of the rate has grown by amount.
+func (a *arrivals) advance(amount float64) (time.Duration, bool) {
+	for {
+		rate, until, bounded := a.rateAt(a.now)
+		if room := rate * (until - a.now); !bounded || amount < room {
+			if rate <= 0 {
+				return 0, false
+			}
+			a.now += amount / rate
+			return time.Duration(a.now * float64(time.Second)), true
+		} else {
+			amount -= room
+			a.now = until
+		}
+	}
+}
+
+// rateAt returns the rate at t seconds and the time until which it holds.
+func (a *arrivals) rateAt(t float64) (rate, until float64, bounded bool) {
+	for _, p := range a.stream.Phases {
+		if start := p.Start.Seconds(); t < start {
+			return a.stream.Rate, start, true
+		}
+		if end := p.End.Seconds(); t < end {
+			return a.stream.Rate * p.Factor, end, true
+		}
+	}
+	return a.stream.Rate, 0, false
+}
--- /dev/null
+++ b/internal/process/loadgen/length.go
@@ -0,0 +1,73 @@
+package loadgen
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"persimmonwing/internal/process/settings"
+)
+
+// Length is a distribution of lengths in tokens: Fixed, or log-normal with a
+// median and a sigma of the logarithm, cut at Cap.
+type Length struct {
+	Fixed  int     `yaml:"fixed"`
+	Median float64 `yaml:"median"`
+	Sigma  float64 `yaml:"sigma"`
+	Cap    int     `yaml:"cap"`
+}
+
+func (l Length) validate(key string) error {
+	if l.Fixed != 0 {
+		err := settings.CheckRange(key+".fixed", l.Fixed, 1, maxTokens)
+		if l.Median != 0 || l.Sigma != 0 || l.Cap != 0 {
+			err = errors.Join(err, fmt.Errorf("%s.fixed: %d is not allowed beside median, sigma and cap; use one form", key, l.Fixed))
+		}
+		return err
+	}
+	return errors.Join(
+		settings.CheckRange(key+".median", l.Median, 1, maxTokens),
+		settings.CheckRange(key+".sigma", l.Sigma, 0, maxSigma),
+		settings.CheckRange(key+".cap", l.Cap, 1, maxTokens),
+	)
+}
+
+// sample draws a length. It uses the same number of random values for each form.
+func (l Length) sample(r *rand.Rand) int {
+	n := r.NormFloat64()
+	if l.Fixed > 0 {
+		return l.Fixed
+	}
+	return l.cut(l.Median * math.Exp(l.Sigma*n))
+}
+
+// Mean returns the mean length, computed by the midpoint rule over quantiles.
+func (l Length) Mean() float64 {
+	if l.Fixed > 0 {
+		return float64(l.Fixed)
+	}
+	const quantiles = 2000
+	sum := 0.0
+	for i := range quantiles {
+		z := math.Sqrt2 * math.Erfinv(2*(float64(i)+0.5)/quantiles-1)
+		sum += float64(l.cut(l.Median * math.Exp(l.Sigma*z)))
+	}
+	return sum / quantiles
+}
+
+// residual draws what is left of a generation met at a random moment: a
+// uniform part of a length that is drawn in proportion to its size.
+func (l Length) residual(r *rand.Rand) int {
+	n, u := r.NormFloat64(), r.Float64()
+	full := float64(l.Fixed)
+	if l.Fixed == 0 {
+		biased := l.Median * math.Exp(l.Sigma*l.Sigma)
+		full = float64(l.cut(biased * math.Exp(l.Sigma*n)))
+	}
+	return max(1, int(u*full))
+}
+
+func (l Length) cut(tokens float64) int {
+	return max(1, int(min(tokens, float64(l.Cap))))
+}
