--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +37,6 @@
 	Engines   Engines
 	Services  Services
 	Claims    Claims
-	Suspects  Suspects
 	Limits    *limits.Limiter
 	Metrics   *telemetry.Metrics
 	Logger    log.Logger
@@ -55,7 +53,6 @@
 	engines       Engines
 	services      Services
 	claims        Claims
-	suspects      Suspects
 	limits        *limits.Limiter
 	metrics       *telemetry.Metrics
 	logger        log.Logger
@@ -83,7 +80,6 @@
 		engines:       d.Engines,
 		services:      d.Services,
 		claims:        d.Claims,
-		suspects:      d.Suspects,
 		limits:        d.Limits,
 		metrics:       d.Metrics,
 		logger:        logging.Part(d.Logger, "gateway"),
@@ -94,10 +90,6 @@
 	}, nil
 }
 
-func (g *Gateway) disabled(mechanism string) bool {
-	return slices.Contains(g.opts.Disable, mechanism)
-}
-
 // CallerHandler serves the callers' interface.
 func (g *Gateway) CallerHandler() http.Handler {
 	r := mux.NewRouter()
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -88,11 +88,6 @@
 // is allowed.
 func (n *generation) runWith(queueCtx, relayCtx context.Context, newSink func() relay.Sink, ids *streamSink) (*api.Event, *fault.Error) {
 	n.execution = api.NotRun
-	suspect, refuse := n.g.suspects.Check(n.request.Fingerprint)
-	if refuse {
-		return nil, fault.New(fault.RequestCrashes, "admit", "", api.NotRun, "engines were lost twice while they ran this request; it is not run again")
-	}
-	n.request.Suspect = suspect
 	for attempt := 1; ; attempt++ {
 		grant, err := n.acquire(queueCtx)
 		if err != nil {
@@ -115,7 +110,7 @@
 
 func (n *generation) mayRetry(attempt int, backend string) bool {
 	return attempt < n.g.opts.MaxAttempts &&
-		!n.g.disabled("retries") &&
+		!n.g.opts.disabled("retries") &&
 		time.Now().Before(n.deadline) &&
 		n.g.retryBudget.Allow(backend)
 }
@@ -201,7 +196,6 @@
 // finished returns the grant after a terminal event.
 func (n *generation) finished(grant schedule.Grant, result relay.Result) {
 	n.g.scheduler.Release(grant.ID, schedule.Outcome{Generated: result.Tokens, Completed: result.Terminal.Type == api.EventCompleted})
-	n.g.suspects.Finished(n.request.Fingerprint)
 	n.g.retryBudget.Success(grant.Backend)
 	n.call.record.Step("finished", grant.Backend, fmt.Sprintf("%s after %d tokens", result.Terminal.Type, result.Tokens))
 }
@@ -209,10 +203,15 @@
 // createFailed decides after an engine did not accept the request.
 func (n *generation) createFailed(ctx context.Context, grant schedule.Grant, err *fault.Error) attemptResult {
 	n.learn(err.Execution)
-	lost := err.Execution == api.Unknown && ctx.Err() == nil
-	n.g.scheduler.Release(grant.ID, schedule.Outcome{NotRun: err.Execution == api.NotRun, EngineLost: lost})
+	lost := err.Code == fault.EngineLost && ctx.Err() == nil
+	ran := err.Execution != api.NotRun
+	n.g.scheduler.Release(grant.ID, schedule.Outcome{NotRun: !ran, EngineLost: lost && ran})
 	if lost {
-		n.reportLost(ctx, grant)
+		n.noteLost(grant)
+	}
+	if lost && !ran {
+		// The engine died before it got this request, which is no suspect.
+		n.g.scheduler.ReportLost(grant.Backend)
 	}
 	return attemptResult{fault: err, retry: ctx.Err() == nil}
 }
@@ -223,7 +222,7 @@
 	lost := err.Code == fault.EngineLost
 	n.g.scheduler.Release(grant.ID, schedule.Outcome{Generated: result.Tokens, EngineLost: lost})
 	if lost {
-		n.reportLost(ctx, grant)
+		n.noteLost(grant)
 	} else if !result.ReaderGone || !n.body.Stream {
 		n.g.cancelAtEngine(grant, result.EngineID)
 	}
@@ -232,18 +231,14 @@
 }
 
 // learn keeps the strongest execution state of all attempts.
-func (n *generation) learn(x api.Execution) {
-	if x == api.Ran || n.execution == api.NotRun {
-		n.execution = x
-	}
-}
+func (n *generation) learn(x api.Execution) { n.execution = strongest(n.execution, x) }
 
-// reportLost tells all gateways of a lost engine before the caller hears of it.
-func (n *generation) reportLost(ctx context.Context, grant schedule.Grant) {
+// noteLost records the loss of an engine. Releasing the grant has told the other
+// gateways before the caller hears of it.
+func (n *generation) noteLost(grant schedule.Grant) {
 	_ = level.Warn(n.call.logger).Log("msg", "engine lost", "backend", grant.Backend)
 	n.call.record.Step("engine lost", grant.Backend, "")
 	n.g.metrics.Counter("engines_lost").Inc(1)
-	n.g.suspects.EngineLost(ctx, grant.Backend, n.request.Fingerprint)
 }
 
 func (n *generation) resume(grant schedule.Grant) relay.Resume {
--- a/internal/process/gateway/options.go
+++ b/internal/process/gateway/options.go
@@ -77,8 +77,8 @@
 type QueueOptions struct {
 	UrgentTimeout     time.Duration `yaml:"urgent_timeout"`
 	BackgroundTimeout time.Duration `yaml:"background_timeout"`
-	MaxUrgent         int           `yaml:"max_urgent"`
-	MaxBackground     int           `yaml:"max_background"`
+	// MaxWaiting bounds the requests of each class that wait in one group.
+	MaxWaiting int `yaml:"max_waiting"`
 }
 
 // RelayOptions bounds waiting for engines; see relay.Options.
@@ -96,7 +96,7 @@
 		Policy:      PolicyOwner,
 		Platform:    PlatformOptions{Timeout: 2 * time.Second},
 		HTTP:        HTTPOptions{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, BodyTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second},
-		Queue:       QueueOptions{UrgentTimeout: 5 * time.Second, BackgroundTimeout: 60 * time.Second, MaxUrgent: 2000, MaxBackground: 5000},
+		Queue:       QueueOptions{UrgentTimeout: 5 * time.Second, BackgroundTimeout: 60 * time.Second, MaxWaiting: 8000},
 		Relay:       RelayOptions(r),
 		Log:         logging.DefaultOptions(),
 		MaxAttempts: 3,
@@ -105,6 +105,8 @@
 	}
 }
 
+func (o *Options) disabled(mechanism string) bool { return slices.Contains(o.Disable, mechanism) }
+
 // Validate names every bad value by key, value and what is allowed.
 func (o *Options) Validate() error {
 	return errors.Join(o.validateIdentity(), o.validateChoices(), o.validateRanges(), o.Log.Validate())
@@ -168,8 +170,7 @@
 		duration("http.write_timeout", o.HTTP.WriteTimeout, 100*time.Millisecond, 10*time.Minute),
 		duration("queue.urgent_timeout", o.Queue.UrgentTimeout, 10*time.Millisecond, time.Hour),
 		duration("queue.background_timeout", o.Queue.BackgroundTimeout, 10*time.Millisecond, 24*time.Hour),
-		settings.CheckRange("queue.max_urgent", o.Queue.MaxUrgent, 1, 100_000),
-		settings.CheckRange("queue.max_background", o.Queue.MaxBackground, 1, 100_000),
+		settings.CheckRange("queue.max_waiting", o.Queue.MaxWaiting, 1, 100_000),
 		duration("relay.stall_timeout", o.Relay.StallTimeout, 100*time.Millisecond, 5*time.Minute),
 		duration("relay.lost_after", o.Relay.LostAfter, 100*time.Millisecond, 10*time.Minute),
 		duration("relay.first_contact", o.Relay.FirstContact, 100*time.Millisecond, 5*time.Minute),
--- a/internal/request/claim/begin.go
+++ b/internal/request/claim/begin.go
@@ -26,7 +26,8 @@
 
 // Begin claims a call. Exactly one result is not nil: a Claim that the caller
 // may dispatch, the recorded Answer of an earlier run, or a *fault.Error. An
-// error with execution not_run says that this attempt was not dispatched.
+// error with execution not_run says that the call did not run, neither in this
+// attempt nor in an earlier one with the same key and body.
 func (s *Store) Begin(ctx context.Context, k Key, bodyDigest string) (*Claim, *Answer, error) {
 	if k.IdempotencyKey == "" || len(k.IdempotencyKey) > maxKey {
 		return nil, nil, fault.New(fault.IdempotencyKeyNeeded, stepClaim, "", api.NotRun,
@@ -135,7 +136,7 @@
 	stored, err := decode(row)
 	switch {
 	case err != nil:
-		return false, nil, fault.Wrap(err, fault.Internal, stepClaim, peerTable, api.NotRun)
+		return false, nil, fault.Wrap(err, fault.Internal, stepClaim, peerTable, api.Unknown)
 	case stored.heldBy(a.record.Nonce):
 		return true, nil, nil
 	case stored.BodyDigest != a.record.BodyDigest:
@@ -153,12 +154,14 @@
 }
 
 // abandon refuses the call. Since its nonce may be or become the row's, the row
-// is marked in the background, so that a later attempt can claim.
+// is marked in the background, so that a later attempt can claim. This attempt
+// is not dispatched, but the table could not tell whether an earlier one with
+// the same key ran, so the call's execution is unknown.
 func (a *attempt) abandon(cause error) error {
 	if a.unresolved {
 		a.store.later(settlement{key: a.key, nonce: a.record.Nonce, value: a.record.notRun(), ifRevision: a.ifRevision})
 	}
-	f := fault.Wrap(cause, fault.PlatformUnavailable, stepClaim, peerTable, api.NotRun)
+	f := fault.Wrap(cause, fault.PlatformUnavailable, stepClaim, peerTable, api.Unknown)
 	var e *platform.Error
 	if errors.As(cause, &e) {
 		return f.WithRetryAfter(e.RetryAfter)
--- a/internal/request/claim/property_test.go
+++ b/internal/request/claim/property_test.go
@@ -143,6 +143,8 @@
 		w.problem("an error came with a claim or an answer")
 	case err != nil && fault.From(err).Execution == api.Ran:
 		w.problem("refused attempt is said to have run: %v", err)
+	case err != nil && fault.From(err).Execution == api.NotRun && w.hasRun(s.Key):
+		w.problem("key %d ran, but is said not to have run: %v", s.Key, err)
 	case recorded != nil:
 		w.mu.Lock()
 		want := w.answer[s.Key]
@@ -153,6 +155,12 @@
 	}
 }
 
+func (w *world) hasRun(key int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[key] > 0
+}
+
 // checkEnd sends each key once more after all faults are over.
 func (w *world) checkEnd(store *Store) {
 	for k := range keys {
--- a/internal/request/relay/fake_test.go
+++ b/internal/request/relay/fake_test.go
@@ -103,3 +103,7 @@
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
+
+// awaitReaders lets the goroutines that read links end before a synctest bubble
+// does.
+func awaitReaders() { time.Sleep(time.Second) }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -164,10 +164,10 @@
 			if item.err != nil {
 				return fmt.Errorf("read stream: %w", item.err)
 			}
-			stall.Reset(r.stallTimeout())
 			if err := r.accept(item.event); err != nil {
 				return err
 			}
+			stall.Reset(r.stallTimeout())
 			if r.result.Terminal != nil {
 				return nil
 			}
