--- /dev/null
+++ b/internal/version/catalogue/validate.go
@@ -0,0 +1,169 @@
+package catalogue
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+)
+
+// Limits of the fractions that the catalogue states.
+const (
+	maxFraction = 0.5
+	// maxFractionSum leaves at least a fifth of the slots to either class.
+	maxFractionSum = 0.8
+)
+
+const (
+	nameRule   = "a name matches [a-z0-9][a-z0-9-]{0,62}"
+	digestRule = "a key digest is sha256: and 64 lower-case hexadecimal digits"
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	digestPattern = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+)
+
+// Validate checks a catalogue that was not read from a body. Its problems
+// name key paths but no lines.
+func (c *Catalogue) Validate() error {
+	return asError("catalogue", validate(c, positions{}))
+}
+
+// validator collects problems.
+type validator struct {
+	c        *Catalogue
+	pos      positions
+	problems []Problem
+	models   map[string]*Model
+	spaces   map[string]*Workspace
+}
+
+func validate(c *Catalogue, pos positions) []Problem {
+	v := &validator{c: c, pos: pos, models: map[string]*Model{}, spaces: map[string]*Workspace{}}
+	v.fractions()
+	v.draining()
+	v.checkModels()
+	v.checkWorkspaces()
+	v.checkEntries()
+	return v.problems
+}
+
+func (v *validator) report(path, value, allowed string) {
+	v.problems = append(v.problems, Problem{Line: v.pos.line(path), Path: path, Value: value, Allowed: allowed})
+}
+
+func (v *validator) fractions() {
+	c := v.c
+	v.between("background_floor", c.BackgroundFloor, 0, maxFraction)
+	v.between("urgent_reserve", c.UrgentReserve, 0, maxFraction)
+	if sum := c.BackgroundFloor + c.UrgentReserve; sum >= maxFractionSum {
+		v.report("urgent_reserve", number(c.UrgentReserve),
+			fmt.Sprintf("background_floor and urgent_reserve together must be under %v (they are %s)", maxFractionSum, number(sum)))
+	}
+}
+
+func (v *validator) draining() {
+	v.names("draining", v.c.Draining)
+}
+
+func (v *validator) checkModels() {
+	for i := range v.c.Models {
+		m := &v.c.Models[i]
+		path := fmt.Sprintf("models[%d]", i)
+		v.name(path+".name", m.Name)
+		if v.models[m.Name] != nil {
+			v.report(path+".name", m.Name, "the names of models must differ")
+		}
+		v.models[m.Name] = m
+		if m.Replicas < 0 {
+			v.report(path+".replicas", strconv.Itoa(m.Replicas), "0 or more")
+		}
+		v.names(path+".adapters", m.Adapters)
+	}
+}
+
+func (v *validator) checkWorkspaces() {
+	if len(v.c.Workspaces) == 0 {
+		v.report("workspaces", "", "at least one workspace")
+	}
+	owners := map[string]string{}
+	for i := range v.c.Workspaces {
+		w := &v.c.Workspaces[i]
+		path := fmt.Sprintf("workspaces[%d]", i)
+		v.name(path+".name", w.Name)
+		if v.spaces[w.Name] != nil {
+			v.report(path+".name", w.Name, "the names of workspaces must differ")
+		}
+		v.spaces[w.Name] = w
+		if !(w.Weight > 0 && w.Weight <= maxWeight) {
+			v.report(path+".weight", number(w.Weight), fmt.Sprintf("more than 0 and at most %v", float64(maxWeight)))
+		}
+		v.limits(path+".limits", w.Limits)
+		v.keys(path+".key_digests", w, owners)
+	}
+}
+
+// maxWeight keeps virtual times of the fair queue comparable in a float64.
+const maxWeight = 1e6
+
+func (v *validator) keys(path string, w *Workspace, owners map[string]string) {
+	if len(w.KeyDigests) == 0 {
+		v.report(path, "", "at least one key digest")
+	}
+	for i, d := range w.KeyDigests {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if !digestPattern.MatchString(d) {
+			v.report(at, d, digestRule)
+			continue
+		}
+		if owner, taken := owners[d]; taken {
+			v.report(at, d, "a key belongs to one workspace; this one is also listed at "+owner)
+			continue
+		}
+		owners[d] = w.Name
+	}
+}
+
+func (v *validator) limits(path string, l Limits) {
+	v.notNegative(path+".requests_per_second", l.RequestsPerSecond)
+	v.notNegative(path+".tokens_per_second", l.TokensPerSecond)
+	v.notNegative(path+".concurrent", float64(l.Concurrent))
+}
+
+func (v *validator) name(path, name string) {
+	if !namePattern.MatchString(name) {
+		v.report(path, name, nameRule)
+	}
+}
+
+// names checks a list of names that must differ.
+func (v *validator) names(path string, names []string) {
+	seen := map[string]bool{}
+	for i, n := range names {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		v.name(at, n)
+		if seen[n] {
+			v.report(at, n, "the names in this list must differ")
+		}
+		seen[n] = true
+	}
+}
+
+// The comparisons are written so that NaN fails them.
+
+func (v *validator) between(path string, x, low, high float64) {
+	if !(x >= low && x <= high) {
+		v.report(path, number(x), fmt.Sprintf("%v to %v", low, high))
+	}
+}
+
+func (v *validator) notNegative(path string, x float64) {
+	if !(x >= 0 && x <= maxLimit) {
+		v.report(path, number(x), fmt.Sprintf("0 (unlimited) to %v", float64(maxLimit)))
+	}
+}
+
+// maxLimit is far above any rate of the target size and below infinity.
+const maxLimit = 1e9
+
+func number(x float64) string { return strconv.FormatFloat(x, 'g', 6, 64) }
