--- a/internal/version/catalogue/snapshot.go
+++ b/internal/version/catalogue/snapshot.go
@@ -17,8 +17,11 @@
 // Snapshot is one accepted revision with its indexes. It is immutable.
 type Snapshot struct {
 	*Catalogue
-	Revision   int64
-	Digest     string
+	Revision int64
+	Digest   string
+	// Body holds the bytes that Digest names, for peers that fetch them; it is
+	// nil in a snapshot that was not read from a body.
+	Body       []byte
 	entries    map[string]*Entry
 	workspaces map[string]*Workspace
 	byKey      map[string]*Workspace
--- /dev/null
+++ b/internal/version/revision/editor.go
@@ -0,0 +1,151 @@
+package revision
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// historyTimeout bounds the wait for the history row after an edit was
+// accepted. A missing row is written by the next edit.
+const historyTimeout = time.Second
+
+// Editor applies the edits of operators. It is safe for concurrent use.
+type Editor struct {
+	Store
+	// Now gives the wall clock shown to operators; nil means time.Now.
+	Now func() time.Time
+}
+
+// NewEditor returns an editor on the platform's services.
+func NewEditor(t Table, o Objects) *Editor {
+	return &Editor{Store: Store{Table: t, Objects: o}}
+}
+
+// Accepted is an accepted edit.
+type Accepted struct {
+	Revision Revision
+	// HistoryErr is set when the history row could not be written yet.
+	HistoryErr error
+}
+
+// Apply makes the body the next revision if base is the current one. The first
+// edit has base 0. Steps are retried until the context ends.
+//
+// Errors: *catalogue.InvalidError, *ConflictError and *NotAcceptedError mean
+// that the edit is not accepted and never will be. *UnresolvedError means that
+// it may have been accepted.
+func (e *Editor) Apply(ctx context.Context, base int64, body []byte, author, message string) (Accepted, error) {
+	if _, err := catalogue.Parse("catalogue", body); err != nil {
+		return Accepted{}, err
+	}
+	if strings.TrimSpace(author) == "" || strings.TrimSpace(message) == "" {
+		return Accepted{}, &NotAcceptedError{Cause: errors.New("author and message must not be empty")}
+	}
+	current, row, err := e.currentHead(ctx)
+	if err != nil {
+		return Accepted{}, &NotAcceptedError{Cause: err}
+	}
+	if current.Number != base {
+		return Accepted{}, e.conflict(ctx, base, current)
+	}
+	next := Revision{
+		Number:  base + 1,
+		Digest:  catalogue.Digest(body),
+		Author:  author,
+		Message: message,
+		Nonce:   ulid.Make().String(),
+		At:      e.now().UTC(),
+	}
+	if err := e.prepare(ctx, current, next, body); err != nil {
+		return Accepted{}, &NotAcceptedError{Cause: err}
+	}
+	if err := e.swap(ctx, base, row, next); err != nil {
+		return Accepted{}, err
+	}
+	return Accepted{Revision: next, HistoryErr: e.record(ctx, next)}, nil
+}
+
+func (e *Editor) now() time.Time {
+	if e.Now == nil {
+		return time.Now()
+	}
+	return e.Now()
+}
+
+// currentHead returns the zero Revision and Row before the first edit.
+func (e *Editor) currentHead(ctx context.Context) (Revision, platform.Row, error) {
+	type pair struct {
+		head Revision
+		row  platform.Row
+	}
+	p, err := retry(ctx, func() (pair, error) {
+		head, row, err := e.headRow(ctx)
+		return pair{head, row}, err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return Revision{}, platform.Row{}, nil
+	}
+	return p.head, p.row, err
+}
+
+// prepare stores the body and makes sure that the current revision has its
+// history row. The row must exist before the head moves on: an editor whose
+// answer was lost finds its nonce there.
+func (e *Editor) prepare(ctx context.Context, current, next Revision, body []byte) error {
+	if err := retryErr(ctx, func() error { return e.putBody(ctx, next.Digest, body) }); err != nil {
+		return err
+	}
+	if current.Number == 0 {
+		return nil
+	}
+	return retryErr(ctx, func() error { return e.putHistory(ctx, current) })
+}
+
+// record writes the history row of an accepted edit.
+func (e *Editor) record(ctx context.Context, accepted Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	return retryErr(ctx, func() error { return e.putHistory(ctx, accepted) })
+}
+
+// conflict describes an edit that lost, with the diff if the bodies can be read.
+func (e *Editor) conflict(ctx context.Context, base int64, current Revision) *ConflictError {
+	c := &ConflictError{Base: base, Current: current}
+	after, err := e.parsed(ctx, current)
+	if err != nil {
+		c.DiffErr = err
+		return c
+	}
+	var before *catalogue.Catalogue
+	if base > 0 {
+		old, err := retry(ctx, func() (Revision, error) { return e.history(ctx, base) })
+		if err == nil {
+			before, err = e.parsed(ctx, old)
+		}
+		if err != nil {
+			c.DiffErr = err
+			return c
+		}
+	}
+	c.Changes = catalogue.Diff(before, after)
+	return c
+}
+
+func (e *Editor) parsed(ctx context.Context, r Revision) (*catalogue.Catalogue, error) {
+	if r.Number == 0 {
+		return nil, nil
+	}
+	body, err := retry(ctx, func() ([]byte, error) { return e.Body(ctx, r.Digest) })
+	if err != nil {
+		return nil, err
+	}
+	return catalogue.Parse(fmt.Sprintf("revision-%d", r.Number), body)
+}
--- /dev/null
+++ b/internal/version/revision/editor_test.go
@@ -0,0 +1,225 @@
+package revision
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/version/catalogue"
+)
+
+func apply(e *Editor, base int64, n int) (Accepted, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return e.Apply(ctx, base, body(n), "ann", fmt.Sprintf("edit %d", n))
+}
+
+// Guards against two operators whose edits both seem accepted, and against a
+// loser who isn't shown what changed.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	_, err := apply(f.editor(), 0, 0)
+	is.NoErr(err)
+	errs := make([]error, 8)
+	var wg sync.WaitGroup
+	for i := range errs {
+		wg.Go(func() { _, errs[i] = apply(f.editor(), 1, i+1) })
+	}
+	wg.Wait()
+	won := 0
+	for _, err := range errs {
+		if err == nil {
+			won++
+			continue
+		}
+		var c *ConflictError
+		is.True(errors.As(err, &c))
+		is.Equal(c.Current.Number, int64(2))
+		is.Equal(len(c.Changes), 1)
+		is.Equal(c.Changes[0].Field, "weight")
+		is.True(strings.Contains(err.Error(), "~ workspace one weight: 1 -> "))
+	}
+	is.Equal(won, 1)
+}
+
+// Guards against an edit whose result is wrong after a fault of the platform.
+func TestEditFaults(t *testing.T) {
+	// onHead gives the n-th write of the head a fault.
+	onHead := func(n int, what fault) func(f *fakePlatform) {
+		return func(f *fakePlatform) {
+			f.next = func(key string) fault {
+				if key != HeadKey {
+					return none
+				}
+				if n--; n == 0 {
+					return what
+				}
+				return none
+			}
+		}
+	}
+	isAs := func(target any) func(error) bool { return func(err error) bool { return errors.As(err, target) } }
+	accepted := func(err error) bool { return err == nil }
+	cases := map[string]struct {
+		prepare func(f *fakePlatform)
+		want    func(error) bool
+		head    int64
+	}{
+		"answer lost after the effect":  {onHead(1, answerLost), accepted, 2},
+		"write lost":                    {onHead(1, dropped), accepted, 2},
+		"late effect of the first copy": {onHead(1, late), accepted, 2},
+		"every head write lost": {func(f *fakePlatform) {
+			f.next = func(key string) fault { return map[bool]fault{true: dropped}[key == HeadKey] }
+		}, isAs(new(*UnresolvedError)), 1},
+		"answer lost, then two other edits": {func(f *fakePlatform) {
+			onHead(1, answerLost)(f)
+			once := sync.OnceFunc(func() {
+				for base := int64(2); base < 4; base++ {
+					if _, err := apply(f.editor(), base, int(base)*10); err != nil {
+						panic(err)
+					}
+				}
+			})
+			f.afterWrite = func(key string) {
+				if key == HeadKey {
+					f.afterWrite = func(string) {}
+					once()
+				}
+			}
+		}, accepted, 4},
+		"down before the edit": {func(f *fakePlatform) { f.down = true }, isAs(new(*NotAcceptedError)), 1},
+		"down right after the effect": {func(f *fakePlatform) {
+			onHead(1, answerLost)(f)
+			f.afterWrite = func(key string) { f.set(key == HeadKey) }
+		}, isAs(new(*UnresolvedError)), 2},
+		"history row fails": {func(f *fakePlatform) {
+			f.next = func(key string) fault { return map[bool]fault{true: dropped}[key == HistoryKey(2)] }
+		}, accepted, 2},
+		"damaged body": {func(f *fakePlatform) { f.objects[catalogue.Digest(body(1))] = []byte("damaged") }, isAs(new(*NotAcceptedError)), 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFake()
+				e := f.editor()
+				_, err := apply(e, 0, 0)
+				is.NoErr(err)
+				c.prepare(f)
+				_, err = apply(e, 1, 1)
+				if !c.want(err) {
+					t.Fatalf("unexpected result: %v", err)
+				}
+				time.Sleep(time.Second)
+				f.set(false)
+				f.next, f.afterWrite = func(string) fault { return none }, func(string) {}
+				head, err := e.Head(t.Context())
+				is.NoErr(err)
+				is.Equal(head.Number, c.head)
+				_, err = apply(e, head.Number, 99)
+				is.NoErr(err)
+				list, err := e.History(t.Context(), 10)
+				is.NoErr(err) // a missing history row is repaired by the next edit
+				is.Equal(len(list), int(c.head)+1)
+			})
+		})
+	}
+}
+
+// Guards against an edit reported as accepted that is not in the history, and
+// one reported as not accepted that is, under any faults of the writes.
+func TestEditOutcomeProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom([]fault{none, none, dropped, answerLost, late}), 60, 60).Draw(rt, "faults")
+		var problem string
+		synctest.Test(t, func(*testing.T) { problem = editOutcomes(faults) })
+		if problem != "" {
+			rt.Fatal(problem)
+		}
+	})
+}
+
+// editOutcomes lets three editors race under faults and compares their results
+// with the history.
+func editOutcomes(faults []fault) (problem string) {
+	f := newFake()
+	f.next = func(string) (what fault) {
+		if len(faults) > 0 {
+			what, faults = faults[0], faults[1:]
+		}
+		return what
+	}
+	var mu sync.Mutex
+	results := map[string]error{}
+	var wg sync.WaitGroup
+	for editor := range 3 {
+		wg.Go(func() {
+			for i := range 4 {
+				head, _ := f.editor().Head(context.Background())
+				n := 10*editor + i
+				_, err := apply(f.editor(), head.Number, n)
+				mu.Lock()
+				results[fmt.Sprintf("edit %d", n)] = err
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(time.Second)
+	list, err := f.editor().History(context.Background(), 100)
+	if err != nil {
+		return err.Error()
+	}
+	kept := map[string]bool{}
+	for i, r := range list {
+		kept[r.Message] = true
+		if want := int64(len(list) - i); r.Number != want {
+			return fmt.Sprintf("revision %d at the place of %d", r.Number, want)
+		}
+	}
+	for message, err := range results {
+		var unresolved *UnresolvedError
+		if !errors.As(err, &unresolved) && kept[message] != (err == nil) {
+			return fmt.Sprintf("%s: result %v, in the history: %v", message, err, kept[message])
+		}
+	}
+	return ""
+}
+
+// Guards against a rollback that moves the revision back instead of adding one,
+// and against an invalid body that reaches the platform.
+func TestRollbackAndRefusals(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	e := f.editor()
+	_, _, err := e.Get(t.Context(), 0)
+	is.True(errors.Is(err, platform.ErrNotFound))
+	for n := range 3 {
+		_, err = apply(e, int64(n), n)
+		is.NoErr(err)
+	}
+	a, err := e.Rollback(t.Context(), 3, 1, "ann", "")
+	is.NoErr(err)
+	is.Equal(a.Revision.Number, int64(4))
+	r, got, err := e.Get(t.Context(), 4)
+	is.NoErr(err)
+	is.Equal(string(got), string(body(0)))
+	is.Equal(r.Message, "rollback to revision 1")
+	_, _, err = e.Get(t.Context(), 9)
+	is.True(errors.Is(err, platform.ErrNotFound))
+	_, err = e.Apply(t.Context(), 4, []byte("workspaces: []"), "ann", "m")
+	var invalid *catalogue.InvalidError
+	is.True(errors.As(err, &invalid))
+	_, err = e.Apply(t.Context(), 4, body(7), "ann", " ")
+	is.True(err != nil)
+}
--- /dev/null
+++ b/internal/version/revision/fake_test.go
@@ -0,0 +1,151 @@
+package revision
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"persimmonwing/internal/connection/platform"
+)
+
+// TestMain fixes the seed, so that every run has the same verdict. The flag
+// -rapid.seed still overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var errDown = errors.New("platform down")
+
+// fault is what happens to one write.
+type fault int
+
+const (
+	none fault = iota
+	dropped
+	answerLost
+	late // takes effect 700 ms after its answer was lost
+)
+
+// fakePlatform is a table and an object store in memory.
+type fakePlatform struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	clock   int64
+	down    bool
+	// next gives the fault of the next write of a key.
+	next func(key string) fault
+	// afterWrite runs after a write took effect.
+	afterWrite func(key string)
+}
+
+func newFake() *fakePlatform {
+	return &fakePlatform{
+		rows: map[string]platform.Row{}, objects: map[string][]byte{},
+		next: func(string) fault { return none }, afterWrite: func(string) {},
+	}
+}
+
+func (f *fakePlatform) set(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakePlatform) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, errDown
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakePlatform) Txn(_ context.Context, ops []platform.CondPut) ([]platform.PutResult, error) {
+	f.mu.Lock()
+	if f.down {
+		f.mu.Unlock()
+		return nil, errDown
+	}
+	what := f.next(ops[0].Key)
+	f.mu.Unlock()
+	switch what {
+	case dropped:
+		return nil, errors.New("connection reset")
+	case late:
+		time.AfterFunc(700*time.Millisecond, func() { f.apply(ops) })
+		return nil, errors.New("timeout")
+	}
+	results := f.apply(ops)
+	f.afterWrite(ops[0].Key)
+	if what == answerLost {
+		return nil, errors.New("connection reset")
+	}
+	return results, nil
+}
+
+func (f *fakePlatform) apply(ops []platform.CondPut) []platform.PutResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []platform.PutResult
+	for _, op := range ops {
+		row := f.rows[op.Key]
+		applied := row.Revision == op.IfRevision
+		if applied {
+			f.clock++
+			row = platform.Row{Key: op.Key, Value: op.Value, Revision: f.clock}
+			f.rows[op.Key] = row
+		}
+		out = append(out, platform.PutResult{Applied: applied, Row: row})
+	}
+	return out
+}
+
+// fakeObjects is the object store of a fakePlatform.
+type fakeObjects struct{ *fakePlatform }
+
+func (f fakeObjects) Put(_ context.Context, _, key string, body []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errDown
+	}
+	if _, ok := f.objects[key]; ok {
+		return platform.ErrExists
+	}
+	f.objects[key] = body
+	return nil
+}
+
+func (f fakeObjects) Get(_ context.Context, _, key string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errDown
+	}
+	body, ok := f.objects[key]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return body, nil
+}
+
+func (f *fakePlatform) editor() *Editor { return NewEditor(f, fakeObjects{f}) }
+
+// body returns a valid body that differs by n.
+func body(n int) []byte {
+	return []byte(fmt.Sprintf("workspaces:\n  - name: one\n    weight: %d\n    key_digests: [sha256:%s]\n", n+1, strings.Repeat("0", 64)))
+}
