--- a/internal/process/schedule/pick.go
+++ b/internal/process/schedule/pick.go
@@ -1,7 +1,7 @@
 package schedule
 
 import (
-	"math/rand"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -69,7 +69,7 @@
 	if seen <= 2 {
 		return next, first
 	}
-	switch rnd.Intn(seen) {
+	switch rnd.IntN(seen) {
 	case 0:
 		return next, second
 	case 1:
--- a/internal/process/schedule/pick_test.go
+++ b/internal/process/schedule/pick_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"math/rand"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -31,7 +31,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			rnd := rand.New(rand.NewSource(1))
+			rnd := rand.New(rand.NewPCG(1, 0))
 			key, ok := PickGroup(c.candidates, Request{Model: "m", Class: c.class}, "a", rnd)
 			is.Equal(ok, c.want != "")
 			is.Equal(key.DataCentre, c.want)
