--- /dev/null
+++ b/internal/process/fleet/engines.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"persimmonwing/internal/process/standin/engine"
+)
+
+// engineHost is one engine with its listener.
+type engineHost struct {
+	name   string
+	engine *engine.Engine
+	server *server
+
+	mu   sync.Mutex
+	lost bool
+	// last and runs hold what was known before the engine was lost.
+	last engine.Counters
+	runs map[string]int
+}
+
+func (o *Options) engineSettings(i int) engine.Settings {
+	s := engine.DefaultSettings()
+	s.Name = fmt.Sprintf("engine-%d", i+1)
+	s.Models = o.Models
+	s.KVCapacityTokens = o.KVCapacityTokens
+	s.MaxBatch = o.MaxBatch
+	s.StepBase = o.StepBase
+	s.StepPerSequence = o.StepPerSequence
+	s.PrefillTokensPerSecond = o.PrefillTokensPerSecond
+	s.ReportLag = o.ReportLag
+	s.TimeScale = o.TimeScale
+	s.Seed = o.Seed + uint64(i)
+	return s
+}
+
+func (f *Fleet) startEngine(i int) error {
+	s := f.opts.engineSettings(i)
+	e, err := engine.New(s, log.NewNopLogger())
+	if err != nil {
+		return err
+	}
+	h := &engineHost{name: s.Name, engine: e}
+	// A crash ends this engine only. The server closes on another goroutine,
+	// because the engine's own one calls Exit.
+	e.Exit = func(int) { f.background.Go(h.crashed) }
+	if h.server, err = startServer(e.Handler()); err != nil {
+		return err
+	}
+	e.Start()
+	f.engines = append(f.engines, h)
+	return nil
+}
+
+func (h *engineHost) crashed() {
+	h.mu.Lock()
+	h.lost = true
+	h.mu.Unlock()
+	h.server.close()
+}
+
+// kill breaks the engine's connections and closes its listener.
+func (h *engineHost) kill(ctx context.Context) {
+	h.sample(ctx)
+	runs, err := h.engine.Runs(ctx)
+	h.mu.Lock()
+	if err == nil {
+		h.runs = runs
+	}
+	h.lost = true
+	h.mu.Unlock()
+	h.engine.Close()
+	h.server.close()
+}
+
+// sample keeps the counters for the time after the engine is lost.
+func (h *engineHost) sample(ctx context.Context) {
+	c, err := h.engine.Counters(ctx)
+	if err != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.last = c
+}
+
+func (h *engineHost) isLost() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lost
+}
+
+// samplePeriod bounds the age of the counters of an engine that crashed.
+const samplePeriod = 100 * time.Millisecond
+
+func (f *Fleet) sampleEngines(ctx context.Context) {
+	tick := time.NewTicker(samplePeriod)
+	defer tick.Stop()
+	for {
+		for _, h := range f.engines {
+			h.sample(ctx)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Counters are the totals of a fleet at a moment.
+type Counters struct {
+	At time.Time
+	engine.Counters
+	// Engines counts the engines that are not lost.
+	Engines int
+	// SlotSeconds is the use of batch slots so far.
+	SlotSeconds float64
+	// ByEngine holds the accepted generations by engine name.
+	ByEngine map[string]int64
+}
+
+// Counters sums up the counters of all engines, lost ones included.
+func (f *Fleet) Counters(ctx context.Context) Counters {
+	sum := Counters{At: time.Now(), ByEngine: map[string]int64{}}
+	for _, h := range f.engines {
+		h.sample(ctx)
+		h.mu.Lock()
+		c := h.last
+		if !h.lost {
+			sum.Engines++
+		}
+		h.mu.Unlock()
+		sum.ByEngine[h.name] = c.Accepted
+		sum.add(c)
+	}
+	return sum
+}
+
+func (s *Counters) add(c engine.Counters) {
+	s.Accepted += c.Accepted
+	s.Completed += c.Completed
+	s.Cancelled += c.Cancelled
+	s.Incomplete += c.Incomplete
+	s.Preempted += c.Preempted
+	s.Tokens += c.Tokens
+	s.BusySteps += c.BusySteps
+	s.BatchSum += c.BatchSum
+	s.BusyMS += c.BusyMS
+	s.Running += c.Running
+	s.Waiting += c.Waiting
+	s.MaxBatch = max(s.MaxBatch, c.MaxBatch)
+	if c.BusySteps > 0 {
+		s.SlotSeconds += float64(c.BatchSum) * c.BusyMS / float64(c.BusySteps) / 1000
+	}
+}
+
+// Utilisation is the part of the batch slots in use between two moments. Only
+// engines that were live at the later one are available.
+func Utilisation(from, to Counters) float64 {
+	available := float64(to.MaxBatch*to.Engines) * to.At.Sub(from.At).Seconds()
+	if available <= 0 {
+		return 0
+	}
+	return (to.SlotSeconds - from.SlotSeconds) / available
+}
+
+// Runs sums up the runs of each generation over all engines. The last runs of
+// an engine that crashed by itself are not known.
+func (f *Fleet) Runs(ctx context.Context) map[string]int {
+	sum := map[string]int{}
+	for _, h := range f.engines {
+		h.mu.Lock()
+		runs := maps.Clone(h.runs)
+		h.mu.Unlock()
+		if live, err := h.engine.Runs(ctx); err == nil {
+			runs = live
+		}
+		for id, n := range runs {
+			sum[id] += n
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/process/loadgen/cli/experiment.go
@@ -0,0 +1,127 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/go-kit/log"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmonwing/internal/process/gateway"
+	"persimmonwing/internal/process/loadgen/experiment"
+	"persimmonwing/internal/process/logging"
+)
+
+func experimentCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("loadgen experiment", stderr)
+	var report reportFlags
+	report.add(fs)
+	seed := fs.Uint64("seed", 1, "seed of arrivals, lengths and balancing")
+	scale := fs.String("scale", experiment.ScaleToday, "`size` of the fleet: small or today")
+	policies := fs.String("policies", gateway.PolicyBaseline+","+gateway.PolicyOwner, "`policies` to compare, separated by commas; ratios refer to the first one")
+	disable := fs.String("disable", "", "`mechanisms` to switch off, separated by commas")
+	logLevel := fs.String("log", "", "write the gateways' log from this `level` on to stderr")
+	return &ffcli.Command{
+		Name:       "experiment",
+		ShortUsage: "loadgen experiment [flags] NAME",
+		ShortHelp:  "Runs an experiment on a fleet in this process, once for each policy.",
+		LongHelp:   "Experiments:\n" + list(),
+		FlagSet:    fs,
+		Options:    options(),
+		Exec: marked(func(ctx context.Context, args []string) error {
+			name, err := experimentName(fs.Parse, args)
+			if err != nil {
+				return err
+			}
+			if err := checkOutput(report.output); err != nil {
+				return err
+			}
+			s := experiment.Settings{Seed: *seed, Scale: *scale, Policies: split(*policies), Disable: split(*disable)}
+			if s.Logger, err = gatewayLog(stderr, *logLevel); err != nil {
+				return err
+			}
+			return runExperiment(ctx, name, s, report, stdout, stderr)
+		}),
+	}
+}
+
+// experimentName takes the name, which may stand before or after the flags.
+func experimentName(parse func([]string) error, args []string) (string, error) {
+	if len(args) == 0 {
+		return "", usage(fmt.Errorf("an experiment's name is needed; use one of:\n%s", list()))
+	}
+	if err := parse(args[1:]); err != nil {
+		return "", usage(err)
+	}
+	return args[0], nil
+}
+
+func list() string {
+	var b strings.Builder
+	for _, d := range experiment.Definitions() {
+		fmt.Fprintf(&b, "  %-18s %s\n", d.Name, d.Summary)
+	}
+	return b.String()
+}
+
+func split(v string) []string {
+	return strings.FieldsFunc(v, func(r rune) bool { return r == ',' })
+}
+
+// gatewayLog returns nil for the empty level.
+func gatewayLog(w io.Writer, level string) (log.Logger, error) {
+	if level == "" {
+		return nil, nil
+	}
+	o := logging.DefaultOptions()
+	o.Level = level
+	if err := o.Validate(); err != nil {
+		return nil, usage(err)
+	}
+	return logging.New(w, o, "fleet"), nil
+}
+
+func checkSettings(s experiment.Settings) error {
+	allowed := []string{gateway.PolicyBaseline, gateway.PolicyOwner, gateway.PolicyShares}
+	if len(s.Policies) == 0 {
+		return fmt.Errorf("policies: has 0 elements; allowed are 1 or more of %q", allowed)
+	}
+	for _, p := range s.Policies {
+		if !slices.Contains(allowed, p) {
+			return fmt.Errorf("policies: %q is not allowed; use some of %q", p, allowed)
+		}
+	}
+	if s.Scale != experiment.ScaleSmall && s.Scale != experiment.ScaleToday {
+		return fmt.Errorf("scale: %q is not allowed; use %s or %s", s.Scale, experiment.ScaleSmall, experiment.ScaleToday)
+	}
+	return nil
+}
+
+func runExperiment(ctx context.Context, name string, s experiment.Settings, report reportFlags, stdout, stderr io.Writer) error {
+	d, err := experiment.Find(name)
+	if err != nil {
+		return usage(err)
+	}
+	if err := checkSettings(s); err != nil {
+		return usage(err)
+	}
+	bar := newProgress(stderr)
+	s.Progress = bar.show
+	c, err := d.Run(ctx, s)
+	bar.end()
+	if err != nil {
+		return err
+	}
+	if err := report.write(stdout, c); err != nil {
+		return err
+	}
+	for _, p := range c.Policies {
+		if len(p.Violations) > 0 {
+			return errFailed
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/loadgen/cli/run.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmonwing/internal/process/loadgen"
+	"persimmonwing/internal/process/settings"
+)
+
+// report is what both commands write.
+type report interface {
+	WriteTable(w io.Writer) error
+	WritePlots(dir string) error
+}
+
+// reportFlags say how to write a report.
+type reportFlags struct{ output, plots string }
+
+func (f *reportFlags) add(fs *flag.FlagSet) {
+	fs.StringVar(&f.output, "output", outputTable, "`format` of the results: table or json")
+	fs.StringVar(&f.plots, "plots", "", "write SVG plots into this `directory`")
+}
+
+func (f *reportFlags) write(w io.Writer, r report) error {
+	if f.plots != "" {
+		if err := r.WritePlots(f.plots); err != nil {
+			return err
+		}
+	}
+	if f.output == outputTable {
+		return r.WriteTable(w)
+	}
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+func runCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("loadgen run", stderr)
+	var report reportFlags
+	report.add(fs)
+	workload := fs.String("workload", "", "YAML `file` with the workload (required)")
+	targets := fs.String("targets", "", "base `URLs` of gateways, separated by commas (required)")
+	duration := fs.Duration("duration", 30*time.Second, "time in which requests are sent")
+	grace := fs.Duration("grace", 10*time.Second, "time for requests in progress to end after that")
+	seed := fs.Uint64("seed", 1, "seed of arrivals, lengths and balancing")
+	return &ffcli.Command{
+		Name:       "run",
+		ShortUsage: "loadgen run -workload FILE -targets URL,... [flags]",
+		ShortHelp:  "Sends a workload to gateways.",
+		FlagSet:    fs,
+		Options:    options(),
+		Exec: marked(func(ctx context.Context, _ []string) error {
+			c := loadgen.Config{Duration: *duration, Grace: *grace, Seed: *seed, ResumeFor: loadgen.DefaultResumeFor}
+			if err := complete(&c, *workload, *targets, report.output); err != nil {
+				return err
+			}
+			return runLoad(ctx, c, report, stdout, stderr)
+		}),
+	}
+}
+
+// complete checks the flags and reads the workload.
+func complete(c *loadgen.Config, workload, targets, output string) error {
+	if err := checkOutput(output); err != nil {
+		return err
+	}
+	if c.Duration <= 0 || c.Grace < 0 {
+		return usage(fmt.Errorf("duration, grace: %v and %v are not allowed; use more than 0s and 0s or more", c.Duration, c.Grace))
+	}
+	var err error
+	if c.Targets, err = loadgen.ParseTargets(strings.FieldsFunc(targets, func(r rune) bool { return r == ',' })); err != nil {
+		return usage(err)
+	}
+	c.Workload = &loadgen.Workload{}
+	if err := settings.Load(workload, c.Workload); err != nil {
+		return usage(err)
+	}
+	return nil
+}
+
+func runLoad(ctx context.Context, c loadgen.Config, report reportFlags, stdout, stderr io.Writer) error {
+	bar := newProgress(stderr)
+	c.Progress = func(elapsed time.Duration, requests, tokens int) {
+		bar.show("load", elapsed, c.Duration+c.Grace, requests, tokens)
+	}
+	result, err := loadgen.Run(ctx, c)
+	bar.end()
+	if err != nil {
+		return err
+	}
+	if err := report.write(stdout, result); err != nil {
+		return err
+	}
+	if len(result.Violations) > 0 {
+		return errFailed
+	}
+	return nil
+}
--- a/internal/process/loadgen/length.go
+++ b/internal/process/loadgen/length.go
@@ -42,16 +42,27 @@
 	return l.cut(l.Median * math.Exp(l.Sigma*n))
 }
 
-// Mean returns the mean length, computed by the midpoint rule over quantiles.
+// Mean returns the mean length.
 func (l Length) Mean() float64 {
+	return l.integrate(func(n float64) float64 { return n })
+}
+
+// WeightedMean returns the mean length of the generation that a random token
+// belongs to.
+func (l Length) WeightedMean() float64 {
+	return l.integrate(func(n float64) float64 { return n * n }) / l.Mean()
+}
+
+// integrate returns the mean of f by the midpoint rule over quantiles.
+func (l Length) integrate(f func(float64) float64) float64 {
 	if l.Fixed > 0 {
-		return float64(l.Fixed)
+		return f(float64(l.Fixed))
 	}
 	const quantiles = 2000
 	sum := 0.0
 	for i := range quantiles {
 		z := math.Sqrt2 * math.Erfinv(2*(float64(i)+0.5)/quantiles-1)
-		sum += float64(l.cut(l.Median * math.Exp(l.Sigma*z)))
+		sum += f(float64(l.cut(l.Median * math.Exp(l.Sigma*z))))
 	}
 	return sum / quantiles
 }
--- a/internal/process/loadgen/result.go
+++ b/internal/process/loadgen/result.go
@@ -45,6 +45,8 @@
 	Classes    []Group `json:"classes"`
 	Workspaces []Group `json:"workspaces"`
 	Streams    []Group `json:"streams"`
+	// Groups are the groups that the workload names.
+	Groups []Group `json:"groups,omitempty"`
 }
 
 // Group is the result of a set of streams. Service calls form groups of their
@@ -78,6 +80,9 @@
 // Refused is the number of requests that were refused as not run.
 func (g *Group) Refused() int { return g.Executions[api.NotRun] }
 
+// Completed is the number of requests that were served whole.
+func (g *Group) Completed() int { return g.Outcomes[OutcomeCompleted] }
+
 // Unknown is the number of requests of which the caller does not know whether
 // they ran.
 func (g *Group) Unknown() int { return g.Executions[api.Unknown] }
@@ -110,6 +115,7 @@
 		Classes:    group(func(s *Stream) string { return groupName(string(s.Class), s.Kind) }),
 		Workspaces: group(func(s *Stream) string { return groupName(s.Workspace, s.Kind) }),
 		Streams:    group(func(s *Stream) string { return s.Name }),
+		Groups:     group(func(s *Stream) string { return s.Group }),
 	}
 }
 
@@ -125,6 +131,9 @@
 	members := map[string][]*cell{}
 	for i := range r.streams {
 		k := key(&r.streams[i])
+		if k == "" {
+			continue
+		}
 		members[k] = append(members[k], r.cells[w][i])
 	}
 	var out []Group
@@ -224,11 +233,16 @@
 }
 
 // Class returns the group of a class's generations; it is empty if there is none.
-func (w *WindowResult) Class(c catalogue.Class) Group {
-	if g := find(w.Classes, func(g *Group) bool { return g.Name == string(c) }); g != nil {
+func (w *WindowResult) Class(c catalogue.Class) Group { return named(w.Classes, string(c)) }
+
+// Group returns a group that the workload names; it is empty if there is none.
+func (w *WindowResult) Group(name string) Group { return named(w.Groups, name) }
+
+func named(groups []Group, name string) Group {
+	if g := find(groups, func(g *Group) bool { return g.Name == name }); g != nil {
 		return *g
 	}
-	return Group{}
+	return Group{Name: name}
 }
 
 func find[T any](list []T, match func(*T) bool) *T {
--- a/internal/process/loadgen/table.go
+++ b/internal/process/loadgen/table.go
@@ -45,7 +45,7 @@
 	for _, part := range []struct {
 		prefix string
 		groups []Group
-	}{{"", []Group{r.Total}}, {"class ", r.Classes}, {"workspace ", r.Workspaces}, {"stream ", r.Streams}} {
+	}{{"", []Group{r.Total}}, {"class ", r.Classes}, {"workspace ", r.Workspaces}, {"group ", r.Groups}, {"stream ", r.Streams}} {
 		for _, g := range part.groups {
 			fmt.Fprintln(t, part.prefix+g.row())
 		}
--- a/internal/process/loadgen/workload.go
+++ b/internal/process/loadgen/workload.go
@@ -30,6 +30,8 @@
 	Kind      catalogue.Kind `yaml:"kind"`
 	// Class is used for reporting; the catalogue decides the real one.
 	Class catalogue.Class `yaml:"class"`
+	// Group, if set, adds the stream to a group of this name in reports.
+	Group string `yaml:"group"`
 	// Rate is the mean number of arrivals per second.
 	Rate   float64 `yaml:"rate"`
 	Phases []Phase `yaml:"phases"`
