Add persimmonctl: catalogue edits, status, explain and drains

The command is thin over internal/process/operator. A dangerous edit (a workspace, entry or model removed; more servers draining than half of the replicas that the models ask for) needs a confirmation or -yes. The revision shown before the confirmation is the base of the edit, so an edit made meanwhile is a conflict. A stored body that a newer build no longer accepts can still be replaced, after a confirmation.

When the outcome of an edit is not known after -timeout, the command repeats the same edit with the same nonce for up to -resolve-timeout (10 min), through the new Editor.Resume, instead of ending undecided.

The clients of table and object store are not wired yet: connect.go returns an error. The tests run 38 command lines against in-memory fakes.

--- /dev/null
+++ b/internal/process/operator/edit.go
@@ -0,0 +1,218 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/version/catalogue"
+	"persimmonwing/internal/version/revision"
+)
+
+// noBase is the value of -base that stands for the current revision.
+const noBase = -1
+
+func (c *command) apply() *ffcli.Command {
+	fs := flag.NewFlagSet("apply", flag.ContinueOnError)
+	base := fs.Int64("base", noBase, "revision the file is based on; the edit is refused if it is not current (default: the current one)")
+	message := fs.String("message", "", "reason for the edit")
+	yes := fs.Bool("yes", false, "don't ask before a dangerous edit")
+	return &ffcli.Command{
+		Name: "apply", ShortUsage: "persimmonctl catalogue apply FILE [-base N] -message M [-yes]", ShortHelp: "make a file the next revision",
+		FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := interleaved(fs, args)
+			if err != nil {
+				return err
+			}
+			if *message == "" {
+				return usagef("apply: -message is needed")
+			}
+			_, body, err := readFile(args)
+			if err != nil {
+				return err
+			}
+			return c.submit(ctx, *base, body, *message, *yes)
+		},
+	}
+}
+
+func (c *command) rollback() *ffcli.Command {
+	fs := flag.NewFlagSet("rollback", flag.ContinueOnError)
+	message := fs.String("message", "", "reason for the edit")
+	yes := fs.Bool("yes", false, "don't ask before a dangerous edit")
+	return &ffcli.Command{
+		Name: "rollback", ShortUsage: "persimmonctl catalogue rollback N [-message M] [-yes]", ShortHelp: "make an older body the next revision",
+		FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := interleaved(fs, args)
+			if err != nil {
+				return err
+			}
+			if len(args) != 1 {
+				return usagef("rollback: one revision is needed")
+			}
+			number, err := strconv.ParseInt(args[0], 10, 64)
+			if err != nil || number < 1 {
+				return usagef("rollback: %q is not allowed; a revision number from 1", args[0])
+			}
+			e, err := c.editor()
+			if err != nil {
+				return err
+			}
+			_, body, err := e.Get(ctx, number)
+			if err != nil {
+				return err
+			}
+			if *message == "" {
+				*message = fmt.Sprintf("rollback to revision %d", number)
+			}
+			return c.submit(ctx, noBase, body, *message, *yes)
+		},
+	}
+}
+
+func (c *command) drainCommand(name string, drain bool) *ffcli.Command {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	message := fs.String("message", "", "reason for the edit")
+	yes := fs.Bool("yes", false, "don't ask before a dangerous edit")
+	help := map[bool]string{true: "send a backend server no new work", false: "send a drained backend server work again"}[drain]
+	return &ffcli.Command{
+		Name: name, ShortUsage: "persimmonctl " + name + " NAME [-message M] [-yes]", ShortHelp: help,
+		FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := interleaved(fs, args)
+			if err != nil {
+				return err
+			}
+			if len(args) != 1 {
+				return usagef("%s: the name of one backend server is needed", name)
+			}
+			e, err := c.editor()
+			if err != nil {
+				return err
+			}
+			r, body, err := e.Get(ctx, 0)
+			if err != nil {
+				return err
+			}
+			edited, changed, err := catalogue.SetDraining(body, args[0], drain)
+			if err != nil {
+				return err
+			}
+			if !changed {
+				return c.print(r, nil, [][]string{{fmt.Sprintf("no changes: revision %d already says so", r.Number)}})
+			}
+			if *message == "" {
+				*message = name + " " + args[0]
+			}
+			return c.submit(ctx, r.Number, edited, *message, *yes)
+		},
+	}
+}
+
+// submit shows the changes, asks if they are dangerous and applies the body.
+func (c *command) submit(ctx context.Context, base int64, body []byte, message string, yes bool) error {
+	e, err := c.editor()
+	if err != nil {
+		return err
+	}
+	head, before, err := current(ctx, e, 0)
+	var invalid *catalogue.InvalidError
+	if err != nil && !errors.As(err, &invalid) {
+		return err
+	}
+	if base == noBase {
+		base = head.Number
+	}
+	after, err := catalogue.Parse("catalogue", body)
+	if err != nil {
+		return err
+	}
+	if base == head.Number {
+		if head.Digest == catalogue.Digest(body) {
+			return c.print(head, nil, [][]string{{fmt.Sprintf("no changes: revision %d has this body", head.Number)}})
+		}
+		if err := c.review(before, after, invalid, yes); err != nil {
+			return err
+		}
+	}
+	accepted, err := c.applyResolved(e, base, body, message)
+	if err != nil {
+		return err
+	}
+	if accepted.HistoryErr != nil {
+		fmt.Fprintf(c.Stderr, "the history row is not written yet, the next edit does it: %v\n", accepted.HistoryErr)
+	}
+	return c.print(accepted.Revision, nil, [][]string{{fmt.Sprintf("accepted as revision %d", accepted.Revision.Number)}})
+}
+
+// review shows the changes and asks if they are dangerous. A current body that
+// a newer build no longer accepts must stay replaceable, so it only needs a
+// confirmation.
+func (c *command) review(before, after *catalogue.Catalogue, invalid *catalogue.InvalidError, yes bool) error {
+	changes := catalogue.Diff(before, after)
+	for _, ch := range changes {
+		fmt.Fprintln(c.Stderr, ch)
+	}
+	reasons := dangers(changes, after)
+	if invalid != nil {
+		reasons = append(reasons, "the current body isn't valid, so the changes against it are not known: "+invalid.Error())
+	}
+	return c.confirm(yes, reasons)
+}
+
+// applyResolved applies an edit and, if its answer was lost, waits for the
+// platform until the outcome is known.
+func (c *command) applyResolved(e *revision.Editor, base int64, body []byte, message string) (revision.Accepted, error) {
+	ctx, cancel := context.WithTimeout(c.parent, c.timeout)
+	defer cancel()
+	accepted, err := e.Apply(ctx, base, body, c.author, message)
+	var unresolved *revision.UnresolvedError
+	if !errors.As(err, &unresolved) {
+		return accepted, err
+	}
+	fmt.Fprintf(c.Stderr, "%v\nwaiting up to %v for the platform to find out\n", err, c.resolve)
+	ctx, cancel = context.WithTimeout(c.parent, c.resolve)
+	defer cancel()
+	return e.Resume(ctx, unresolved)
+}
+
+// dangers lists why an edit needs a confirmation. The catalogue doesn't list
+// the backend servers; the replicas it asks for stand in for their number.
+func dangers(changes []catalogue.Change, after *catalogue.Catalogue) []string {
+	var reasons []string
+	for _, ch := range catalogue.Dangerous(changes) {
+		reasons = append(reasons, ch.String())
+	}
+	replicas := 0
+	for _, m := range after.Models {
+		replicas += m.Replicas
+	}
+	drains := slices.ContainsFunc(changes, func(ch catalogue.Change) bool {
+		return ch.Part == catalogue.PartDraining && ch.Op == catalogue.Added
+	})
+	if n := len(after.Draining); drains && 2*n > replicas {
+		reasons = append(reasons, fmt.Sprintf("%d backend servers drain, more than half of the %d replicas that the models ask for in a data centre", n, replicas))
+	}
+	return reasons
+}
+
+// current returns a revision with its catalogue; none before the first edit.
+func current(ctx context.Context, e *revision.Editor, number int64) (revision.Revision, *catalogue.Catalogue, error) {
+	r, body, err := e.Get(ctx, number)
+	if errors.Is(err, platform.ErrNotFound) && number == 0 && r.Number == 0 {
+		return revision.Revision{}, nil, nil
+	}
+	if err != nil {
+		return revision.Revision{}, nil, err
+	}
+	parsed, err := catalogue.Parse(fmt.Sprintf("revision-%d", r.Number), body)
+	return r, parsed, err
+}
--- /dev/null
+++ b/internal/process/operator/gateways.go
@@ -0,0 +1,157 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// maxAnswer bounds an admin answer in bytes.
+const maxAnswer = 4 << 20
+
+// errUnknownRequest is the answer of a gateway that has no record of a request.
+var errUnknownRequest = errors.New("no record")
+
+// Status is what a gateway's admin address answers at /status.
+type Status struct {
+	Name              string `json:"name"`
+	DataCentre        string `json:"data_centre"`
+	Revision          int64  `json:"revision"`
+	Ready             bool   `json:"ready"`
+	LivePeers         int    `json:"live_peers"`
+	GroupsOwned       int    `json:"groups_owned"`
+	PlatformReachable bool   `json:"platform_reachable"`
+}
+
+// gatewayStatus is one line of the status command.
+type gatewayStatus struct {
+	Address string `json:"address"`
+	Status
+	Error string `json:"error,omitempty"`
+}
+
+func (c *command) statusCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "status", ShortUsage: "persimmonctl status", ShortHelp: "show the state of the gateways",
+		Exec: func(ctx context.Context, _ []string) error {
+			addresses, err := c.addresses()
+			if err != nil {
+				return err
+			}
+			list := make([]gatewayStatus, len(addresses))
+			var wg sync.WaitGroup
+			for i, a := range addresses {
+				wg.Go(func() { list[i] = c.askStatus(ctx, a) })
+			}
+			wg.Wait()
+			return c.printStatus(list)
+		},
+	}
+}
+
+func (c *command) askStatus(ctx context.Context, address string) gatewayStatus {
+	s := gatewayStatus{Address: address}
+	body, err := c.ask(ctx, address, "/status")
+	if err == nil {
+		err = json.Unmarshal(body, &s.Status)
+	}
+	if err != nil {
+		s.Error = err.Error()
+	}
+	return s
+}
+
+func (c *command) printStatus(list []gatewayStatus) error {
+	var rows [][]string
+	failed := 0
+	for _, s := range list {
+		if s.Error != "" {
+			failed++
+			rows = append(rows, []string{s.Address, "-", "-", "-", "-", "-", "-", s.Error})
+			continue
+		}
+		rows = append(rows, []string{s.Name, s.DataCentre, strconv.FormatInt(s.Revision, 10), strconv.FormatBool(s.Ready),
+			strconv.Itoa(s.LivePeers), strconv.Itoa(s.GroupsOwned), strconv.FormatBool(s.PlatformReachable), ""})
+	}
+	header := []string{"GATEWAY", "DATA CENTRE", "REVISION", "READY", "LIVE PEERS", "GROUPS", "PLATFORM", "ERROR"}
+	if err := c.print(list, header, rows); err != nil {
+		return err
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d gateways didn't answer", failed, len(list))
+	}
+	return nil
+}
+
+func (c *command) explainCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: "persimmonctl explain ID", ShortHelp: "show how a request was handled",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usagef("explain: one request id is needed")
+			}
+			addresses, err := c.addresses()
+			if err != nil {
+				return err
+			}
+			var failures []error
+			for _, a := range addresses {
+				body, err := c.ask(ctx, a, "/explain/"+url.PathEscape(args[0]))
+				if err == nil {
+					_, err = c.Stdout.Write(body)
+					return err
+				}
+				failures = append(failures, fmt.Errorf("%s: %w", a, err))
+			}
+			return fmt.Errorf("no gateway gave a record of request %s:\n%w", args[0], errors.Join(failures...))
+		},
+	}
+}
+
+// addresses returns the admin addresses of -gateways.
+func (c *command) addresses() ([]string, error) {
+	var list []string
+	for a := range strings.SplitSeq(c.gateways, ",") {
+		if a = strings.TrimSpace(a); a != "" {
+			list = append(list, a)
+		}
+	}
+	if len(list) == 0 {
+		return nil, usagef("-gateways must be set")
+	}
+	return list, nil
+}
+
+// ask does one GET at a gateway's admin address.
+func (c *command) ask(ctx context.Context, address, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, err
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return body, nil
+	case http.StatusNotFound:
+		return nil, errUnknownRequest
+	default:
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/process/operator/operator_test.go
@@ -0,0 +1,239 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/version/catalogue"
+	"persimmonwing/internal/version/revision"
+)
+
+// memory is a table and an object store. lost is the number of writes of the
+// head whose answers are lost; the platform then is out for outage calls.
+type memory struct {
+	mu           sync.Mutex
+	rows         map[string]platform.Row
+	objects      map[string][]byte
+	clock        int64
+	lost, outage int
+}
+
+func (m *memory) out() error {
+	if m.outage > 0 {
+		m.outage--
+		return errors.New("platform out")
+	}
+	return nil
+}
+
+func (m *memory) Get(_ context.Context, key string) (platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.out(); err != nil {
+		return platform.Row{}, err
+	}
+	row, ok := m.rows[key]
+	if !ok {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (m *memory) Txn(_ context.Context, ops []platform.CondPut) ([]platform.PutResult, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.out(); err != nil {
+		return nil, err
+	}
+	op := ops[0]
+	row := m.rows[op.Key]
+	applied := row.Revision == op.IfRevision
+	if applied {
+		m.clock++
+		row = platform.Row{Key: op.Key, Value: op.Value, Revision: m.clock}
+		m.rows[op.Key] = row
+	}
+	if op.Key == revision.HeadKey && m.lost > 0 {
+		m.lost--
+		m.outage = 4
+		return nil, errors.New("connection reset")
+	}
+	return []platform.PutResult{{Applied: applied, Row: row}}, nil
+}
+
+type memoryObjects struct{ *memory }
+
+func (m memoryObjects) Put(_ context.Context, _, key string, body []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects[key] = body
+	return nil
+}
+
+func (m memoryObjects) Get(_ context.Context, _, key string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.objects[key], nil
+}
+
+// bench runs command lines against one platform and one gateway.
+type bench struct {
+	*memory
+	input          string
+	stdout, stderr bytes.Buffer
+	http           *http.Client
+}
+
+func newBench() *bench {
+	return &bench{memory: &memory{rows: map[string]platform.Row{}, objects: map[string][]byte{}}, http: http.DefaultClient}
+}
+
+func (b *bench) run(args ...string) int {
+	b.stdout.Reset()
+	b.stderr.Reset()
+	return Run(context.Background(), Env{
+		Stdin: strings.NewReader(b.input), Stdout: &b.stdout, Stderr: &b.stderr, Author: "ann", HTTP: b.http,
+		Connect: func(string, string, time.Duration) (revision.Table, revision.Objects, error) {
+			return b.memory, memoryObjects{b.memory}, nil
+		},
+	}, args)
+}
+
+const example = "../../../examples/huon-cane.yaml"
+
+// Guards against commands with a wrong exit code or without their output, over
+// the life of a catalogue.
+func TestCommands(t *testing.T) {
+	gateway := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/status":
+			w.Write([]byte(`{"name":"gw1","data_centre":"hobart","revision":7,"ready":true,"live_peers":5,"groups_owned":2,"platform_reachable":true}`))
+		case "/explain/abc":
+			w.Write([]byte("granted e1\n"))
+		default:
+			http.NotFound(w, r)
+		}
+	}))
+	defer gateway.Close()
+	address := strings.TrimPrefix(gateway.URL, "http://")
+	without := filepath.Join(t.TempDir(), "without.yaml")
+	raw, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cut := bytes.Index(raw, []byte("  - name: fitting-guide"))
+	if err := os.WriteFile(without, raw[:cut], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	if err := os.WriteFile(bad, []byte("workspaces: []\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b := newBench()
+	steps := []struct {
+		line  string
+		input string
+		code  int
+		want  string
+	}{
+		{"", "", 2, "a command is needed"},
+		{"-nosuch", "", 2, "nosuch"},
+		{"-output xml status", "", 2, "use table or json"},
+		{"catalogue", "", 2, "validate, diff"},
+		{"catalogue validate " + example, "", 0, "valid: 2 models, 10 workspaces, 5 entries"},
+		{"catalogue validate " + bad, "", 1, "bad.yaml:1: workspaces: missing or empty"},
+		{"catalogue validate nosuch.yaml", "", 2, "nosuch.yaml"},
+		{"catalogue get", "", 1, "no revision yet"},
+		{"workspaces", "", 1, "no revision yet"},
+		{"catalogue diff " + example, "", 0, "+ entry counter-order"},
+		{"catalogue apply " + example, "", 2, "-message is needed"},
+		{"catalogue apply " + example + " -message first", "", 0, "accepted as revision 1"},
+		{"catalogue diff " + example + " -revision 1", "", 0, "no changes"},
+		{"catalogue apply " + example + " -message again", "", 0, "no changes: revision 1 has this body"},
+		{"catalogue apply " + without + " -message less", "no\n", 1, "- entry fitting-guide"},
+		{"catalogue apply " + without + " -message less", "yes\n", 0, "accepted as revision 2"},
+		{"catalogue apply " + example + " -message old -base 1", "", 1, "based on revision 1, but the current one is 2 by ann (less)"},
+		{"catalogue get -revision 1", "", 0, "fitting-guide"},
+		{"catalogue rollback 1", "", 0, "accepted as revision 3"},
+		{"catalogue rollback 99 -yes", "", 1, "revision 99 doesn't exist"},
+		{"catalogue rollback x", "", 2, "a revision number from 1"},
+		{"drain engine-1", "", 0, "accepted as revision 4"},
+		{"drain engine-1", "", 0, "no changes: revision 4"},
+		{"drain engine-2", "", 1, "more than half of the 3 replicas"},
+		{"drain engine-2 -yes", "", 0, "accepted as revision 5"},
+		{"undrain engine-1", "", 0, "accepted as revision 6"},
+		{"drain", "", 2, "one backend server"},
+		{"catalogue history -limit 4", "", 0, "rollback to revision 1\n"},
+		{"catalogue history -output json", "", 0, `"revision": 6`},
+		{"workspaces", "", 0, "care-guide,letter-sorting"},
+		{"status", "", 2, "-gateways must be set"},
+		{"-gateways " + address + " status", "", 0, "gw1      hobart       7         true   5           2       true"},
+		{"status -gateways " + address + " -output json", "", 0, `"groups_owned": 2`},
+		{"-gateways 127.0.0.1:1," + address + " status", "", 1, "1 of 2 gateways didn't answer"},
+		{"-gateways 127.0.0.1:1," + address + " explain abc", "", 0, "granted e1"},
+		{"-gateways " + address + " explain xyz", "", 1, "no record"},
+		{"completion bash", "", 0, "catalogue) words=\"validate diff apply get history rollback\""},
+		{"completion fish", "", 2, "use bash"},
+	}
+	for _, s := range steps {
+		b.input = s.input
+		code := b.run(strings.Fields(s.line)...)
+		out := b.stdout.String() + b.stderr.String()
+		if code != s.code || !strings.Contains(out, s.want) {
+			t.Errorf("%q: exit %d, want %d with %q; output:\n%s", s.line, code, s.code, s.want, out)
+		}
+	}
+}
+
+// Guards against an edit that is left as perhaps accepted when its answer was
+// lost and the platform came back only after the command's timeout.
+func TestLostAnswerResolved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		b.lost = 1
+		code := b.run("-timeout", "60ms", "catalogue", "apply", example, "-message", "first")
+		is.Equal(code, 0)
+		is.True(strings.Contains(b.stderr.String(), "waiting up to 10m0s"))
+		is.True(strings.Contains(b.stdout.String(), "accepted as revision 1"))
+		is.Equal(b.clock, int64(2)) // head and history, each written once
+	})
+}
+
+// Guards against a stored body that a stricter build refuses and that then
+// can't be replaced.
+func TestInvalidCurrentIsReplaceable(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.run("catalogue", "apply", example, "-message", "first"), 0)
+	bad := []byte("workspaces: []\n")
+	b.objects[catalogue.Digest(bad)] = bad
+	row := b.rows[revision.HeadKey]
+	row.Value = []byte(`{"revision":1,"digest":"` + catalogue.Digest(bad) + `","nonce":"n"}`)
+	b.rows[revision.HeadKey] = row
+	is.Equal(b.run("catalogue", "apply", example, "-message", "fix"), 1) // asks
+	is.Equal(b.run("catalogue", "apply", example, "-message", "fix", "-yes"), 0)
+	is.True(strings.Contains(b.stdout.String(), "accepted as revision 2"))
+}
+
+// Guards against a build that runs without its platform clients wired in, and
+// against missing addresses reported as a failure of the platform.
+func TestConnectNeedsAddresses(t *testing.T) {
+	is := is.New(t)
+	_, _, err := connect("", "http://127.0.0.1:1", time.Second)
+	var usage usageError
+	is.True(errors.As(err, &usage))
+}
--- a/internal/version/revision/editor.go
+++ b/internal/version/revision/editor.go
@@ -67,7 +67,17 @@
 	if err := e.prepare(ctx, current, next, body); err != nil {
 		return Accepted{}, &NotAcceptedError{Cause: err}
 	}
-	if err := e.swap(ctx, base, row, next); err != nil {
+	return e.finish(ctx, row, next)
+}
+
+// Resume goes on with an edit whose outcome was not known. The edit keeps its
+// nonce, so it is accepted at most once. The errors are those of Apply.
+func (e *Editor) Resume(ctx context.Context, u *UnresolvedError) (Accepted, error) {
+	return e.finish(ctx, u.row, u.Revision)
+}
+
+func (e *Editor) finish(ctx context.Context, row platform.Row, next Revision) (Accepted, error) {
+	if err := e.swap(ctx, row, next); err != nil {
 		return Accepted{}, err
 	}
 	return Accepted{Revision: next, HistoryErr: e.record(ctx, next)}, nil
--- a/internal/version/revision/editor_test.go
+++ b/internal/version/revision/editor_test.go
@@ -123,14 +123,26 @@
 				time.Sleep(time.Second)
 				f.set(false)
 				f.next, f.afterWrite = func(string) fault { return none }, func(string) {}
-				head, err := e.Head(t.Context())
-				is.NoErr(err)
+				head, headErr := e.Head(t.Context())
+				is.NoErr(headErr)
 				is.Equal(head.Number, c.head)
+				var unresolved *UnresolvedError
+				if errors.As(err, &unresolved) {
+					a, err := e.Resume(t.Context(), unresolved)
+					is.NoErr(err)
+					is.Equal(a.Revision.Number, int64(2))
+					head = a.Revision
+				}
 				_, err = apply(e, head.Number, 99)
 				is.NoErr(err)
 				list, err := e.History(t.Context(), 10)
 				is.NoErr(err) // a missing history row is repaired by the next edit
-				is.Equal(len(list), int(c.head)+1)
+				is.Equal(len(list), int(head.Number)+1)
+				if unresolved != nil {
+					a, err := e.Resume(t.Context(), unresolved)
+					is.NoErr(err) // found in the history
+					is.Equal(a.Revision.Nonce, list[1].Nonce)
+				}
 			})
 		})
 	}
@@ -196,6 +208,26 @@
 	return ""
 }
 
+// Guards against an edit whose write was lost and that is resumed over the edit
+// of another operator.
+func TestResumeAfterAnotherEdit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFake()
+		f.next = func(string) fault { return dropped }
+		_, err := apply(f.editor(), 0, 0)
+		var unresolved *UnresolvedError
+		is.True(errors.As(err, &unresolved))
+		is.True(strings.Contains(err.Error(), "may have been accepted as revision 1"))
+		f.next = func(string) fault { return none }
+		_, err = apply(f.editor(), 0, 1)
+		is.NoErr(err)
+		_, err = f.editor().Resume(t.Context(), unresolved)
+		var c *ConflictError
+		is.True(errors.As(err, &c))
+	})
+}
+
 // Guards against a rollback that moves the revision back instead of adding one,
 // and against an invalid body that reaches the platform.
 func TestRollbackAndRefusals(t *testing.T) {
--- a/internal/version/revision/errors.go
+++ b/internal/version/revision/errors.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 
+	"persimmonwing/internal/connection/platform"
 	"persimmonwing/internal/version/catalogue"
 )
 
@@ -60,12 +61,14 @@
 	// Revision is the edit as it would have been accepted.
 	Revision Revision
 	Cause    error
+	// row is the head's row that the edit replaces.
+	row platform.Row
 }
 
 // Error names the command that tells whether the edit was accepted.
 func (e *UnresolvedError) Error() string {
 	return fmt.Sprintf("the edit may have been accepted as revision %d, but its answer was lost (%v); "+
-		"run \"persimmonctl history\": it was accepted if revision %d has nonce %s",
+		"run \"persimmonctl catalogue history\": it was accepted if revision %d has nonce %s",
 		e.Revision.Number, e.Cause, e.Revision.Number, e.Revision.Nonce)
 }
 
--- a/internal/version/revision/swap.go
+++ b/internal/version/revision/swap.go
@@ -19,7 +19,7 @@
 // A write whose answer is lost may still take effect later, so reading the old
 // head back proves nothing. The write is repeated with the same condition and
 // the same nonce until the head has moved: from then on no copy of it can apply.
-func (e *Editor) swap(ctx context.Context, base int64, row platform.Row, next Revision) error {
+func (e *Editor) swap(ctx context.Context, row platform.Row, next Revision) error {
 	raw, err := next.encode()
 	if err != nil {
 		return &NotAcceptedError{Cause: err}
@@ -29,7 +29,7 @@
 	for {
 		outcome := e.attempt(ctx, op)
 		if outcome.err == nil && outcome.moved {
-			outcome.err = e.settle(ctx, base, outcome.head, next)
+			outcome.err = e.settle(ctx, row, outcome.head, next)
 		}
 		if outcome.err == nil {
 			return nil
@@ -38,7 +38,7 @@
 			return outcome.err
 		}
 		if !pause(ctx, pauses) {
-			return &UnresolvedError{Revision: next, Cause: outcome.err}
+			return &UnresolvedError{Revision: next, Cause: outcome.err, row: row}
 		}
 	}
 }
@@ -85,21 +85,21 @@
 
 // settle decides an edit after the head has moved: it was accepted if its
 // nonce is in the head or in the history row of its number.
-func (e *Editor) settle(ctx context.Context, base int64, head, next Revision) error {
+func (e *Editor) settle(ctx context.Context, row platform.Row, head, next Revision) error {
 	if head.Nonce == next.Nonce {
 		return nil
 	}
 	if head.Number <= next.Number {
-		return e.conflict(ctx, base, head)
+		return e.conflict(ctx, next.Number-1, head)
 	}
 	winner, err := retry(ctx, func() (Revision, error) { return e.history(ctx, next.Number) })
 	if err != nil {
-		return &UnresolvedError{Revision: next, Cause: err}
+		return &UnresolvedError{Revision: next, Cause: err, row: row}
 	}
 	if winner.Nonce == next.Nonce {
 		return nil
 	}
-	return e.conflict(ctx, base, head)
+	return e.conflict(ctx, next.Number-1, head)
 }
 
 // pause waits for the next attempt; it returns false when the context ended.
