--- a/internal/version/revision/syncer_test.go
+++ b/internal/version/revision/syncer_test.go
@@ -61,6 +61,23 @@
 			}
 			return ""
 		},
+		"confirmed revision can't be fetched from peers": func(c *cluster) string {
+			c.boot(2)
+			alone := c.gateways[2]
+			time.Sleep(time.Second)
+			for _, i := range []int{0, 1, 3, 4, 5} {
+				c.stop(i)
+			}
+			edit(c, 1)
+			for range 5 {
+				alone.HearConfirmation(2, 0)
+				time.Sleep(time.Second)
+			}
+			if n := alone.Holder.Number(); n != 2 {
+				return fmt.Sprintf("the gateway that can't fetch is at %d", n)
+			}
+			return ""
+		},
 		"start while the platform is out": func(c *cluster) string {
 			c.set(true)
 			c.boot(4)
