--- a/internal/process/fleet/gateways.go
+++ b/internal/process/fleet/gateways.go
@@ -72,7 +72,7 @@
 	base := "http://" + f.platformServer.address
 	o.Platform.TableURL = base
 	o.Platform.ObjectURL = base + objectsPath
-	o.Platform.HostsURL = base + "/hosts"
+	o.Platform.HostsURL = base
 	o.Policy = f.opts.Policy
 	o.Disable = f.opts.Disable
 	if f.opts.Adjust != nil {
@@ -88,7 +88,7 @@
 	if logger == nil {
 		logger = log.NewNopLogger()
 	}
-	logger = log.With(logger, "process", h.opts.Name)
+	logger = log.With(logger, "gateway", h.opts.Name)
 	go func() {
 		defer close(h.ended)
 		h.err = gateway.Main(ctx, h.opts, logger)
