--- a/internal/process/fleet/options.go
+++ b/internal/process/fleet/options.go
@@ -66,7 +66,7 @@
 		Engines:                14,
 		Apps:                   4,
 		Models:                 []string{"main"},
-		KVCapacityTokens:       16_000,
+		KVCapacityTokens:       13_000,
 		MaxBatch:               33,
 		StepBase:               10 * time.Millisecond,
 		StepPerSequence:        400 * time.Microsecond,
--- a/internal/process/loadgen/arrivals.go
+++ b/internal/process/loadgen/arrivals.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// next returns the arrivals in order of time, or false when the rate stays 0.
+// next returns the arrivals in order of time, or false when none is left within
+// the longest run.
 func (a *arrivals) next() (arrival, bool) {
 	if len(a.initial) > 0 && (a.exhausted || a.initial[0].at <= a.following.at) {
 		first := a.initial[0]
@@ -104,6 +105,7 @@
 }
 
 // advance moves the clock until the integral of the rate has grown by amount.
+// It returns false when that is not within the longest run.
 func (a *arrivals) advance(amount float64) (time.Duration, bool) {
 	for {
 		rate, until, bounded := a.rateAt(a.now)
@@ -112,7 +114,8 @@
 				return 0, false
 			}
 			a.now += amount / rate
-			return time.Duration(a.now * float64(time.Second)), true
+			// A later time could overflow a time.Duration.
+			return time.Duration(a.now * float64(time.Second)), a.now < maxRunLength.Seconds()
 		} else {
 			amount -= room
 			a.now = until
--- a/internal/process/loadgen/experiment/incidents.go
+++ b/internal/process/loadgen/experiment/incidents.go
@@ -83,7 +83,7 @@
 	refused := 0.0
 	for i := range crashResends {
 		target := targets[random.IntN(len(targets))]
-		failed := probe(ctx, target, "#id=crashing #tokens=50 #crash ")
+		failed := t.fleet.Generate(ctx, target, workspaceKey(workspaces-1), entryUrgent, "#id=crashing #tokens=50 #crash ")
 		if failed != nil && failed.Code == "request_crashes_servers" {
 			refused++
 		}
--- a/internal/process/loadgen/experiment/trial.go
+++ b/internal/process/loadgen/experiment/trial.go
@@ -107,7 +107,7 @@
 	}
 	defer f.Stop()
 	t := &trial{policy: policy, exp: e, fleet: f, marks: map[string]float64{}}
-	if err := t.waitServing(ctx); err != nil {
+	if err := f.WaitServing(ctx, workspaceKey(0), entryUrgent); err != nil {
 		return nil, err
 	}
 	return t, t.run(ctx, s)
