--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -79,6 +79,7 @@
 // Guards against parts that work alone and not together: every kind of request
 // goes from the caller through a gateway to its backend server and back.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := smallFleet(t)
 	r, err := loadgen.Run(t.Context(), loadgen.Config{
@@ -110,6 +111,7 @@
 // Guards against streams that end, repeat or lose tokens when the gateway that
 // relays them dies, although its engine goes on.
 func TestStreamsOutliveTheirGateway(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	o := fleet.Small()
 	o.Engines, o.Apps = 2, 1
--- a/internal/process/loadgen/cli/experiment.go
+++ b/internal/process/loadgen/cli/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"slices"
@@ -32,7 +33,7 @@
 		FlagSet:    fs,
 		Options:    options(),
 		Exec: marked(func(ctx context.Context, args []string) error {
-			name, err := experimentName(fs.Parse, args)
+			name, err := experimentName(fs, args)
 			if err != nil {
 				return err
 			}
@@ -49,13 +50,16 @@
 }
 
 // experimentName takes the name, which may stand before or after the flags.
-func experimentName(parse func([]string) error, args []string) (string, error) {
+func experimentName(fs *flag.FlagSet, args []string) (string, error) {
 	if len(args) == 0 {
 		return "", usage(fmt.Errorf("an experiment's name is needed; use one of:\n%s", list()))
 	}
-	if err := parse(args[1:]); err != nil {
+	if err := fs.Parse(args[1:]); err != nil {
 		return "", usage(err)
 	}
+	if fs.NArg() > 0 {
+		return "", usage(fmt.Errorf("%q is not allowed behind the name and the flags", fs.Arg(0)))
+	}
 	return args[0], nil
 }
 
