Bound the waiting requests of an experiment and compute slot use from differences

A flood of 4 times the capacity without bounds took more than the 20,000 file descriptors of one process. Slot use was the difference of two products of totals, which understated it while the step time grew.

--- a/internal/process/fleet/engines.go
+++ b/internal/process/fleet/engines.go
@@ -31,6 +31,7 @@
 	s.Models = o.Models
 	s.KVCapacityTokens = o.KVCapacityTokens
 	s.MaxBatch = o.MaxBatch
+	s.MaxWaiting = o.EngineQueue
 	s.StepBase = o.StepBase
 	s.StepPerSequence = o.StepPerSequence
 	s.PrefillTokensPerSecond = o.PrefillTokensPerSecond
@@ -117,18 +118,20 @@
 // Counters are the totals of a fleet at a moment.
 type Counters struct {
 	At time.Time
-	engine.Counters
 	// Engines counts the engines that are not lost.
 	Engines int
-	// SlotSeconds is the use of batch slots so far.
-	SlotSeconds float64
-	// ByEngine holds the accepted generations by engine name.
-	ByEngine map[string]int64
+	// The rest are sums over all engines, lost ones included.
+	Accepted  int64
+	Preempted int64
+	Tokens    int64
+	// ByEngine holds the counters by engine name.
+	ByEngine map[string]engine.Counters
 }
 
-// Counters sums up the counters of all engines, lost ones included.
+// Counters sums up the counters of all engines. Those of lost engines stay as
+// they were last seen.
 func (f *Fleet) Counters(ctx context.Context) Counters {
-	sum := Counters{At: time.Now(), ByEngine: map[string]int64{}}
+	sum := Counters{At: time.Now(), ByEngine: map[string]engine.Counters{}}
 	for _, h := range f.engines {
 		h.sample(ctx)
 		h.mu.Lock()
@@ -137,38 +140,31 @@
 			sum.Engines++
 		}
 		h.mu.Unlock()
-		sum.ByEngine[h.name] = c.Accepted
-		sum.add(c)
+		sum.ByEngine[h.name] = c
+		sum.Accepted += c.Accepted
+		sum.Preempted += c.Preempted
+		sum.Tokens += c.Tokens
 	}
 	return sum
 }
 
-func (s *Counters) add(c engine.Counters) {
-	s.Accepted += c.Accepted
-	s.Completed += c.Completed
-	s.Cancelled += c.Cancelled
-	s.Incomplete += c.Incomplete
-	s.Preempted += c.Preempted
-	s.Tokens += c.Tokens
-	s.BusySteps += c.BusySteps
-	s.BatchSum += c.BatchSum
-	s.BusyMS += c.BusyMS
-	s.Running += c.Running
-	s.Waiting += c.Waiting
-	s.MaxBatch = max(s.MaxBatch, c.MaxBatch)
-	if c.BusySteps > 0 {
-		s.SlotSeconds += float64(c.BatchSum) * c.BusyMS / float64(c.BusySteps) / 1000
-	}
-}
-
 // Utilisation is the part of the batch slots in use between two moments. Only
 // engines that were live at the later one are available.
 func Utilisation(from, to Counters) float64 {
-	available := float64(to.MaxBatch*to.Engines) * to.At.Sub(from.At).Seconds()
+	used, slots := 0.0, 0
+	for name, after := range to.ByEngine {
+		before := from.ByEngine[name]
+		slots = max(slots, after.MaxBatch)
+		if steps := after.BusySteps - before.BusySteps; steps > 0 {
+			meanStepMS := (after.BusyMS - before.BusyMS) / float64(steps)
+			used += float64(after.BatchSum-before.BatchSum) * meanStepMS
+		}
+	}
+	available := float64(slots*to.Engines) * float64(to.At.Sub(from.At).Milliseconds())
 	if available <= 0 {
 		return 0
 	}
-	return (to.SlotSeconds - from.SlotSeconds) / available
+	return used / available
 }
 
 // Runs sums up the runs of each generation over all engines. The last runs of
--- a/internal/process/fleet/gateways.go
+++ b/internal/process/fleet/gateways.go
@@ -73,6 +73,7 @@
 	o.Platform.TableURL = base
 	o.Platform.ObjectURL = base + objectsPath
 	o.Platform.HostsURL = base
+	o.Queue.MaxWaiting = f.opts.GatewayQueue
 	o.Policy = f.opts.Policy
 	o.Disable = f.opts.Disable
 	if f.opts.Adjust != nil {
--- a/internal/process/fleet/options.go
+++ b/internal/process/fleet/options.go
@@ -28,8 +28,13 @@
 	Models []string
 
 	// KVCapacityTokens, MaxBatch and the step times are those of one engine.
-	KVCapacityTokens       int
-	MaxBatch               int
+	KVCapacityTokens int
+	MaxBatch         int
+	// EngineQueue bounds the waiting requests of one engine, and GatewayQueue
+	// those of each class in one group of replicas. A waiting request holds two
+	// to four of the process's file descriptors.
+	EngineQueue            int
+	GatewayQueue           int
 	StepBase               time.Duration
 	StepPerSequence        time.Duration
 	PrefillTokensPerSecond float64
@@ -68,6 +73,8 @@
 		Models:                 []string{"main"},
 		KVCapacityTokens:       13_000,
 		MaxBatch:               33,
+		EngineQueue:            60,
+		GatewayQueue:           210,
 		StepBase:               10 * time.Millisecond,
 		StepPerSequence:        400 * time.Microsecond,
 		PrefillTokensPerSecond: 100_000,
@@ -90,6 +97,7 @@
 const (
 	maxServers     = 100
 	maxDataCentres = 16
+	maxQueue       = 10_000
 )
 
 // Validate names each bad value with what is allowed.
@@ -99,6 +107,8 @@
 		settings.CheckRange("gateways", o.Gateways, 1, maxServers),
 		settings.CheckRange("engines", o.Engines, 0, maxServers),
 		settings.CheckRange("apps", o.Apps, 0, maxServers),
+		settings.CheckRange("gateway_queue", o.GatewayQueue, 1, maxQueue),
+		settings.CheckRange("engine_queue", o.EngineQueue, 1, maxQueue),
 	}
 	if len(o.Models) == 0 {
 		errs = append(errs, errors.New("models: has 0 elements; allowed are 1 or more"))
--- a/internal/process/loadgen/experiment/metrics.go
+++ b/internal/process/loadgen/experiment/metrics.go
@@ -54,6 +54,7 @@
 			t.firstTokenMetrics(g.Name, g)
 		}
 	}
+	t.otherWindows()
 	t.callerMetrics(w)
 	t.exp.judge(t, baseline)
 	t.atMost("violations", float64(t.violationCount()), 0, "")
@@ -94,6 +95,25 @@
 	t.metric(name+": tokens on time", "/s", g.OnTimePerSecond)
 }
 
+// otherWindows adds the values that the measured window is compared with.
+func (t *trial) otherWindows() {
+	for i := range t.result.Windows {
+		w := &t.result.Windows[i]
+		if w.Name == windowMeasured {
+			continue
+		}
+		for _, c := range []catalogue.Class{catalogue.Urgent, catalogue.Background} {
+			g := w.Class(c)
+			if g.Requests+g.Tokens == 0 {
+				continue
+			}
+			name := w.Name + ", " + string(c)
+			t.firstTokenMetrics(name, g)
+			t.metric(name+": tokens", "/s", g.TokensPerSecond)
+		}
+	}
+}
+
 func (t *trial) firstTokenMetrics(name string, g loadgen.Group) {
 	t.metric(name+": first token p50", "ms", g.FirstTokenMS.P50)
 	t.metric(name+": first token p95", "ms", g.FirstTokenMS.P95)
