--- a/internal/process/loadgen/generation.go
+++ b/internal/process/loadgen/generation.go
@@ -99,10 +99,9 @@
 		g.result.firstToken = max(now-g.result.arrived, 1)
 	} else {
 		gap = max(now-g.last, 1)
-		g.result.generating += gap
 	}
 	g.last = now
-	g.run.recorder.token(g.stream, now, gap, g.result.parts)
+	g.run.recorder.token(g.stream, now, gap, g.result)
 }
 
 // ending returns the outcome after the events that were read.
@@ -157,8 +156,7 @@
 		return
 	}
 	now := g.run.now()
-	g.result.generating += now - g.last
-	g.run.recorder.openGap(g.stream, min(now, g.run.duration-1), now-g.last, g.result.parts)
+	g.run.recorder.openGap(g.stream, min(now, g.run.duration-1), now-g.last, g.result)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/process/loadgen/outcome.go
+++ b/internal/process/loadgen/outcome.go
@@ -71,6 +71,8 @@
 	firstToken time.Duration
 	// generating is the time from the first token to the last moment seen.
 	generating time.Duration
+	// stalled is the stall time, in whatever window.
+	stalled time.Duration
 	// parts holds tokens and stall time by window.
 	parts      []part
 	attempts   int
@@ -84,11 +86,3 @@
 	tokens int
 	stall  time.Duration
 }
-
-func (f *finished) stall() time.Duration {
-	var sum time.Duration
-	for _, p := range f.parts {
-		sum += p.stall
-	}
-	return sum
-}
--- a/internal/process/loadgen/recorder.go
+++ b/internal/process/loadgen/recorder.go
@@ -106,13 +106,16 @@
 }
 
 // token records a token and, unless it is the first one, the gap before it.
-func (r *recorder) token(stream int, at, gap time.Duration, parts []part) {
-	target := r.streams[stream].Targets.TokenGap
+func (r *recorder) token(stream int, at, gap time.Duration, f *finished) {
+	stall := excess(gap, r.streams[stream].Targets.TokenGap)
+	f.generating += gap
+	f.stalled += stall
 	for w, window := range r.windows {
 		if !window.holds(at) {
 			continue
 		}
-		parts[w].tokens++
+		f.parts[w].tokens++
+		f.parts[w].stall += stall
 		c := r.cells[w][stream]
 		c.mu.Lock()
 		c.tokens++
@@ -120,15 +123,17 @@
 			record(c.gaps, gap)
 		}
 		c.mu.Unlock()
-		parts[w].stall += excess(gap, target)
 	}
 }
 
 // openGap adds the stall of a gap that the end of the run cut off.
-func (r *recorder) openGap(stream int, at, gap time.Duration, parts []part) {
+func (r *recorder) openGap(stream int, at, gap time.Duration, f *finished) {
+	stall := excess(gap, r.streams[stream].Targets.TokenGap)
+	f.generating += gap
+	f.stalled += stall
 	for w, window := range r.windows {
 		if window.holds(at) {
-			parts[w].stall += excess(gap, r.streams[stream].Targets.TokenGap)
+			f.parts[w].stall += stall
 		}
 	}
 }
@@ -158,7 +163,7 @@
 	if t.FirstToken > 0 && f.firstToken > t.FirstToken {
 		return false, true
 	}
-	return float64(f.stall()) <= math.Ceil(maxStallShare*float64(f.generating)), true
+	return float64(f.stalled) <= math.Ceil(maxStallShare*float64(f.generating)), true
 }
 
 // finish records the end of a request.
--- a/internal/process/loadgen/recorder_test.go
+++ b/internal/process/loadgen/recorder_test.go
@@ -16,7 +16,6 @@
 	targets := Targets{FirstToken: 600 * time.Millisecond, TokenGap: 26 * time.Millisecond}
 	done := outcome{code: OutcomeCompleted}
 	open := outcome{code: OutcomeUnfinished}
-	stalled := func(d time.Duration) []part { return []part{{tokens: 9, stall: d}} }
 	for _, c := range []struct {
 		name         string
 		f            finished
@@ -24,8 +23,8 @@
 	}{
 		{"quick", finished{outcome: done, firstToken: 600 * time.Millisecond, generating: time.Second}, true, true},
 		{"late first token", finished{outcome: done, firstToken: 601 * time.Millisecond, generating: time.Second}, false, true},
-		{"5% stalled", finished{outcome: done, firstToken: 1, generating: time.Second, parts: stalled(50 * time.Millisecond)}, true, true},
-		{"more than 5% stalled", finished{outcome: done, firstToken: 1, generating: time.Second, parts: stalled(51 * time.Millisecond)}, false, true},
+		{"5% stalled", finished{outcome: done, firstToken: 1, generating: time.Second, stalled: 50 * time.Millisecond}, true, true},
+		{"more than 5% stalled", finished{outcome: done, firstToken: 1, generating: time.Second, stalled: 51 * time.Millisecond}, false, true},
 		{"refused", finished{outcome: outcome{"queue_full", api.NotRun}}, false, true},
 		{"failed after tokens", finished{outcome: outcome{"engine_lost", api.Ran}, firstToken: 1, generating: time.Second}, false, true},
 		{"still generating", finished{outcome: open, firstToken: 1, generating: time.Second}, true, true},
@@ -47,11 +46,10 @@
 	windows := []Window{{"early", 0, time.Second}, {"late", time.Second, 2 * time.Second}}
 	r := newRecorder(streams, windows)
 	f := &finished{outcome: outcome{code: OutcomeCompleted}, arrived: 900 * time.Millisecond, ended: 1300 * time.Millisecond, firstToken: 50 * time.Millisecond, parts: make([]part, 2)}
-	r.token(0, 950*time.Millisecond, 0, f.parts)
+	r.token(0, 950*time.Millisecond, 0, f)
 	for i := range 100 {
 		gap := time.Duration(20+i/95*40) * time.Millisecond
-		r.token(0, 1100*time.Millisecond, gap, f.parts)
-		f.generating += gap
+		r.token(0, 1100*time.Millisecond, gap, f)
 	}
 	r.finish(0, f)
 	result := newResult(r, Config{Duration: 2 * time.Second})
--- a/internal/process/loadgen/workload_test.go
+++ b/internal/process/loadgen/workload_test.go
@@ -1,12 +1,14 @@
 package loadgen
 
 import (
+	"os"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"persimmonwing/internal/process/settings"
+	"persimmonwing/internal/version/catalogue"
 )
 
 const goodWorkload = `
@@ -58,3 +60,23 @@
 		}
 	}
 }
+
+// Guards against an example that no longer fits its catalogue.
+func TestExampleWorkload(t *testing.T) {
+	is := is.New(t)
+	var w Workload
+	is.NoErr(settings.Load("../../../examples/workload.yaml", &w))
+	body, err := os.ReadFile("../../../examples/kernfield.yaml")
+	is.NoErr(err)
+	c, err := catalogue.Parse("kernfield", body)
+	is.NoErr(err)
+	s := catalogue.NewSnapshot(1, "", c)
+	for _, stream := range w.Streams {
+		is.Equal(s.Authenticate(stream.Key).Name, stream.Workspace)
+		entry := s.Entry(stream.Entry)
+		is.Equal(entry.Kind, stream.Kind)
+		is.Equal(entry.Class, stream.Class)
+		is.Equal(entry.Idempotent, !stream.IdempotencyKey && entry.Kind == catalogue.Service)
+		is.Equal(entry.Targets.FirstToken == stream.Targets.FirstToken, entry.Kind == catalogue.Generation)
+	}
+}
