--- a/internal/process/loadgen/experiment/comparison.go
+++ b/internal/process/loadgen/experiment/comparison.go
@@ -101,6 +101,9 @@
 
 func (p *Policy) writeGoals(w io.Writer) error {
 	fmt.Fprintf(w, "\ngoals, policy %s (violations: %s)\n", p.Name, loadgen.FormatViolations(p.Violations))
+	if p.Result.Overloaded() {
+		fmt.Fprintln(w, loadgen.OverloadWarning)
+	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, g := range p.Goals {
 		verdict := "met"
--- a/internal/process/loadgen/table.go
+++ b/internal/process/loadgen/table.go
@@ -13,6 +13,9 @@
 func (r *Result) WriteTable(w io.Writer) error {
 	fmt.Fprintf(w, "seed %d, %.1f s, requests sent late by the tool (ms): p50 %.1f, p99 %.1f\n",
 		r.Seed, r.DurationSeconds, r.LatenessMS.P50, r.LatenessMS.P99)
+	if r.Overloaded() {
+		fmt.Fprintln(w, OverloadWarning)
+	}
 	fmt.Fprintf(w, "violations: %s\n", FormatViolations(r.Violations))
 	for i := range r.Windows {
 		if err := r.Windows[i].writeTable(w); err != nil {
@@ -22,6 +25,16 @@
 	return nil
 }
 
+// maxLatenessMS is the lateness of the tool's own requests above which the
+// machine, rather than the measured system, decides the times.
+const maxLatenessMS = 10
+
+// OverloadWarning stands beside results whose times are not reliable.
+const OverloadWarning = "WARNING: the tool sent its requests late; the machine is overloaded and the times are not reliable"
+
+// Overloaded tells whether the tool itself was too late in one of 100 requests.
+func (r *Result) Overloaded() bool { return r.LatenessMS.P99 > maxLatenessMS }
+
 // FormatViolations lists the counts that are not 0, or "none".
 func FormatViolations(counts map[Violation]int) string {
 	var parts []string
