--- a/internal/process/loadgen/experiment/metrics.go
+++ b/internal/process/loadgen/experiment/metrics.go
@@ -118,6 +118,7 @@
 	t.metric(name+": first token p50", "ms", g.FirstTokenMS.P50)
 	t.metric(name+": first token p95", "ms", g.FirstTokenMS.P95)
 	t.metric(name+": on time", "%", 100*g.OnTimeShare)
+	t.metric(name+": refused", "%", 100*divide(float64(g.Refused()), float64(g.Requests)))
 }
 
 func (t *trial) callerMetrics(w *loadgen.WindowResult) {
