--- /dev/null
+++ b/internal/version/order/types.go
@@ -0,0 +1,73 @@
+package order
+
+import (
+	"context"
+	"slices"
+
+	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// Catalogue gives the revision in force, or nil before the first one.
+type Catalogue interface{ Current() *catalogue.Snapshot }
+
+// HostList reads the platform's host list.
+type HostList interface {
+	Hosts(ctx context.Context) ([]platform.Host, error)
+}
+
+// Engines calls engines.
+type Engines interface {
+	Order(ctx context.Context, name, address string, o api.Order) (api.OrderState, error)
+	OrderState(ctx context.Context, name, address string) (api.OrderState, error)
+	Load(ctx context.Context, name, address string) (api.LoadReport, error)
+}
+
+// EngineView is what the controller knows of an engine.
+type EngineView struct {
+	Name       string
+	DataCentre string
+	// Usable is false for an engine that leaves, drains of its own accord or
+	// has been unreachable for long.
+	Usable  bool
+	Goal    api.Goal
+	Loaded  []string
+	Loading []string
+}
+
+// holds ranks how close an engine is to serving a model: 2 if it is loaded, 1
+// if it is ordered or loading, else 0.
+func (e *EngineView) holds(model string) int {
+	switch {
+	case slices.Contains(e.Loaded, model):
+		return 2
+	case slices.Contains(e.Loading, model) || slices.Contains(e.Goal.Models, model):
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Assignment is the goal that an engine shall have. An engine without an
+// assignment is left as it is.
+type Assignment struct {
+	Engine string
+	Goal   api.Goal
+}
+
+// sameGoal compares goals as sets.
+func sameGoal(a, b api.Goal) bool {
+	return a.Role == b.Role && a.Drain == b.Drain &&
+		sameSet(a.Models, b.Models) && sameSet(a.Adapters, b.Adapters)
+}
+
+func sameSet(a, b []string) bool {
+	return slices.Equal(sorted(a), sorted(b))
+}
+
+func sorted(s []string) []string {
+	c := slices.Clone(s)
+	slices.Sort(c)
+	return slices.Compact(c)
+}
