Add the controller process

The controller keeps the lease, follows the catalogue's head itself, and runs the reconciler. SIGTERM finishes the orders in flight, clears the holder and exits with 0.

--- /dev/null
+++ b/internal/process/controller/controller.go
@@ -0,0 +1,123 @@
+// Package controller is the controller process: it holds the lease and orders
+// engines to load what the catalogue says.
+package controller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"persimmonwing/internal/process/logging"
+	"persimmonwing/internal/process/telemetry"
+	"persimmonwing/internal/version/order"
+)
+
+// Controller is one controller.
+type Controller struct {
+	opts       *Options
+	logger     log.Logger
+	metrics    *telemetry.Metrics
+	catalogue  order.Catalogue
+	lease      *order.Lease
+	reconciler *order.Reconciler
+	stopping   atomic.Bool
+}
+
+// New returns a controller with valid options. Run runs it.
+func New(o *Options, d Deps, logger log.Logger) *Controller {
+	c := &Controller{
+		opts:      o,
+		logger:    logging.Part(logger, "controller"),
+		metrics:   telemetry.New(),
+		catalogue: d.Catalogue,
+		lease:     order.NewLease(d.Table, d.Lease),
+	}
+	c.reconciler = order.NewReconciler(order.Options{
+		Permit:         c.lease,
+		Catalogue:      d.Catalogue,
+		Hosts:          d.Hosts,
+		Engines:        d.Engines,
+		Interval:       o.Reconcile.Interval,
+		CallTimeout:    o.Reconcile.CallTimeout,
+		LostAfter:      o.Reconcile.LostAfter,
+		Concurrency:    o.Reconcile.Concurrency,
+		MaxLoads:       o.MaxLoads,
+		LoadsPerSecond: o.WeightsPerSecond,
+		HonourFencing:  o.HonourFencing,
+		Logger:         logging.Part(logger, "order"),
+		Metrics:        c.metrics,
+	})
+	return c
+}
+
+// Main runs a whole controller until ctx ends, then stops it gracefully.
+func Main(ctx context.Context, o *Options, logger log.Logger) error {
+	deps, syncer := connect(o, logger)
+	listener, err := net.Listen("tcp", o.AdminListen)
+	if err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	syncCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	wait.Go(func() { _ = syncer.Run(syncCtx) })
+	return New(o, deps, logger).Run(ctx, listener)
+}
+
+// Bounds of the admin server.
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 5 * time.Second
+)
+
+// Run works until ctx ends or a part fails. It then finishes the orders in
+// flight and gives the lease up.
+func (c *Controller) Run(ctx context.Context, listener net.Listener) error {
+	var group run.Group
+	add := func(part func(context.Context) error) {
+		partCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
+	}
+	group.Add(func() error { <-ctx.Done(); return nil }, func(error) { c.stopping.Store(true) })
+	add(c.lease.Run)
+	add(c.reconciler.Run)
+	server := &http.Server{Handler: c.router(), ReadHeaderTimeout: headerTimeout}
+	group.Add(func() error { return server.Serve(listener) }, func(error) { c.shutdown(server) })
+	level.Info(c.logger).Log("msg", "controller runs", "name", c.opts.Name, "admin", listener.Addr())
+	err := group.Run()
+	c.release(ctx)
+	if errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	return eris.Wrap(err, "run controller")
+}
+
+func (c *Controller) shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
+
+// release lets a successor act at once. Without it the successor waits until
+// the lease has run out, so a failure does no harm.
+func (c *Controller) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := c.lease.Release(ctx); err != nil {
+		level.Warn(c.logger).Log("msg", "lease was not given up", "err", err)
+		return
+	}
+	level.Info(c.logger).Log("msg", "controller has stopped")
+}
--- a/internal/version/order/lease.go
+++ b/internal/version/order/lease.go
@@ -68,6 +68,8 @@
 type Lease struct {
 	opt LeaseOptions
 	row leaseRow
+	// failing is set while the row cannot be read or written.
+	failing bool
 
 	mu sync.Mutex
 	// fencing is 0 unless this controller holds the lease, and validFrom is the
@@ -109,8 +111,8 @@
 func (l *Lease) Run(ctx context.Context) error {
 	for {
 		held, err := l.step(ctx)
-		if err != nil && ctx.Err() == nil {
-			level.Warn(l.opt.Logger).Log("msg", "lease was not read or written", "err", err)
+		if ctx.Err() == nil {
+			l.logOutage(err)
 		}
 		pause := l.opt.Poll
 		if held && err == nil {
@@ -124,6 +126,14 @@
 	}
 }
 
+// logOutage logs changes only, so that a long outage logs two lines.
+func (l *Lease) logOutage(err error) {
+	if failing := err != nil; failing != l.failing {
+		l.failing = failing
+		level.Warn(l.opt.Logger).Log("msg", "lease row changed reachability", "reachable", !failing, "err", err)
+	}
+}
+
 // step renews the lease if the row is this controller's, takes it over if its
 // time has passed, and else watches the row.
 func (l *Lease) step(ctx context.Context) (held bool, err error) {
--- a/internal/version/order/reconciler.go
+++ b/internal/version/order/reconciler.go
@@ -50,14 +50,14 @@
 
 // Progress describes the last round for operators.
 type Progress struct {
-	Revision int64
+	Revision int64 `json:"revision"`
 	// Engines and Unreachable count the listed engines and those not reached.
-	Engines     int
-	Unreachable int
+	Engines     int `json:"engines"`
+	Unreachable int `json:"unreachable"`
 	// Differing counts the engines that do not have their goal yet.
-	Differing int
+	Differing int `json:"differing"`
 	// PendingLoads counts loads in flight and loads that wait for their turn.
-	PendingLoads int
+	PendingLoads int `json:"pending_loads"`
 }
 
 // Reconciler brings the engines to the plan. Only one goroutine runs it.
@@ -66,6 +66,8 @@
 	limiter *rate.Limiter
 	hosts   []platform.Host
 	engines map[string]*record
+	// active tells whether the permit was held in the last round.
+	active bool
 
 	mu       sync.Mutex
 	progress Progress
@@ -104,7 +106,12 @@
 
 // Round reads everything, plans and orders once, if the permit is held.
 func (r *Reconciler) Round(ctx context.Context) {
-	if _, _, ok := r.opt.Permit.Allow(); !ok {
+	_, _, ok := r.opt.Permit.Allow()
+	if ok != r.active {
+		r.active = ok
+		level.Info(r.opt.Logger).Log("msg", "permit for orders changed", "held", ok)
+	}
+	if !ok {
 		// What was read under an earlier permit is too old for the next one.
 		clear(r.engines)
 		r.setProgress(Progress{})
@@ -141,7 +148,7 @@
 	var group errgroup.Group
 	group.SetLimit(r.opt.Concurrency)
 	for _, o := range orders {
-		if !gate.admits(deadline, o) {
+		if ctx.Err() != nil || !gate.admits(deadline, o) {
 			continue
 		}
 		group.Go(func() error {
