Pace adapter loads and count unread engines against the bound on loads

An edit of a model's adapters went to all its engines at once. Adapters come from the weight store too, so each one now takes its share of the rate. A new holder starts with an empty rate, because its predecessor may have started a load just before, and counts an engine that it has not read as loading. An engine that is lost no longer counts, or a few of them would hold up all loads.

The new test fails when only models wait for the rate (trial, restored). Not shown by a test: the count of unread engines and of orders without an answer.

--- a/internal/version/order/engines.go
+++ b/internal/version/order/engines.go
@@ -63,10 +63,11 @@
 	return !r.failedSince.IsZero() && now.Sub(r.failedSince) >= after
 }
 
-// loads is the number of loads that may be in flight at the engine.
+// loads is the number of loads that may be in flight at the engine. One that
+// has not been read yet may be loading a model.
 func (r *record) loads(now time.Time) int {
 	n := len(r.state.Loading)
-	if now.Before(r.uncertainUntil) {
+	if !r.known || now.Before(r.uncertainUntil) {
 		n = max(n, 1)
 	}
 	return n
--- a/internal/version/order/gate.go
+++ b/internal/version/order/gate.go
@@ -31,9 +31,14 @@
 	g := &gate{r: r, ready: map[place]int{}, floor: map[place]int{}, unread: map[string]bool{}}
 	usable := map[string]int{}
 	for name, rec := range r.engines {
-		g.loads += rec.loads(now)
 		dc := rec.host.DataCentre
-		live := rec.host.State == platform.HostLive && !rec.lost(now, r.opt.LostAfter)
+		// An engine lost for long is taken to have stopped loading, or a few of
+		// them would hold up all loads while the host list is out.
+		lost := rec.lost(now, r.opt.LostAfter)
+		if !lost {
+			g.loads += rec.loads(now)
+		}
+		live := rec.host.State == platform.HostLive && !lost
 		if !rec.known {
 			g.unread[dc] = g.unread[dc] || live
 			continue
@@ -60,7 +65,7 @@
 // the rate of loads as long as ctx allows.
 func (g *gate) admits(ctx context.Context, o pendingOrder) bool {
 	dc, n := o.rec.host.DataCentre, len(o.loads)
-	if !g.mayDrop(dc, o) || n > 0 && !g.mayLoad(ctx, dc, n) {
+	if !g.mayDrop(dc, o) || n > 0 && !g.mayLoad(dc, n) || !g.mayFetch(ctx, o.fetches) {
 		g.waiting += n
 		return false
 	}
@@ -86,14 +91,21 @@
 	return true
 }
 
-func (g *gate) mayLoad(ctx context.Context, dc string, n int) bool {
-	if g.unread[dc] || g.loads+n > g.r.opt.MaxLoads {
+func (g *gate) mayLoad(dc string, n int) bool {
+	return !g.unread[dc] && g.loads+n <= g.r.opt.MaxLoads
+}
+
+// mayFetch waits for the rate of the weight store. One order may fetch several
+// items, so all but the first are reserved ahead and delay later orders.
+func (g *gate) mayFetch(ctx context.Context, n int) bool {
+	if n == 0 {
+		return true
+	}
+	if g.r.limiter.Wait(ctx) != nil {
 		return false
 	}
-	for range n {
-		if g.r.limiter.Wait(ctx) != nil {
-			return false
-		}
+	for range n - 1 {
+		g.r.limiter.Reserve()
 	}
 	return true
 }
--- a/internal/version/order/lease.go
+++ b/internal/version/order/lease.go
@@ -86,7 +86,9 @@
 
 // Allow returns the fencing number for an order and the time at which its call
 // must have ended. It is called immediately before each order, because the
-// process may have been paused since any earlier check.
+// process may have been paused since any earlier check. A pause longer than
+// Flight between this check and the write of the order is not noticed; the
+// engine's fencing or the next round of the new holder then undoes the order.
 func (l *Lease) Allow() (fencing int64, until time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/version/order/reconciler.go
+++ b/internal/version/order/reconciler.go
@@ -40,7 +40,7 @@
 	Concurrency int
 	// MaxLoads bounds the model loads in flight over all engines.
 	MaxLoads int
-	// LoadsPerSecond bounds the rate at which loads start.
+	// LoadsPerSecond bounds the rate at which loads of models and adapters start.
 	LoadsPerSecond float64
 	// HonourFencing names the engines that refuse old fencing numbers.
 	HonourFencing []string
@@ -109,6 +109,8 @@
 	_, _, ok := r.opt.Permit.Allow()
 	if ok != r.active {
 		r.active = ok
+		// The former holder may have started a load just now.
+		r.limiter.Allow()
 		level.Info(r.opt.Logger).Log("msg", "permit for orders changed", "held", ok)
 	}
 	if !ok {
@@ -174,6 +176,8 @@
 	// loads are the models that the engine will start to load, and drops the
 	// loaded ones that it will unload.
 	loads, drops []string
+	// fetches counts the models and adapters to read from the weight store.
+	fetches int
 }
 
 // differences returns the orders that would bring the engines to the plan, and
@@ -188,6 +192,7 @@
 			loads: without(a.Goal.Models, rec.state.Loaded, rec.state.Loading),
 			drops: without(rec.state.Loaded, a.Goal.Models),
 		}
+		o.fetches = len(o.loads) + len(without(a.Goal.Adapters, rec.state.Goal.Adapters))
 		same := sameGoal(a.Goal, rec.state.Goal)
 		reached := same && len(without(a.Goal.Models, rec.state.Loaded)) == 0
 		if !reached {
@@ -199,7 +204,7 @@
 		case !rec.reachable():
 		case same && len(o.loads) == 0 && !r.fencingBehind(rec):
 		case same && len(o.loads) > 0 && now.Before(rec.restateAt):
-		case len(o.loads) > 0:
+		case o.fetches > 0:
 			loading = append(loading, o)
 		default:
 			orders = append(orders, o)
--- a/internal/version/order/reconciler_test.go
+++ b/internal/version/order/reconciler_test.go
@@ -23,12 +23,14 @@
 		}
 		first, second := replicas("first"), replicas("second")
 		loaded := rapid.SliceOfN(rapid.SliceOfNDistinct(rapid.SampledFrom(modelNames), 0, 2, rapid.ID), 1, 8).Draw(rt, "loaded")
+		lose := rapid.SliceOfN(rapid.Bool(), len(loaded), len(loaded)).Draw(rt, "lose an answer")
 		wait := rapid.SampledFrom([]time.Duration{time.Second, 4 * time.Second, 2 * time.Minute}).Draw(rt, "wait")
 		var broken error
 		synctest.Test(t, func(*testing.T) {
 			w := newWorld(first)
 			for i, models := range loaded {
 				w.add(fmt.Sprint("e", i), models...)
+				w.change(fmt.Sprint("e", i), func(e *fakeEngine) { e.loseAnswer = lose[i] })
 			}
 			r, stop := w.reconcile(&permit{fencing: 1})
 			time.Sleep(wait)
@@ -52,6 +54,25 @@
 	})
 }
 
+// Guards against an edit of adapters that makes all engines read from the
+// weight store at once.
+func TestAdaptersRespectTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(map[string]int{"a": 8})
+		for i := range 8 {
+			w.add(fmt.Sprint("e", i), "a")
+		}
+		_, stop := w.reconcile(&permit{fencing: 1})
+		w.adapters = []string{"letters"}
+		w.edit(2, map[string]int{"a": 8})
+		time.Sleep(time.Minute)
+		stop()
+		is.Equal(len(w.loads), 8)
+		is.True(w.closestLoads() >= 500*time.Millisecond)
+	})
+}
+
 // step is a moment of a fault case: what changes, and when to look.
 type step struct {
 	change func(w *world)
@@ -159,6 +180,28 @@
 	})
 }
 
+// Guards against a holder that goes on through a long outage of the platform,
+// and one that does not come back after it.
+func TestPlatformOutForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, f := newWorld(map[string]int{"a": 1}), newFleet(1, 1, false)
+		w.add("e0")
+		_, stop := w.reconcile(f.processes[0])
+		time.Sleep(20 * time.Second)
+		is.Equal(w.serving("a"), 1)
+		f.processes[0].cutOff(time.Minute)
+		time.Sleep(8 * time.Second)
+		w.edit(2, map[string]int{"b": 1})
+		time.Sleep(50 * time.Second)
+		is.Equal(w.serving("a"), 1) // the engine keeps its state
+		time.Sleep(20 * time.Second)
+		is.Equal(w.serving("b"), 1)
+		stop()
+		f.processes[0].stop()
+	})
+}
+
 // Guards against a new holder that loads a model elsewhere only because an
 // engine that has it does not answer at first.
 func TestTakeOverWaitsForUnreadEngines(t *testing.T) {
--- a/internal/version/order/world_test.go
+++ b/internal/version/order/world_test.go
@@ -25,9 +25,11 @@
 	hostsDown bool
 	engines   map[string]*fakeEngine
 	snapshot  *catalogue.Snapshot
-	loads     []time.Time
-	maxLoads  int
-	broken    error
+	// adapters are those of model a from the next edit on.
+	adapters []string
+	loads    []time.Time
+	maxLoads int
+	broken   error
 }
 
 type fakeEngine struct {
@@ -36,8 +38,10 @@
 	down     bool
 	draining bool
 	failLoad bool
-	refused  int
-	orders   int
+	// loseAnswer lets the next order take effect without an answer.
+	loseAnswer bool
+	refused    int
+	orders     int
 }
 
 // permit is held while its number is not 0.
@@ -71,6 +75,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	c.Models[0].Adapters = w.adapters
 	w.snapshot = catalogue.NewSnapshot(revision, "", c)
 }
 
@@ -200,12 +205,19 @@
 		e.state.HighestFencing = o.Fencing
 	}
 	w.drop(e, o.Goal)
+	for range without(o.Goal.Adapters, e.state.Goal.Adapters) {
+		w.startLoad()
+	}
 	e.state.Goal = o.Goal
 	for _, m := range without(o.Goal.Models, e.state.Loaded, e.state.Loading) {
 		e.state.Loading = append(e.state.Loading, m)
 		w.startLoad()
 		time.AfterFunc(loadTime, func() { w.finishLoad(e, m) })
 	}
+	if e.loseAnswer {
+		e.loseAnswer = false
+		return api.OrderState{}, errors.New("answer was lost")
+	}
 	return e.copy(), nil
 }
 
