--- a/internal/process/gateway/admin.go
+++ b/internal/process/gateway/admin.go
@@ -19,12 +19,11 @@
 	// Revision is the catalogue revision in force; 0 before the first one.
 	Revision int64 `json:"revision"`
 	// LivePeers counts the live gateways, this one included.
-	LivePeers   int      `json:"live_peers"`
-	OwnedGroups []string `json:"owned_groups"`
-	PlatformOK  bool     `json:"platform_ok"`
-	InProgress  int64    `json:"in_progress"`
-	// Running counts the requests of each workspace in progress here.
-	Running map[string]int `json:"running,omitempty"`
+	LivePeers         int      `json:"live_peers"`
+	GroupsOwned       int      `json:"groups_owned"`
+	Groups            []string `json:"groups,omitempty"`
+	PlatformReachable bool     `json:"platform_reachable"`
+	InProgress        int64    `json:"in_progress"`
 }
 
 // StatusSource adds what other parts of the process know to a status.
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -251,10 +251,11 @@
 func (p *process) status(s *Status) {
 	s.LivePeers = len(p.gossiper.Live())
 	age, confirmed := p.syncer.Confirmed()
-	s.PlatformOK = confirmed && age < platformStale
+	s.PlatformReachable = confirmed && age < platformStale
 	for _, g := range p.gossiper.Summaries() {
 		if g.Owner == p.opts.Name {
-			s.OwnedGroups = append(s.OwnedGroups, g.Group.String())
+			s.GroupsOwned++
+			s.Groups = append(s.Groups, g.Group.String())
 		}
 	}
 }
--- a/internal/process/operator/connect.go
+++ b/internal/process/operator/connect.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
+	"persimmonwing/internal/connection/platform"
 	"persimmonwing/internal/version/revision"
 )
 
@@ -13,5 +15,6 @@
 	if tableURL == "" || objectURL == "" {
 		return nil, nil, usageError{errors.New("-table-url and -object-url must be set")}
 	}
-	return nil, nil, errors.New("this build has no clients of the platform's table and object store")
+	client := &http.Client{Transport: http.DefaultTransport}
+	return platform.NewTable(tableURL, client, timeout), platform.NewObjects(objectURL, client, timeout), nil
 }
--- a/internal/process/standin/platform/server.go
+++ b/internal/process/standin/platform/server.go
@@ -96,9 +96,16 @@
 // maxWeights bounds the answer of one weight read, in bytes.
 const maxWeights = 1 << 30
 
-// serveWeights answers with the number of bytes that the query asks for.
+// defaultWeights is the size of an answer whose size was not asked for, in bytes.
+const defaultWeights = 64 << 10
+
+// serveWeights answers with the number of bytes that the query asks for, or
+// with defaultWeights.
 func serveWeights(w http.ResponseWriter, r *http.Request) {
-	n, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64)
+	n, err := int64(defaultWeights), error(nil)
+	if text := r.URL.Query().Get("bytes"); text != "" {
+		n, err = strconv.ParseInt(text, 10, 64)
+	}
 	if err != nil || n < 0 || n > maxWeights {
 		http.Error(w, "bytes: give a number from 0 to "+strconv.Itoa(maxWeights), http.StatusBadRequest)
 		return
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -80,7 +80,7 @@
 		response_keys: [{id: demo1, secret: loopback-demo-response-key}]
 		platform:
 		  table_url: $(platform_url)
-		  object_url: $(platform_url)
+		  object_url: $(platform_url)/objects
 		  hosts_url: $(platform_url)
 		policy: ${POLICY:-owner}
 	END
@@ -93,7 +93,7 @@
 		admin_listen: 127.0.0.1:$(controller_port "$1")
 		platform:
 		  table_url: $(platform_url)
-		  object_url: $(platform_url)
+		  object_url: $(platform_url)/objects
 		  hosts_url: $(platform_url)
 	END
 }
