--- a/internal/process/limits/limits.go
+++ b/internal/process/limits/limits.go
@@ -1,7 +1,7 @@
 // Package limits enforces the catalogue's rate and concurrency limits of
 // workspaces and entries at one gateway. Each gateway enforces its share, the
 // limit divided by the number of live gateways, so that no message is needed
-// for a request.
+// for a request; a burst of two seconds' worth is allowed at each gateway.
 package limits
 
 import (
@@ -114,20 +114,23 @@
 
 func (b *bucket) adjust(now time.Time, limits catalogue.Limits, share float64) {
 	b.limits, b.share = limits, share
-	b.requests = adjusted(now, b.requests, limits.RequestsPerSecond*share)
-	b.tokens = adjusted(now, b.tokens, limits.TokensPerSecond*share)
+	b.requests = adjusted(now, b.requests, limits.RequestsPerSecond, share)
+	b.tokens = adjusted(now, b.tokens, limits.TokensPerSecond, share)
 }
 
-// adjusted returns a limiter with this rate that keeps the fill of the old one.
-func adjusted(now time.Time, old *rate.Limiter, perSecond float64) *rate.Limiter {
+// adjusted returns a limiter with this share of a rate that keeps the fill of
+// the old one. The burst is not shared: a balancer spreads few requests
+// unevenly, and a share of a small burst would refuse a workspace far below its
+// limit.
+func adjusted(now time.Time, old *rate.Limiter, perSecond, share float64) *rate.Limiter {
 	if perSecond == 0 {
 		return nil
 	}
 	burst := max(1, int(math.Ceil(perSecond*burstSeconds)))
 	if old == nil {
-		return rate.NewLimiter(rate.Limit(perSecond), burst)
+		return rate.NewLimiter(rate.Limit(perSecond*share), burst)
 	}
-	old.SetLimitAt(now, rate.Limit(perSecond))
+	old.SetLimitAt(now, rate.Limit(perSecond*share))
 	old.SetBurstAt(now, burst)
 	return old
 }
--- a/internal/process/limits/limits_test.go
+++ b/internal/process/limits/limits_test.go
@@ -83,6 +83,19 @@
 	is.True(err == nil)
 }
 
+// Guards against refusing a workspace far below its limit because a balancer
+// sent three of its requests to one of seven gateways in a row.
+func TestUnevenSpreadBelowLimit(t *testing.T) {
+	is := is.New(t)
+	w, e := scope(catalogue.Limits{RequestsPerSecond: 10})
+	l := New()
+	l.SetShare(1.0 / 7)
+	for range 8 {
+		_, err := l.Acquire(start, w, e)
+		is.True(err == nil)
+	}
+}
+
 // Guards against a catalogue edit or a change of membership that refills the bucket.
 func TestEditKeepsFill(t *testing.T) {
 	is := is.New(t)
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -13,7 +13,7 @@
 APPS=${APPS:-4}
 CONTROLLERS=${CONTROLLERS:-2}
 MODEL=${MODEL:-plan-large}
-SERVICES=(${SERVICES:-bookings records})
+SERVICES=(${SERVICES:-bookings roster records bookings})
 BIN=${BIN:-bin}
 
 platform_port() { echo "$PORT_BASE"; }
