--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -13,7 +13,7 @@
 APPS=${APPS:-4}
 CONTROLLERS=${CONTROLLERS:-2}
 MODEL=${MODEL:-plan-large}
-SERVICES=(${SERVICES:-bookings records})
+SERVICES=(${SERVICES:-bookings roster records bookings})
 BIN=${BIN:-bin}
 
 platform_port() { echo "$PORT_BASE"; }
@@ -80,7 +80,7 @@
 		response_keys: [{id: demo1, secret: loopback-demo-response-key}]
 		platform:
 		  table_url: $(platform_url)
-		  object_url: $(platform_url)
+		  object_url: $(platform_url)/objects
 		  hosts_url: $(platform_url)
 		policy: ${POLICY:-owner}
 	END
@@ -93,7 +93,7 @@
 		admin_listen: 127.0.0.1:$(controller_port "$1")
 		platform:
 		  table_url: $(platform_url)
-		  object_url: $(platform_url)
+		  object_url: $(platform_url)/objects
 		  hosts_url: $(platform_url)
 	END
 }
