--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -28,6 +28,8 @@
 type Sequence struct {
 	prompt, generated, limit int
 	mean, variance           [horizons]int64
+	// most is the size at each horizon if the sequence gets that far.
+	most [horizons]int64
 }
 
 // NewSequence projects a generation of prompt tokens that has generated some
@@ -43,13 +45,14 @@
 
 func (s *Sequence) project(e *survival.Estimator) {
 	for i, h := range Horizons {
-		s.mean[i], s.variance[i] = 0, 0
+		s.mean[i], s.variance[i], s.most[i] = 0, 0, 0
 		if h > 0 && s.limit > 0 && s.generated+h > s.limit {
 			continue
 		}
 		p := e.Survive(s.generated, h)
 		size := float64(s.prompt + s.generated + h)
 		s.mean[i] = int64(math.Round(size * p))
+		s.most[i] = int64(size)
 		s.variance[i] = int64(math.Round(size * size * p * (1 - p)))
 	}
 }
@@ -59,6 +62,8 @@
 type Projection struct {
 	count          int
 	mean, variance [horizons]int64
+	// most is the use if every sequence gets as far as the horizon.
+	most [horizons]int64
 	// foreign counts tokens that the engine reports beyond the own view.
 	foreign int64
 	views   [reportMemory]int64
@@ -98,6 +103,7 @@
 	for i := range horizons {
 		p.mean[i] += sign * s.mean[i]
 		p.variance[i] += sign * s.variance[i]
+		p.most[i] += sign * s.most[i]
 	}
 }
 
@@ -129,14 +135,16 @@
 func (p *Projection) Peak() float64 {
 	peak := 0.0
 	for i := range horizons {
-		peak = max(peak, p.projected(p.mean[i], p.variance[i]))
+		peak = max(peak, p.projected(p.mean[i], p.variance[i], p.most[i]))
 	}
 	return peak
 }
 
-// projected returns the use for sums of mean and variance.
-func (p *Projection) projected(mean, variance int64) float64 {
-	return float64(mean+p.foreign) + deviations*math.Sqrt(float64(variance))
+// projected returns the use for sums over sequences. For few sequences the
+// normal approximation exceeds what they can use at most.
+func (p *Projection) projected(mean, variance, most int64) float64 {
+	likely := float64(mean) + deviations*math.Sqrt(float64(variance))
+	return float64(p.foreign) + min(likely, float64(most))
 }
 
 // Fits reports whether the candidate keeps the projection within capacity less
@@ -144,7 +152,8 @@
 func (p *Projection) Fits(candidate *Sequence, capacity, reserve int) bool {
 	limit := float64(capacity - reserve)
 	for i := range horizons {
-		if p.projected(p.mean[i]+candidate.mean[i], p.variance[i]+candidate.variance[i]) > limit {
+		use := p.projected(p.mean[i]+candidate.mean[i], p.variance[i]+candidate.variance[i], p.most[i]+candidate.most[i])
+		if use > limit {
 			return false
 		}
 	}
--- a/internal/process/memory/memory_test.go
+++ b/internal/process/memory/memory_test.go
@@ -64,6 +64,20 @@
 	})
 }
 
+// Guards against refusing a small request because one large sequence is
+// projected to use more than it can.
+func TestProjectionIsAtMostTheSum(t *testing.T) {
+	is := is.New(t)
+	e := survival.New(240)
+	var p Projection
+	s := NewSequence(e, 6000, 0, 0)
+	p.Add(&s)
+	is.True(p.Peak() <= 6000+float64(Horizons[horizons-1]))
+	small := NewSequence(e, 10, 0, 10)
+	is.True(p.Fits(&small, 11_000, 0))
+	is.True(!p.Fits(&small, 6000, 0))
+}
+
 // Guards against overlooking sequences that another gateway granted, and
 // against counting for good those that a lagging report still holds.
 func TestReportCountsForeignSequences(t *testing.T) {
