Keep a headroom for the next urgent requests instead of a background limit

Cause: under a background flood of 4 times capacity, background was limited to 90% of each replica's slots, but urgent work used the rest, so that every slot was taken and each urgent request waited for one to end. Background now leaves free what urgent work is expected to need in 150 ms, at most the urgent reserve. Without urgent work nothing is left empty.

--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -30,6 +30,10 @@
 	// urgentWaits is set when an urgent request lacks room, so that background
 	// work does not take the room that it waits for.
 	urgentWaits bool
+	// spare counts the slots that background work may still take.
+	spare float64
+	// reserved is the memory in tokens that it leaves free on each replica.
+	reserved int
 }
 
 func classIndex(c catalogue.Class) int {
@@ -46,6 +50,8 @@
 	g.refuseExpired(p)
 	g.refuseUnplaceable(p)
 	g.warmUp(now)
+	h := g.headroom(now)
+	p.spare, p.reserved = h.spare, h.tokens
 	for !g.saturated() {
 		class, open := g.nextClass(p)
 		if !open {
@@ -118,15 +124,18 @@
 		i := classIndex(class)
 		p.closed[i] = p.closed[i] || g.queue.Next(class) == nil
 	}
+	g.reserved = p.reserved
 	urgent, background := !p.closed[0], !p.closed[1]
 	switch {
 	case g.o.NoClasses:
 		return catalogue.Urgent, urgent
 	case background && g.floorDue(p.now):
+		// The floor is due whatever urgent work is expected.
+		g.reserved = 0
 		return catalogue.Background, true
 	case urgent:
 		return catalogue.Urgent, true
-	case background && !p.urgentWaits:
+	case background && !p.urgentWaits && p.spare >= 1:
 		return catalogue.Background, true
 	}
 	return "", false
@@ -161,6 +170,8 @@
 	t := g.queue.Take(e, tokens)
 	q := &t.request
 	g.hold(p.now, q, r, s, tokens)
+	g.noteUrgentSize(q.Class, tokens)
+	p.spare--
 	g.prefixes.remember(q.PrefixHashes, r)
 	// Only work admitted while background waits counts towards its floor, so
 	// that background gains no credit while it has nothing to run.
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"persimmonwing/internal/process/memory"
-	"persimmonwing/internal/process/survival"
-	"persimmonwing/internal/version/catalogue"
 )
 
 // grant is a permission in use.
@@ -22,14 +20,6 @@
 	nextSpare *grant
 }
 
-// countBackground returns 1 for a background request.
-func countBackground(r *Request) int {
-	if r.Class == catalogue.Background {
-		return 1
-	}
-	return 0
-}
-
 // pin counts the grants of one fingerprint on its replica.
 type pin struct {
 	replica *replica
@@ -65,10 +55,6 @@
 	if r.index >= 0 {
 		g.inFlight++
 	}
-	if countBackground(q) > 0 {
-		r.background++
-		r.backgroundMem.Add(&h.sequence)
-	}
 	if q.Suspect {
 		r.suspects++
 	}
@@ -91,10 +77,6 @@
 	if r.index >= 0 {
 		g.inFlight--
 	}
-	if countBackground(q) > 0 {
-		r.background--
-		r.backgroundMem.Remove(&h.sequence)
-	}
 	if q.Suspect {
 		r.suspects--
 	}
@@ -131,7 +113,7 @@
 	}
 	e := g.length(&h.request)
 	e.Expose(before, generated)
-	h.advance(e, generated)
+	h.replica.all.Advance(&h.sequence, e, generated)
 	if used := float64(h.request.PromptTokens + generated); used > h.charged {
 		g.queue.Charge(h.request.Workspace, h.request.Class, used-h.charged)
 		h.charged = used
@@ -139,18 +121,6 @@
 	g.update(h.replica, now)
 }
 
-// advance moves the projection of a grant in both sums that hold it.
-func (h *grant) advance(e *survival.Estimator, generated int) {
-	background := countBackground(&h.request) > 0
-	if background {
-		h.replica.backgroundMem.Remove(&h.sequence)
-	}
-	h.replica.all.Advance(&h.sequence, e, generated)
-	if background {
-		h.replica.backgroundMem.Add(&h.sequence)
-	}
-}
-
 // Adopt registers a grant that another owner gave, or renews a known one.
 func (g *Group) Adopt(now time.Time, held Held) {
 	id := held.Grant.ID
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -85,6 +85,8 @@
 	available replicaHeap
 	// inFlight counts the grants on available replicas.
 	inFlight int
+	// slotCount and freeCount sum up the slots of the available replicas.
+	slotCount, freeCount int
 	// warming lists the replicas in slow start.
 	warming   []*replica
 	grants    map[string]*grant
@@ -95,6 +97,11 @@
 	prefixes prefixTable
 	lengths  map[string]*survival.Estimator
 	admitted window
+	// urgentSize is the mean size of urgent grants in tokens.
+	urgentSize float64
+	// reserved is the memory in tokens that background work leaves free on each
+	// replica in the current Dispatch.
+	reserved int
 	// unavailableSince is when the last replica stopped accepting.
 	unavailableSince time.Time
 	started          bool
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -78,7 +78,7 @@
 		case slices.Contains(q.Exclude, r.Name):
 		case q.Suspect && r.suspects > 0:
 			why = min(why, isolated)
-		case !g.hasSlot(now, r, q):
+		case !g.hasSlot(now, r):
 			why = noRoom
 		case !g.hasMemory(r, q, s):
 			why = noRoom
@@ -106,20 +106,17 @@
 
 // hasRoom reports whether the replica has a slot and memory for the request.
 func (g *Group) hasRoom(now time.Time, r *replica, q *Request, s *memory.Sequence) bool {
-	return g.hasSlot(now, r, q) && g.hasMemory(r, q, s)
+	return g.hasSlot(now, r) && g.hasMemory(r, q, s)
 }
 
-// reserves reports whether the request must leave the urgent reserve free.
+// reserves reports whether the request must leave the headroom for urgent work
+// free.
 func (g *Group) reserves(q *Request) bool {
 	return q.Class == catalogue.Background && !g.o.NoClasses
 }
 
-func (g *Group) hasSlot(now time.Time, r *replica, q *Request) bool {
-	slots := g.slots(r, now)
-	if r.occupied() >= slots {
-		return false
-	}
-	return !g.reserves(q) || r.background < g.backgroundSlots(slots)
+func (g *Group) hasSlot(now time.Time, r *replica) bool {
+	return r.occupied() < g.slots(r, now)
 }
 
 func (g *Group) hasMemory(r *replica, q *Request, s *memory.Sequence) bool {
@@ -127,20 +124,11 @@
 	if !g.limitsMemory(r) || r.occupied() == 0 {
 		return true
 	}
-	capacity := g.capacityFor(r)
-	if g.reserves(q) && r.background > 0 {
-		reserve := int(g.o.UrgentReserve * float64(capacity))
-		if !r.backgroundMem.Fits(s, capacity, reserve) {
-			return false
-		}
+	reserve := 0
+	if g.reserves(q) {
+		reserve = g.reserved
 	}
-	return r.all.Fits(s, capacity, 0)
-}
-
-// backgroundSlots returns the slots of a replica that background may use; one
-// slot is always open to it.
-func (g *Group) backgroundSlots(slots int) int {
-	return max(1, int((1-g.o.UrgentReserve)*float64(slots)))
+	return r.all.Fits(s, g.capacityFor(r), reserve)
 }
 
 // affine returns the replica that holds the longest known prefix, if its load
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -19,25 +19,25 @@
 	listed   bool
 	draining bool
 	// bound is the largest batch that keeps the token gap target.
-	bound      int
-	running    []*grant
-	background int
-	suspects   int
-	// all projects every sequence and own those of the background class.
-	all           memory.Projection
-	backgroundMem memory.Projection
+	bound    int
+	running  []*grant
+	suspects int
+	// all projects every sequence.
+	all memory.Projection
 	// foreign counts running sequences that this group did not grant.
-	foreign       int
-	views         [foreignReports]int
-	reports       int
-	reported      bool
-	lastReport    int64
-	incarnation   string
-	returnedAt    time.Time
-	load          float64
-	index         int
-	reportedBatch int
-	reportedKV    int
+	foreign     int
+	views       [foreignReports]int
+	reports     int
+	reported    bool
+	lastReport  int64
+	incarnation string
+	returnedAt  time.Time
+	load        float64
+	index       int
+	// slotCount and freeCount are this replica's part of the group's sums.
+	slotCount, freeCount int
+	reportedBatch        int
+	reportedKV           int
 }
 
 func (r *replica) accepting() bool { return r.listed && r.Accepting && !r.draining }
@@ -97,6 +97,7 @@
 func (g *Group) update(r *replica, now time.Time) {
 	r.load = g.loadOf(r, now)
 	accepting := r.accepting()
+	g.countRoom(r, now, accepting)
 	switch {
 	case accepting && r.index >= 0:
 		heap.Fix(&g.available, r.index)
@@ -109,10 +110,24 @@
 	}
 }
 
+// countRoom keeps the sums of slots and free slots of the available replicas.
+func (g *Group) countRoom(r *replica, now time.Time, accepting bool) {
+	g.slotCount -= r.slotCount
+	g.freeCount -= r.freeCount
+	r.slotCount, r.freeCount = 0, 0
+	if accepting && g.o.Policy != PolicyBaseline {
+		r.slotCount = g.slots(r, now)
+		r.freeCount = g.freeSlots(r, now)
+	}
+	g.slotCount += r.slotCount
+	g.freeCount += r.freeCount
+}
+
 // reorder recomputes every load.
 func (g *Group) reorder() {
 	for _, r := range g.available {
 		r.load = g.loadOf(r, time.Time{})
+		g.countRoom(r, time.Time{}, true)
 	}
 	heap.Init(&g.available)
 }
