Keep a headroom for workspaces under their share; bound overtaking to 4

Cause: with two workspaces asking 20 times their share, a small workspace's request was first in the queue but found every slot taken, and a request that did not fit a replica's memory was overtaken up to 32 times, 1.3 s at 25 grants a second. Ruled out: debts in virtual time, which grow with progress only.

--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -17,7 +17,7 @@
 	maxIsolatedSkips = 64
 	// maxBypassed is the number of times that smaller requests may overtake one
 	// that does not fit. After that its class waits for it.
-	maxBypassed = 32
+	maxBypassed = 4
 )
 
 // pass is the state of one Dispatch.
@@ -30,10 +30,9 @@
 	// urgentWaits is set when an urgent request lacks room, so that background
 	// work does not take the room that it waits for.
 	urgentWaits bool
-	// spare counts the slots that background work may still take.
-	spare float64
-	// reserved is the memory in tokens that it leaves free on each replica.
-	reserved int
+	// urgent is the headroom that background work leaves free, and fair the one
+	// that urgent work of workspaces over their share does.
+	urgent, fair headroom
 }
 
 func classIndex(c catalogue.Class) int {
@@ -50,8 +49,7 @@
 	g.refuseExpired(p)
 	g.refuseUnplaceable(p)
 	g.warmUp(now)
-	h := g.headroom(now)
-	p.spare, p.reserved = h.spare, h.tokens
+	p.urgent, p.fair = g.urgentHeadroom(now), g.fairHeadroom(now)
 	for !g.saturated() {
 		class, open := g.nextClass(p)
 		if !open {
@@ -124,18 +122,20 @@
 		i := classIndex(class)
 		p.closed[i] = p.closed[i] || g.queue.Next(class) == nil
 	}
-	g.reserved = p.reserved
+	g.reserved = p.urgent.tokens
 	urgent, background := !p.closed[0], !p.closed[1]
 	switch {
 	case g.o.NoClasses:
+		g.reserved = 0
 		return catalogue.Urgent, urgent
 	case background && g.floorDue(p.now):
 		// The floor is due whatever urgent work is expected.
 		g.reserved = 0
 		return catalogue.Background, true
 	case urgent:
+		g.reserved = 0
 		return catalogue.Urgent, true
-	case background && !p.urgentWaits && p.spare >= 1:
+	case background && !p.urgentWaits && p.urgent.spare >= 1:
 		return catalogue.Background, true
 	}
 	return "", false
@@ -151,6 +151,13 @@
 func (g *Group) dispatchOne(p *pass, class catalogue.Class) {
 	e := g.queue.Next(class)
 	q := &e.Value.request
+	if class == catalogue.Urgent && g.shares.over(p.now, q.Workspace) {
+		if p.fair.spare < 1 {
+			g.passOver(p, e, classIndex(class), overItsShare)
+			return
+		}
+		g.reserved = p.fair.tokens
+	}
 	s := memory.NewSequence(g.length(q), q.PromptTokens, 0, q.MaxOutputTokens)
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
@@ -171,7 +178,9 @@
 	q := &t.request
 	g.hold(p.now, q, r, s, tokens)
 	g.noteUrgentSize(q.Class, tokens)
-	p.spare--
+	g.shares.add(p.now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens, q.Class == catalogue.Urgent)
+	p.urgent.spare--
+	p.fair.spare--
 	g.prefixes.remember(q.PrefixHashes, r)
 	// Only work admitted while background waits counts towards its floor, so
 	// that background gains no credit while it has nothing to run.
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -99,9 +99,10 @@
 	admitted window
 	// urgentSize is the mean size of urgent grants in tokens.
 	urgentSize float64
-	// reserved is the memory in tokens that background work leaves free on each
-	// replica in the current Dispatch.
+	// reserved is the memory in tokens that the request being placed leaves free
+	// on each replica.
 	reserved int
+	shares   shares
 	// unavailableSince is when the last replica stopped accepting.
 	unavailableSince time.Time
 	started          bool
@@ -125,6 +126,7 @@
 		grants:   make(map[string]*grant),
 		pinned:   make(map[uint64]pin),
 		lengths:  make(map[string]*survival.Estimator),
+		shares:   shares{usage: make(map[string]*usage)},
 	}
 }
 
--- a/internal/process/schedule/group_test.go
+++ b/internal/process/schedule/group_test.go
@@ -117,13 +117,49 @@
 	grantAndEnd(g, start, "w", 10)
 	add(g, start, "b", 100, catalogue.Background)
 	g.Dispatch(start)
-	kept := g.headroom(start).tokens
+	kept := g.urgentHeadroom(start).tokens
 	is.True(kept > 1000)
 	is.True(g.replicas["r000"].all.Peak() <= float64(10_000-kept))
 	add(g, start, "u", 3, catalogue.Urgent)
 	is.Equal(len(g.Dispatch(start)), 3)
 }
 
+// Guards against a large workspace that takes every slot, so that a small one
+// waits for a generation to end, and against starving the large one.
+func TestSmallWorkspaceFindsRoom(t *testing.T) {
+	is := is.New(t)
+	g := testGroup(Options{UrgentReserve: 0.25}, 2, 8, 100_000)
+	now := start
+	send := func(prefix, workspace string, n int) int {
+		for i := range n {
+			r := testRequest(fmt.Sprint(prefix, i), workspace, catalogue.Urgent)
+			is.True(g.Enqueue(now, r) == nil)
+		}
+		return len(g.Dispatch(now))
+	}
+	for i := range 20 {
+		send(fmt.Sprint("s", i, "-"), "small", 1)
+		now = now.Add(time.Second)
+		g.Release(now, fmt.Sprint("s", i, "-0"), Outcome{Generated: 100, Completed: true})
+	}
+	send("l", "large", 40)
+	now = now.Add(time.Second)
+	for i := range 8 {
+		g.Release(now, fmt.Sprint("l", i), Outcome{Generated: 100, Completed: true})
+	}
+	granted := len(g.Dispatch(now))
+	is.True(granted > 0 && granted < 8)
+	is.Equal(send("late", "small", 1), 1)
+
+	g = testGroup(Options{UrgentReserve: 0.25}, 1, 1, 100_000)
+	is.Equal(send("a", "small", 1), 1)
+	g.Release(now, "a0", Outcome{Generated: 1, Completed: true})
+	for i := range 5 {
+		is.Equal(send(fmt.Sprint("b", i, "-"), "large", 1), 1)
+		g.Release(now, fmt.Sprint("b", i, "-0"), Outcome{Generated: 1000, Completed: true})
+	}
+}
+
 // Guards against slots left empty for urgent work that nobody sends.
 func TestNoHeadroomWithoutUrgentWork(t *testing.T) {
 	is := is.New(t)
--- a/internal/process/schedule/headroom.go
+++ b/internal/process/schedule/headroom.go
@@ -9,7 +9,7 @@
 
 const (
 	// headroomTime is the time for which the headroom lasts at the usual rate of
-	// urgent grants. Slots that end meanwhile refill it.
+	// grants. Slots that end meanwhile refill it.
 	headroomTime = 150 * time.Millisecond
 	// headroomDeviations covers bursts: arrivals in that time are Poisson.
 	headroomDeviations = 2.0
@@ -17,29 +17,50 @@
 	urgentSizeWeight = 0.05
 )
 
-// headroom is what background work leaves free, so that an urgent request that
-// arrives next needs not wait for a running one to end.
+// headroom is what less entitled work leaves free, so that a more entitled
+// request that arrives next needs not wait for a running one to end.
 type headroom struct {
-	// spare counts the slots that background work may still take.
+	// spare counts the slots that the less entitled work may still take.
 	spare float64
 	// tokens is the memory kept free on each replica.
 	tokens int
 }
 
-// headroom follows the rate of urgent work and is at most the urgent reserve of
-// the catalogue: without urgent work nothing is kept free.
-func (g *Group) headroom(now time.Time) headroom {
-	if g.o.NoClasses || len(g.available) == 0 {
-		return headroom{spare: math.Inf(1)}
+// unlimited keeps nothing free.
+var unlimited = headroom{spare: math.Inf(1)}
+
+// headroomFor keeps room for requests that come at a rate per second, at most
+// the urgent reserve of the catalogue. Without such requests nothing is kept.
+func (g *Group) headroomFor(rate float64) headroom {
+	if len(g.available) == 0 {
+		return unlimited
 	}
-	urgent, _ := g.admitted.rates(now)
-	expected := urgent * headroomTime.Seconds()
+	expected := rate * headroomTime.Seconds()
 	wanted := expected + headroomDeviations*math.Sqrt(expected)
-	kept := min(wanted, g.o.UrgentReserve*float64(g.slotCount))
+	// Whole slots only, so that the last slot of a small group is never kept.
+	kept := math.Floor(min(wanted, g.o.UrgentReserve*float64(g.slotCount)))
 	perReplica := kept / float64(len(g.available))
 	return headroom{spare: float64(g.freeCount) - kept, tokens: int(perReplica * g.urgentSize)}
 }
 
+// urgentHeadroom is what background work leaves free for urgent work.
+func (g *Group) urgentHeadroom(now time.Time) headroom {
+	if g.o.NoClasses {
+		return unlimited
+	}
+	urgent, _ := g.admitted.rates(now)
+	return g.headroomFor(urgent)
+}
+
+// fairHeadroom is what urgent work of workspaces over their share leaves free
+// for that of the others.
+func (g *Group) fairHeadroom(now time.Time) headroom {
+	if g.o.NoFairness {
+		return unlimited
+	}
+	return g.headroomFor(g.shares.under.rate(now))
+}
+
 // noteUrgentSize keeps the mean size in tokens of urgent grants.
 func (g *Group) noteUrgentSize(class catalogue.Class, tokens float64) {
 	switch {
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"persimmonwing/internal/process/memory"
-	"persimmonwing/internal/version/catalogue"
 )
 
 // The reasons of a Grant.
@@ -36,6 +35,8 @@
 	noRoom
 	// isolated means that suspects or equal fingerprints must end first.
 	isolated
+	// overItsShare means that the free slots are kept for other workspaces.
+	overItsShare
 	// noneAccepts means that every replica is excluded or not accepting.
 	noneAccepts
 )
@@ -46,7 +47,7 @@
 		return g.leastLoaded(now, q, s)
 	}
 	if p, pinned := g.pinned[q.Fingerprint]; pinned && q.Fingerprint != 0 {
-		if g.usable(p.replica, q) && g.hasRoom(now, p.replica, q, s) {
+		if g.usable(p.replica, q) && g.hasRoom(now, p.replica, s) {
 			return p.replica, ReasonFingerprint, placed
 		}
 		return nil, "", isolated
@@ -80,7 +81,7 @@
 			why = min(why, isolated)
 		case !g.hasSlot(now, r):
 			why = noRoom
-		case !g.hasMemory(r, q, s):
+		case !g.hasMemory(r, s):
 			why = noRoom
 			misses++
 		default:
@@ -105,30 +106,20 @@
 }
 
 // hasRoom reports whether the replica has a slot and memory for the request.
-func (g *Group) hasRoom(now time.Time, r *replica, q *Request, s *memory.Sequence) bool {
-	return g.hasSlot(now, r) && g.hasMemory(r, q, s)
-}
-
-// reserves reports whether the request must leave the headroom for urgent work
-// free.
-func (g *Group) reserves(q *Request) bool {
-	return q.Class == catalogue.Background && !g.o.NoClasses
+func (g *Group) hasRoom(now time.Time, r *replica, s *memory.Sequence) bool {
+	return g.hasSlot(now, r) && g.hasMemory(r, s)
 }
 
 func (g *Group) hasSlot(now time.Time, r *replica) bool {
 	return r.occupied() < g.slots(r, now)
 }
 
-func (g *Group) hasMemory(r *replica, q *Request, s *memory.Sequence) bool {
+func (g *Group) hasMemory(r *replica, s *memory.Sequence) bool {
 	// A request that fits nowhere else runs on an empty replica.
 	if !g.limitsMemory(r) || r.occupied() == 0 {
 		return true
 	}
-	reserve := 0
-	if g.reserves(q) {
-		reserve = g.reserved
-	}
-	return r.all.Fits(s, g.capacityFor(r), reserve)
+	return r.all.Fits(s, g.capacityFor(r), g.reserved)
 }
 
 // affine returns the replica that holds the longest known prefix, if its load
@@ -143,7 +134,7 @@
 		if r == nil || !g.usable(r, q) {
 			continue
 		}
-		if float64(len(r.running)) < affinityBound*mean && g.hasRoom(now, r, q, s) {
+		if float64(len(r.running)) < affinityBound*mean && g.hasRoom(now, r, s) {
 			return r
 		}
 	}
