--- a/internal/process/operator/catalogue.go
+++ b/internal/process/operator/catalogue.go
@@ -24,7 +24,10 @@
 		ShortUsage:  "persimmonctl catalogue <validate|diff|apply|get|history|rollback>",
 		ShortHelp:   "check, read and edit the catalogue",
 		Subcommands: []*ffcli.Command{c.validate(), c.diff(), c.apply(), c.get(), c.history(), c.rollback()},
-		Exec: func(context.Context, []string) error {
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usagef("command %q does not exist; use validate, diff, apply, get, history or rollback", "catalogue "+args[0])
+			}
 			return usagef("catalogue: use validate, diff, apply, get, history or rollback")
 		},
 	}
@@ -80,8 +83,8 @@
 		Name: "get", ShortUsage: "persimmonctl catalogue get [-revision N]", ShortHelp: "print a revision's body",
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return usagef("get takes no argument")
+			if err := noArguments("get", args); err != nil {
+				return err
 			}
 			e, err := c.editor()
 			if err != nil {
@@ -89,7 +92,7 @@
 			}
 			r, body, err := e.Get(ctx, *number)
 			if err != nil {
-				return err
+				return explained(err, r, *number)
 			}
 			if c.output == outputJSON {
 				return c.print(struct {
@@ -110,7 +113,10 @@
 	return &ffcli.Command{
 		Name: "history", ShortUsage: "persimmonctl catalogue history [-limit N]", ShortHelp: "list revisions, newest first",
 		FlagSet: fs,
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments("history", args); err != nil {
+				return err
+			}
 			if *limit < 1 {
 				return usagef("-limit: %d is not allowed; 1 or more", *limit)
 			}
@@ -119,6 +125,9 @@
 				return err
 			}
 			list, err := e.History(ctx, *limit)
+			if err != nil && len(list) == 0 {
+				return err
+			}
 			var rows [][]string
 			for _, r := range list {
 				rows = append(rows, []string{strconv.FormatInt(r.Number, 10), r.At.Format(time.RFC3339), r.Author, r.Nonce, r.Message})
--- a/internal/process/operator/connect.go
+++ b/internal/process/operator/connect.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"net/url"
 	"time"
 
 	"persimmonwing/internal/connection/platform"
@@ -12,9 +13,21 @@
 // connect returns the clients of the table and of the object store at these
 // base URLs. Timeout bounds one call.
 func connect(tableURL, objectURL string, timeout time.Duration) (revision.Table, revision.Objects, error) {
-	if tableURL == "" || objectURL == "" {
-		return nil, nil, usageError{errors.New("-table-url and -object-url must be set")}
+	if err := errors.Join(checkURL("-table-url", tableURL), checkURL("-object-url", objectURL)); err != nil {
+		return nil, nil, usageError{err}
 	}
 	client := &http.Client{Transport: http.DefaultTransport}
 	return platform.NewTable(tableURL, client, timeout), platform.NewObjects(objectURL, client, timeout), nil
 }
+
+// checkURL keeps a mistyped URL from being tried again until the timeout.
+func checkURL(name, value string) error {
+	if value == "" {
+		return usagef("%s must be set, such as http://127.0.0.1:7400", name)
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return usagef("%s: %q is not allowed; use http://host:port", name, value)
+	}
+	return nil
+}
--- a/internal/process/operator/edit.go
+++ b/internal/process/operator/edit.go
@@ -66,9 +66,9 @@
 			if err != nil {
 				return err
 			}
-			_, body, err := e.Get(ctx, number)
+			r, body, err := e.Get(ctx, number)
 			if err != nil {
-				return err
+				return explained(err, r, number)
 			}
 			if *message == "" {
 				*message = fmt.Sprintf("rollback to revision %d", number)
@@ -100,7 +100,7 @@
 			}
 			r, body, err := e.Get(ctx, 0)
 			if err != nil {
-				return err
+				return explained(err, r, 0)
 			}
 			edited, changed, err := catalogue.SetDraining(body, args[0], drain)
 			if err != nil {
@@ -176,12 +176,38 @@
 	accepted, err := e.Apply(ctx, base, body, c.author, message)
 	var unresolved *revision.UnresolvedError
 	if !errors.As(err, &unresolved) {
-		return accepted, err
+		return accepted, merged(err)
 	}
 	fmt.Fprintf(c.Stderr, "%v\nwaiting up to %v for the platform to find out\n", err, c.resolve)
 	ctx, cancel = context.WithTimeout(c.parent, c.resolve)
 	defer cancel()
-	return e.Resume(ctx, unresolved)
+	accepted, err = e.Resume(ctx, unresolved)
+	return accepted, merged(err)
+}
+
+// merged adds to a conflict how to get the edit accepted.
+func merged(err error) error {
+	var conflict *revision.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	return fmt.Errorf("%w\nread the current one with \"persimmonctl catalogue get\", make the edit in it and apply it with -base %d", err, conflict.Current.Number)
+}
+
+// errNoRevision is the error of a command that needs a catalogue.
+var errNoRevision = errors.New("the catalogue has no revision yet; make the first one with \"persimmonctl catalogue apply FILE -message M\"")
+
+// explained replaces the error of reading a revision that does not exist. A
+// revision whose body is missing has a number and keeps its error.
+func explained(err error, r revision.Revision, number int64) error {
+	switch {
+	case !errors.Is(err, platform.ErrNotFound) || r.Number != 0:
+		return err
+	case number == 0:
+		return errNoRevision
+	default:
+		return fmt.Errorf("revision %d doesn't exist; \"persimmonctl catalogue history\" lists those that do", number)
+	}
 }
 
 // dangers lists why an edit needs a confirmation. The catalogue doesn't list
@@ -211,7 +237,7 @@
 		return revision.Revision{}, nil, nil
 	}
 	if err != nil {
-		return revision.Revision{}, nil, err
+		return revision.Revision{}, nil, explained(err, r, number)
 	}
 	parsed, err := catalogue.Parse(fmt.Sprintf("revision-%d", r.Number), body)
 	return r, parsed, err
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -161,7 +161,10 @@
 			c.catalogueCommand(), c.statusCommand(), c.workspacesCommand(), c.explainCommand(),
 			c.drainCommand("drain", true), c.drainCommand("undrain", false), c.completionCommand(),
 		},
-		Exec: func(context.Context, []string) error {
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usagef("command %q does not exist; see persimmonctl -h", args[0])
+			}
 			return usagef("a command is needed; see persimmonctl -h")
 		},
 	}
@@ -188,3 +191,11 @@
 	}
 	return nil
 }
+
+// noArguments refuses arguments of a command that takes none.
+func noArguments(name string, args []string) error {
+	if len(args) > 0 {
+		return usagef("%s: argument %q is not allowed; it takes flags only", name, args[0])
+	}
+	return nil
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -31,6 +31,9 @@
 // Load reads the YAML file at path over the defaults already in v and
 // validates the result.
 func Load(path string, v Validator) error {
+	if path == "" {
+		return errors.New("settings: no file is named; set the flag that names it (see -h)")
+	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -67,6 +70,9 @@
 	case *version:
 		fmt.Fprintln(stdout, Build(fs.Name()))
 		return ExitOK, false
+	case fs.NArg() > 0:
+		fmt.Fprintf(stderr, "%s: argument %q is not allowed; options are flags such as -config FILE\n", fs.Name(), fs.Arg(0))
+		return ExitUsage, false
 	}
 	return ExitOK, true
 }
