--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,8 @@
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "gofmt: the files above are not formatted"; exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+# The time bound also covers a command that ignores its own.
+.PHONY: docs-check
+docs-check: build
+	timeout -k 10 60 scripts/docs-check.sh
