--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -46,7 +46,7 @@
 	dec := yaml.NewDecoder(bytes.NewReader(raw))
 	dec.KnownFields(true)
 	if err := dec.Decode(v); err != nil && !errors.Is(err, io.EOF) {
-		return fmt.Errorf("settings %s: %w", name, err)
+		return fmt.Errorf("settings %s: %w", name, readable(raw, err))
 	}
 	if err := v.Validate(); err != nil {
 		return fmt.Errorf("settings %s: %w", name, err)
@@ -92,9 +92,10 @@
 	return fmt.Sprintf("%s %s revision %s %s", binary, info.Main.Version, revision, info.GoVersion)
 }
 
-// CheckRange returns an error that names the key unless min <= v <= max.
+// CheckRange returns an error that names the key unless min <= v <= max. NaN is
+// out of every range.
 func CheckRange[T int | int64 | float64](key string, v, min, max T) error {
-	if v < min || v > max {
+	if !(v >= min && v <= max) {
 		return fmt.Errorf("%s: %v is out of range; allowed are %v to %v", key, v, min, max)
 	}
 	return nil
