--- a/internal/process/operator/catalogue.go
+++ b/internal/process/operator/catalogue.go
@@ -59,6 +59,9 @@
 			if err != nil {
 				return err
 			}
+			if err := checkRevision(*number); err != nil {
+				return err
+			}
 			parsed, _, err := readFile(args)
 			if err != nil {
 				return err
@@ -86,6 +89,9 @@
 			if err := noArguments("get", args); err != nil {
 				return err
 			}
+			if err := checkRevision(*number); err != nil {
+				return err
+			}
 			e, err := c.editor()
 			if err != nil {
 				return err
@@ -137,6 +143,14 @@
 	}
 }
 
+// checkRevision refuses a number that no revision can have.
+func checkRevision(number int64) error {
+	if number < 0 {
+		return usagef("-revision: %d is not allowed; a revision number from 1, or 0 for the current one", number)
+	}
+	return nil
+}
+
 // readFile parses the one file named by args.
 func readFile(args []string) (*catalogue.Catalogue, []byte, error) {
 	if len(args) != 1 {
--- a/internal/process/operator/edit.go
+++ b/internal/process/operator/edit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -119,6 +120,9 @@
 
 // submit shows the changes, asks if they are dangerous and applies the body.
 func (c *command) submit(ctx context.Context, base int64, body []byte, message string, yes bool) error {
+	if strings.TrimSpace(c.author) == "" {
+		return usagef("-author is needed, because USER is not set")
+	}
 	e, err := c.editor()
 	if err != nil {
 		return err
--- a/internal/process/operator/gateways.go
+++ b/internal/process/operator/gateways.go
@@ -93,7 +93,7 @@
 		return err
 	}
 	if failed > 0 {
-		return fmt.Errorf("%d of %d gateways didn't answer", failed, len(list))
+		return fmt.Errorf("%d of %d gateways didn't answer; check -gateways and whether they run", failed, len(list))
 	}
 	return nil
 }
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -16,6 +16,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"persimmonwing/internal/connection/platform"
 	"persimmonwing/internal/process/settings"
 	"persimmonwing/internal/version/revision"
 )
@@ -120,12 +121,16 @@
 // exit reports an error and returns the exit code.
 func (c *command) exit(err error) int {
 	var usage usageError
+	var unreached *platform.Error
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return settings.ExitOK
 	case errors.As(err, &usage):
 		fmt.Fprintf(c.Stderr, "persimmonctl: %v\n", err)
 		return settings.ExitUsage
+	case errors.As(err, &unreached):
+		fmt.Fprintf(c.Stderr, "persimmonctl: %v\ncheck -table-url and -object-url, and whether the platform is up\n", err)
+		return settings.ExitFailure
 	default:
 		fmt.Fprintf(c.Stderr, "persimmonctl: %v\n", err)
 		return settings.ExitFailure
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -163,6 +163,7 @@
 		{"workspaces", "", 1, "no revision yet"},
 		{"catalogue diff " + example, "", 0, "+ entry counter-order"},
 		{"catalogue apply " + example, "", 2, "-message is needed"},
+		{"catalogue apply " + example + " -message first -author=", "", 2, "-author is needed"},
 		{"catalogue apply " + example + " -message first", "", 0, "accepted as revision 1"},
 		{"catalogue diff " + example + " -revision 1", "", 0, "no changes"},
 		{"catalogue apply " + example + " -message again", "", 0, "no changes: revision 1 has this body"},
@@ -191,9 +192,11 @@
 		{"status -gateways " + gateway.URL, "", 0, "gw1"},
 		{"-gateways " + address + " status", "", 0, "gw1      hobart       7         true   5           2       true"},
 		{"status -gateways " + address + " -output json", "", 0, `"groups_owned": 2`},
-		{"-gateways 127.0.0.1:1," + address + " status", "", 1, "1 of 2 gateways didn't answer"},
+		{"-gateways 127.0.0.1:1," + address + " status", "", 1, "1 of 2 gateways didn't answer; check -gateways"},
 		{"-gateways 127.0.0.1:1," + address + " explain abc", "", 0, "granted e1"},
 		{"-gateways " + address + " explain xyz", "", 1, "each keeps its latest 2000"},
+		{"catalogue get -revision -3", "", 2, "-revision: -3 is not allowed"},
+		{"catalogue diff " + example + " -revision -3", "", 2, "-revision: -3 is not allowed"},
 		{"completion bash", "", 0, "catalogue) words=\"validate diff apply get history rollback\""},
 		{"completion fish", "", 2, "use bash"},
 	}
@@ -249,3 +252,16 @@
 		is.True(strings.Contains(err.Error(), "-table-url"))
 	}
 }
+
+// Guards against a failure of the platform that does not say what to check.
+func TestPlatformFailureNamesFlags(t *testing.T) {
+	is := is.New(t)
+	var stderr bytes.Buffer
+	env := Env{Stdin: strings.NewReader(""), Stdout: &stderr, Stderr: &stderr, HTTP: http.DefaultClient, Connect: connect}
+	server := httptest.NewServer(http.NotFoundHandler())
+	url := server.URL
+	server.Close()
+	code := Run(t.Context(), env, strings.Fields("catalogue get -timeout 100ms -table-url "+url+" -object-url "+url))
+	is.Equal(code, 1)
+	is.True(strings.Contains(stderr.String(), "check -table-url and -object-url"))
+}
--- a/scripts/docs-check.sh
+++ b/scripts/docs-check.sh
@@ -55,6 +55,7 @@
 		want=${BASH_REMATCH[2]}
 	fi
 	command=${command//:$((PAGE_PORT_BASE / 1000))/:$((PORT_BASE / 1000))}
+	expected=${expected//:$((PAGE_PORT_BASE / 1000))/:$((PORT_BASE / 1000))}
 	if [[ $command == export\ * || $command =~ ^[a-z_]+= ]]; then
 		eval "$command" || got=$?
 		output=
