--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,7 @@
 # Targets: build, test, race, lint, demo, faults, capacity, docs-check.
 GO ?= go
-BINARIES := gateway controller persimmonctl loadgen standin-engine standin-app standin-platform
 
-.PHONY: build test race lint demo
+.PHONY: build test race lint demo docs-check
 build:
 	@mkdir -p bin
 	$(GO) build -o bin/ ./cmd/...
@@ -20,3 +19,7 @@
 
 demo: build
 	bash scripts/demo.sh
+
+# The time bound also covers a command that ignores its own.
+docs-check: build
+	timeout -k 10 60 scripts/docs-check.sh
