--- a/internal/process/gateway/admin.go
+++ b/internal/process/gateway/admin.go
@@ -41,13 +41,24 @@
 }
 
 func (g *Gateway) readyz(w http.ResponseWriter, _ *http.Request) {
+	if reason := g.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// notReady says why the balancer shall send no calls here, or "".
+func (g *Gateway) notReady() string {
 	switch {
 	case g.stopping.Load():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return "stopping"
 	case g.catalogue.Current() == nil:
-		http.Error(w, "no catalogue revision is known yet", http.StatusServiceUnavailable)
+		return "no catalogue revision is known yet"
+	case g.discovered != nil && !g.discovered():
+		return "no backend server is known yet"
 	default:
-		w.WriteHeader(http.StatusOK)
+		return ""
 	}
 }
 
@@ -61,8 +72,8 @@
 	}
 	if snapshot := g.catalogue.Current(); snapshot != nil {
 		s.Revision = snapshot.Revision
-		s.Ready = !s.Stopping
 	}
+	s.Ready = g.notReady() == ""
 	for _, add := range g.statusSources {
 		add(&s)
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -40,6 +40,9 @@
 	Limits    *limits.Limiter
 	Metrics   *telemetry.Metrics
 	Logger    log.Logger
+	// Discovered tells whether backend servers are known, so that the first
+	// callers after a start are not refused; nil means always.
+	Discovered func() bool
 	// StatusSources complete the answer of /status.
 	StatusSources []StatusSource
 }
@@ -56,6 +59,7 @@
 	limits        *limits.Limiter
 	metrics       *telemetry.Metrics
 	logger        log.Logger
+	discovered    func() bool
 	statusSources []StatusSource
 
 	ids         *responseid.Codec
@@ -83,6 +87,7 @@
 		limits:        d.Limits,
 		metrics:       d.Metrics,
 		logger:        logging.Part(d.Logger, "gateway"),
+		discovered:    d.Discovered,
 		statusSources: d.StatusSources,
 		ids:           ids,
 		explain:       explain.NewLog(explain.DefaultRecords),
--- a/internal/process/gateway/options.go
+++ b/internal/process/gateway/options.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/url"
 	"slices"
 	"time"
 
@@ -114,11 +115,14 @@
 
 func (o *Options) validateIdentity() error {
 	var errs []error
-	for _, v := range []struct{ key, value string }{{"name", o.Name}, {"data_centre", o.DataCentre}, {"platform.table_url", o.Platform.TableURL}, {"platform.object_url", o.Platform.ObjectURL}, {"platform.hosts_url", o.Platform.HostsURL}} {
+	for _, v := range []struct{ key, value string }{{"name", o.Name}, {"data_centre", o.DataCentre}} {
 		if v.value == "" {
 			errs = append(errs, fmt.Errorf("%s: a value is needed", v.key))
 		}
 	}
+	for _, v := range []struct{ key, value string }{{"platform.table_url", o.Platform.TableURL}, {"platform.object_url", o.Platform.ObjectURL}, {"platform.hosts_url", o.Platform.HostsURL}} {
+		errs = append(errs, checkURL(v.key, v.value))
+	}
 	for _, v := range []struct{ key, value string }{{"listen", o.Listen}, {"admin_listen", o.AdminListen}, {"peer_listen", o.PeerListen}} {
 		errs = append(errs, checkAddress(v.key, v.value))
 	}
@@ -132,6 +136,18 @@
 	return errors.Join(append(errs, err)...)
 }
 
+// checkURL accepts the base URL of a service.
+func checkURL(key, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s: a value is needed", key)
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("%s: %q is not allowed; use a base URL, such as http://127.0.0.1:2379", key, value)
+	}
+	return nil
+}
+
 // checkAddress accepts an IP number with a port.
 func checkAddress(key, value string) error {
 	host, _, err := net.SplitHostPort(value)
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -73,10 +73,11 @@
 	hosts    *platform.HostList
 	services *service.Client
 	gateway  *Gateway
+	started  time.Time
 }
 
 func newProcess(o *Options, logger log.Logger) (*process, error) {
-	p := &process{opts: o, logger: logger, metrics: telemetry.New(), holder: new(revision.Holder), limits: limits.New()}
+	p := &process{opts: o, logger: logger, metrics: telemetry.New(), holder: new(revision.Holder), limits: limits.New(), started: time.Now()}
 	p.pool = peer.NewPool([]byte(o.PeerSecret), peer.DialTCP)
 	p.services = service.New(&http.Client{Transport: engine.NewTransport()})
 	engines := engine.New(&http.Client{Transport: engine.NewTransport()})
@@ -104,6 +105,7 @@
 		Limits:        p.limits,
 		Metrics:       p.metrics,
 		Logger:        logger,
+		Discovered:    p.discovered,
 		StatusSources: []StatusSource{p.status},
 	})
 	return p, err
@@ -260,6 +262,15 @@
 	}
 }
 
+// discoveryPatience is the time after a start from which a gateway is ready
+// though it knows no group of replicas: there may be none.
+const discoveryPatience = 5 * time.Second
+
+// discovered reports whether any group of replicas is known.
+func (p *process) discovered() bool {
+	return time.Since(p.started) > discoveryPatience || len(p.gossiper.Summaries()) > 0
+}
+
 // platformStale is the age of the last answer from the platform after which it
 // counts as unreachable.
 const platformStale = 5 * time.Second
