Resume an engine stream when its link breaks with a typed error

Cause: the relay ended at any *fault.Error of its source. Every error of the engine client is one, so a broken link was never replaced: the reader got response.failed engine_lost, execution unknown, while the engine went on. Only a clean end of the body or a stall was resumed. The relay's tests used a plain error and did not see it.

A source's error is now never final. Since links that break before their first event no longer end the relay by themselves, such links count as broken since the last event: attempts are spaced by the backoff and end after LostAfter (FirstContact before the first token).

Ruled out: stripping the type in the engine client, which needs it for its other callers.

With the fake link's error typed, 3 relay tests fail on the old code and pass now.

--- a/internal/request/fault/fault.go
+++ b/internal/request/fault/fault.go
@@ -19,6 +19,9 @@
 const (
 	BadRequest           Code = "bad_request"
 	BodyTooLarge         Code = "body_too_large"
+	BodyTimeout          Code = "body_timeout"
+	UnknownPath          Code = "unknown_path"
+	MethodNotAllowed     Code = "method_not_allowed"
 	Unauthorized         Code = "unauthorized"
 	UnknownEntry         Code = "unknown_entry"
 	UnknownResponse      Code = "unknown_response"
--- a/internal/request/relay/accept.go
+++ b/internal/request/relay/accept.go
@@ -55,6 +55,7 @@
 // forward takes the event that is due.
 func (r *Relay) forward(e api.Event) {
 	r.next++
+	r.brokenAt = time.Time{}
 	switch {
 	case e.Type == api.EventCreated:
 		r.created(e.Response.ID)
--- a/internal/request/relay/fake_test.go
+++ b/internal/request/relay/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -30,7 +29,9 @@
 	return events
 }
 
-var errCut = errors.New("connection reset")
+// errCut is typed like the errors of the engine client. Such an error describes
+// one link and must not end the relay.
+var errCut error = fault.New(fault.EngineLost, "stream", backend, api.Unknown, "connection reset")
 
 // step is what a fake link does next.
 type step struct {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -106,6 +106,10 @@
 	lastToken  time.Time
 	readerLeft time.Time
 	resumed    bool
+	// brokenAt is the time at which a link broke after the last event was
+	// accepted; zero while events come. delay spaces the attempts since then.
+	brokenAt time.Time
+	delay    *backoff.ExponentialBackOff
 }
 
 // New returns a relay of the attempt with this id at a backend server.
@@ -131,15 +135,15 @@
 // *fault.Error; it is nil if and only if Result.Terminal is set.
 func (r *Relay) Run(ctx context.Context, src Source) (Result, error) {
 	for {
-		err := r.consume(ctx, src)
+		final, broken := r.consume(ctx, src)
 		if r.result.Terminal != nil {
 			return r.result, nil
 		}
-		var final *fault.Error
-		if errors.As(err, &final) {
+		if final != nil {
 			return r.result, final
 		}
-		if src, err = r.reopen(ctx, err); err != nil {
+		var err error
+		if src, err = r.reopen(ctx, broken); err != nil {
 			return r.result, err
 		}
 		if r.hooks.Resumed != nil {
@@ -148,8 +152,10 @@
 	}
 }
 
-// consume forwards events of one link until it ends. A *fault.Error is final.
-func (r *Relay) consume(ctx context.Context, src Source) error {
+// consume forwards events of one link until it ends. It returns why the relay
+// ends, or why the link has to be replaced. An error of the source is never
+// final, although it is a *fault.Error too: it describes the link only.
+func (r *Relay) consume(ctx context.Context, src Source) (final *fault.Error, broken error) {
 	p := startPump(src)
 	defer p.stop()
 	stall := time.NewTimer(r.stallTimeout())
@@ -157,23 +163,23 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return r.contextFault(ctx)
+			return r.contextFault(ctx), nil
 		case <-stall.C:
-			return errStalled
+			return nil, errStalled
 		case item := <-p.items:
 			if item.err != nil {
-				return fmt.Errorf("read stream: %w", item.err)
+				return nil, fmt.Errorf("read stream: %w", item.err)
 			}
 			if err := r.accept(item.event); err != nil {
-				return err
+				return nil, err
 			}
 			stall.Reset(r.stallTimeout())
 			if r.result.Terminal != nil {
-				return nil
+				return nil, nil
 			}
 		}
 		if err := r.checkGrace(); err != nil {
-			return err
+			return err, nil
 		}
 	}
 }
@@ -186,7 +192,7 @@
 }
 
 // checkGrace ends a relay whose reader has been gone for the grace.
-func (r *Relay) checkGrace() error {
+func (r *Relay) checkGrace() *fault.Error {
 	if !r.result.ReaderGone || time.Since(r.readerLeft) < r.opts.ReaderGrace {
 		return nil
 	}
@@ -208,96 +214,3 @@
 	}
 	return api.Unknown
 }
-
-// Delays between attempts to reach the engine again.
-const (
-	resumeDelayMin = 20 * time.Millisecond
-	resumeDelayMax = 500 * time.Millisecond
-)
-
-// reopen replaces the link. It gives up when the engine does not know the
-// stream any more or has not answered for too long.
-func (r *Relay) reopen(ctx context.Context, cause error) (Source, error) {
-	if r.result.EngineID == "" {
-		return nil, fault.Wrap(cause, fault.EngineLost, "relay", r.backend, api.Unknown)
-	}
-	delay := backoff.NewExponentialBackOff()
-	delay.InitialInterval = resumeDelayMin
-	delay.MaxInterval = resumeDelayMax
-	limit := r.opts.LostAfter
-	if r.result.Tokens == 0 && !r.resumed {
-		limit = r.opts.FirstContact
-	}
-	began := time.Now()
-	for {
-		// A stalled engine may accept a connection and never answer it.
-		attempt, cancel := context.WithTimeout(ctx, limit)
-		src, err := r.resumeWithin(attempt, cancel)
-		if err == nil {
-			return src, nil
-		}
-		if ctx.Err() != nil {
-			return nil, r.contextFault(ctx)
-		}
-		if fault.From(err).Code == fault.UnknownResponse || time.Since(began) >= limit {
-			return nil, fault.Wrap(errors.Join(cause, err), fault.EngineLost, "relay", r.backend, api.Ran)
-		}
-		if err := sleep(ctx, delay.NextBackOff()); err != nil {
-			return nil, r.contextFault(ctx)
-		}
-	}
-}
-
-// resumeWithin opens the link again; the context of a link that was opened
-// stays alive until the link is closed.
-func (r *Relay) resumeWithin(ctx context.Context, cancel context.CancelFunc) (Source, error) {
-	type opened struct {
-		src Source
-		err error
-	}
-	linkCtx, cancelLink := context.WithCancel(context.WithoutCancel(ctx))
-	done := make(chan opened, 1)
-	go func() {
-		src, err := r.resume(linkCtx, r.result.EngineID, r.next-1)
-		done <- opened{src, err}
-	}()
-	defer cancel()
-	select {
-	case o := <-done:
-		if o.err != nil {
-			cancelLink()
-			return nil, o.err
-		}
-		return &cancelOnClose{Source: o.src, cancel: cancelLink}, nil
-	case <-ctx.Done():
-		cancelLink()
-		go func() {
-			if o := <-done; o.src != nil {
-				_ = o.src.Close()
-			}
-		}()
-		return nil, ctx.Err()
-	}
-}
-
-// cancelOnClose ends the context of a link together with the link.
-type cancelOnClose struct {
-	Source
-	cancel context.CancelFunc
-}
-
-func (c *cancelOnClose) Close() error {
-	defer c.cancel()
-	return c.Source.Close()
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -185,3 +185,29 @@
 		is.Equal(fault.From(err).Code, fault.DeadlineExceeded)
 	})
 }
+
+// Guards against a relay that replaces links without end and without a pause
+// while each of them breaks before its first event.
+func TestLinksThatBreakAtOnceEndTheRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		events := script(5)
+		links := 0
+		resume := func(context.Context, string, int64) (Source, error) {
+			links++
+			return newLink(step{err: errCut}), nil
+		}
+		sink := &recorder{}
+		began := time.Now()
+		first := newLink(append(play(events[:3]...), step{err: errCut})...)
+		result, err := New(backend, attemptID, sink, resume, DefaultOptions(), Hooks{}).Run(t.Context(), first)
+		f := fault.From(err)
+		is.Equal(f.Code, fault.EngineLost)
+		is.Equal(f.Execution, api.Ran)
+		is.Equal(result.Tokens, 2)
+		is.True(time.Since(began) >= DefaultOptions().LostAfter)
+		is.True(time.Since(began) < DefaultOptions().LostAfter+time.Second)
+		is.True(links > 1 && links < 100)
+		awaitReaders()
+	})
+}
--- /dev/null
+++ b/internal/request/relay/reopen.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+)
+
+// Delays between attempts to reach the engine again.
+const (
+	resumeDelayMin = 20 * time.Millisecond
+	resumeDelayMax = 500 * time.Millisecond
+)
+
+// reopen replaces the link. It gives up when the engine does not know the
+// stream any more, has not answered for too long, or answers with links that
+// break before their first event for too long.
+func (r *Relay) reopen(ctx context.Context, cause error) (Source, error) {
+	if r.result.EngineID == "" {
+		return nil, fault.Wrap(cause, fault.EngineLost, "relay", r.backend, api.Unknown)
+	}
+	limit := r.opts.LostAfter
+	if r.result.Tokens == 0 && !r.resumed {
+		limit = r.opts.FirstContact
+	}
+	if r.brokenAt.IsZero() || errors.Is(cause, errStalled) {
+		r.breakBegins()
+	} else if err := r.pause(ctx, limit, cause); err != nil {
+		return nil, err
+	}
+	for {
+		// A stalled engine may accept a connection and never answer it.
+		attempt, cancel := context.WithTimeout(ctx, limit)
+		src, err := r.resumeWithin(attempt, cancel)
+		if err == nil {
+			return src, nil
+		}
+		if ctx.Err() != nil {
+			return nil, r.contextFault(ctx)
+		}
+		if fault.From(err).Code == fault.UnknownResponse {
+			return nil, r.lost(errors.Join(cause, err))
+		}
+		if err := r.pause(ctx, limit, errors.Join(cause, err)); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (r *Relay) breakBegins() {
+	r.brokenAt = time.Now()
+	r.delay = backoff.NewExponentialBackOff()
+	r.delay.InitialInterval = resumeDelayMin
+	r.delay.MaxInterval = resumeDelayMax
+}
+
+func (r *Relay) lost(cause error) *fault.Error {
+	return fault.Wrap(cause, fault.EngineLost, "relay", r.backend, api.Ran)
+}
+
+// pause waits before the next attempt, or ends the relay when no event has come
+// for the limit since the link broke.
+func (r *Relay) pause(ctx context.Context, limit time.Duration, cause error) error {
+	if time.Since(r.brokenAt) >= limit {
+		return r.lost(cause)
+	}
+	if sleep(ctx, r.delay.NextBackOff()) != nil {
+		return r.contextFault(ctx)
+	}
+	return nil
+}
+
+// resumeWithin opens the link again; the context of a link that was opened
+// stays alive until the link is closed.
+func (r *Relay) resumeWithin(ctx context.Context, cancel context.CancelFunc) (Source, error) {
+	type opened struct {
+		src Source
+		err error
+	}
+	linkCtx, cancelLink := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan opened, 1)
+	go func() {
+		src, err := r.resume(linkCtx, r.result.EngineID, r.next-1)
+		done <- opened{src, err}
+	}()
+	defer cancel()
+	select {
+	case o := <-done:
+		if o.err != nil {
+			cancelLink()
+			return nil, o.err
+		}
+		return &cancelOnClose{Source: o.src, cancel: cancelLink}, nil
+	case <-ctx.Done():
+		cancelLink()
+		go func() {
+			if o := <-done; o.src != nil {
+				_ = o.src.Close()
+			}
+		}()
+		return nil, ctx.Err()
+	}
+}
+
+// cancelOnClose ends the context of a link together with the link.
+type cancelOnClose struct {
+	Source
+	cancel context.CancelFunc
+}
+
+func (c *cancelOnClose) Close() error {
+	defer c.cancel()
+	return c.Source.Close()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
