Bound slow clients, type every refusal and test the gateway's failures

Cause: a table of bad input and of failures against a gateway with in-process stand-ins found these faults. - A client that never ends its body got no answer and held its goroutine and a graceful stop for ever: net/http reads the rest of the body before it sends an answer, and the read deadline had been cleared. Answers of one piece had no write deadline. - A refused resume or cancel of a generation that ran was told not_run (bad starting_after, bad timeout, rate limit), and unknown past the end. - 503 answers for no_replica and stopping had no Retry-After. - Unknown paths and methods were answered without a typed body. - An application server's X-Request-Id replaced that of the call. - An engine's bad_request was retried at other engines.

Ruled out: a server-wide ReadTimeout, which would also end long streams; closing idle connections at the start of a drain (it breaks a request that is just being sent), answered by Connection: close instead.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -37,6 +37,9 @@
 	entry     *catalogue.Entry
 	record    *explain.Record
 	logger    log.Logger
+	// known is the least that is known of the execution before any work of this
+	// call. A call about an earlier generation must never be told not_run.
+	known api.Execution
 }
 
 // handler serves an authenticated call. It returns the error to answer with,
@@ -44,10 +47,10 @@
 type handler func(w http.ResponseWriter, r *http.Request, c *call) *fault.Error
 
 // authenticated wraps a handler with request id, record, log line and the
-// workspace of the caller.
-func (g *Gateway) authenticated(h handler) http.HandlerFunc {
+// workspace of the caller; known is the initial call.known.
+func (g *Gateway) authenticated(known api.Execution, h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c := g.newCall()
+		c := g.newCall(known)
 		w.Header().Set(headerRequestID, c.id)
 		err := g.authenticate(c, r)
 		if err == nil {
@@ -58,16 +61,27 @@
 			return
 		}
 		c.record.Finish("answered")
+		_ = level.Debug(c.logger).Log("msg", "request answered", "took", time.Since(c.arrived))
 	}
 }
 
-func (g *Gateway) newCall() *call {
+// unrouted refuses a request for a path or method that no handler serves.
+func (g *Gateway) unrouted(code fault.Code) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := g.newCall(api.NotRun)
+		w.Header().Set(headerRequestID, c.id)
+		g.fail(w, c, fault.New(code, "route", "", api.NotRun, "the callers' interface has no such path and method"))
+	})
+}
+
+func (g *Gateway) newCall(known api.Execution) *call {
 	id := "req_" + strings.ToLower(ulid.Make().String())
 	return &call{
 		id:      id,
 		arrived: time.Now(),
 		record:  g.explain.Start(id),
 		logger:  log.With(g.logger, "request", id),
+		known:   known,
 	}
 }
 
@@ -122,6 +136,9 @@
 var statuses = map[fault.Code]int{
 	fault.BadRequest:           http.StatusBadRequest,
 	fault.BodyTooLarge:         http.StatusRequestEntityTooLarge,
+	fault.BodyTimeout:          http.StatusRequestTimeout,
+	fault.UnknownPath:          http.StatusNotFound,
+	fault.MethodNotAllowed:     http.StatusMethodNotAllowed,
 	fault.Unauthorized:         http.StatusUnauthorized,
 	fault.UnknownEntry:         http.StatusNotFound,
 	fault.UnknownResponse:      http.StatusNotFound,
@@ -154,12 +171,30 @@
 
 // fail answers with a typed error body and records it.
 func (g *Gateway) fail(w http.ResponseWriter, c *call, e *fault.Error) {
+	e.Execution = strongest(c.known, e.Execution)
+	code := status(e.Code)
+	if e.RetryAfter == 0 && (code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable) {
+		e.RetryAfter = minRetryAfter
+	}
 	g.count(c, e)
+	// Before it sends the answer, net/http reads the rest of the body, which a
+	// slow client may never end.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+	g.boundWrite(w)
 	if e.RetryAfter > 0 {
 		seconds := int64((max(e.RetryAfter, minRetryAfter) + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	writeJSON(w, status(e.Code), e.Body(c.id))
+	writeJSON(w, code, e.Body(c.id))
+}
+
+// discardTimeout bounds the wait for the rest of the body of a refused request.
+const discardTimeout = 500 * time.Millisecond
+
+// boundWrite bounds the write of an answer, so that a reader that takes nothing
+// holds neither its slot nor a graceful stop.
+func (g *Gateway) boundWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(g.opts.HTTP.WriteTimeout))
 }
 
 // count records an error in log, metrics and the request's record.
--- /dev/null
+++ b/internal/process/gateway/fakes_test.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// testCatalogue has entries with a concurrency limit of 1, so that a slot that
+// is not given back makes the next request fail.
+func testCatalogue() *catalogue.Snapshot {
+	one := catalogue.Limits{Concurrent: 1}
+	generation := func(name string, l catalogue.Limits, timeout time.Duration) catalogue.Entry {
+		return catalogue.Entry{Name: name, Kind: catalogue.Generation, Class: catalogue.Urgent, Model: "main", Timeout: timeout, Limits: l, MaxOutputTokens: 5000}
+	}
+	call := func(name string, idempotent bool, timeout time.Duration) catalogue.Entry {
+		return catalogue.Entry{Name: name, Kind: catalogue.Service, Class: catalogue.Urgent, Service: "shop", Methods: []string{"POST"}, Path: "/" + name, Idempotent: idempotent, Timeout: timeout, Limits: one}
+	}
+	private := generation("private", one, 5*time.Second)
+	private.Workspaces = []string{"b"}
+	workspace := func(name, key string) catalogue.Workspace {
+		return catalogue.Workspace{Name: name, Weight: 1, KeyDigests: []string{catalogue.Digest([]byte(key))}}
+	}
+	return catalogue.NewSnapshot(1, "", &catalogue.Catalogue{
+		Models:     []catalogue.Model{{Name: "main"}},
+		Workspaces: []catalogue.Workspace{workspace("a", keyA), workspace("b", keyB)},
+		Entries: []catalogue.Entry{
+			generation("plan", one, 5*time.Second), generation("short", one, 150*time.Millisecond),
+			generation("wide", catalogue.Limits{}, 20*time.Second), private,
+			call("booking", false, 5*time.Second), call("stock", true, 5*time.Second), call("hasty", true, 100*time.Millisecond),
+		},
+	})
+}
+
+// fakeScheduler grants the first replica that is not excluded and counts the
+// grants in use.
+type fakeScheduler struct {
+	mu       sync.Mutex
+	replicas []schedule.Grant
+	held     map[string]bool
+	granted  int
+	waiting  int
+	lost     []string
+	outcomes []schedule.Outcome
+	// refusal, if set, is the answer to every request; block makes requests wait
+	// for the end of their context.
+	refusal *schedule.Refusal
+	block   bool
+}
+
+func (f *fakeScheduler) add(name, address string) {
+	f.replicas = append(f.replicas, schedule.Grant{Backend: name, Address: address, Owner: "gateway-1", Reason: "least_load", Group: schedule.GroupKey{DataCentre: "dc-1", Model: "main"}})
+}
+
+func (f *fakeScheduler) set(refusal *schedule.Refusal, block bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refusal, f.block = refusal, block
+}
+
+func (f *fakeScheduler) Acquire(ctx context.Context, r schedule.Request) (schedule.Grant, error) {
+	f.mu.Lock()
+	if f.block {
+		f.waiting++
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		f.waiting--
+		f.mu.Unlock()
+		return schedule.Grant{}, ctx.Err()
+	}
+	defer f.mu.Unlock()
+	if f.refusal != nil {
+		return schedule.Grant{}, f.refusal
+	}
+	for _, g := range f.replicas {
+		if slices.Contains(r.Exclude, g.Backend) {
+			continue
+		}
+		g.ID = r.ID
+		f.held[g.ID] = true
+		f.granted++
+		return g, nil
+	}
+	return schedule.Grant{}, &schedule.Refusal{Reason: schedule.ReasonNoReplica}
+}
+
+func (f *fakeScheduler) Progress(string, int) {}
+
+func (f *fakeScheduler) Release(id string, o schedule.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.held, id)
+	f.outcomes = append(f.outcomes, o)
+}
+
+func (f *fakeScheduler) ReportLost(backend string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = append(f.lost, backend)
+}
+
+func (f *fakeScheduler) heldNow() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.held)
+}
+
+func (f *fakeScheduler) waitingNow() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting
+}
+
+func (f *fakeScheduler) grantedSoFar() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.granted
+}
+
+type fakeBackends []membership.Backend
+
+func (f *fakeBackends) Services(string) []membership.Backend { return *f }
+
+// eventReader reads the events of a stream one by one.
+type eventReader struct {
+	resp  *http.Response
+	lines *bufio.Scanner
+}
+
+// open sends a request whose answer is an event stream.
+func (w *world) open(r *http.Request) *eventReader {
+	w.t.Helper()
+	resp, err := w.client.Do(r)
+	w.noErr(err)
+	if resp.StatusCode != http.StatusOK {
+		w.t.Fatalf("status %d instead of a stream", resp.StatusCode)
+	}
+	w.t.Cleanup(func() { _ = resp.Body.Close() })
+	return &eventReader{resp: resp, lines: bufio.NewScanner(resp.Body)}
+}
+
+// next returns the next event, or false at the end of the stream.
+func (e *eventReader) next() (api.Event, bool) {
+	for e.lines.Scan() {
+		if data, ok := strings.CutPrefix(e.lines.Text(), "data: "); ok {
+			var event api.Event
+			return event, json.Unmarshal([]byte(data), &event) == nil
+		}
+	}
+	return api.Event{}, false
+}
+
+// rest reads the stream to its end.
+func (e *eventReader) rest() []api.Event {
+	var events []api.Event
+	for event, ok := e.next(); ok; event, ok = e.next() {
+		events = append(events, event)
+	}
+	_ = e.resp.Body.Close()
+	return events
+}
+
+// tokens joins the deltas of events.
+func tokens(events []api.Event) (text string, count int) {
+	var b strings.Builder
+	for _, e := range events {
+		if e.Type == api.EventDelta {
+			b.WriteString(e.Delta)
+			count++
+		}
+	}
+	return b.String(), count
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -18,7 +18,9 @@
 	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/telemetry"
+	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/explain"
+	"persimmonwing/internal/request/fault"
 	"persimmonwing/internal/request/responseid"
 )
 
@@ -93,19 +95,24 @@
 // CallerHandler serves the callers' interface.
 func (g *Gateway) CallerHandler() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc("/v1/responses", g.authenticated(g.createResponse)).Methods(http.MethodPost)
-	r.HandleFunc("/v1/responses/{id}", g.authenticated(g.resumeResponse)).Methods(http.MethodGet)
-	r.HandleFunc("/v1/responses/{id}/cancel", g.authenticated(g.cancelResponse)).Methods(http.MethodPost)
-	r.HandleFunc("/v1/services/{entry}", g.authenticated(g.callService))
-	r.HandleFunc("/v1/services/{entry}/{rest:.*}", g.authenticated(g.callService))
-	r.Use(g.countInProgress)
-	return r
+	r.HandleFunc("/v1/responses", g.authenticated(api.NotRun, g.createResponse)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/responses/{id}", g.authenticated(api.Unknown, g.resumeResponse)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/responses/{id}/cancel", g.authenticated(api.Unknown, g.cancelResponse)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/services/{entry}", g.authenticated(api.NotRun, g.callService))
+	r.HandleFunc("/v1/services/{entry}/{rest:.*}", g.authenticated(api.NotRun, g.callService))
+	r.NotFoundHandler = g.unrouted(fault.UnknownPath)
+	r.MethodNotAllowedHandler = g.unrouted(fault.MethodNotAllowed)
+	return g.countInProgress(r)
 }
 
 func (g *Gateway) countInProgress(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.inProgress.Add(1)
 		defer g.inProgress.Add(-1)
+		if g.stopping.Load() {
+			// The client opens its next connection at another gateway.
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -113,6 +120,9 @@
 // adminReadTimeout bounds requests of operators.
 const adminReadTimeout = 5 * time.Second
 
+// callerIdleTimeout bounds how long a connection stays open without a request.
+const callerIdleTimeout = 2 * time.Minute
+
 // Run serves until ctx ends, then finishes every request in progress and
 // returns. The deadlines of the entries bound the time that takes.
 func (g *Gateway) Run(ctx context.Context, callers, admin net.Listener) error {
@@ -120,6 +130,7 @@
 		Handler:           g.CallerHandler(),
 		ReadHeaderTimeout: g.opts.HTTP.HeaderTimeout,
 		MaxHeaderBytes:    g.opts.HTTP.MaxHeaderBytes,
+		IdleTimeout:       callerIdleTimeout,
 	}
 	adminServer := &http.Server{Handler: g.adminRouter(), ReadHeaderTimeout: adminReadTimeout, ReadTimeout: adminReadTimeout}
 	failed := make(chan error, 2)
@@ -135,10 +146,10 @@
 }
 
 // drain fails readiness, waits for the balancer to notice, and then lets all
-// requests in progress end.
+// requests in progress end. Idle connections stay open during the delay: closing
+// one breaks a request that is just being sent on it.
 func (g *Gateway) drain(server *http.Server) error {
 	g.stopping.Store(true)
-	server.SetKeepAlivesEnabled(false)
 	_ = level.Info(g.logger).Log("msg", "stopping", "in_progress", g.inProgress.Load(), "delay", g.opts.DrainDelay)
 	time.Sleep(g.opts.DrainDelay)
 	err := server.Shutdown(context.Background())
--- a/internal/process/gateway/generate.go
+++ b/internal/process/gateway/generate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,15 +80,17 @@
 		return nil, fault.Wrap(err, fault.Internal, "read", "", api.NotRun)
 	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.opts.HTTP.MaxBodyBytes))
-	// The deadline must not end the connection while the answer is streamed.
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.BodyTooLarge, "read", "", api.NotRun, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fault.New(fault.BodyTimeout, "read", "", api.NotRun, "the body did not end within %v", g.opts.HTTP.BodyTimeout)
 	case err != nil:
 		return nil, fault.Wrap(err, fault.BadRequest, "read", "", api.NotRun)
 	}
+	// The deadline must not end the connection while the answer is streamed.
+	_ = control.SetReadDeadline(time.Time{})
 	return raw, nil
 }
 
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -74,6 +74,7 @@
 	}
 	answer := ids.outward(terminal.Response)
 	answer.OutputText = sink.text.String()
+	n.g.boundWrite(w)
 	writeJSON(w, http.StatusOK, answer)
 	return nil
 }
@@ -147,7 +148,10 @@
 	var retryAfter time.Duration
 	switch {
 	case errors.As(err, &refusal):
-		code, retryAfter = refusalCodes[refusal.Reason], refusal.RetryAfter
+		retryAfter = refusal.RetryAfter
+		if known, ok := refusalCodes[refusal.Reason]; ok {
+			code = known
+		}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		code = fault.DeadlineExceeded
 	case ctx.Err() != nil:
@@ -213,7 +217,8 @@
 		// The engine died before it got this request, which is no suspect.
 		n.g.scheduler.ReportLost(grant.Backend)
 	}
-	return attemptResult{fault: err, retry: ctx.Err() == nil}
+	// Every engine answers a bad request alike.
+	return attemptResult{fault: err, retry: ctx.Err() == nil && err.Code != fault.BadRequest}
 }
 
 // relayFailed decides after a stream ended without its terminal event.
--- a/internal/process/gateway/resume.go
+++ b/internal/process/gateway/resume.go
@@ -54,6 +54,7 @@
 		return asFault(err)
 	}
 	ferr = fault.From(err)
+	ferr.Execution = strongest(c.known, ferr.Execution)
 	g.count(c, ferr)
 	sink.fail(ferr, c.id)
 	return nil
@@ -109,6 +110,7 @@
 		return resumeFault(fault.From(err))
 	}
 	c.record.Step("cancelled", ref.Backend, "")
+	g.boundWrite(w)
 	writeJSON(w, http.StatusOK, api.Response{ID: mux.Vars(r)["id"], Object: "response", Model: ref.Entry, Status: api.StatusCancelled})
 	return nil
 }
@@ -123,6 +125,7 @@
 	if ref.Workspace != c.workspace.Name {
 		return ref, fault.Wrap(responseid.ErrInvalid, fault.UnknownResponse, "response id", "", api.Unknown)
 	}
+	c.known = api.Ran
 	c.record.Step("response id", ref.Backend, "of request "+ref.RequestID)
 	return ref, c.useEntry(ref.Entry, catalogue.Generation)
 }
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -59,7 +59,8 @@
 		return err
 	}
 	if !slices.Contains(c.entry.Methods, r.Method) {
-		return fault.New(fault.BadRequest, "entry", "", api.NotRun, "entry %q allows the methods %v", c.entry.Name, c.entry.Methods)
+		w.Header().Set("Allow", strings.Join(c.entry.Methods, ", "))
+		return fault.New(fault.MethodNotAllowed, "entry", "", api.NotRun, "entry %q allows the methods %v", c.entry.Name, c.entry.Methods)
 	}
 	body, ferr := g.readBody(w, r)
 	if ferr != nil {
@@ -81,6 +82,7 @@
 	if ferr != nil {
 		return ferr
 	}
+	g.boundWrite(w)
 	writeAnswer(w, answer)
 	return nil
 }
@@ -103,8 +105,13 @@
 	}
 }
 
+// writeAnswer passes an answer on under the request id of this call, which a
+// recorded answer or the application server must not replace.
 func writeAnswer(w http.ResponseWriter, a service.Response) {
 	for name, values := range a.Header {
+		if name == headerRequestID {
+			continue
+		}
 		w.Header()[name] = values
 	}
 	w.WriteHeader(a.Status)
--- /dev/null
+++ b/internal/process/gateway/world_test.go
@@ -0,0 +1,323 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/connection/engine"
+	"persimmonwing/internal/connection/platform/platformtest"
+	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/limits"
+	"persimmonwing/internal/process/logging"
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/standin/app"
+	standin "persimmonwing/internal/process/standin/engine"
+	"persimmonwing/internal/process/telemetry"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/claim"
+	"persimmonwing/internal/request/responseid"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// Keys of the two workspaces of a world.
+const (
+	keyA = "key-of-workspace-a"
+	keyB = "key-of-workspace-b"
+)
+
+// world is a gateway with its sockets, in front of two engines and two
+// application servers, all in this process. At the end of the test it checks
+// that no goroutine, grant or request in progress is left.
+type world struct {
+	t         *testing.T
+	gateway   *Gateway
+	scheduler *fakeScheduler
+	catalogue *fakeCatalogue
+	table     *platformtest.Table
+	engines   []*standin.Engine
+	servers   []*httptest.Server
+	apps      []*app.Server
+	backends  fakeBackends
+	logs      *lockedBuffer
+	metrics   *telemetry.Metrics
+	client    *http.Client
+	base      string
+	admin     string
+	address   string
+	stop      context.CancelFunc
+	ended     chan error
+}
+
+// lockedBuffer collects the log.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// testOptions has short waits, so that a test of a timeout is quick.
+func testOptions() *Options {
+	o := DefaultOptions()
+	o.Name, o.DataCentre = "gateway-1", "dc-1"
+	o.ResponseKeys = []responseid.Key{{ID: "k1", Secret: strings.Repeat("secret", 4)}}
+	o.DrainDelay = 0
+	o.HTTP.BodyTimeout = 150 * time.Millisecond
+	o.Relay = RelayOptions{StallTimeout: 100 * time.Millisecond, LostAfter: 150 * time.Millisecond, FirstContact: 300 * time.Millisecond, ReaderGrace: 50 * time.Millisecond}
+	return o
+}
+
+func newWorld(t *testing.T, adjust func(*Options)) *world {
+	t.Helper()
+	before := runtime.NumGoroutine()
+	o := testOptions()
+	if adjust != nil {
+		adjust(o)
+	}
+	w := &world{
+		t:         t,
+		scheduler: &fakeScheduler{held: map[string]bool{}},
+		catalogue: &fakeCatalogue{},
+		table:     &platformtest.Table{},
+		logs:      &lockedBuffer{},
+		metrics:   telemetry.New(),
+		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}, Timeout: 10 * time.Second},
+		ended:     make(chan error, 1),
+	}
+	w.catalogue.set(testCatalogue())
+	for i := range 2 {
+		w.startEngine(i)
+		w.startApp(i)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	logger := logging.New(w.logs, logging.Options{Format: "logfmt", Level: "debug"}, "gateway")
+	w.start(ctx, o, logger)
+	t.Cleanup(func() { w.close(before) })
+	return w
+}
+
+func (w *world) start(ctx context.Context, o *Options, logger log.Logger) {
+	transport, callTransport := engine.NewTransport(), engine.NewTransport()
+	claims := claim.NewStore(w.table, claim.DefaultOptions())
+	background, stopBackground := context.WithCancel(context.Background())
+	g, err := New(o, Deps{
+		Scheduler: w.scheduler,
+		Catalogue: w.catalogue,
+		Backends:  &w.backends,
+		Engines:   engineClient{engine.New(&http.Client{Transport: transport})},
+		Services:  service.New(&http.Client{Transport: callTransport}),
+		Claims:    claims,
+		Limits:    limits.New(),
+		Metrics:   w.metrics,
+		Logger:    logger,
+	})
+	w.noErr(err)
+	listeners, err := listen("127.0.0.1:0", "127.0.0.1:0")
+	w.noErr(err)
+	w.gateway = g
+	w.address = listeners[0].Addr().String()
+	w.base, w.admin = "http://"+w.address, "http://"+listeners[1].Addr().String()
+	go func() { _ = claims.Run(background) }()
+	go func() {
+		err := g.Run(ctx, listeners[0], listeners[1])
+		stopBackground()
+		transport.CloseIdleConnections()
+		callTransport.CloseIdleConnections()
+		w.ended <- err
+	}()
+}
+
+func (w *world) startEngine(i int) {
+	s := standin.DefaultSettings()
+	s.Name = []string{"engine-1", "engine-2"}[i]
+	s.Models = []string{"main"}
+	s.StepBase, s.StepPerSequence, s.PrefillTokensPerSecond = 2*time.Millisecond, 0, 1e9
+	s.OrphanTimeout, s.MaxBatch = time.Second, 512
+	e, err := standin.New(s, log.NewNopLogger())
+	w.noErr(err)
+	server := httptest.NewServer(e.Handler())
+	e.Exit = func(int) { go server.CloseClientConnections() }
+	e.Start()
+	w.engines = append(w.engines, e)
+	w.servers = append(w.servers, server)
+	w.scheduler.add(s.Name, server.Listener.Addr().String())
+}
+
+func (w *world) startApp(i int) {
+	s := app.DefaultSettings()
+	s.Name = []string{"app-1", "app-2"}[i]
+	a := app.New(s)
+	server := httptest.NewServer(a)
+	w.apps = append(w.apps, a)
+	w.servers = append(w.servers, server)
+	w.backends = append(w.backends, membership.Backend{Name: s.Name, Address: server.Listener.Addr().String(), DataCentre: "dc-1", Service: "shop", Accepting: true})
+}
+
+// close stops everything and checks that nothing is left.
+func (w *world) close(goroutines int) {
+	w.stop()
+	select {
+	case err := <-w.ended:
+		w.noErr(err)
+	case <-time.After(5 * time.Second):
+		w.t.Error("the gateway did not end")
+	}
+	if n := w.scheduler.heldNow(); n != 0 {
+		w.t.Errorf("%d grants were not released", n)
+	}
+	w.client.CloseIdleConnections()
+	for _, e := range w.engines {
+		e.Close()
+	}
+	for _, s := range w.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	if !eventually(func() bool { return runtime.NumGoroutine() <= goroutines }) {
+		stacks := make([]byte, 1<<16)
+		w.t.Errorf("%d goroutines before, %d after:\n%s", goroutines, runtime.NumGoroutine(), stacks[:runtime.Stack(stacks, true)])
+	}
+}
+
+// eventually waits up to 2 s for a condition.
+func eventually(condition func() bool) bool {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
+
+// idle waits until no request is in progress.
+func (w *world) idle() {
+	w.t.Helper()
+	if !eventually(func() bool { return w.gateway.inProgress.Load() == 0 }) {
+		w.t.Errorf("%d requests are still in progress", w.gateway.inProgress.Load())
+	}
+}
+
+func (w *world) noErr(err error) {
+	w.t.Helper()
+	is.New(w.t).NoErr(err)
+}
+
+// runs counts the runs of a request at all stand-ins.
+func (w *world) runs(id string) int {
+	w.t.Helper()
+	n := 0
+	for _, e := range w.engines {
+		if runs, err := e.Runs(context.Background()); err == nil {
+			n += runs[id]
+		}
+	}
+	for _, a := range w.apps {
+		n += a.Runs()[id]
+	}
+	return n
+}
+
+// answer is an answer that was read to its end.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	err    api.Error
+}
+
+// send sends a request and reads the whole answer.
+func (w *world) send(r *http.Request) answer {
+	w.t.Helper()
+	resp, err := w.client.Do(r)
+	w.noErr(err)
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, header: resp.Header}
+	a.body, err = io.ReadAll(resp.Body)
+	w.noErr(err)
+	var body api.ErrorBody
+	if json.Unmarshal(a.body, &body) == nil {
+		a.err = body.Error
+	}
+	return a
+}
+
+// request builds a request; key "" sends no Authorization header.
+func (w *world) request(method, path, key, body string) *http.Request {
+	w.t.Helper()
+	r, err := http.NewRequest(method, w.base+path, strings.NewReader(body))
+	w.noErr(err)
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	return r
+}
+
+// create builds a create request of workspace a.
+func (w *world) create(entry, input string, stream bool) *http.Request {
+	w.t.Helper()
+	body, err := json.Marshal(api.CreateRequest{Model: entry, Input: input, Stream: stream})
+	w.noErr(err)
+	return w.request(http.MethodPost, "/v1/responses", keyA, string(body))
+}
+
+// service builds a call of an entry with an idempotency key, which is also the
+// name under which the application servers count it.
+func (w *world) service(method, entry, id string) *http.Request {
+	r := w.request(method, "/v1/services/"+entry, keyA, "body")
+	r.Header.Set(headerIdempotencyKey, id)
+	return r
+}
+
+// dial opens a plain connection to the gateway.
+func (w *world) dial() net.Conn {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.address)
+	w.noErr(err)
+	w.t.Cleanup(func() { _ = c.Close() })
+	w.noErr(c.SetDeadline(time.Now().Add(3 * time.Second)))
+	return c
+}
+
+var _ Catalogue = (*fakeCatalogue)(nil)
+
+// fakeCatalogue holds a snapshot that a test may replace.
+type fakeCatalogue struct {
+	mu       sync.Mutex
+	snapshot *catalogue.Snapshot
+}
+
+func (f *fakeCatalogue) Current() *catalogue.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
+func (f *fakeCatalogue) set(s *catalogue.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot = s
+}
