--- a/internal/connection/service/client.go
+++ b/internal/connection/service/client.go
@@ -62,11 +62,11 @@
 	sent := &sendState{}
 	req, err := sent.request(ctx, address, r)
 	if err != nil {
-		return Response{}, fault.Wrap(err, fault.BadRequest, stepDispatch, name, api.NotRun)
+		return Response{}, fault.Wrap(withoutURL(err), fault.BadRequest, stepDispatch, name, api.NotRun)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Response{}, fault.Wrap(err, code(err), stepDispatch, name, sent.execution())
+		return Response{}, fault.Wrap(withoutURL(err), code(err), stepDispatch, name, sent.execution())
 	}
 	defer resp.Body.Close()
 	body, err := readBody(resp.Body)
@@ -80,6 +80,16 @@
 	return Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
 }
 
+// withoutURL drops the URL from an error of net/http, because errors are logged
+// and path and query are the caller's.
+func withoutURL(err error) error {
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err
+	}
+	return err
+}
+
 // Load returns the load report of a server.
 func (c *Client) Load(ctx context.Context, name, address string) (api.LoadReport, error) {
 	resp, err := c.Do(ctx, name, address, Request{Method: http.MethodGet, Path: "/v1/load"})
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -100,11 +100,13 @@
 	return nil
 }
 
-// useEntry sets the entry of the call after checking that the workspace may use it.
+// useEntry sets the entry of the call after checking that the workspace may use
+// it. Like all errors, its errors are logged and so repeat nothing that a caller
+// sent: a field may hold prompt text by mistake.
 func (c *call) useEntry(name string, kind catalogue.Kind) *fault.Error {
 	e := c.snapshot.Entry(name)
 	if e == nil || !mayUse(e, c.workspace.Name) {
-		return fault.New(fault.UnknownEntry, "entry", "", api.NotRun, "the catalogue has no entry %.64q for this workspace", name)
+		return fault.New(fault.UnknownEntry, "entry", "", api.NotRun, "the catalogue has no entry with this name for this workspace")
 	}
 	if e.Kind != kind {
 		return fault.New(fault.WrongKind, "entry", "", api.NotRun, "entry %q is a %s, not a %s", name, e.Kind, kind)
@@ -125,7 +127,7 @@
 	if text := r.Header.Get(headerRequestTimeout); text != "" {
 		own, err := time.ParseDuration(text)
 		if err != nil || own <= 0 {
-			return time.Time{}, fault.New(fault.BadRequest, "deadline", "", api.NotRun, "%s: %.32q is not a positive duration such as 30s", headerRequestTimeout, text)
+			return time.Time{}, fault.New(fault.BadRequest, "deadline", "", api.NotRun, "%s: only a positive duration such as 30s is allowed", headerRequestTimeout)
 		}
 		timeout = min(timeout, own)
 	}
--- /dev/null
+++ b/internal/process/gateway/fleet_test.go
@@ -0,0 +1,171 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/process/fleet"
+	"persimmonwing/internal/process/gateway"
+	"persimmonwing/internal/process/loadgen"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// Keys of the two workspaces of a fleet.
+const (
+	keyA = "key-of-workspace-a"
+	keyB = "key-of-workspace-b"
+)
+
+// smallFleet has two gateways of one data centre with two engines and an
+// application server.
+func smallFleet(t *testing.T, adjust func(*fleet.Options)) *fleet.Fleet {
+	t.Helper()
+	workspace := func(name, key string) catalogue.Workspace {
+		return catalogue.Workspace{Name: name, Weight: 1, KeyDigests: []string{catalogue.Digest([]byte(key))}}
+	}
+	body, err := catalogue.Encode(&catalogue.Catalogue{
+		BackgroundFloor: 0.1, UrgentReserve: 0.1,
+		Models:     []catalogue.Model{{Name: "main"}},
+		Workspaces: []catalogue.Workspace{workspace("a", keyA), workspace("b", keyB)},
+		Entries: []catalogue.Entry{{
+			Name: "plan", Owner: "tests", Kind: catalogue.Generation, Class: catalogue.Urgent, Timeout: 30 * time.Second,
+			Model: "main", MaxOutputTokens: 500, ExpectedOutputTokens: 50, Targets: catalogue.Targets{FirstToken: time.Second, TokenGap: 50 * time.Millisecond},
+		}, {
+			Name: "booking", Owner: "tests", Kind: catalogue.Service, Class: catalogue.Urgent, Timeout: 30 * time.Second,
+			Service: fleet.ServiceName, Methods: []string{"POST"}, Path: "/booking",
+		}},
+	})
+	is := is.New(t)
+	is.NoErr(err)
+	o := fleet.Small()
+	o.DataCentres, o.Gateways, o.Engines, o.Apps = 1, 2, 2, 1
+	o.TimeScale, o.Catalogue = 0.2, body
+	o.Adjust = func(g *gateway.Options) { g.DrainDelay = 0 }
+	if adjust != nil {
+		adjust(&o)
+	}
+	f, err := fleet.Start(t.Context(), o)
+	is.NoErr(err)
+	t.Cleanup(f.Stop)
+	is.NoErr(f.WaitServing(t.Context(), keyA, "plan"))
+	return f
+}
+
+// Guards against requests that break while all gateways are restarted one after
+// another under load.
+func TestRollingRestart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var options []*gateway.Options
+	f := smallFleet(t, func(o *fleet.Options) {
+		o.Adjust = func(g *gateway.Options) {
+			g.DrainDelay = 300 * time.Millisecond
+			options = append(options, g)
+		}
+	})
+	again, stopAgain := context.WithCancel(context.Background())
+	var restarted sync.WaitGroup
+	defer restarted.Wait()
+	defer stopAgain()
+	callers := map[string]string{}
+	for _, o := range options {
+		callers[o.AdminListen] = o.Listen
+	}
+	balanced := startBalancer(t, callers)
+	restarts := make(chan error, 1)
+	go func() { restarts <- restartAll(again, f, options, &restarted) }()
+	stream := func(entry string, kind catalogue.Kind, method string) loadgen.Stream {
+		return loadgen.Stream{
+			Name: entry, Workspace: "a", Key: keyA, Entry: entry, Kind: kind, Class: catalogue.Urgent, Rate: 40,
+			Prompt: loadgen.Length{Fixed: 40}, Output: loadgen.Length{Fixed: 60}, Method: method, IdempotencyKey: method != "",
+		}
+	}
+	r, err := loadgen.Run(t.Context(), loadgen.Config{
+		Workload: &loadgen.Workload{Streams: []loadgen.Stream{stream("plan", catalogue.Generation, ""), stream("booking", catalogue.Service, "POST")}},
+		Targets:  []string{"http://" + balanced.address}, Duration: 3500 * time.Millisecond, Grace: 5 * time.Second, Seed: 1,
+	})
+	is.NoErr(err)
+	is.NoErr(<-restarts)
+	is.Equal(len(r.Violations), 0)
+	all := &r.Windows[0].Total
+	t.Logf("%d requests, outcomes %v, %d refused connections", all.Requests, all.Outcomes, all.Skipped)
+	is.True(all.Requests > 100)
+	is.Equal(all.Completed(), all.Requests) // no request broke
+	is.Equal(all.Resumed, 0)
+}
+
+// restartAll stops one gateway after the other and starts it anew with the same
+// settings, as soon as it has ended.
+func restartAll(ctx context.Context, f *fleet.Fleet, options []*gateway.Options, running *sync.WaitGroup) error {
+	for i, o := range options {
+		time.Sleep(200 * time.Millisecond)
+		<-f.StopGateway(i)
+		ended := make(chan error, 1)
+		running.Go(func() { ended <- gateway.Main(ctx, o, log.NewNopLogger()) })
+		if err := waitReady(o.AdminListen, ended); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waitReady(admin string, ended <-chan error) error {
+	for range 300 {
+		select {
+		case err := <-ended:
+			return fmt.Errorf("the gateway ended at its start: %w", err)
+		case <-time.After(10 * time.Millisecond):
+		}
+		resp, err := http.Get("http://" + admin + "/status")
+		if err != nil {
+			continue
+		}
+		var s gateway.Status
+		err = json.NewDecoder(resp.Body).Decode(&s)
+		_ = resp.Body.Close()
+		if err == nil && s.Ready && s.LivePeers >= 2 {
+			return nil
+		}
+	}
+	return fmt.Errorf("gateway %s is not ready", admin)
+}
+
+// call sends one request and returns its answer, whose body the caller closes.
+func call(t *testing.T, method, url, key, body string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	is.New(t).NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(r)
+	is.New(t).NoErr(err)
+	return resp
+}
+
+// events reads at most limit events of a stream; the stream may break.
+func events(r io.Reader, limit int) []api.Event {
+	var out []api.Event
+	lines := newLines(r)
+	for len(out) < limit && lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		var e api.Event
+		if ok && json.Unmarshal([]byte(data), &e) == nil {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func planBody(input string) string {
+	return fmt.Sprintf(`{"model":"plan","stream":true,"input":%q}`, input)
+}
--- a/internal/process/gateway/resume.go
+++ b/internal/process/gateway/resume.go
@@ -93,7 +93,7 @@
 	}
 	after, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || after < 0 {
-		return 0, fault.New(fault.BadRequest, "resume", "", api.NotRun, "starting_after: %.32q is not a sequence number", text)
+		return 0, fault.New(fault.BadRequest, "resume", "", api.NotRun, "starting_after: only a sequence number is allowed")
 	}
 	return after, nil
 }
--- /dev/null
+++ b/internal/process/gateway/shutdown_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/process/standin/app"
+	"persimmonwing/internal/request/api"
+)
+
+func (w *world) ready() int {
+	w.t.Helper()
+	resp, err := w.client.Get(w.admin + "/readyz")
+	w.noErr(err)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a graceful stop that cuts off a stream, a queued request or a
+// claimed call, that refuses requests before the balancer could notice, or that
+// takes new connections after the drain delay.
+func TestGracefulStop(t *testing.T) {
+	is := is.New(t)
+	const drainDelay = 150 * time.Millisecond
+	w := newWorld(t, func(o *Options) { o.DrainDelay = drainDelay })
+	appFaults(app.Faults{DelayMS: 300})(t, w)
+	is.Equal(w.ready(), http.StatusOK)
+
+	stream := w.open(w.create("wide", "#id=stream #tokens=200", true))
+	_, ok := stream.next()
+	is.True(ok)
+	booking, queued := make(chan answer, 1), make(chan answer, 1)
+	call, waiting := w.service("POST", "booking", "booked"), w.create("wide", "#id=queued #tokens=3", false)
+	go func() { booking <- w.send(call) }()
+	is.True(eventually(func() bool { return w.runs("booked") == 1 }))
+	w.scheduler.set(nil, true)
+	go func() { queued <- w.send(waiting) }()
+	is.True(eventually(func() bool { return w.scheduler.waitingNow() == 1 }))
+
+	stopped := time.Now()
+	w.stop()
+	is.True(eventually(func() bool { return w.ready() == http.StatusServiceUnavailable }))
+	late := w.send(w.request(http.MethodGet, responses+"/resp_k1.AAAA?stream=true", keyA, ""))
+	is.Equal(late.status, http.StatusNotFound) // still served
+	is.True(time.Since(stopped) < drainDelay)  // or the check above says nothing
+	time.Sleep(drainDelay - time.Since(stopped))
+	is.True(eventually(func() bool {
+		c, err := net.Dial("tcp", w.address)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}))
+	w.scheduler.set(nil, false)
+
+	events := stream.rest()
+	is.Equal(events[len(events)-1].Type, api.EventCompleted)
+	_, count := tokens(events)
+	is.Equal(count, 200)
+	is.Equal((<-booking).status, http.StatusOK)
+	is.Equal((<-queued).status, http.StatusOK)
+	is.Equal(w.runs("queued"), 1)
+	is.Equal(w.runs("booked"), 1)
+}
