--- a/internal/process/loadgen/recorder.go
+++ b/internal/process/loadgen/recorder.go
@@ -30,7 +30,7 @@
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
 	// The value is within the histogram's range, so that no error is possible.
-	_ = h.RecordValue(min(max(d.Microseconds(), 1), histogramMax))
+	_ = h.RecordValue(min(max(d.Microseconds(), 0), histogramMax))
 }
 
 // cell holds the results of one stream in one window. First tokens and
