--- a/internal/process/fleet/engines.go
+++ b/internal/process/fleet/engines.go
@@ -91,12 +91,6 @@
 	h.last = c
 }
 
-func (h *engineHost) isLost() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.lost
-}
-
 // samplePeriod bounds the age of the counters of an engine that crashed.
 const samplePeriod = 100 * time.Millisecond
 
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -149,17 +149,6 @@
 // SetPlatformFaults replaces the faults of the platform.
 func (f *Fleet) SetPlatformFaults(faults platform.Faults) { f.platform.SetFaults(faults) }
 
-// EnginesLost counts the engines that crashed or were killed.
-func (f *Fleet) EnginesLost() int {
-	lost := 0
-	for _, h := range f.engines {
-		if h.isLost() {
-			lost++
-		}
-	}
-	return lost
-}
-
 // EngineName returns the host name of an engine.
 func (f *Fleet) EngineName(i int) string { return f.engines[i].name }
 
--- a/internal/process/loadgen/experiment/comparison.go
+++ b/internal/process/loadgen/experiment/comparison.go
@@ -112,7 +112,13 @@
 		}
 		fmt.Fprintf(t, "  %s\t%.5g\t%s\t%s\n", g.Name, g.Value, g.Want, verdict)
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, g := range p.Result.Window(windowMeasured).Classes {
+		fmt.Fprintf(w, "  outcomes of %s: %s\n", g.Name, loadgen.FormatOutcomes(g.Outcomes))
+	}
+	return nil
 }
 
 // WritePlots writes the distributions of the measured window of all policies
--- a/internal/process/loadgen/experiment/incidents.go
+++ b/internal/process/loadgen/experiment/incidents.go
@@ -64,7 +64,7 @@
 	e := newExperiment(p, p.mix(calmerUrgent, calmerBackground)).withIncident(settling)
 	e.events = []event{{incident, func(ctx context.Context, t *trial) { t.crashAgainAndAgain(ctx, o.Seed) }}}
 	e.judge = func(t, _ *trial) {
-		lost := float64(t.fleet.EnginesLost())
+		lost := float64(len(t.last.ByEngine) - t.last.Engines)
 		t.metric("engines lost", "", lost)
 		t.metric("attempts of the crashing request", "", t.marks[markCrashSent])
 		t.metric("attempts refused as request_crashes_servers", "", t.marks[markCrashCode])
--- a/internal/process/loadgen/table.go
+++ b/internal/process/loadgen/table.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	for _, g := range r.Classes {
-		fmt.Fprintf(w, "outcomes of %s: %s\n", g.Name, formatOutcomes(g.Outcomes))
+		fmt.Fprintf(w, "outcomes of %s: %s\n", g.Name, FormatOutcomes(g.Outcomes))
 	}
 	return nil
 }
@@ -79,7 +79,8 @@
 		g.TokensPerSecond, g.OnTimePerSecond, g.Attempts)
 }
 
-func formatOutcomes(counts map[string]int) string {
+// FormatOutcomes lists outcomes by code and execution.
+func FormatOutcomes(counts map[string]int) string {
 	var parts []string
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		parts = append(parts, fmt.Sprintf("%s %d", name, counts[name]))
