--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -16,6 +16,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"persimmonwing/internal/connection/platform"
 	"persimmonwing/internal/process/settings"
 	"persimmonwing/internal/version/revision"
 )
@@ -120,12 +121,16 @@
 // exit reports an error and returns the exit code.
 func (c *command) exit(err error) int {
 	var usage usageError
+	var unreached *platform.Error
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return settings.ExitOK
 	case errors.As(err, &usage):
 		fmt.Fprintf(c.Stderr, "persimmonctl: %v\n", err)
 		return settings.ExitUsage
+	case errors.As(err, &unreached):
+		fmt.Fprintf(c.Stderr, "persimmonctl: %v\ncheck -table-url and -object-url, and whether the platform is up\n", err)
+		return settings.ExitFailure
 	default:
 		fmt.Fprintf(c.Stderr, "persimmonctl: %v\n", err)
 		return settings.ExitFailure
@@ -161,7 +166,10 @@
 			c.catalogueCommand(), c.statusCommand(), c.workspacesCommand(), c.explainCommand(),
 			c.drainCommand("drain", true), c.drainCommand("undrain", false), c.completionCommand(),
 		},
-		Exec: func(context.Context, []string) error {
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usagef("command %q does not exist; see persimmonctl -h", args[0])
+			}
 			return usagef("a command is needed; see persimmonctl -h")
 		},
 	}
@@ -188,3 +196,11 @@
 	}
 	return nil
 }
+
+// noArguments refuses arguments of a command that takes none.
+func noArguments(name string, args []string) error {
+	if len(args) > 0 {
+		return usagef("%s: argument %q is not allowed; it takes flags only", name, args[0])
+	}
+	return nil
+}
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -85,6 +85,8 @@
 	available replicaHeap
 	// inFlight counts the grants on available replicas.
 	inFlight int
+	// slotCount and freeCount sum up the slots of the available replicas.
+	slotCount, freeCount int
 	// warming lists the replicas in slow start.
 	warming   []*replica
 	grants    map[string]*grant
@@ -95,6 +97,12 @@
 	prefixes prefixTable
 	lengths  map[string]*survival.Estimator
 	admitted window
+	// urgentSize is the mean size of urgent grants in tokens.
+	urgentSize float64
+	// reserved is the memory in tokens that the request being placed leaves free
+	// on each replica.
+	reserved int
+	shares   shares
 	// unavailableSince is when the last replica stopped accepting.
 	unavailableSince time.Time
 	started          bool
@@ -118,6 +126,7 @@
 		grants:   make(map[string]*grant),
 		pinned:   make(map[uint64]pin),
 		lengths:  make(map[string]*survival.Estimator),
+		shares:   shares{usage: make(map[string]*usage)},
 	}
 }
 
