Expect no_capacity when only the wait for a replica was too long

The refusal table expected 504 deadline_exceeded for a wait that ended before the caller's own deadline.

--- a/internal/process/gateway/badinput_test.go
+++ b/internal/process/gateway/badinput_test.go
@@ -67,7 +67,7 @@
 		{name: "no replica", before: refuse(schedule.ReasonNoReplica), after: grant, body: createBody("plan", ""), status: 503, code: "no_capacity", step: "acquire", retryAfter: true},
 		{name: "stopping", before: refuse(schedule.ReasonStopping), after: grant, body: createBody("plan", ""), status: 503, code: "shutting_down", step: "acquire", retryAfter: true},
 		{name: "crashes servers", before: refuse(schedule.ReasonCrashes), after: grant, body: createBody("plan", ""), status: 422, code: "request_crashes_servers", step: "acquire"},
-		{name: "queued past the deadline", before: refuse(schedule.ReasonDeadline), after: grant, body: createBody("plan", ""), status: 504, code: "deadline_exceeded", step: "acquire"},
+		{name: "queued too long", before: refuse(schedule.ReasonDeadline), after: grant, body: createBody("plan", ""), status: 503, code: "no_capacity", step: "acquire", retryAfter: true},
 		{name: "unknown reason", before: refuse("new_reason"), after: grant, body: createBody("plan", ""), status: 503, code: "no_capacity", step: "acquire", retryAfter: true},
 		{name: "unknown path", path: "/v1/unknown", status: 404, code: "unknown_path", step: "route"},
 		{name: "method of responses", method: http.MethodDelete, status: 405, code: "method_not_allowed", step: "route"},
