Add loadgen capacity

Measures control bytes, CPU, memory and platform calls at several sizes, fits slopes, and compares the values at the target size with the budgets.

--- /dev/null
+++ b/internal/process/loadgen/capacity/polls.go
@@ -0,0 +1,157 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"persimmonwing/internal/connection/engine"
+	"persimmonwing/internal/connection/platform"
+	standin "persimmonwing/internal/process/standin/engine"
+	standinplatform "persimmonwing/internal/process/standin/platform"
+)
+
+// countedListener counts the bytes of all its connections.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, l.bytes}, err
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// counted serves a stand-in on loopback.
+type counted struct {
+	address string
+	bytes   atomic.Int64
+	server  *http.Server
+}
+
+func serveCounted(h http.Handler) (*counted, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c := &counted{address: l.Addr().String(), server: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
+	go func() { _ = c.server.Serve(countedListener{l, &c.bytes}) }()
+	return c, nil
+}
+
+func (c *counted) close() { _ = c.server.Close() }
+
+// cost returns the bytes and CPU of one call, without those of the first, which
+// opens the connection.
+func (c *counted) cost(calls int, call func() error) (bytes float64, used time.Duration, err error) {
+	if err := call(); err != nil {
+		return 0, 0, err
+	}
+	b, u := c.bytes.Load(), cpu()
+	for range calls {
+		if err := call(); err != nil {
+			return 0, 0, err
+		}
+	}
+	return float64(c.bytes.Load()-b) / float64(calls), (cpu() - u) / time.Duration(calls), nil
+}
+
+func standinEngine() (*counted, func(), error) {
+	s := standin.DefaultSettings()
+	s.Name, s.Models = "engine-4-123", []string{"guide-writer-large"}
+	e, err := standin.New(s, log.NewNopLogger())
+	if err != nil {
+		return nil, nil, err
+	}
+	e.Start()
+	c, err := serveCounted(e.Handler())
+	if err != nil {
+		e.Close()
+		return nil, nil, err
+	}
+	return c, func() { c.close(); e.Close() }, nil
+}
+
+const cpuOfPoll = "CPU by getrusage of client and stand-in server together with their system calls, an upper bound"
+
+func measurePolls(ctx context.Context, r *report) error {
+	c, stop, err := standinEngine()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	client := engine.New(&http.Client{Transport: engine.NewTransport()})
+	bytes, used, err := c.cost(500, func() error { _, err := client.Load(ctx, "e", c.address); return err })
+	if err != nil {
+		return err
+	}
+	// An owner polls its engines 4 times/s, and each engine once more each
+	// second by the gateway that discovers it.
+	const perEngine = 5
+	var b, u []point
+	for _, engines := range []float64{18, 150, targetReplicas} {
+		polls := engines * perEngine / targetGateways
+		b = append(b, point{engines, polls * bytes})
+		u = append(u, point{engines, polls * used.Seconds() * 100})
+	}
+	r.add(line{name: "engine poll bytes", size: "engines, 400 gateways", unit: "B/s", points: b, target: targetReplicas,
+		note: fmt.Sprintf("one poll: %.0f bytes, %v; mean over gateways, the sizes are multiples of it", bytes, used)})
+	r.add(line{name: "engine poll CPU", size: "engines, 400 gateways", unit: "% core", points: u, target: targetReplicas, note: cpuOfPoll})
+	owner := []point{}
+	for _, replicas := range []float64{4, 8, 16} {
+		owner = append(owner, point{replicas, replicas * 4 * bytes})
+	}
+	r.add(line{name: "engine poll bytes of an owner", size: "replicas of an owned group", unit: "B/s", points: owner, target: 8})
+	return measureHostList(ctx, r)
+}
+
+func measureHostList(ctx context.Context, r *report) error {
+	var b, u []point
+	for _, engines := range []int{18, 150, targetReplicas} {
+		s := standinplatform.DefaultSettings()
+		for i := range engines {
+			s.Hosts = append(s.Hosts, standinplatform.Host{Name: fmt.Sprintf("engine-%d-%03d", i%8, i), Kind: "engine",
+				Address: fmt.Sprintf("10.%d.1.%d:8000", i%8, i), DataCentre: fmt.Sprint("centre-", i%8)})
+		}
+		if err := s.Validate(); err != nil {
+			return err
+		}
+		c, err := serveCounted(standinplatform.New(s))
+		if err != nil {
+			return err
+		}
+		list := platform.NewHostList("http://"+c.address, &http.Client{Transport: engine.NewTransport()}, 2*time.Second)
+		bytes, used, err := c.cost(100, func() error { _, err := list.Hosts(ctx); return err })
+		c.close()
+		if err != nil {
+			return err
+		}
+		b = append(b, point{float64(engines), bytes})
+		u = append(u, point{float64(engines), float64(used.Microseconds())})
+	}
+	r.add(line{name: "host list read bytes", size: "engines", unit: "B", points: b, target: targetReplicas})
+	r.add(line{name: "host list read CPU", size: "engines", unit: "us", points: u, target: targetReplicas, note: cpuOfPoll})
+	return nil
+}
--- a/internal/process/loadgen/cli/cli.go
+++ b/internal/process/loadgen/cli/cli.go
@@ -75,11 +75,11 @@
 	fs := newFlagSet("loadgen", stderr)
 	version := fs.Bool("version", false, "print the build and exit")
 	return &ffcli.Command{
-		ShortUsage:  "loadgen [-version] <run|experiment> [flags]",
+		ShortUsage:  "loadgen [-version] <run|experiment|capacity> [flags]",
 		ShortHelp:   "Sends load to gateways and checks every answer.",
 		LongHelp:    "Exit codes: 0 success, 1 failure or violations found, 2 bad usage or workload.",
 		FlagSet:     fs,
-		Subcommands: []*ffcli.Command{runCommand(stdout, stderr), experimentCommand(stdout, stderr)},
+		Subcommands: []*ffcli.Command{runCommand(stdout, stderr), experimentCommand(stdout, stderr), capacityCommand(stdout, stderr)},
 		Exec: func(context.Context, []string) error {
 			if !*version {
 				return ffcli.NoExecError{Command: &ffcli.Command{Name: "loadgen"}}
