--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -30,7 +30,7 @@
 	From Host
 	// Beats holds (id, heartbeat) pairs, see appendBeat.
 	Beats []byte
-	Rows  []summaryRow
+	Rows  summaryRows
 	Facts []Fact
 	// Digest covers all facts of the sender.
 	Digest uint64
--- a/internal/process/membership/summaries.go
+++ b/internal/process/membership/summaries.go
@@ -112,8 +112,8 @@
 
 // rows returns the fresh summaries of a data centre and, in turn, up to limit
 // ones of the others, leaving out those that the peer has shown to know.
-func (s *summaries) rows(now time.Time, local string, limit int, peerHas map[uint32]int64) []summaryRow {
-	var out []summaryRow
+func (s *summaries) rows(now time.Time, local string, limit int, peerHas map[uint32]int64) summaryRows {
+	var out summaryRows
 	add := func(k schedule.GroupKey) {
 		if v, ok := peerHas[groupID(k)]; !ok || v < s.byGroup[k].version {
 			out = append(out, s.row(now, k))
