--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: build, test, race, lint, demo, faults, capacity, docs-check.
 GO ?= go
 
-.PHONY: build test race lint demo docs-check
+.PHONY: build test race lint demo docs-check capacity faults
 build:
 	@mkdir -p bin
 	$(GO) build -o bin/ ./cmd/...
@@ -23,3 +23,7 @@
 # The time bound also covers a command that ignores its own.
 docs-check: build
 	timeout -k 10 60 scripts/docs-check.sh
+
+# Measures slopes and compares them with the budgets, in under 3 minutes.
+capacity:
+	@$(GO) run ./cmd/loadgen capacity
