--- /dev/null
+++ b/internal/process/loadgen/cli/faults.go
@@ -0,0 +1,65 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmonwing/internal/process/loadgen/faults"
+)
+
+// errBreach means that the audit of a fault run found a breach or a property
+// without any check.
+var errBreach = errors.New("a property was breached or not exercised")
+
+func faultsCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("loadgen faults", stderr)
+	seed := fs.Uint64("seed", 1, "seed of the schedule")
+	gateways := fs.Int("gateways", 7, "number of gateways")
+	engines := fs.Int("engines", 14, "number of engines")
+	return &ffcli.Command{
+		Name:       "faults",
+		ShortUsage: "loadgen faults [-seed N] [-gateways N] [-engines N]",
+		ShortHelp:  "Prints a schedule of faults: milliseconds, action, target, value.",
+		FlagSet:    fs,
+		Options:    options(),
+		Exec: marked(func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage(errors.New("faults takes no argument"))
+			}
+			steps, err := faults.Schedule(*seed, faults.Fleet{Gateways: *gateways, Engines: *engines})
+			if err != nil {
+				return usage(err)
+			}
+			return faults.WriteSteps(stdout, steps)
+		}),
+	}
+}
+
+func auditCommand(stdout, stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("loadgen audit", stderr)
+	dir := fs.String("dir", "", "`directory` with the evidence of a fault run (required)")
+	return &ffcli.Command{
+		Name:       "audit",
+		ShortUsage: "loadgen audit -dir DIRECTORY",
+		ShortHelp:  "Checks the properties in the evidence of a fault run.",
+		FlagSet:    fs,
+		Options:    options(),
+		Exec: marked(func(context.Context, []string) error {
+			if *dir == "" {
+				return usage(errors.New("audit: -dir is needed"))
+			}
+			evidence, err := faults.Load(*dir)
+			if err != nil {
+				return err
+			}
+			passed, err := evidence.Report(stdout)
+			if err == nil && !passed {
+				return errBreach
+			}
+			return err
+		}),
+	}
+}
--- a/internal/process/loadgen/cli/run.go
+++ b/internal/process/loadgen/cli/run.go
@@ -1,11 +1,14 @@
 package cli
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -52,6 +55,7 @@
 	duration := fs.Duration("duration", 30*time.Second, "time in which requests are sent")
 	grace := fs.Duration("grace", 10*time.Second, "time for requests in progress to end after that")
 	seed := fs.Uint64("seed", 1, "seed of arrivals, lengths and balancing")
+	record := fs.String("record", "", "write one JSON line for each request to this `file`")
 	return &ffcli.Command{
 		Name:       "run",
 		ShortUsage: "loadgen run -workload FILE -targets URL,... [flags]",
@@ -63,11 +67,25 @@
 			if err := complete(&c, *workload, *targets, report.output); err != nil {
 				return err
 			}
-			return runLoad(ctx, c, report, stdout, stderr)
+			return recorded(*record, &c, func() error { return runLoad(ctx, c, report, stdout, stderr) })
 		}),
 	}
 }
 
+// recorded calls run with a file for records, if one is named.
+func recorded(file string, c *loadgen.Config, run func() error) error {
+	if file == "" {
+		return run()
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(f)
+	c.Record = w
+	return errors.Join(run(), w.Flush(), f.Close())
+}
+
 // complete checks the flags and reads the workload.
 func complete(c *loadgen.Config, workload, targets, output string) error {
 	if err := checkOutput(output); err != nil {
--- /dev/null
+++ b/internal/process/loadgen/faults/audit.go
@@ -0,0 +1,270 @@
+package faults
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"persimmonwing/internal/process/loadgen"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// Check is the result of one property's checks.
+type Check struct {
+	Property string
+	What     string
+	Checks   int
+	Breaches []string
+}
+
+func (c *Check) breach(format string, args ...any) {
+	c.Breaches = append(c.Breaches, fmt.Sprintf(format, args...))
+}
+
+// Passed is false without any check: a property that was not exercised must not
+// look as if it held.
+func (c *Check) Passed() bool { return c.Checks > 0 && len(c.Breaches) == 0 }
+
+// Audit checks all properties.
+func (e *Evidence) Audit() []*Check {
+	return []*Check{
+		e.streams(),
+		e.answers(),
+		e.notRun(),
+		e.atMostOnce(),
+		e.leaving(),
+		e.shutdowns(),
+		e.freshness(),
+		e.editsDecided(),
+		e.lease(),
+		e.ends(),
+	}
+}
+
+var streamViolations = []loadgen.Violation{loadgen.Lost, loadgen.Duplicated, loadgen.OutOfOrder, loadgen.Mixed}
+
+func (e *Evidence) streams() *Check {
+	c := &Check{Property: "P1", What: "streams with tokens: lost, repeated, out of order or mixed"}
+	for _, r := range e.Records {
+		if r.Tokens == 0 {
+			continue
+		}
+		c.Checks++
+		for _, v := range streamViolations {
+			if n := r.Violations[v]; n > 0 {
+				c.breach("%s: %s %d", r.ID, v, n)
+			}
+		}
+	}
+	return c
+}
+
+func (e *Evidence) answers() *Check {
+	c := &Check{Property: "P2", What: "streams and service answers: foreign parts"}
+	for _, r := range e.Records {
+		if r.Tokens == 0 && r.Code != loadgen.OutcomeCompleted {
+			continue
+		}
+		c.Checks++
+		if n := r.Violations[loadgen.Foreign]; n > 0 {
+			c.breach("%s: foreign %d", r.ID, n)
+		}
+	}
+	return c
+}
+
+// ranAt returns how often each request ran at all servers together.
+func (e *Evidence) ranAt() Runs {
+	all := Runs{}
+	for _, runs := range e.Runs {
+		for id, n := range runs {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+func (e *Evidence) notRun() *Check {
+	c := &Check{Property: "P3", What: "answers not_run compared with the run counters"}
+	runs := e.ranAt()
+	for _, r := range e.Records {
+		if r.Execution != api.NotRun {
+			continue
+		}
+		c.Checks++
+		if n := runs[r.ID]; n > 0 {
+			c.breach("%s: told %s/not_run and ran %d times", r.ID, r.Code, n)
+		}
+	}
+	return c
+}
+
+func (e *Evidence) atMostOnce() *Check {
+	c := &Check{Property: "P4", What: "non-idempotent calls that ran, by run counters"}
+	runs := e.ranAt()
+	for _, r := range e.Records {
+		if !r.Once || runs[r.ID] == 0 {
+			continue
+		}
+		c.Checks++
+		if n := runs[r.ID]; n > 1 {
+			c.breach("%s: ran %d times", r.ID, n)
+		}
+	}
+	return c
+}
+
+func (e *Evidence) leaving() *Check {
+	c := &Check{Property: "P5", What: "leaving servers: new runs later than 3 s"}
+	for name, before := range e.Settled {
+		after, ok := e.Returned[name]
+		if !ok {
+			continue
+		}
+		c.Checks++
+		for id, n := range after {
+			if n > before[id] {
+				c.breach("%s ran %s after the bound", name, id)
+			}
+		}
+	}
+	return c
+}
+
+// shutdowns checks the exchanges that were open while a gateway shut down.
+func (e *Evidence) shutdowns() *Check {
+	c := &Check{Property: "P6", What: "exchanges open during a SIGTERM and exit codes"}
+	for _, term := range e.Events {
+		if term.Action != Term {
+			continue
+		}
+		i := slices.IndexFunc(e.Exits, func(x Exit) bool { return x.Name == term.Target && x.AtMS >= term.AtMS })
+		if i < 0 {
+			c.breach("%s did not end after SIGTERM", term.Target)
+			continue
+		}
+		if exit := e.Exits[i]; exit.Code != 0 {
+			c.breach("%s ended with exit code %d", term.Target, exit.Code)
+		}
+		e.openAt(c, term, e.Exits[i])
+	}
+	return c
+}
+
+func (e *Evidence) openAt(c *Check, term Event, exit Exit) {
+	for _, r := range e.Records {
+		for _, l := range r.Links {
+			if l.Target != e.GatewayURLs[term.Target] || l.ToMS < term.AtMS || l.FromMS > exit.AtMS {
+				continue
+			}
+			c.Checks++
+			if l.Code == loadgen.OutcomeLinkBroken {
+				c.breach("%s: link to %s broken (began %d ms after SIGTERM, ended %d ms after it, answered %v)",
+					r.ID, term.Target, l.FromMS-term.AtMS, l.ToMS-term.AtMS, l.Answered)
+			}
+		}
+	}
+}
+
+// ends checks that no request hangs and that no accepted generation is lost
+// without a typed error.
+func (e *Evidence) ends() *Check {
+	c := &Check{Property: "ends", What: "requests that hang, accepted generations without a typed end"}
+	for _, r := range e.Records {
+		c.Checks++
+		switch {
+		case r.Code == loadgen.OutcomeUnfinished:
+			c.breach("%s: unfinished %d ms after its arrival", r.ID, r.EndedMS-r.ArrivedMS)
+		case r.Kind == catalogue.Generation && r.Accepted && (r.Code == loadgen.OutcomeLinkBroken || r.Code == loadgen.OutcomeUnreachable):
+			c.breach("%s: accepted, ended with %s", r.ID, r.Code)
+		}
+	}
+	return c
+}
+
+// lease checks that a fencing number has one holder only.
+func (e *Evidence) lease() *Check {
+	c := &Check{Property: "lease", What: "controllers with permission for orders: one per fencing number, taken over"}
+	holders := map[int64]string{}
+	for _, s := range e.Controllers {
+		if !s.Active {
+			continue
+		}
+		c.Checks++
+		if other := holders[s.Fencing]; other != "" && other != s.Name {
+			c.breach("fencing number %d has holders %s and %s", s.Fencing, other, s.Name)
+		}
+		holders[s.Fencing] = s.Name
+	}
+	frozen := slices.ContainsFunc(e.Events, func(v Event) bool { return v.Action == StopHolder })
+	names := slices.Compact(slices.Sorted(maps.Values(holders)))
+	if frozen && len(names) < 2 {
+		c.breach("the lease of the frozen holder was not taken over (holders %v)", names)
+	}
+	return c
+}
+
+// Injected counts the faults by kind.
+func (e *Evidence) Injected() map[string]int {
+	counts := map[string]int{}
+	for _, v := range e.Events {
+		kind, _, _ := strings.Cut(v.Target, "-")
+		switch v.Action {
+		case Start, Continue, Clear, Return, Settled, ContinueHolder:
+			continue
+		case Put:
+			counts[kind+" "+strings.Trim(v.Value, "{}")]++
+		default:
+			counts[kind+" "+string(v.Action)]++
+		}
+	}
+	return counts
+}
+
+// maxShown bounds the breaches that are printed for each property.
+const maxShown = 20
+
+// Report prints the faults and checks, and returns whether all checks passed.
+func (e *Evidence) Report(w io.Writer) (bool, error) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "FAULT\tTIMES")
+	injected := e.Injected()
+	for _, kind := range slices.Sorted(maps.Keys(injected)) {
+		fmt.Fprintf(t, "%s\t%d\n", kind, injected[kind])
+	}
+	fmt.Fprintln(t, "\nPROPERTY\tCHECKED\tCHECKS\tBREACHES\tRESULT")
+	passed := len(injected) > 0
+	checks := e.Audit()
+	for _, c := range checks {
+		passed = passed && c.Passed()
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\n", c.Property, c.What, c.Checks, len(c.Breaches), c.result())
+	}
+	if err := t.Flush(); err != nil {
+		return false, err
+	}
+	for _, c := range checks {
+		for i, b := range c.Breaches {
+			if i == maxShown {
+				fmt.Fprintf(w, "%s: %d more\n", c.Property, len(c.Breaches)-maxShown)
+				break
+			}
+			fmt.Fprintf(w, "%s: %s\n", c.Property, b)
+		}
+	}
+	return passed, nil
+}
+
+func (c *Check) result() string {
+	switch {
+	case len(c.Breaches) > 0:
+		return "BREACH"
+	case c.Checks == 0:
+		return "not exercised"
+	default:
+		return "held"
+	}
+}
--- a/internal/process/loadgen/generation.go
+++ b/internal/process/loadgen/generation.go
@@ -40,17 +40,29 @@
 		return
 	}
 	f.attempts++
+	from := time.Now()
 	resp, err := s.send(func(target string) (*http.Request, error) {
 		return newRequest(ctx, http.MethodPost, target+"/v1/responses", spec.Key, body)
 	})
 	f.outcome = g.read(resp, err)
+	f.link(s, from, err == nil, linkCode(ctx, f.outcome))
 	g.resume(ctx, spec.Key)
 	if ctx.Err() != nil && g.final == "" {
 		g.cutOff()
 	}
+	f.accepted = g.verify.ResponseID() != ""
 	f.violations = g.verify.Violations()
 }
 
+// linkCode is the outcome of one exchange. One that the end of the run cut off
+// says nothing about its target.
+func linkCode(ctx context.Context, o outcome) string {
+	if ctx.Err() != nil && o.code == OutcomeLinkBroken {
+		return OutcomeUnfinished
+	}
+	return o.code
+}
+
 func newRequest(ctx context.Context, method, url, key string, body []byte) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -126,11 +138,13 @@
 	id := g.verify.ResponseID()
 	for id != "" && g.final == "" && g.broken() && time.Now().Before(end) && ctx.Err() == nil {
 		g.result.resumed++
+		from := time.Now()
 		after := strconv.FormatInt(g.verify.Next()-1, 10)
 		resp, err := g.sender.send(func(target string) (*http.Request, error) {
 			return newRequest(ctx, http.MethodGet, target+"/v1/responses/"+id+"?stream=true&starting_after="+after, key, nil)
 		})
 		g.result.outcome = g.read(resp, err)
+		g.result.link(g.sender, from, err == nil, linkCode(ctx, g.result.outcome))
 		if g.final == "" {
 			pause(ctx, resumePause)
 		}
--- a/internal/process/loadgen/outcome.go
+++ b/internal/process/loadgen/outcome.go
@@ -79,6 +79,9 @@
 	skipped    int
 	resumed    int
 	violations map[Violation]int
+	// accepted means that a response id was received.
+	accepted bool
+	links    []Link
 }
 
 // part is what one generation got during one window.
--- a/internal/process/loadgen/run.go
+++ b/internal/process/loadgen/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -29,6 +30,8 @@
 	// Windows defaults to one that covers the run.
 	Windows   []Window
 	ResumeFor time.Duration
+	// Record, if set, gets a Record as a JSON line at the end of each request.
+	Record io.Writer
 	// Progress, if set, is called about ten times a second.
 	Progress func(elapsed time.Duration, requests, tokens int)
 }
@@ -39,6 +42,7 @@
 	targets   []string
 	http      *http.Client
 	recorder  *recorder
+	records   *recordWriter
 	seed      uint64
 	start     time.Time
 	duration  time.Duration
@@ -65,6 +69,7 @@
 		targets:   targets,
 		http:      newHTTPClient(),
 		recorder:  newRecorder(c.Workload.Streams, c.Windows),
+		records:   newRecordWriter(c.Record),
 		seed:      c.Seed,
 		start:     time.Now(),
 		duration:  c.Duration + c.Grace,
@@ -78,7 +83,7 @@
 	go r.report(receiving, c.Progress)
 	r.sendAll(sending, receiving)
 	stopReceiving()
-	return newResult(r.recorder, c), nil
+	return newResult(r.recorder, c), r.records.close()
 }
 
 // sendAll starts all streams and returns when every request has ended.
@@ -124,6 +129,7 @@
 	}
 	f.skipped = s.skipped
 	r.recorder.finish(stream, f)
+	r.records.write(f.record(r.start, &r.workload.Streams[stream]))
 }
 
 // resend sends a request again with the same id. The first answer is the one
@@ -133,6 +139,7 @@
 	r.send(ctx, stream, a, s, again)
 	f.attempts += again.attempts
 	f.resumed += again.resumed
+	f.links = append(f.links, again.links...)
 	for p, n := range again.violations {
 		for range n {
 			f.violate(p)
--- a/internal/process/loadgen/servicecall.go
+++ b/internal/process/loadgen/servicecall.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/version/catalogue"
@@ -27,8 +28,10 @@
 func (r *run) callService(ctx context.Context, stream int, s *sender, f *finished) {
 	spec := &r.workload.Streams[stream]
 	f.attempts++
+	from := time.Now()
 	resp, err := s.send(func(target string) (*http.Request, error) { return serviceRequest(ctx, target, spec, f.id) })
 	f.outcome = readService(resp, err, spec, f)
+	f.link(s, from, err == nil, linkCode(ctx, f.outcome))
 	if ctx.Err() != nil && !f.served() {
 		f.outcome = outcome{code: OutcomeUnfinished}
 	}
--- a/internal/process/loadgen/targets.go
+++ b/internal/process/loadgen/targets.go
@@ -54,6 +54,8 @@
 	random  *rand.Rand
 	// skipped counts targets that refused the connection.
 	skipped int
+	// target is the one that was tried last.
+	target string
 }
 
 // send tries the targets in random order until one takes the connection. The
@@ -65,6 +67,7 @@
 		if err != nil {
 			return nil, err
 		}
+		s.target = s.targets[i]
 		resp, err := s.http.Do(req)
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return resp, err
--- /dev/null
+++ b/scripts/faults.sh
@@ -0,0 +1,255 @@
+#!/usr/bin/env bash
+# A mixed fault run over real processes on loopback: 7 gateways, 14 engines, 4
+# application servers, 2 controllers and the platform stand-in. `loadgen faults`
+# draws the schedule from SEED, this script carries it out while `loadgen run`
+# sends requests, and `loadgen audit` checks the properties P1 to P7 afterwards.
+#
+#   SEED=7 scripts/faults.sh
+#
+# KEEP=1 keeps the directory with logs and evidence. Exit codes: 0 all properties
+# held, 1 a breach or a property that was not exercised.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+SEED=${SEED:-1}
+PORT_BASE=${PORT_BASE:-24000}
+# The run lasts as long as the schedule; requests then have the grace to end.
+LOAD_FOR=62s
+GRACE=15s
+# Gateways learn of hosts and of each other within this many seconds.
+DISCOVERY_SECONDS=4
+FLEET_DIR=$(mktemp -d)
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+
+# now_ms sets NOW to the Unix time in milliseconds.
+now_ms() { local t=${EPOCHREALTIME/[.,]/}; NOW=$((t / 1000)); }
+
+# send_signal SIGNAL NAME signals a process that this script started.
+send_signal() { kill "-$1" "$(pid_of "$2")" 2>/dev/null || true; }
+
+# stop_all ends every process that is still running, frozen ones included.
+stop_all() {
+	local name pid_file deadline=$((SECONDS + 8))
+	rm -f "$FLEET_DIR/polling"
+	for pid_file in "$FLEET_DIR"/*.pid; do
+		[ -e "$pid_file" ] || continue
+		name=$(basename "$pid_file" .pid)
+		send_signal CONT "$name"
+		send_signal TERM "$name"
+	done
+	for pid_file in "$FLEET_DIR"/*.pid; do
+		[ -e "$pid_file" ] || continue
+		name=$(basename "$pid_file" .pid)
+		while [ $SECONDS -lt $deadline ] && kill -0 "$(pid_of "$name")" 2>/dev/null; do sleep 0.1; done
+		send_signal KILL "$name"
+	done
+	wait 2>/dev/null || true
+	if [ -n "${KEEP:-}" ]; then echo "evidence: $FLEET_DIR"; else rm -rf "$FLEET_DIR"; fi
+}
+trap stop_all EXIT
+trap 'exit 1' INT TERM
+
+binary_of() {
+	case $1 in
+	platform) echo standin-platform ;;
+	engine-*) echo standin-engine ;;
+	app-*) echo standin-app ;;
+	gateway-*) echo gateway ;;
+	controller-*) echo controller ;;
+	esac
+}
+
+control_url() {
+	local number=${1##*-}
+	case $1 in
+	platform) platform_url ;;
+	engine-*) echo "http://127.0.0.1:$(engine_port "$number")" ;;
+	app-*) echo "http://127.0.0.1:$(app_port "$number")" ;;
+	esac
+}
+
+# put URL BODY sends a JSON body with a time limit.
+put() { curl -sf -m 3 -o /dev/null -X PUT -H 'Content-Type: application/json' -d "$2" "$1"; }
+
+# save_runs NAME FILE writes a server's run counters.
+save_runs() { curl -sf -m 3 -o "$2" "$(control_url "$1")/control/runs"; }
+
+ctl() { timeout 30 "$BIN/persimmonctl" "$@" -table-url "$(platform_url)" -object-url "$(platform_url)/objects"; }
+
+# edit LABEL SUFFIX ARGS... changes the catalogue and records the outcome.
+edit() {
+	local label=$1 out="edit-$1-$2.out" code=0
+	shift 2
+	ctl catalogue apply "$FLEET_DIR/${out%.out}.yaml" -yes -message "$label" -author "$out" "$@" >"$FLEET_DIR/$out" 2>&1 || code=$?
+	now_ms
+	echo "$NOW $label $code $out" >>"$FLEET_DIR/edits.log"
+}
+
+# write_edit LABEL SUFFIX writes a body that differs from all others.
+write_edit() {
+	BODY=$((BODY + 1))
+	sed "s/^background_floor:.*/background_floor: 0.1$BODY/" examples/kernfield.yaml >"$FLEET_DIR/edit-$1-$2.yaml"
+}
+
+# lease_holder prints the controller that may send orders.
+lease_holder() {
+	local i
+	for i in $(seq "$CONTROLLERS"); do
+		if curl -sf -m 1 "http://127.0.0.1:$(controller_port "$i")/status" | grep -q '"active":true'; then
+			echo "controller-$i"
+			return
+		fi
+	done
+	echo controller-1
+}
+
+# poll_gateways records the state of all gateways about twice a second.
+poll_gateways() {
+	local addresses answer
+	addresses=$(admins | sed 's#http://##g')
+	while [ -e "$FLEET_DIR/polling" ]; do
+		now_ms
+		answer=$(timeout 5 "$BIN/persimmonctl" status -output json -timeout 900ms -gateways "$addresses" 2>/dev/null | tr -d '\n') || true
+		[ -z "$answer" ] || echo "$NOW $answer" >>"$FLEET_DIR/status.log"
+		sleep 0.3
+	done
+}
+
+# poll_controller N records the state of a controller.
+poll_controller() {
+	while [ -e "$FLEET_DIR/polling" ]; do
+		curl -sf -m 1 "http://127.0.0.1:$(controller_port "$1")/status" >>"$FLEET_DIR/controllers.jsonl" || true
+		sleep 0.3
+	done
+}
+
+LIFE=0
+BODY=0
+HOLDER=
+# TERMINATING holds the gateways that got SIGTERM and have not ended yet.
+declare -A TERMINATING=()
+
+# carry_out ACTION TARGET VALUE executes one step of the schedule.
+carry_out() {
+	local action=$1 target=$2 value=$3 url base
+	url=$(control_url "$target")
+	case $action in
+	kill)
+		if [[ $target == engine-* ]]; then
+			LIFE=$((LIFE + 1))
+			save_runs "$target" "$FLEET_DIR/runs/$target.$LIFE.json"
+		fi
+		send_signal KILL "$target"
+		wait "$(pid_of "$target")" 2>/dev/null || true
+		;;
+	start) start "$(binary_of "$target")" "$target" ;;
+	stop) send_signal STOP "$target" ;;
+	continue) send_signal CONT "$target" ;;
+	term)
+		send_signal TERM "$target"
+		TERMINATING[$target]=1
+		;;
+	put) put "$url/control/faults" "$value" ;;
+	clear) put "$url/control/faults" '{}' ;;
+	leave) put "$(platform_url)/control/hosts/$target/state" '{"state":"leaving"}' ;;
+	settled) save_runs "$target" "$FLEET_DIR/settled/$target.json" ;;
+	return)
+		save_runs "$target" "$FLEET_DIR/returned/$target.json"
+		put "$(platform_url)/control/hosts/$target/state" '{"state":"live"}'
+		;;
+	edit)
+		write_edit "edit-$BODY" a
+		edit "edit-$((BODY - 1))" a &
+		;;
+	race)
+		base=$(ctl catalogue get 2>&1 >/dev/null | sed -n 's/^revision \([0-9]*\) .*/\1/p')
+		write_edit race a
+		write_edit race b
+		edit race a -base "$base" &
+		edit race b -base "$base" &
+		;;
+	edit_outage)
+		write_edit before-outage a
+		edit before-outage a
+		put "$url/control/faults" "$value"
+		;;
+	stop_holder)
+		HOLDER=$(lease_holder)
+		send_signal STOP "$HOLDER"
+		;;
+	continue_holder) send_signal CONT "$HOLDER" ;;
+	*)
+		echo "unknown action: $action"
+		return 1
+		;;
+	esac
+	now_ms
+	echo "$NOW $action $target $value" >>"$FLEET_DIR/events.log"
+}
+
+# restart_ended records the exit codes of gateways that ended after SIGTERM and
+# starts them again.
+restart_ended() {
+	local name code
+	for name in "${!TERMINATING[@]}"; do
+		if kill -0 "$(pid_of "$name")" 2>/dev/null; then continue; fi
+		code=0
+		wait "$(pid_of "$name")" || code=$?
+		now_ms
+		echo "$NOW $name $code" >>"$FLEET_DIR/exits.log"
+		unset "TERMINATING[$name]"
+		start gateway "$name"
+	done
+}
+
+# run_schedule carries out all steps at their times, counted from now.
+run_schedule() {
+	local at action target value begin
+	now_ms
+	begin=$NOW
+	while read -r at action target value; do
+		now_ms
+		while [ $((NOW - begin)) -lt "$at" ]; do
+			restart_ended
+			sleep 0.05
+			now_ms
+		done
+		carry_out "$action" "$target" "$value"
+	done <"$FLEET_DIR/schedule"
+}
+
+start_fleet() {
+	start_backends
+	ctl catalogue apply examples/kernfield.yaml -yes -message start -author start >"$FLEET_DIR/start.out" 2>&1 || { cat "$FLEET_DIR/start.out"; return 1; }
+	start_gateways
+	for i in $(seq "$GATEWAYS"); do
+		echo "gateway-$i http://127.0.0.1:$(gateway_port "$i")" >>"$FLEET_DIR/gateways.log"
+	done
+	sleep "$DISCOVERY_SECONDS"
+}
+
+mkdir "$FLEET_DIR/runs" "$FLEET_DIR/settled" "$FLEET_DIR/returned"
+timeout 10 "$BIN/loadgen" faults -seed "$SEED" -gateways "$GATEWAYS" -engines "$ENGINES" >"$FLEET_DIR/schedule"
+echo "fault run with seed $SEED: $(wc -l <"$FLEET_DIR/schedule") steps"
+start_fleet
+touch "$FLEET_DIR/polling"
+poll_gateways &
+for i in $(seq "$CONTROLLERS"); do poll_controller "$i" & done
+timeout 100 "$BIN/loadgen" run -workload scripts/faults-workload.yaml -targets "$(targets)" -duration "$LOAD_FOR" \
+	-grace "$GRACE" -seed "$SEED" -record "$FLEET_DIR/records.jsonl" >"$FLEET_DIR/load.txt" 2>/dev/null &
+load=$!
+run_schedule
+# The audit judges the records; the load tool's own verdict is in the table.
+wait "$load" || true
+for ((i = 0; i < 100 && ${#TERMINATING[@]} > 0; i++)); do
+	restart_ended
+	sleep 0.1
+done
+for name in $(seq -f 'engine-%g' "$ENGINES") $(seq -f 'app-%g' "$APPS"); do
+	save_runs "$name" "$FLEET_DIR/runs/$name.end.json"
+done
+rm -f "$FLEET_DIR/polling"
+sed -n '1,3p;/^outcomes/p' "$FLEET_DIR/load.txt"
+echo
+timeout 20 "$BIN/loadgen" audit -dir "$FLEET_DIR"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -129,8 +129,24 @@
 	done
 }
 
+# check_ports fails if a port of the fleet is taken. Without it, a run would use
+# and disturb another fleet that has the same PORT_BASE.
+check_ports() {
+	local port
+	for port in $(platform_port) $(for i in $(seq "$ENGINES"); do engine_port "$i"; done) \
+		$(for i in $(seq "$APPS"); do app_port "$i"; done) \
+		$(for i in $(seq "$GATEWAYS"); do gateway_port "$i"; admin_port "$i"; peer_port "$i"; done) \
+		$(for i in $(seq "$CONTROLLERS"); do controller_port "$i"; done); do
+		if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+			echo "port $port is in use; set PORT_BASE to a free range"
+			return 1
+		fi
+	done
+}
+
 # start_backends starts platform, engines and application servers.
 start_backends() {
+	check_ports
 	write_platform_settings
 	start standin-platform platform
 	await_ready "$(platform_url)/hosts"
