--- /dev/null
+++ b/internal/process/docscheck/doc.go
@@ -0,0 +1,2 @@
+// Package docscheck holds tests that compare the documentation with the source.
+package docscheck
--- a/internal/process/loadgen/faults/schedule.go
+++ b/internal/process/loadgen/faults/schedule.go
@@ -81,7 +81,7 @@
 // at once and a terminated gateway has no other fault.
 const (
 	minGateways = 7
-	minEngines  = 12
+	minEngines  = 13
 )
 
 // plan collects the steps of a schedule.
@@ -176,6 +176,9 @@
 	`{"cross_events":true}`,
 	`{"error_after_accept":true}`,
 	`{"freeze":true}`,
+	`{"refuse":true}`,
+	`{"hide_reports":true}`,
+	`{"drain":true}`,
 }
 
 // engines kills and freezes processes, and gives each fault to one engine.
@@ -281,7 +284,7 @@
 func (p *plan) apps() {
 	for _, name := range []string{bookingApp, rosterApp, recordsApp} {
 		var blocks []block
-		for _, value := range []string{`{"reset_after":4}`, `{"reset_before":4}`, `{"error_without_body":4}`, `{"freeze":true}`} {
+		for _, value := range []string{`{"reset_after":4}`, `{"reset_before":4}`, `{"error_with_body":4}`, `{"error_without_body":4}`, `{"freeze":true}`} {
 			blocks = append(blocks, func(at time.Duration) time.Duration {
 				n := p.between(2*time.Second, 6*time.Second)
 				p.add(at, Put, name, value)
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -251,5 +251,6 @@
 done
 rm -f "$FLEET_DIR/polling"
 sed -n '1,3p;/^outcomes/p' "$FLEET_DIR/load.txt"
+curl -sf -m 3 "$(platform_url)/control/counters" | sed 's/^/platform calls: /' || true
 echo
 timeout 20 "$BIN/loadgen" audit -dir "$FLEET_DIR"
