Resume a broken engine link instead of ending its generation

Cause: the relay took any *fault.Error of a link as final. The engine client types every read error so, and a cut link therefore ended the generation at once with engine_lost and execution unknown, without any attempt to resume it. The relay's tests used an untyped error and could not see this.

A relay's own ends now have a type of their own, a malformed event stays final, and a refused connection counts as a process that has ended, so that a dead engine is still replaced at once. Links that end without a new event are paced to one each 100 ms. The tests' broken link is now typed like the client's: before the change TestReaderGetsWholeStreamOnce and two cases of TestEngineFailures failed with it.

--- a/internal/request/relay/fake_test.go
+++ b/internal/request/relay/fake_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
+	"syscall"
 	"time"
 
 	"persimmonwing/internal/request/api"
@@ -30,7 +30,11 @@
 	return events
 }
 
-var errCut = errors.New("connection reset")
+// errCut is a broken link as the engine client reports it.
+var errCut = fault.New(fault.EngineLost, "stream", backend, api.Unknown, "connection reset")
+
+// errMalformed is an event that can't be parsed.
+var errMalformed = fault.New(fault.EngineProtocol, "stream", backend, api.Unknown, "malformed event")
 
 // step is what a fake link does next.
 type step struct {
@@ -98,6 +102,16 @@
 	return nil, fault.New(fault.UnknownResponse, "resume", backend, api.Unknown, "gone")
 }
 
+// refuse is an engine whose process has ended.
+func refuse(context.Context, string, int64) (Source, error) {
+	return nil, fault.Wrap(syscall.ECONNREFUSED, fault.EngineLost, "resume", backend, api.NotRun)
+}
+
+// cutAgain is an engine that accepts the resumption and cuts each link at once.
+func cutAgain(context.Context, string, int64) (Source, error) {
+	return newLink(step{err: errCut}), nil
+}
+
 // hang is an engine that accepts connections and never answers.
 func hang(ctx context.Context, _ string, _ int64) (Source, error) {
 	<-ctx.Done()
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -126,18 +127,31 @@
 // errStalled replaces a link that delivered nothing for the stall timeout.
 var errStalled = errors.New("no event within the stall timeout")
 
+// finalError ends a relay. Any other error of a link only ends the link: the
+// engine client types those too, so the type of the error doesn't tell them apart.
+type finalError struct{ fault *fault.Error }
+
+func (e finalError) Error() string { return e.fault.Error() }
+
 // Run relays until the terminal event, the loss of the engine, the end of ctx
 // or the end of the grace after the reader left. It closes src. The error is a
 // *fault.Error; it is nil if and only if Result.Terminal is set.
 func (r *Relay) Run(ctx context.Context, src Source) (Result, error) {
 	for {
+		began, next := time.Now(), r.next
 		err := r.consume(ctx, src)
 		if r.result.Terminal != nil {
 			return r.result, nil
 		}
-		var final *fault.Error
+		var final finalError
 		if errors.As(err, &final) {
-			return r.result, final
+			return r.result, final.fault
+		}
+		if r.next == next {
+			// An engine that ends each link at once must not be asked without a pause.
+			if sleep(ctx, emptyLinkInterval-time.Since(began)) != nil {
+				return r.result, r.contextFault(ctx)
+			}
 		}
 		if src, err = r.reopen(ctx, err); err != nil {
 			return r.result, err
@@ -148,7 +162,7 @@
 	}
 }
 
-// consume forwards events of one link until it ends. A *fault.Error is final.
+// consume forwards events of one link until it ends.
 func (r *Relay) consume(ctx context.Context, src Source) error {
 	p := startPump(src)
 	defer p.stop()
@@ -157,12 +171,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return r.contextFault(ctx)
+			return finalError{r.contextFault(ctx)}
 		case <-stall.C:
 			return errStalled
 		case item := <-p.items:
 			if item.err != nil {
-				return fmt.Errorf("read stream: %w", item.err)
+				return r.linkError(item.err)
 			}
 			if err := r.accept(item.event); err != nil {
 				return err
@@ -178,6 +192,14 @@
 	}
 }
 
+// linkError makes a malformed event final: it would come again on a new link.
+func (r *Relay) linkError(err error) error {
+	if fault.From(err).Code == fault.EngineProtocol {
+		return finalError{fault.Wrap(err, fault.EngineProtocol, "relay", r.backend, r.execution())}
+	}
+	return fmt.Errorf("read stream: %w", err)
+}
+
 func (r *Relay) stallTimeout() time.Duration {
 	if r.result.EngineID == "" {
 		return r.opts.FirstContact
@@ -190,7 +212,7 @@
 	if !r.result.ReaderGone || time.Since(r.readerLeft) < r.opts.ReaderGrace {
 		return nil
 	}
-	return fault.New(fault.Cancelled, "relay", r.backend, api.Ran, "reader did not come back within %v", r.opts.ReaderGrace)
+	return finalError{fault.New(fault.Cancelled, "relay", r.backend, api.Ran, "reader did not come back within %v", r.opts.ReaderGrace)}
 }
 
 func (r *Relay) contextFault(ctx context.Context) *fault.Error {
@@ -213,6 +235,9 @@
 const (
 	resumeDelayMin = 20 * time.Millisecond
 	resumeDelayMax = 500 * time.Millisecond
+	// emptyLinkInterval is the least time from one link without a new event to
+	// the next.
+	emptyLinkInterval = 100 * time.Millisecond
 )
 
 // reopen replaces the link. It gives up when the engine does not know the
@@ -239,7 +264,7 @@
 		if ctx.Err() != nil {
 			return nil, r.contextFault(ctx)
 		}
-		if fault.From(err).Code == fault.UnknownResponse || time.Since(began) >= limit {
+		if streamGone(err) || time.Since(began) >= limit {
 			return nil, fault.Wrap(errors.Join(cause, err), fault.EngineLost, "relay", r.backend, api.Ran)
 		}
 		if err := sleep(ctx, delay.NextBackOff()); err != nil {
@@ -248,6 +273,13 @@
 	}
 }
 
+// streamGone tells that no further attempt can find the stream: the engine does
+// not know it, or nothing listens at the engine's address. Streams are in the
+// memory of the engine's process, so they end with it.
+func streamGone(err error) bool {
+	return fault.From(err).Code == fault.UnknownResponse || errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // resumeWithin opens the link again; the context of a link that was opened
 // stays alive until the link is closed.
 func (r *Relay) resumeWithin(ctx context.Context, cancel context.CancelFunc) (Source, error) {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -133,6 +133,9 @@
 		{"silent before the first event", func() []step { return []step{{silent: true}} }, hang, fault.EngineLost, api.Unknown, false, 3 * time.Second},
 		{"lost before the first token", func() []step { return append(play(events[0]), cut) }, noResume, fault.EngineLost, api.Ran, false, time.Second},
 		{"frozen before the first token", func() []step { return append(play(events[0]), step{silent: true}) }, hang, fault.EngineLost, api.Ran, false, 6 * time.Second},
+		{"process ended before the first token", func() []step { return append(play(events[0]), cut) }, refuse, fault.EngineLost, api.Ran, false, time.Second},
+		{"process ended after the first token", func() []step { return append(play(events[:3]...), cut) }, refuse, fault.EngineLost, api.Ran, true, time.Second},
+		{"malformed after the first token", func() []step { return append(play(events[:3]...), step{err: errMalformed}) }, cutAgain, fault.EngineProtocol, api.Ran, true, time.Second},
 		{"lost after the first token", func() []step { return append(play(events[:3]...), cut) }, noResume, fault.EngineLost, api.Ran, true, time.Second},
 		{"frozen after the first token", func() []step { return append(play(events[:3]...), step{silent: true}) }, hang, fault.EngineLost, api.Ran, true, 13 * time.Second},
 	}
@@ -185,3 +188,23 @@
 		is.Equal(fault.From(err).Code, fault.DeadlineExceeded)
 	})
 }
+
+// Guards against resuming without a pause at an engine that cuts each link at
+// once, which would take all of the gateway's processor time.
+func TestEmptyLinksArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		defer awaitReaders()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		links := 0
+		resume := func(ctx context.Context, id string, after int64) (Source, error) {
+			links++
+			return cutAgain(ctx, id, after)
+		}
+		first := newLink(append(play(script(5)[:3]...), step{err: errCut})...)
+		_, err := New(backend, attemptID, &recorder{}, resume, DefaultOptions(), Hooks{}).Run(ctx, first)
+		is.Equal(fault.From(err).Code, fault.DeadlineExceeded)
+		is.True(links > 50 && links <= 101) // one each 100 ms
+	})
+}
