--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 # Measures slopes and compares them with the budgets, in under 3 minutes.
 capacity:
 	@$(GO) run ./cmd/loadgen capacity
+
+# SEED selects the schedule of the fault run.
+faults: build
+	timeout 150 scripts/faults.sh
--- a/internal/request/relay/fake_test.go
+++ b/internal/request/relay/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"syscall"
 	"time"
 
 	"persimmonwing/internal/request/api"
@@ -99,6 +100,11 @@
 	return nil, fault.New(fault.UnknownResponse, "resume", backend, api.Unknown, "gone")
 }
 
+// refuse is an engine whose process has ended.
+func refuse(context.Context, string, int64) (Source, error) {
+	return nil, fault.Wrap(syscall.ECONNREFUSED, fault.EngineLost, "resume", backend, api.NotRun)
+}
+
 // hang is an engine that accepts connections and never answers.
 func hang(ctx context.Context, _ string, _ int64) (Source, error) {
 	<-ctx.Done()
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -133,6 +133,8 @@
 		{"silent before the first event", func() []step { return []step{{silent: true}} }, hang, fault.EngineLost, api.Unknown, false, 3 * time.Second},
 		{"lost before the first token", func() []step { return append(play(events[0]), cut) }, noResume, fault.EngineLost, api.Ran, false, time.Second},
 		{"frozen before the first token", func() []step { return append(play(events[0]), step{silent: true}) }, hang, fault.EngineLost, api.Ran, false, 6 * time.Second},
+		{"process ended before the first token", func() []step { return append(play(events[0]), cut) }, refuse, fault.EngineLost, api.Ran, false, time.Second},
+		{"process ended after the first token", func() []step { return append(play(events[:3]...), cut) }, refuse, fault.EngineLost, api.Ran, true, time.Second},
 		{"lost after the first token", func() []step { return append(play(events[:3]...), cut) }, noResume, fault.EngineLost, api.Ran, true, time.Second},
 		{"frozen after the first token", func() []step { return append(play(events[:3]...), step{silent: true}) }, hang, fault.EngineLost, api.Ran, true, 13 * time.Second},
 	}
--- a/internal/request/relay/reopen.go
+++ b/internal/request/relay/reopen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -18,7 +19,7 @@
 )
 
 // reopen replaces the link. It gives up when the engine does not know the
-// stream any more, has not answered for too long, or answers with links that
+// stream any more, has ended, has not answered for too long, or answers with links that
 // break before their first event for too long.
 func (r *Relay) reopen(ctx context.Context, cause error) (Source, error) {
 	if r.result.EngineID == "" {
@@ -43,7 +44,9 @@
 		if ctx.Err() != nil {
 			return nil, r.contextFault(ctx)
 		}
-		if fault.From(err).Code == fault.UnknownResponse {
+		if fault.From(err).Code == fault.UnknownResponse || errors.Is(err, syscall.ECONNREFUSED) {
+			// A refused connection means that the engine's process has ended, and
+			// its streams with it.
 			return nil, r.lost(errors.Join(cause, err))
 		}
 		if err := r.pause(ctx, limit, errors.Join(cause, err)); err != nil {
