--- a/internal/process/gateway/generate.go
+++ b/internal/process/gateway/generate.go
@@ -16,7 +16,8 @@
 	"persimmonwing/internal/version/catalogue"
 )
 
-// maxPrefixBlocks bounds the prefix hashes of one request; 64 blocks cover 16 KiB.
+// maxPrefixBlocks bounds the prefix blocks looked at of one request; 64 blocks
+// cover 16 KiB, and 12 of their hashes are sent.
 const maxPrefixBlocks = 64
 
 // Priorities towards engines.
@@ -115,7 +116,7 @@
 			ExpectedOutputTokens: c.entry.ExpectedOutputTokens,
 			TokenGap:             c.entry.Targets.TokenGap,
 			Fingerprint:          fingerprint(c.workspace.Name, c.entry.Name, body.Input),
-			PrefixHashes:         api.PrefixHashes(body.Input, maxPrefixBlocks),
+			PrefixHashes:         api.ThinPrefixes(api.PrefixHashes(body.Input, maxPrefixBlocks)),
 		},
 	}
 }
--- a/internal/process/loadgen/capacity/fleets.go
+++ b/internal/process/loadgen/capacity/fleets.go
@@ -18,9 +18,9 @@
 const (
 	// settle passes after the start, so that groups have owners and gossip is
 	// steady.
-	settle = 6 * time.Second
+	settle = 5 * time.Second
 	// window is the time of one measurement in a fleet.
-	window = 5 * time.Second
+	window = 4 * time.Second
 	// generationTime is the time until as many generations end as begin.
 	generationTime = 7 * time.Second
 	// editsMeasured is the number of edits at each size.
--- a/internal/request/api/prefix.go
+++ b/internal/request/api/prefix.go
@@ -19,6 +19,20 @@
 	return hashes
 }
 
+// ThinPrefixes keeps the hashes of 1, 2, 3, 4, 6, 8, 12, 16 blocks and so on. A
+// prefix that two inputs share is still recognised by at least two thirds of its
+// length, and 64 hashes become 12, which every request carries to a group's owner.
+func ThinPrefixes(hashes []uint64) []uint64 {
+	var out []uint64
+	for n := 1; n <= len(hashes); n *= 2 {
+		out = append(out, hashes[n-1])
+		if between := n + n/2; between > n && between <= len(hashes) {
+			out = append(out, hashes[between-1])
+		}
+	}
+	return out
+}
+
 // bytesPerToken is the average that the project assumes for prompt lengths.
 const bytesPerToken = 4
 
