--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -15,8 +15,14 @@
 // discovered reports whether a group with replicas is known. Without this wait, a
 // gateway refused generations with no_capacity for some 200 ms after its start.
 func (p *process) discovered() bool {
+	if p.found.Load() {
+		// Summaries vanish while an owner leaves; that must not end readiness.
+		return true
+	}
 	p.discoverOnce.Do(func() { p.discoverBy = time.Now().Add(discoveryTimeout) })
-	return time.Now().After(p.discoverBy) || slices.ContainsFunc(p.gossiper.Summaries(), func(s schedule.Summary) bool { return s.Replicas > 0 })
+	found := time.Now().After(p.discoverBy) || slices.ContainsFunc(p.gossiper.Summaries(), func(s schedule.Summary) bool { return s.Replicas > 0 })
+	p.found.Store(found)
+	return found
 }
 
 // status completes the answer of /status.
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -76,6 +77,7 @@
 	// discoverBy is set at the first look at readiness with a catalogue.
 	discoverOnce sync.Once
 	discoverBy   time.Time
+	found        atomic.Bool
 }
 
 func newProcess(o *Options, logger log.Logger) (*process, error) {
