--- a/internal/process/gateway/admin.go
+++ b/internal/process/gateway/admin.go
@@ -67,13 +67,13 @@
 		Name:       g.opts.Name,
 		DataCentre: g.opts.DataCentre,
 		Stopping:   g.stopping.Load(),
+		Ready:      g.notReady() == "",
 		Policy:     g.opts.Policy,
 		InProgress: g.inProgress.Load(),
 	}
 	if snapshot := g.catalogue.Current(); snapshot != nil {
 		s.Revision = snapshot.Revision
 	}
-	s.Ready = g.notReady() == ""
 	for _, add := range g.statusSources {
 		add(&s)
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -42,8 +42,8 @@
 	Limits    *limits.Limiter
 	Metrics   *telemetry.Metrics
 	Logger    log.Logger
-	// Discovered tells whether backend servers are known, so that the first
-	// callers after a start are not refused; nil means always.
+	// Discovered reports whether the gateway has found backend servers since its
+	// start or has waited long enough for them; nil means always.
 	Discovered func() bool
 	// StatusSources complete the answer of /status.
 	StatusSources []StatusSource
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -73,11 +74,14 @@
 	hosts    *platform.HostList
 	services *service.Client
 	gateway  *Gateway
-	started  time.Time
+	// discoverBy is set at the first look at readiness with a catalogue.
+	discoverOnce sync.Once
+	discoverBy   time.Time
+	found        atomic.Bool
 }
 
 func newProcess(o *Options, logger log.Logger) (*process, error) {
-	p := &process{opts: o, logger: logger, metrics: telemetry.New(), holder: new(revision.Holder), limits: limits.New(), started: time.Now()}
+	p := &process{opts: o, logger: logger, metrics: telemetry.New(), holder: new(revision.Holder), limits: limits.New()}
 	p.pool = peer.NewPool([]byte(o.PeerSecret), peer.DialTCP)
 	p.services = service.New(&http.Client{Transport: engine.NewTransport()})
 	engines := engine.New(&http.Client{Transport: engine.NewTransport()})
@@ -249,32 +253,6 @@
 	}
 }
 
-// status completes the answer of /status.
-func (p *process) status(s *Status) {
-	s.LivePeers = len(p.gossiper.Live())
-	age, confirmed := p.syncer.Confirmed()
-	s.PlatformReachable = confirmed && age < platformStale
-	for _, g := range p.gossiper.Summaries() {
-		if g.Owner == p.opts.Name {
-			s.GroupsOwned++
-			s.Groups = append(s.Groups, g.Group.String())
-		}
-	}
-}
-
-// discoveryPatience is the time after a start from which a gateway is ready
-// though it knows no group of replicas: there may be none.
-const discoveryPatience = 5 * time.Second
-
-// discovered reports whether any group of replicas is known.
-func (p *process) discovered() bool {
-	return time.Since(p.started) > discoveryPatience || len(p.gossiper.Summaries()) > 0
-}
-
-// platformStale is the age of the last answer from the platform after which it
-// counts as unreachable.
-const platformStale = 5 * time.Second
-
 // run serves until ctx ends. The background parts outlive the requests in
 // progress; the groups owned here go to other gateways first.
 func (p *process) run(ctx context.Context, callers, admin, peers net.Listener) error {
