Add overlapping resends and a crash request to the fault run

Cause: resends came only after the first answer, and the bound on engines that one request crashes was tested without processes.

resend_after sends a booking again while the first sending still runs.

--- a/internal/process/loadgen/faults/audit.go
+++ b/internal/process/loadgen/faults/audit.go
@@ -10,6 +10,7 @@
 
 	"persimmonwing/internal/process/loadgen"
 	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
 	"persimmonwing/internal/version/catalogue"
 )
 
@@ -41,6 +42,7 @@
 		e.freshness(),
 		e.editsDecided(),
 		e.lease(),
+		e.crashes(),
 		e.ends(),
 	}
 }
@@ -111,7 +113,7 @@
 			continue
 		}
 		c.Checks++
-		if n := runs[r.ID]; n > 1 {
+		if n := runs[r.ID]; n > 1 || r.Violations[loadgen.RanTwice] > 0 {
 			c.breach("%s: ran %d times", r.ID, n)
 		}
 	}
@@ -208,6 +210,26 @@
 	return c
 }
 
+// maxCrashes is the number of servers that one request may crash in total.
+const maxCrashes = 2
+
+// crashes checks the bound on servers that one request crashes, and that it is
+// refused in the end.
+func (e *Evidence) crashes() *Check {
+	c := &Check{Property: "crash bound", What: "resends of a request that crashes engines: at most 2 engines"}
+	if len(e.Crashes) == 0 {
+		return c
+	}
+	c.Checks = len(e.CrashResends)
+	if n := len(e.Crashes); n > maxCrashes {
+		c.breach("%d engines crashed: %v; answers %v", n, e.Crashes, e.CrashResends)
+	}
+	if !slices.Contains(e.CrashResends, string(fault.RequestCrashes)) {
+		c.breach("the request was never refused: %v", e.CrashResends)
+	}
+	return c
+}
+
 // Injected counts the faults by kind.
 func (e *Evidence) Injected() map[string]int {
 	counts := map[string]int{}
--- a/internal/process/loadgen/faults/audit_test.go
+++ b/internal/process/loadgen/faults/audit_test.go
@@ -45,9 +45,11 @@
 			{34000, []GatewayStatus{{Name: "gateway-1", Revision: 2, Ready: true}}},
 			{35000, []GatewayStatus{{Name: "gateway-1", Revision: 3, Ready: true}}},
 		},
-		Exits:       []Exit{{2000, "gateway-1", 0}},
-		Controllers: []ControllerSample{{"controller-1", true, 1}, {"controller-2", false, 1}, {"controller-2", true, 2}},
-		GatewayURLs: map[string]string{"gateway-1": gatewayURL},
+		Exits:        []Exit{{2000, "gateway-1", 0}},
+		Controllers:  []ControllerSample{{"controller-1", true, 1}, {"controller-2", false, 1}, {"controller-2", true, 2}},
+		Crashes:      []string{"engine-2", "engine-3"},
+		CrashResends: []string{"engine_lost", "request_crashes_servers"},
+		GatewayURLs:  map[string]string{"gateway-1": gatewayURL},
 	}
 }
 
@@ -79,6 +81,9 @@
 		{"a failed edit", "P7 edits", func(e *Evidence) { e.Edits[2] = EditResult{"before-outage", 20000, 1, "timed out"} }},
 		{"two holders", "lease", func(e *Evidence) { e.Controllers[1].Active = true }},
 		{"no successor", "lease", func(e *Evidence) { e.Controllers = e.Controllers[:2] }},
+		{"three crashes", "crash bound", func(e *Evidence) { e.Crashes = append(e.Crashes, "engine-4") }},
+		{"no refusal", "crash bound", func(e *Evidence) { e.CrashResends = e.CrashResends[:1] }},
+		{"no crash", "crash bound", func(e *Evidence) { e.Crashes = nil }},
 		{"a request that hangs", "ends", func(e *Evidence) { e.Records[0].Code = loadgen.OutcomeUnfinished }},
 		{"an accepted generation that is lost", "ends", func(e *Evidence) { e.Records[0].Code = loadgen.OutcomeLinkBroken; e.Records[0].Links = nil }},
 	} {
@@ -107,6 +112,8 @@
 		"edit-race-a.out":        "~ setting\naccepted as revision 12\n",
 		"status.log":             `9000 [{"name":"gateway-1","revision":1,"ready":true}]` + "\n",
 		"controllers.jsonl":      `{"name":"controller-1","active":true,"fencing":4}` + "\n",
+		"crashes.log":            "1000 engine-3\n",
+		"resends.log":            "engine_lost\n",
 		"runs/engine-1.1.json":   `{"g1":1}`,
 		"runs/engine-1.2.json":   `{"g1":2}`,
 		"settled/app-1.json":     `{"s1":1}`,
@@ -122,6 +129,8 @@
 	is.Equal(e.Runs["engine-1"]["g1"], 3) // both lives of the engine count
 	is.Equal(e.Edits[0].accepted(), int64(12))
 	is.Equal(e.Controllers[0].Fencing, int64(4))
+	is.Equal(e.Crashes, []string{"engine-3"})
+	is.Equal(e.CrashResends, []string{"engine_lost"})
 	var out bytes.Buffer
 	passed, err := e.Report(&out)
 	is.NoErr(err)
--- a/internal/process/loadgen/faults/evidence.go
+++ b/internal/process/loadgen/faults/evidence.go
@@ -90,6 +90,9 @@
 	Samples           []Sample
 	Exits             []Exit
 	Controllers       []ControllerSample
+	// Crashes holds the engines that ended by themselves, and CrashResends the
+	// codes with which the request that crashes engines was answered.
+	Crashes, CrashResends []string
 	// GatewayURLs gives the callers' address of each gateway.
 	GatewayURLs map[string]string
 }
@@ -115,6 +118,8 @@
 			e.Controllers = append(e.Controllers, s)
 			return err
 		}),
+		fields(dir, "crashes.log", 2, func(f []string) error { e.Crashes = append(e.Crashes, f[1]); return nil }),
+		fields(dir, "resends.log", 1, func(f []string) error { e.CrashResends = append(e.CrashResends, f[0]); return nil }),
 		e.runs(dir),
 	)
 	return e, err
--- a/internal/process/loadgen/faults/schedule.go
+++ b/internal/process/loadgen/faults/schedule.go
@@ -39,6 +39,8 @@
 	Edit       Action = "edit"
 	Race       Action = "race"
 	EditOutage Action = "edit_outage"
+	// Crash sends a request that crashes engines again and again to several gateways.
+	Crash Action = "crash"
 	// StopHolder sends SIGSTOP to the controller that holds the lease, and
 	// ContinueHolder wakes it.
 	StopHolder     Action = "stop_holder"
@@ -223,6 +225,9 @@
 	}
 }
 
+// crashLength is the time for the resends of a request that crashes engines.
+const crashLength = 7 * time.Second
+
 // platform draws the faults of the platform, the edits, and the time in which
 // two backend servers leave. Nobody can learn of a leaving server from a host
 // list that doesn't answer, so these don't overlap with the platform's faults.
@@ -259,6 +264,12 @@
 			p.add(at+n, Clear, "platform", "")
 			return n + time.Second
 		},
+		// An engine that crashes loses its run counters, which P5 needs, so that
+		// this doesn't overlap with leaving servers either.
+		func(at time.Duration) time.Duration {
+			p.add(at, Crash, "request", "")
+			return crashLength
+		},
 		func(at time.Duration) time.Duration {
 			n := LeaveBound + p.between(4*time.Second, 6*time.Second)
 			for _, name := range []string{engine, leavingApp} {
--- /dev/null
+++ b/internal/process/loadgen/record_test.go
@@ -0,0 +1,77 @@
+package loadgen
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// Guards against a second request that waits for the end of the first although
+// it shall overlap, and against records that lack an exchange or its outcome.
+func TestOverlappingResendsAreRecorded(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	second := map[string]chan struct{}{}
+	target := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(headerCallID)
+		mu.Lock()
+		arrived, again := second[id]
+		if !again {
+			arrived = make(chan struct{})
+			second[id] = arrived
+		}
+		mu.Unlock()
+		if again {
+			close(arrived)
+			w.WriteHeader(http.StatusConflict)
+			_ = json.NewEncoder(w).Encode(api.ErrorBody{Error: api.Error{Code: "call_in_progress", Execution: api.Unknown}})
+			return
+		}
+		select {
+		case <-arrived:
+			_ = json.NewEncoder(w).Encode(serviceAnswer{Call: id, Runs: 1})
+		case <-time.After(5 * time.Second):
+			t.Error("the second request did not overlap")
+		}
+	})
+	var records bytes.Buffer
+	began := time.Now()
+	_, err := Run(t.Context(), Config{
+		Workload: &Workload{Streams: []Stream{{
+			Name: "s", Workspace: "w", Key: "k", Entry: "e", Kind: catalogue.Service, Class: catalogue.Urgent,
+			Method: http.MethodPost, IdempotencyKey: true, Rate: 50, Resend: 1, ResendAfter: 50 * time.Millisecond,
+		}}},
+		Targets:  []string{target},
+		Duration: 200 * time.Millisecond,
+		Grace:    10 * time.Second,
+		Seed:     1,
+		Record:   &records,
+	})
+	is.NoErr(err)
+	lines := json.NewDecoder(&records)
+	n := 0
+	for ; lines.More(); n++ {
+		var r Record
+		is.NoErr(lines.Decode(&r))
+		is.Equal(r.Code, OutcomeCompleted)
+		is.True(r.Once)
+		is.Equal(len(r.Links), 2)
+		is.Equal(r.Links[0].Code, OutcomeCompleted)
+		is.Equal(r.Links[1].Code, "call_in_progress")
+		for _, l := range r.Links {
+			is.Equal(l.Target, target)
+			is.True(l.Answered)
+			is.True(l.FromMS >= began.UnixMilli() && l.ToMS >= l.FromMS && l.ToMS <= time.Now().UnixMilli())
+		}
+	}
+	is.True(n > 0)
+	is.Equal(n, len(second))
+}
--- a/internal/process/loadgen/run.go
+++ b/internal/process/loadgen/run.go
@@ -121,24 +121,49 @@
 	r.recorder.late(r.now() - a.at)
 	id := fmt.Sprintf("%s-%x-%d", r.workload.Streams[stream].Name, r.seed, a.number)
 	f := &finished{id: id, arrived: a.at, parts: make([]part, len(r.recorder.windows))}
-	s := &sender{http: r.http, targets: r.targets, random: rand.New(rand.NewPCG(r.seed, xxhash.Sum64String(id)))}
+	s := r.newSender(id)
+	spec := &r.workload.Streams[stream]
+	var again *finished
+	var overlapping sync.WaitGroup
+	if a.resend && spec.ResendAfter > 0 {
+		overlapping.Go(func() {
+			pause(ctx, spec.ResendAfter)
+			again = r.sendAgain(ctx, stream, a, id)
+		})
+	}
 	r.send(ctx, stream, a, s, f)
 	f.ended = r.now()
-	if a.resend && ctx.Err() == nil {
-		r.resend(ctx, stream, a, s, f)
+	overlapping.Wait()
+	if a.resend && spec.ResendAfter == 0 && ctx.Err() == nil {
+		again = r.sendAgain(ctx, stream, a, id)
 	}
 	f.skipped = s.skipped
+	if again != nil {
+		f.merge(again)
+	}
 	r.recorder.finish(stream, f)
-	r.records.write(f.record(r.start, &r.workload.Streams[stream]))
+	r.records.write(f.record(r.start, spec))
+}
+
+func (r *run) newSender(name string) *sender {
+	return &sender{http: r.http, targets: r.targets, random: rand.New(rand.NewPCG(r.seed, xxhash.Sum64String(name)))}
 }
 
-// resend sends a request again with the same id. The first answer is the one
-// that counts, except that a request ran if either attempt may have run it.
-func (r *run) resend(ctx context.Context, stream int, a arrival, s *sender, f *finished) {
-	again := &finished{id: f.id, arrived: r.now(), parts: make([]part, len(f.parts))}
+// sendAgain sends a request a second time with the same id.
+func (r *run) sendAgain(ctx context.Context, stream int, a arrival, id string) *finished {
+	again := &finished{id: id, arrived: r.now(), parts: make([]part, len(r.recorder.windows))}
+	s := r.newSender(id + " again")
 	r.send(ctx, stream, a, s, again)
+	again.skipped = s.skipped
+	return again
+}
+
+// merge adds a second sending. The first answer is the one that counts, except
+// that a request ran if either sending may have run it.
+func (f *finished) merge(again *finished) {
 	f.attempts += again.attempts
 	f.resumed += again.resumed
+	f.skipped += again.skipped
 	f.links = append(f.links, again.links...)
 	for p, n := range again.violations {
 		for range n {
--- a/internal/process/loadgen/workload.go
+++ b/internal/process/loadgen/workload.go
@@ -59,6 +59,9 @@
 	// Resend is the fraction of requests that are sent twice, one after the other,
 	// with the same id.
 	Resend float64 `yaml:"resend"`
+	// ResendAfter, when positive, sends the second one so long after the first
+	// without waiting for its end.
+	ResendAfter time.Duration `yaml:"resend_after"`
 }
 
 // Phase multiplies the rate from Start up to End, measured from the run's start.
@@ -121,6 +124,7 @@
 		settings.CheckRange(key+".shared_prefix", s.SharedPrefix, 0.0, 1.0),
 		settings.CheckRange(key+".resend", s.Resend, 0.0, 1.0),
 		durations(key+".initial_gap", s.InitialGap, 0, time.Minute),
+		durations(key+".resend_after", s.ResendAfter, 0, time.Minute),
 		durations(key+".targets.first_token", s.Targets.FirstToken, 0, time.Hour),
 		durations(key+".targets.token_gap", s.Targets.TokenGap, 0, time.Hour),
 	}
