Rest an engine that refuses several requests in a row

Cause: an engine that refuses at once has the lowest load and was granted most of the requests. Its retry budget was soon used up, and the requests failed with engine_refused although other engines of the data centre had room. Ruled out: draining, which the load report shows.

--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -205,7 +205,8 @@
 	n.learn(err.Execution)
 	lost := err.Code == fault.EngineLost && ctx.Err() == nil
 	ran := err.Execution != api.NotRun
-	n.g.scheduler.Release(grant.ID, schedule.Outcome{NotRun: !ran, EngineLost: lost && ran})
+	refused := err.Code == fault.EngineRefused && !ran
+	n.g.scheduler.Release(grant.ID, schedule.Outcome{NotRun: !ran, Refused: refused, EngineLost: lost && ran})
 	if lost {
 		n.noteLost(grant)
 	}
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -45,6 +45,7 @@
 	p := &pass{now: now}
 	g.refuseExpired(p)
 	g.refuseUnplaceable(p)
+	g.endRests(now)
 	g.warmUp(now)
 	for !g.saturated() {
 		class, open := g.nextClass(p)
@@ -210,6 +211,11 @@
 		}
 		return wake
 	}
+	for _, r := range g.resting {
+		if r.restUntil.Before(wake) {
+			wake = r.restUntil
+		}
+	}
 	if at := now.Add(warmUpInterval); len(g.warming) > 0 && at.Before(wake) {
 		wake = at
 	}
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -182,6 +182,7 @@
 		used = 0
 	}
 	g.queue.Charge(h.request.Workspace, h.request.Class, used-h.charged)
+	g.judge(now, h.replica, o)
 	g.drop(now, id, h)
 }
 
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -86,7 +86,9 @@
 	// inFlight counts the grants on available replicas.
 	inFlight int
 	// warming lists the replicas in slow start.
-	warming   []*replica
+	warming []*replica
+	// resting lists the replicas that refused too much work.
+	resting   []*replica
 	grants    map[string]*grant
 	freeGrant *grant
 	// pinned counts the grants of each fingerprint and their replica.
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -38,9 +38,13 @@
 	index         int
 	reportedBatch int
 	reportedKV    int
+	// refusals counts the requests refused since the last one that ran.
+	refusals  int
+	resting   bool
+	restUntil time.Time
 }
 
-func (r *replica) accepting() bool { return r.listed && r.Accepting && !r.draining }
+func (r *replica) accepting() bool { return r.listed && r.Accepting && !r.draining && !r.resting }
 
 // maxBatch returns the engine's own limit.
 func (r *replica) maxBatch() int {
@@ -163,6 +167,9 @@
 	if i := slices.Index(g.warming, r); i >= 0 {
 		g.warming = slices.Delete(g.warming, i, i+1)
 	}
+	if i := slices.Index(g.resting, r); i >= 0 {
+		g.resting = slices.Delete(g.resting, i, i+1)
+	}
 }
 
 // noteUnavailable records since when no replica takes new work.
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -91,8 +91,10 @@
 	Completed bool
 	// EngineLost is set when the engine was lost while it ran.
 	EngineLost bool
-	// NotRun is set when the engine refused it.
+	// NotRun is set when it did not run.
 	NotRun bool
+	// Refused is set when it did not run because the engine refused it.
+	Refused bool
 }
 
 // Replica is one engine as the scheduler sees it.
