Don't say not_run when a resume or cancel is refused

Cause: a call about a response id that was refused by limits, readiness or its own header answered not_run, like a new request. The caller took it as the state of its generation, which had been accepted and had run.

Ruled out: a retry of the create request, as the id marker ran once. Such refusals now say unknown.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
 
 	"persimmonwing/internal/request/api"
@@ -53,6 +54,9 @@
 		if err == nil {
 			err = h(w, r, c)
 		}
+		if err != nil && mux.Vars(r)["id"] != "" {
+			err = aboutAccepted(err)
+		}
 		if err != nil {
 			g.fail(w, c, err)
 			return
@@ -61,6 +65,17 @@
 	}
 }
 
+// aboutAccepted corrects an error of a call about a response id. The refusal of
+// such a call says nothing about the generation, which was accepted before.
+func aboutAccepted(err *fault.Error) *fault.Error {
+	if err.Execution != api.NotRun {
+		return err
+	}
+	corrected := *err
+	corrected.Execution = api.Unknown
+	return &corrected
+}
+
 func (g *Gateway) newCall() *call {
 	id := "req_" + strings.ToLower(ulid.Make().String())
 	return &call{
