--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -48,6 +48,7 @@
 	p := &pass{now: now}
 	g.refuseExpired(p)
 	g.refuseUnplaceable(p)
+	g.endRests(now)
 	g.warmUp(now)
 	p.urgent, p.fair = g.urgentHeadroom(now), g.fairHeadroom(now)
 	for !g.saturated() {
@@ -230,6 +231,11 @@
 		}
 		return wake
 	}
+	for _, r := range g.resting {
+		if r.restUntil.Before(wake) {
+			wake = r.restUntil
+		}
+	}
 	if at := now.Add(warmUpInterval); len(g.warming) > 0 && at.Before(wake) {
 		wake = at
 	}
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -88,7 +88,9 @@
 	// slotCount and freeCount sum up the slots of the available replicas.
 	slotCount, freeCount int
 	// warming lists the replicas in slow start.
-	warming   []*replica
+	warming []*replica
+	// resting lists the replicas that refused too much work.
+	resting   []*replica
 	grants    map[string]*grant
 	freeGrant *grant
 	// pinned counts the grants of each fingerprint and their replica.
