Fetch suspects from other gateways after a pause or a start

Cause: reports of suspects are broadcast once. Ruled out: repeating the broadcast, which a longer pause outlasts. TestMissedSuspectsAreFetched covers the pause, noticed by the tick or by the request, and the start; TestCutOffGatewayServesOn the case without any answer.

--- a/internal/process/crashguard/guard.go
+++ b/internal/process/crashguard/guard.go
@@ -181,6 +181,29 @@
 	return news
 }
 
+// Reports returns the whole table as reports for a gateway that has missed some.
+func (g *Guard) Reports(now time.Time) []Report {
+	byLoss := map[Loss]*Report{}
+	rest := &Report{}
+	for _, f := range g.Suspects(now) {
+		s, _ := g.suspects.Peek(f)
+		if s.refused {
+			rest.Refused = append(rest.Refused, f)
+		}
+		for l := range s.losses {
+			if byLoss[l] == nil {
+				byLoss[l] = &Report{Loss: l}
+			}
+			byLoss[l].Fingerprints = append(byLoss[l].Fingerprints, f)
+		}
+	}
+	out := []Report{*rest}
+	for _, r := range byLoss {
+		out = append(out, *r)
+	}
+	return out
+}
+
 // Suspects returns the fingerprints in the table, sorted.
 func (g *Guard) Suspects(now time.Time) []uint64 {
 	var out []uint64
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -35,6 +35,18 @@
 	return out
 }
 
+// Known returns all other gateways of the view, live or not. After a pause of
+// this process none counts live until the next exchange.
+func (g *Gossiper) Known() []Gateway {
+	var out []Gateway
+	for _, s := range g.Hosts() {
+		if s.Name != g.opt.Self.Name && !s.Left {
+			out = append(out, Gateway{Name: s.Name, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, Incarnation: s.Incarnation, Live: s.Usable()})
+		}
+	}
+	return out
+}
+
 // Peer returns the peer address of a live gateway.
 func (g *Gossiper) Peer(name string) (string, bool) {
 	g.mu.Lock()
--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -46,6 +46,7 @@
 	}
 	s := &search{request: r, failed: map[string]bool{}, skip: map[schedule.GroupKey]bool{}}
 	for {
+		m.fetchMissed(ctx)
 		if m.guard.check(r.Fingerprint) == crashguard.Refuse {
 			return schedule.Grant{}, &schedule.Refusal{Reason: schedule.ReasonCrashes}
 		}
@@ -100,6 +101,12 @@
 		}
 	default:
 		m.hold(s.request, reply, gateway)
+		// This process may have been paused since it asked.
+		m.fetchMissed(ctx)
+		if m.guard.check(s.request.Fingerprint) == crashguard.Refuse {
+			m.Release(reply.Grant.ID, schedule.Outcome{NotRun: true})
+			return schedule.Grant{}, &schedule.Refusal{Reason: schedule.ReasonCrashes}, true
+		}
 		return reply.Grant, nil, true
 	}
 	return schedule.Grant{}, nil, false
--- a/internal/process/owner/guard.go
+++ b/internal/process/owner/guard.go
@@ -43,6 +43,12 @@
 	return g.table.Finished(fingerprint)
 }
 
+func (g *guard) reports() []crashguard.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Reports(time.Now())
+}
+
 func (g *guard) merge(r crashguard.Report) []uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -47,6 +47,7 @@
 	avoided  map[string]time.Time
 	ticks    int
 	lastTick time.Time
+	missed   missedReports
 
 	// background counts calls that outlive their callers, such as releases.
 	background sync.WaitGroup
@@ -170,7 +171,8 @@
 // tick brings groups in line with membership and starts due polls.
 func (m *Manager) tick(ctx context.Context, now time.Time) {
 	m.mu.Lock()
-	paused := !m.lastTick.IsZero() && now.Sub(m.lastTick) > frozenAfter
+	paused := m.wasPaused(now)
+	m.missed.stale = m.missed.stale || paused || m.lastTick.IsZero()
 	m.lastTick = now
 	m.ticks++
 	slow := m.ticks%slowEvery == 1
--- /dev/null
+++ b/internal/process/owner/missed_test.go
@@ -0,0 +1,100 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/process/crashguard"
+	"persimmonwing/internal/process/membership"
+)
+
+// peersView knows other gateways, none of which counts live after a pause.
+type peersView struct {
+	View
+	known []membership.Gateway
+}
+
+func (v peersView) Self() membership.Host       { return membership.Host{Name: "g1", DataCentre: "dc"} }
+func (v peersView) Known() []membership.Gateway { return v.known }
+func (v peersView) Live() []membership.Gateway  { return nil }
+
+// suspectPeer answers Suspects.Fetch.
+type suspectPeer struct {
+	reports []crashguard.Report
+	down    bool
+	calls   int
+}
+
+func (p *suspectPeer) Call(_ context.Context, _, _ string, _, reply any) error {
+	p.calls++
+	if p.down {
+		return errors.New("no answer")
+	}
+	reply.(*FetchReply).Reports = p.reports
+	return nil
+}
+
+// Guards against a request that crashed two engines while this gateway was
+// frozen or not yet started, and then runs here once more: the fault run of
+// seed 3 lost four engines to one request that way.
+func TestMissedSuspectsAreFetched(t *testing.T) {
+	const fingerprint = 7
+	source := crashguard.New()
+	source.EngineLost(time.Now(), "engine-1", "a", []uint64{fingerprint})
+	source.EngineLost(time.Now(), "engine-2", "a", []uint64{fingerprint})
+	for name, pause := range map[string]func(*Manager){
+		"paused": func(m *Manager) {
+			m.lastTick = time.Now()
+			time.Sleep(2 * frozenAfter)
+		},
+		"paused, first tick before the request": func(m *Manager) {
+			m.lastTick = time.Now()
+			time.Sleep(2 * frozenAfter)
+			m.missed.stale = m.wasPaused(time.Now())
+			m.lastTick = time.Now()
+		},
+		"just started": func(m *Manager) { m.missed.stale = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				peer := &suspectPeer{reports: source.Reports(time.Now())}
+				view := peersView{known: []membership.Gateway{{Name: "g2", PeerAddress: "p2"}}}
+				m := New(Options{View: view, Caller: peer, Logger: log.NewNopLogger()})
+				pause(m)
+				m.fetchMissed(t.Context())
+				is.Equal(m.guard.check(fingerprint), crashguard.Refuse)
+				m.lastTick = time.Now()
+				m.fetchMissed(t.Context())
+				is.Equal(peer.calls, 1) // a gateway that has run on asks nobody
+			})
+		})
+	}
+}
+
+// Guards against a gateway that is cut off from all others and asks them before
+// every request, or never again.
+func TestCutOffGatewayServesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		peer := &suspectPeer{down: true}
+		view := peersView{known: []membership.Gateway{{Name: "g2", PeerAddress: "p2"}}}
+		m := New(Options{View: view, Caller: peer, Logger: log.NewNopLogger()})
+		m.missed.stale = true
+		for range 100 {
+			m.fetchMissed(t.Context())
+		}
+		is.Equal(peer.calls, 1)
+		time.Sleep(fetchAgain)
+		peer.down = false
+		m.fetchMissed(t.Context())
+		is.Equal(peer.calls, 2)
+		is.True(!m.missed.stale)
+	})
+}
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -49,6 +49,8 @@
 type View interface {
 	Self() membership.Host
 	Live() []membership.Gateway
+	// Known returns all gateways of the view, live or not.
+	Known() []membership.Gateway
 	Peer(name string) (address string, live bool)
 	Alive(name string) bool
 	Owner(k schedule.GroupKey) string
--- a/internal/process/owner/service.go
+++ b/internal/process/owner/service.go
@@ -134,6 +134,15 @@
 	return nil
 }
 
+// FetchReply holds all suspects of a gateway.
+type FetchReply struct{ Reports []crashguard.Report }
+
+// Fetch returns all suspects to a gateway that may have missed reports.
+func (s *SuspectService) Fetch(_ *Empty, out *FetchReply) error {
+	out.Reports = s.m.guard.reports()
+	return nil
+}
+
 // waitLimit bounds the wait of a peer's request, whose group refuses it at its
 // deadline, in case that the group does not.
 func (m *Manager) waitLimit(r schedule.Request) (context.Context, context.CancelFunc) {
