Close idle connections of a stopping gateway only after a quiet time

The listener closes after the drain delay; idle connections close when none is open any more or no request has come for idle_linger (2 s). Every answer of the drain closes its connection, so that callers leave meanwhile.

Also: TestExecutionOfGenerations/deadline_while_queued was flaky (2 of 3 runs failed) since requests are refused before their first token target. Two timers with the same deadline stand behind the queue, and the outer one may not have fired yet when the inner one has; the error itself now counts as well, and the two deadlines are compared instead of the clock. 20 of 20 runs pass.

--- a/internal/process/gateway/acquire.go
+++ b/internal/process/gateway/acquire.go
@@ -83,12 +83,12 @@
 		if known, ok := refusalCodes[refusal.Reason]; ok {
 			code = known
 		}
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded):
 		code = fault.DeadlineExceeded
 	case ctx.Err() != nil:
 		code = fault.Cancelled
 	}
-	if code == fault.DeadlineExceeded && time.Now().Before(n.deadline) {
+	if code == fault.DeadlineExceeded && n.request.Deadline.Before(n.deadline) {
 		// Only the wait for a replica was too long.
 		code, retryAfter = fault.NoCapacity, max(retryAfter, minRetryAfter)
 	}
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -51,7 +51,7 @@
 	o := fleet.Small()
 	o.DataCentres, o.Gateways, o.Engines, o.Apps = 1, 2, 2, 1
 	o.TimeScale, o.Catalogue = 0.2, body
-	o.Adjust = func(g *gateway.Options) { g.DrainDelay = 0 }
+	o.Adjust = func(g *gateway.Options) { g.DrainDelay, g.IdleLinger = 0, 0 }
 	if adjust != nil {
 		adjust(&o)
 	}
@@ -71,6 +71,7 @@
 	f := smallFleet(t, func(o *fleet.Options) {
 		o.Adjust = func(g *gateway.Options) {
 			g.DrainDelay = gateway.DefaultOptions().DrainDelay
+			g.IdleLinger = gateway.DefaultOptions().IdleLinger
 			options = append(options, g)
 		}
 	})
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -68,6 +68,7 @@
 	explain     *explain.Log
 	retryBudget *health.Budget
 	serviceSets serviceSets
+	connections connections
 	stopping    atomic.Bool
 	inProgress  atomic.Int64
 }
@@ -136,7 +137,9 @@
 		ReadHeaderTimeout: g.opts.HTTP.HeaderTimeout,
 		MaxHeaderBytes:    g.opts.HTTP.MaxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
+		ConnState:         g.connections.observe,
 	}
+	callers = &closeOnce{Listener: callers}
 	adminServer := &http.Server{Handler: g.adminRouter(), ReadHeaderTimeout: adminReadTimeout, ReadTimeout: adminReadTimeout}
 	failed := make(chan error, 2)
 	go func() { failed <- callerServer.Serve(callers) }()
@@ -147,17 +150,5 @@
 		return errors.Join(err, callerServer.Close(), adminServer.Close())
 	case <-ctx.Done():
 	}
-	return errors.Join(g.drain(callerServer), adminServer.Close())
-}
-
-// drain fails readiness, waits for the balancer to notice, and then lets all
-// requests in progress end. Idle connections stay open during the delay: closing
-// one breaks a request that is just being sent on it.
-func (g *Gateway) drain(server *http.Server) error {
-	g.stopping.Store(true)
-	_ = level.Info(g.logger).Log("msg", "stopping", "in_progress", g.inProgress.Load(), "delay", g.opts.DrainDelay)
-	time.Sleep(g.opts.DrainDelay)
-	err := server.Shutdown(context.Background())
-	_ = level.Info(g.logger).Log("msg", "stopped")
-	return err
+	return errors.Join(g.drain(callerServer, callers), adminServer.Close())
 }
--- a/internal/process/gateway/options.go
+++ b/internal/process/gateway/options.go
@@ -52,6 +52,10 @@
 	MaxAttempts int `yaml:"max_attempts"`
 	// DrainDelay is the time between failing readiness and closing the listener.
 	DrainDelay time.Duration `yaml:"drain_delay"`
+	// IdleLinger is the time without a new request after which a stopping gateway
+	// closes idle connections. Closing one earlier breaks a request that is just
+	// being sent on it: the fault run saw 1 to 4 of 158 exchanges broken so.
+	IdleLinger time.Duration `yaml:"idle_linger"`
 	// ResponseTTL is the time for which a response id is valid.
 	ResponseTTL time.Duration `yaml:"response_ttl"`
 }
@@ -102,6 +106,7 @@
 		Log:         logging.DefaultOptions(),
 		MaxAttempts: 3,
 		DrainDelay:  time.Second,
+		IdleLinger:  2 * time.Second,
 		ResponseTTL: 15 * time.Minute,
 	}
 }
@@ -192,6 +197,7 @@
 		duration("relay.first_contact", o.Relay.FirstContact, 100*time.Millisecond, 5*time.Minute),
 		duration("relay.reader_grace", o.Relay.ReaderGrace, 0, 10*time.Minute),
 		duration("drain_delay", o.DrainDelay, 0, 5*time.Minute),
+		duration("idle_linger", o.IdleLinger, 0, time.Minute),
 		duration("response_ttl", o.ResponseTTL, time.Second, 24*time.Hour),
 		duration("platform.timeout", o.Platform.Timeout, 10*time.Millisecond, time.Minute),
 	)
--- a/internal/process/gateway/world_test.go
+++ b/internal/process/gateway/world_test.go
@@ -81,6 +81,7 @@
 	o.Name, o.DataCentre = "gateway-1", "dc-1"
 	o.ResponseKeys = []responseid.Key{{ID: "k1", Secret: strings.Repeat("secret", 4)}}
 	o.DrainDelay = 0
+	o.IdleLinger = 0
 	o.HTTP.BodyTimeout = 150 * time.Millisecond
 	o.Relay = RelayOptions{StallTimeout: 100 * time.Millisecond, LostAfter: 150 * time.Millisecond, FirstContact: 300 * time.Millisecond, ReaderGrace: 50 * time.Millisecond}
 	return o
