--- a/internal/process/gateway/acquire.go
+++ b/internal/process/gateway/acquire.go
@@ -88,7 +88,8 @@
 	case ctx.Err() != nil:
 		code = fault.Cancelled
 	}
-	if code == fault.DeadlineExceeded && n.request.Deadline.Before(n.deadline) {
+	early := refusal != nil && time.Now().Before(n.deadline)
+	if code == fault.DeadlineExceeded && (early || n.request.Deadline.Before(n.deadline)) {
 		// Only the wait for a replica was too long.
 		code, retryAfter = fault.NoCapacity, max(retryAfter, minRetryAfter)
 	}
