Share the main function of the daemons; count discovery from the catalogue

Fault: with a policy that publishes no summaries, a gateway became ready 3 s after its readiness was first asked for, so that seven asked in turn took 21 s and an experiment's fleet did not start. The 3 s count from the installation of the first catalogue revision now.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -4,43 +4,24 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/go-kit/log/level"
+	"github.com/go-kit/log"
 
 	"persimmonwing/internal/process/controller"
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/logging"
-	"persimmonwing/internal/process/settings"
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
-
-func run(args []string) int {
-	fs := flag.NewFlagSet("controller", flag.ContinueOnError)
-	config := fs.String("config", "", "path of the settings file (YAML); needed")
-	check := fs.Bool("check", false, "check the settings and exit")
-	if code, ok := settings.ParseFlags(fs, args, os.Stdout, os.Stderr); !ok {
-		return code
-	}
+func main() {
 	opts := controller.DefaultOptions()
-	if err := settings.Load(*config, opts); err != nil {
-		fmt.Fprintf(os.Stderr, "controller: %v\n", err)
-		return settings.ExitUsage
-	}
-	if *check {
-		return settings.ExitOK
-	}
-	// A second signal changes nothing: orders in flight are finished.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	logger := logging.New(os.Stderr, opts.Log, opts.Name)
-	if err := controller.Main(ctx, opts, logger); err != nil {
-		_ = level.Error(logger).Log("part", "controller", "msg", "stopped with an error", "err", err)
-		return settings.ExitFailure
+	command := daemon.Command{
+		Name:     "controller",
+		Settings: opts,
+		Log:      func() (logging.Options, string) { return opts.Log, opts.Name },
+		Run: func(ctx context.Context, logger log.Logger) error {
+			return controller.Main(ctx, opts, logger)
+		},
 	}
-	return settings.ExitOK
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/oklog/ulid/v2"
 
+	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/explain"
 	"persimmonwing/internal/request/fault"
@@ -134,6 +135,17 @@
 	return c.arrived.Add(timeout), nil
 }
 
+// admit returns the call's deadline and its use of the limits, which the caller
+// of admit must release.
+func (g *Gateway) admit(r *http.Request, c *call) (time.Time, *limits.Lease, *fault.Error) {
+	deadline, err := c.deadline(r)
+	if err != nil {
+		return deadline, nil, err
+	}
+	lease, err := g.limits.Acquire(time.Now(), c.workspace, c.entry)
+	return deadline, lease, err
+}
+
 // statuses maps error codes to HTTP statuses; the default is 502.
 var statuses = map[fault.Code]int{
 	fault.BadRequest:           http.StatusBadRequest,
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -19,8 +19,8 @@
 		// Summaries vanish while an owner leaves; that must not end readiness.
 		return true
 	}
-	p.discoverOnce.Do(func() { p.discoverBy = time.Now().Add(discoveryTimeout) })
-	found := time.Now().After(p.discoverBy) || slices.ContainsFunc(p.gossiper.Summaries(), func(s schedule.Summary) bool { return s.Replicas > 0 })
+	waited := time.Since(p.holder.InstalledAt())
+	found := waited > discoveryTimeout || slices.ContainsFunc(p.gossiper.Summaries(), func(s schedule.Summary) bool { return s.Replicas > 0 })
 	p.found.Store(found)
 	return found
 }
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -74,10 +74,8 @@
 	hosts    *platform.HostList
 	services *service.Client
 	gateway  *Gateway
-	// discoverBy is set at the first look at readiness with a catalogue.
-	discoverOnce sync.Once
-	discoverBy   time.Time
-	found        atomic.Bool
+	// found is set once backend servers were discovered.
+	found atomic.Bool
 }
 
 func newProcess(o *Options, logger log.Logger) (*process, error) {
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -66,11 +66,7 @@
 	if ferr != nil {
 		return ferr
 	}
-	deadline, ferr := c.deadline(r)
-	if ferr != nil {
-		return ferr
-	}
-	lease, ferr := g.limits.Acquire(time.Now(), c.workspace, c.entry)
+	deadline, lease, ferr := g.admit(r, c)
 	if ferr != nil {
 		return ferr
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -32,7 +32,7 @@
 // validates the result.
 func Load(path string, v Validator) error {
 	if path == "" {
-		return errors.New("settings: no file is named; set the flag that names it (see -h)")
+		return errors.New("settings: no file is named; use -config FILE")
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/process/standin/app/server.go
+++ b/internal/process/standin/app/server.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
 
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/standin/serve"
 	"persimmonwing/internal/request/api"
@@ -69,12 +70,16 @@
 // Main runs the binary and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	s := DefaultSettings()
-	options := func() logging.Options { return s.Log }
-	return serve.Main("standin-app", args, stdout, stderr, s, options,
-		func(ctx context.Context, l log.Logger) error {
+	command := daemon.Command{
+		Name:     "standin-app",
+		Settings: s,
+		Log:      func() (logging.Options, string) { return s.Log, s.Name },
+		Run: func(ctx context.Context, l log.Logger) error {
 			srv := New(s)
-			return serve.HTTP(ctx, l, s.Listen, srv, srv.Drain)
-		})
+			return serve.HTTP(ctx, logging.Part(l, "app"), s.Listen, srv, srv.Drain)
+		},
+	}
+	return command.Main(args, stdout, stderr)
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/process/standin/platform/server.go
+++ b/internal/process/standin/platform/server.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"persimmonwing/internal/connection/platform/etcdjson"
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/standin/serve"
 )
@@ -39,11 +40,15 @@
 // Main runs the binary and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	s := DefaultSettings()
-	options := func() logging.Options { return s.Log }
-	return serve.Main("standin-platform", args, stdout, stderr, s, options,
-		func(ctx context.Context, l log.Logger) error {
-			return serve.HTTP(ctx, l, s.Listen, New(s), func() {})
-		})
+	command := daemon.Command{
+		Name:     "standin-platform",
+		Settings: s,
+		Log:      func() (logging.Options, string) { return s.Log, "standin-platform" },
+		Run: func(ctx context.Context, l log.Logger) error {
+			return serve.HTTP(ctx, logging.Part(l, "platform"), s.Listen, New(s), func() {})
+		},
+	}
+	return command.Main(args, stdout, stderr)
 }
 
 // ServeHTTP implements http.Handler.
