Draw group choices from one shared source; run attempts in one function

Each request made a new seeded generator to choose its group, although a rand.Rand over the runtime's generator may be shared by all requests. run was a copy of runWith with a fixed sink; the caller now passes that sink itself.

--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -48,7 +48,7 @@
 	// A reader that leaves may resume, so its leaving does not end the relay.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), n.deadline)
 	defer cancel()
-	_, err := n.run(r.Context(), ctx, sink, sink)
+	_, err := n.run(r.Context(), ctx, func() relay.Sink { return sink }, sink)
 	if err == nil || !sink.started {
 		return err
 	}
@@ -63,7 +63,7 @@
 	defer cancel()
 	var sink *wholeSink
 	ids := &streamSink{model: n.call.entry.Name}
-	terminal, err := n.runWith(ctx, ctx, func() relay.Sink {
+	terminal, err := n.run(ctx, ctx, func() relay.Sink {
 		sink = &wholeSink{ctx: r.Context()}
 		return sink
 	}, ids)
@@ -77,15 +77,10 @@
 	return nil
 }
 
-// run relays into one sink; the reader has part of the answer once the sink has
-// been used.
-func (n *generation) run(queueCtx, relayCtx context.Context, sink relay.Sink, ids *streamSink) (*api.Event, *fault.Error) {
-	return n.runWith(queueCtx, relayCtx, func() relay.Sink { return sink }, ids)
-}
-
-// runWith makes attempts until one reaches its terminal event or no further one
-// is allowed.
-func (n *generation) runWith(queueCtx, relayCtx context.Context, newSink func() relay.Sink, ids *streamSink) (*api.Event, *fault.Error) {
+// run makes attempts until one reaches its terminal event or no further one is
+// allowed. Each attempt relays into the sink that newSink returns; a sink that has
+// been used for a stream allows no further attempt.
+func (n *generation) run(queueCtx, relayCtx context.Context, newSink func() relay.Sink, ids *streamSink) (*api.Event, *fault.Error) {
 	n.execution = api.NotRun
 	for attempt := 1; ; attempt++ {
 		grant, err := n.acquire(queueCtx)
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -113,7 +113,15 @@
 	return p, err
 }
 
-func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+// sharedSource draws from the runtime's generator, which is safe for concurrent use.
+type sharedSource struct{}
+
+// Uint64 implements rand.Source.
+func (sharedSource) Uint64() uint64 { return rand.Uint64() }
+
+// sharedRand may be used by all parts at once, because a rand.Rand has no state
+// besides its source.
+var sharedRand = rand.New(sharedSource{})
 
 func (p *process) newGossiper() *membership.Gossiper {
 	return membership.NewGossiper(membership.Options{
@@ -126,7 +134,7 @@
 		Seeds:    p.opts.Peers,
 		Caller:   p.pool,
 		Logger:   logging.Part(p.logger, "membership"),
-		Rand:     newRand(),
+		Rand:     sharedRand,
 		Revision: p.holder.Number,
 		Draining: func() []string {
 			if s := p.holder.Current(); s != nil {
@@ -155,7 +163,7 @@
 		Peers:  p.cataloguePeers,
 		Poller: func() bool { return p.gossiper.Polls(purposeCatalogue) },
 		Logger: logging.Part(p.logger, "catalogue"),
-		Rand:   newRand(),
+		Rand:   sharedRand,
 	})
 }
 
@@ -199,10 +207,9 @@
 	})
 }
 
-// pickGroup chooses a group with a source of randomness of its own, because
-// requests choose concurrently.
+// pickGroup chooses a group; requests choose concurrently.
 func pickGroup(candidates []schedule.Summary, r schedule.Request, localDataCentre string) (schedule.GroupKey, bool) {
-	return schedule.PickGroup(candidates, r, localDataCentre, newRand())
+	return schedule.PickGroup(candidates, r, localDataCentre, sharedRand)
 }
 
 func (p *process) groupOptions() schedule.Options {
