Admit entitled work with a smaller memory margin beside work that yields

Cause, traced in the scheduler's model of one data centre (4 engines): in large-workspaces and flood-background, memory runs out before slots. The headroom keeps tokens free at grant time, but running generations grow into it, so that a small workspace's request fits nowhere until one ends. Of the dispatches with such a request waiting, all found slots and no memory. Ruled out: requests of large workspaces that close the class (closing them apart changed nothing) and the early return of a saturated group.

Entitled work is now projected with 1 standard deviation in place of 3 on replicas that run background work or urgent work of workspaces over their share, and engines preempt those first (priorities 10, 5, 0).

Not measured yet on the whole fleet.

--- a/internal/process/gateway/generate.go
+++ b/internal/process/gateway/generate.go
@@ -24,6 +24,7 @@
 // Priorities towards engines.
 const (
 	priorityUrgent     = 10
+	priorityYielding   = 5
 	priorityBackground = 0
 )
 
@@ -152,11 +153,16 @@
 	return deadline
 }
 
-func enginePriority(class catalogue.Class) int {
-	if class == catalogue.Urgent {
-		return priorityUrgent
+// enginePriority returns the priority of a granted generation. When memory runs
+// out, an engine preempts the lowest one first.
+func enginePriority(class catalogue.Class, yields bool) int {
+	switch {
+	case class != catalogue.Urgent:
+		return priorityBackground
+	case yields:
+		return priorityYielding
 	}
-	return priorityBackground
+	return priorityUrgent
 }
 
 // cancelTimeout bounds a cancel that is sent to an engine on the gateway's own
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -114,7 +114,7 @@
 	body := n.body
 	body.Model = n.request.Model
 	body.Stream = true
-	body.Priority = enginePriority(n.request.Class)
+	body.Priority = enginePriority(n.request.Class, grant.Yields)
 	body.Metadata = withAttempt(n.body.Metadata, grant.ID)
 	src, err := n.g.engines.Create(ctx, grant.Backend, grant.Address, body)
 	if err != nil {
--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -17,6 +17,10 @@
 	// alone admits too much: half of all outcomes exceed it. With two deviations, 28
 	// of 1,000 generations were preempted at 90% load; with three, fewer than 1.
 	deviations = 3.0
+	// entitledDeviations is that for entitled work beside work that the engine
+	// preempts first. With the same margin for both, growth of what runs uses up
+	// what was kept free, and entitled work waits for a generation to end.
+	entitledDeviations = 1.0
 	// reportMemory is the number of reports over which the own view is compared,
 	// so that sequences released while a report was under way are not taken for
 	// those of another gateway.
@@ -135,14 +139,14 @@
 func (p *Projection) Peak() float64 {
 	peak := 0.0
 	for i := range horizons {
-		peak = max(peak, p.projected(p.mean[i], p.variance[i], p.most[i]))
+		peak = max(peak, p.projected(p.mean[i], p.variance[i], p.most[i], deviations))
 	}
 	return peak
 }
 
 // projected returns the use for sums over sequences. For few sequences the
 // normal approximation exceeds what they can use at most.
-func (p *Projection) projected(mean, variance, most int64) float64 {
+func (p *Projection) projected(mean, variance, most int64, deviations float64) float64 {
 	likely := float64(mean) + deviations*math.Sqrt(float64(variance))
 	return float64(p.foreign) + min(likely, float64(most))
 }
@@ -150,10 +154,19 @@
 // Fits reports whether the candidate keeps the projection within capacity less
 // reserve, in tokens, at every horizon.
 func (p *Projection) Fits(candidate *Sequence, capacity, reserve int) bool {
-	limit := float64(capacity - reserve)
+	return p.fits(candidate, capacity-reserve, deviations)
+}
+
+// FitsEntitled is Fits for entitled work with a smaller margin for error. It is
+// meant for replicas that also run work that the engine preempts first.
+func (p *Projection) FitsEntitled(candidate *Sequence, capacity int) bool {
+	return p.fits(candidate, capacity, entitledDeviations)
+}
+
+func (p *Projection) fits(candidate *Sequence, limit int, deviations float64) bool {
 	for i := range horizons {
-		use := p.projected(p.mean[i]+candidate.mean[i], p.variance[i]+candidate.variance[i], p.most[i]+candidate.most[i])
-		if use > limit {
+		use := p.projected(p.mean[i]+candidate.mean[i], p.variance[i]+candidate.variance[i], p.most[i]+candidate.most[i], deviations)
+		if use > float64(limit) {
 			return false
 		}
 	}
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -51,7 +51,7 @@
 	g.endRests(now)
 	g.warmUp(now)
 	p.urgent, p.fair = g.urgentHeadroom(now), g.fairHeadroom(now)
-	for !g.saturated() {
+	for g.open() {
 		class, open := g.nextClass(p)
 		if !open {
 			break
@@ -108,14 +108,26 @@
 	r.returnedAt = now
 }
 
-// saturated reports whether no replica can take another request.
+// open reports whether some replica has a slot that is not in use.
+func (g *Group) open() bool {
+	return g.openCount > 0 || (g.o.Policy == PolicyBaseline && len(g.available) > 0)
+}
+
+// saturated reports whether no replica has room for work that is not entitled.
 func (g *Group) saturated() bool {
-	if len(g.available) == 0 {
-		return true
-	}
 	return g.o.Policy != PolicyBaseline && g.available[0].load >= 1
 }
 
+// yields reports whether a request is one that engines preempt first.
+func (g *Group) yields(now time.Time, q *Request) bool {
+	return q.Class == catalogue.Background || g.overShare(now, q)
+}
+
+// overShare reports whether a request is urgent work of a workspace over its share.
+func (g *Group) overShare(now time.Time, q *Request) bool {
+	return q.Class == catalogue.Urgent && !g.o.NoFairness && g.shares.over(now, q.Workspace)
+}
+
 // nextClass returns the class to serve next: background while it is below its
 // floor, else urgent, and background when no urgent request waits for room.
 func (g *Group) nextClass(p *pass) (catalogue.Class, bool) {
@@ -152,13 +164,19 @@
 func (g *Group) dispatchOne(p *pass, class catalogue.Class) {
 	e := g.queue.Next(class)
 	q := &e.Value.request
-	if class == catalogue.Urgent && g.shares.over(p.now, q.Workspace) {
+	over := g.overShare(p.now, q)
+	if over {
 		if p.fair.spare < 1 {
 			g.passOver(p, e, classIndex(class), overItsShare)
 			return
 		}
 		g.reserved = p.fair.tokens
 	}
+	g.entitled = q.Class == catalogue.Urgent && !over && !g.o.NoClasses
+	if !g.entitled && g.saturated() {
+		g.passOver(p, e, classIndex(class), noRoom)
+		return
+	}
 	s := memory.NewSequence(g.length(q), q.PromptTokens, 0, q.MaxOutputTokens)
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
@@ -177,6 +195,7 @@
 	tokens := g.expectedTokens(&e.Value.request)
 	t := g.queue.Take(e, tokens)
 	q := &t.request
+	yields := g.yields(p.now, q)
 	g.hold(p.now, q, r, s, tokens)
 	g.noteUrgentSize(q.Class, tokens)
 	g.shares.add(p.now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens, q.Class == catalogue.Urgent)
@@ -197,6 +216,7 @@
 			Owner:     g.o.Owner,
 			QueuedFor: p.now.Sub(t.enqueued),
 			Reason:    reason,
+			Yields:    q.Class == catalogue.Urgent && yields,
 		},
 	})
 }
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -14,6 +14,8 @@
 	sequence memory.Sequence
 	// position is the index in the replica's running list.
 	position int
+	// yields is set for work that engines preempt first.
+	yields bool
 	// charged counts the tokens charged to the workspace so far.
 	charged   float64
 	renewed   time.Time
@@ -47,6 +49,7 @@
 	h.replica = r
 	h.sequence = s
 	h.position = len(r.running)
+	h.yields = g.yields(now, q)
 	h.charged = charged
 	h.renewed = now
 	g.grants[q.ID] = h
@@ -58,6 +61,9 @@
 	if q.Suspect {
 		r.suspects++
 	}
+	if h.yields {
+		r.yielding++
+	}
 	if q.Fingerprint != 0 {
 		p := g.pinned[q.Fingerprint]
 		g.pinned[q.Fingerprint] = pin{replica: r, count: p.count + 1}
@@ -80,6 +86,9 @@
 	if q.Suspect {
 		r.suspects--
 	}
+	if h.yields {
+		r.yielding--
+	}
 	g.unpin(q.Fingerprint)
 	delete(g.grants, id)
 	*h = grant{nextSpare: g.freeGrant}
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -85,8 +85,9 @@
 	available replicaHeap
 	// inFlight counts the grants on available replicas.
 	inFlight int
-	// slotCount and freeCount sum up the slots of the available replicas.
-	slotCount, freeCount int
+	// slotCount, openCount and freeCount sum up the slots of the available
+	// replicas: all, those not in use, and those whose replica has memory left.
+	slotCount, openCount, freeCount int
 	// warming lists the replicas in slow start.
 	warming []*replica
 	// resting lists the replicas that refused too much work.
@@ -104,6 +105,8 @@
 	// reserved is the memory in tokens that the request being placed leaves free
 	// on each replica.
 	reserved int
+	// entitled is set while the request being placed is one that others yield to.
+	entitled bool
 	shares   shares
 	// unavailableSince is when the last replica stopped accepting.
 	unavailableSince time.Time
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -119,6 +119,9 @@
 	if !g.limitsMemory(r) || r.occupied() == 0 {
 		return true
 	}
+	if g.entitled && r.yielding > 0 {
+		return r.all.FitsEntitled(s, g.capacityFor(r))
+	}
 	return r.all.Fits(s, g.capacityFor(r), g.reserved)
 }
 
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -22,6 +22,8 @@
 	bound    int
 	running  []*grant
 	suspects int
+	// yielding counts the running grants that engines preempt first.
+	yielding int
 	// all projects every sequence.
 	all memory.Projection
 	// foreign counts running sequences that this group did not grant.
@@ -34,10 +36,10 @@
 	returnedAt  time.Time
 	load        float64
 	index       int
-	// slotCount and freeCount are this replica's part of the group's sums.
-	slotCount, freeCount int
-	reportedBatch        int
-	reportedKV           int
+	// slotCount, openCount and freeCount are this replica's part of the group's sums.
+	slotCount, openCount, freeCount int
+	reportedBatch                   int
+	reportedKV                      int
 	// refusals counts the requests refused since the last one that ran.
 	refusals  int
 	resting   bool
@@ -114,16 +116,19 @@
 	}
 }
 
-// countRoom keeps the sums of slots and free slots of the available replicas.
+// countRoom keeps the sums of slots, open and free slots of the available replicas.
 func (g *Group) countRoom(r *replica, now time.Time, accepting bool) {
 	g.slotCount -= r.slotCount
+	g.openCount -= r.openCount
 	g.freeCount -= r.freeCount
-	r.slotCount, r.freeCount = 0, 0
+	r.slotCount, r.openCount, r.freeCount = 0, 0, 0
 	if accepting && g.o.Policy != PolicyBaseline {
 		r.slotCount = g.slots(r, now)
+		r.openCount = max(0, r.slotCount-r.occupied())
 		r.freeCount = g.freeSlots(r, now)
 	}
 	g.slotCount += r.slotCount
+	g.openCount += r.openCount
 	g.freeCount += r.freeCount
 }
 
--- a/internal/process/schedule/sim_test.go
+++ b/internal/process/schedule/sim_test.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,21 +17,53 @@
 
 // The model engine decodes one token of each running sequence in a step of
 // stepBase + stepPerSequence for each + stepPerPrompt for each prefilled token.
-// When the KV cache overflows it preempts the newest sequence.
+// When the KV cache overflows it preempts the newest sequence of the lowest rank.
 const (
-	simReplicas     = 14
-	simBatch        = 64
-	simCapacity     = 16_000
-	simTarget       = 26.0
-	stepBase        = 9.0
-	stepPerSequence = 0.5
-	stepPerPrompt   = 0.01
-	simPrompt       = 200
+	simTarget     = 26.0
+	stepPerPrompt = 0.01
+	simPrompt     = 200
 )
 
+// simFleet is the shape of a group of model engines; step times are in ms.
+type simFleet struct {
+	replicas, batch, capacity int
+	stepBase, stepPerSequence float64
+}
+
+// manyFleet is one large group, and dataCentreFleet the engines of one data
+// centre of the experiments of the load tool.
+var (
+	manyFleet       = simFleet{replicas: 14, batch: 64, capacity: 16_000, stepBase: 9, stepPerSequence: 0.5}
+	dataCentreFleet = simFleet{replicas: 4, batch: 33, capacity: 13_000, stepBase: 10, stepPerSequence: 0.4}
+)
+
+// simArrivals is a Poisson stream of requests of one class and workspace.
+type simArrivals struct {
+	// workspaces send in turn.
+	workspaces []string
+	class      catalogue.Class
+	// rate is in requests per ms; the stream begins at from, in ms.
+	rate, from float64
+	// length returns a number of output tokens.
+	length func(*rand.Rand) int
+	// prompt returns a number of prompt tokens; nil means simPrompt.
+	prompt func(*rand.Rand) int
+	// limit and expected are the stated bound and mean of the length.
+	limit, expected int
+	// patience is the time until the request is refused; 0 is for ever.
+	patience time.Duration
+	sent     int
+	next     float64
+}
+
 type simSequence struct {
 	id                string
+	workspace         string
+	class             catalogue.Class
+	prompt            int
 	length, generated int
+	rank              int
+	arrived           float64
 	// last is the time of the latest token, 0 before the first.
 	last float64
 }
@@ -42,13 +76,22 @@
 }
 
 type simulation struct {
-	g       *Group
-	engines []*simEngine
-	pending map[string]*simSequence
-	now     float64
+	simFleet
+	g        *Group
+	engines  []*simEngine
+	pending  map[string]*simSequence
+	now      float64
+	arrivals int
 	// The results: counts, and stall in ms.
 	preemptions, tokens int
 	stall               float64
+	// waits holds the times until the first token in ms of the requests that
+	// arrived in the second half, and refused counts the others of them.
+	waits   map[string][]float64
+	refused map[string]int
+	// slotTime is the time of running sequences in the second half in ms.
+	slotTime float64
+	half     float64
 }
 
 func (s *simulation) time() time.Time {
@@ -57,20 +100,44 @@
 
 func (s *simulation) dispatch() {
 	for _, d := range s.g.Dispatch(s.time()) {
+		if d.Refusal != nil {
+			s.refuse(s.pending[d.Request.ID])
+			continue
+		}
 		var i int
 		_, _ = fmt.Sscanf(d.Grant.Backend, "r%d", &i)
-		s.engines[i].queue = append(s.engines[i].queue, s.pending[d.Grant.ID])
+		q := s.pending[d.Grant.ID]
+		q.rank = rankOf(d)
+		s.engines[i].enqueue(q)
 		delete(s.pending, d.Grant.ID)
 	}
 }
 
+// rankOf is the engine's order: background, urgent that yields, other urgent.
+func rankOf(d Decision) int {
+	switch {
+	case d.Request.Class == catalogue.Background:
+		return 0
+	case d.Grant.Yields:
+		return 1
+	}
+	return 2
+}
+
+func (s *simulation) refuse(q *simSequence) {
+	delete(s.pending, q.id)
+	if q.arrived >= s.half {
+		s.refused[q.workspace]++
+	}
+}
+
 // step runs one decoding step of an engine.
 func (s *simulation) step(e *simEngine) {
 	prefill := 0
-	for len(e.queue) > 0 && len(e.running) < simBatch {
+	for len(e.queue) > 0 && len(e.running) < s.batch {
 		q := e.queue[0]
-		need := simPrompt + q.generated
-		if e.used+need+len(e.running) > simCapacity {
+		need := q.prompt + q.generated
+		if e.used+need+len(e.running) > s.capacity {
 			break
 		}
 		e.queue = e.queue[1:]
@@ -78,34 +145,59 @@
 		e.used += need
 		prefill += need
 	}
-	step := stepBase + stepPerSequence*float64(len(e.running)) + stepPerPrompt*float64(prefill)
+	step := s.stepBase + s.stepPerSequence*float64(len(e.running)) + stepPerPrompt*float64(prefill)
 	e.meanStep += (step - e.meanStep) / 8
 	end := s.now + step
+	if s.now >= s.half {
+		s.slotTime += step * float64(len(e.running))
+	}
 	kept := e.running[:0]
 	for _, q := range e.running {
 		s.token(q, e, end)
 		if q.generated >= q.length {
-			e.used -= simPrompt + q.generated
+			e.used -= q.prompt + q.generated
 			s.g.Release(s.time(), q.id, Outcome{Generated: q.generated, Completed: true})
 			continue
 		}
 		kept = append(kept, q)
 	}
 	e.running = kept
-	for e.used > simCapacity {
-		newest := e.running[len(e.running)-1]
-		e.running = e.running[:len(e.running)-1]
-		e.used -= simPrompt + newest.generated
-		e.queue = append([]*simSequence{newest}, e.queue...)
+	for e.used > s.capacity {
+		i := lowest(e.running)
+		newest := e.running[i]
+		e.running = slices.Delete(e.running, i, i+1)
+		e.used -= newest.prompt + newest.generated
+		e.enqueue(newest)
 		s.preemptions++
 	}
 	e.next = end
 }
 
+// enqueue adds a sequence in the order of rank, an earlier arrival first.
+func (e *simEngine) enqueue(q *simSequence) {
+	e.queue = append(e.queue, q)
+	slices.SortStableFunc(e.queue, func(a, b *simSequence) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.arrived, b.arrived))
+	})
+}
+
+// lowest returns the index of the newest sequence of the lowest rank.
+func lowest(running []*simSequence) int {
+	found := 0
+	for i, q := range running {
+		if q.rank <= running[found].rank {
+			found = i
+		}
+	}
+	return found
+}
+
 // token counts one token and the stall time before it.
 func (s *simulation) token(q *simSequence, e *simEngine, at float64) {
 	if q.generated > 0 {
 		s.stall += max(0, at-q.last-simTarget)
+	} else if q.arrived >= s.half {
+		s.waits[q.workspace] = append(s.waits[q.workspace], at-q.arrived)
 	}
 	q.last = at
 	q.generated++
@@ -123,24 +215,18 @@
 	}
 }
 
-// simulate runs a time in ms at a rate of requests per ms, whose lengths are
-// log-normal with a mean of 240 tokens.
-func simulate(o Options, seed int64, length, rate float64) *simulation {
+// simulate runs a group for a time in ms.
+func simulate(f simFleet, o Options, seed int64, length float64, streams ...*simArrivals) *simulation {
 	rnd := rand.New(rand.NewSource(seed))
-	s := &simulation{g: NewGroup(GroupKey{}, o), pending: map[string]*simSequence{}}
-	s.g.SetReplicas(start, testReplicas(simReplicas, simBatch, simCapacity))
-	for range simReplicas {
+	s := &simulation{simFleet: f, g: NewGroup(GroupKey{}, o), pending: map[string]*simSequence{},
+		waits: map[string][]float64{}, refused: map[string]int{}, half: length / 2}
+	s.g.SetReplicas(start, testReplicas(f.replicas, f.batch, f.capacity))
+	for range f.replicas {
 		s.engines = append(s.engines, &simEngine{})
 	}
-	number, nextArrival := 0, 0.0
 	for ; s.now < length; s.now++ {
-		for ; nextArrival <= s.now; nextArrival += rnd.ExpFloat64() / rate {
-			number++
-			q := testRequest(fmt.Sprint(number), fmt.Sprint("w", number%10), catalogue.Urgent)
-			q.PromptTokens, q.MaxOutputTokens, q.ExpectedOutputTokens = simPrompt, 8000, 240
-			tokens := int(math.Exp(rnd.NormFloat64()*1.1+math.Log(240)-0.605)) + 1
-			s.pending[q.ID] = &simSequence{id: q.ID, length: min(8000, tokens)}
-			s.g.Enqueue(s.time(), q)
+		for _, a := range streams {
+			s.arrive(a, rnd)
 		}
 		if int(s.now)%250 == 0 {
 			s.report()
@@ -155,13 +241,57 @@
 	return s
 }
 
+// arrive queues the requests of a stream that are due.
+func (s *simulation) arrive(a *simArrivals, rnd *rand.Rand) {
+	for a.next = max(a.next, a.from); a.next <= s.now; a.next += rnd.ExpFloat64() / a.rate {
+		s.arrivals++
+		a.sent++
+		q := testRequest(fmt.Sprint(s.arrivals), a.workspaces[a.sent%len(a.workspaces)], a.class)
+		q.PromptTokens, q.MaxOutputTokens, q.ExpectedOutputTokens = simPrompt, a.limit, a.expected
+		if a.prompt != nil {
+			q.PromptTokens = a.prompt(rnd)
+		}
+		if a.patience > 0 {
+			q.Deadline = s.time().Add(a.patience)
+		}
+		s.pending[q.ID] = &simSequence{id: q.ID, workspace: q.Workspace, class: a.class, prompt: q.PromptTokens, length: a.length(rnd), arrived: s.now}
+		if s.g.Enqueue(s.time(), q) != nil {
+			s.refuse(s.pending[q.ID])
+		}
+	}
+}
+
+// logNormal returns lengths with a median and a shape, up to a cap.
+func logNormal(median, sigma float64, limit int) func(*rand.Rand) int {
+	return func(rnd *rand.Rand) int {
+		return min(limit, int(math.Exp(rnd.NormFloat64()*sigma+math.Log(median)))+1)
+	}
+}
+
+// tenWorkspaces share a rate per ms of requests whose lengths have a mean of
+// 240 tokens.
+func tenWorkspaces(rate float64) *simArrivals {
+	return &simArrivals{
+		workspaces: names("w", 10), class: catalogue.Urgent, rate: rate,
+		length: logNormal(240*math.Exp(-0.605), 1.1, 8000), limit: 8000, expected: 240,
+	}
+}
+
+func names(prefix string, n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprint(prefix, i))
+	}
+	return out
+}
+
 // Guards against decisions that lose to a plain load balancer where they
 // matter: preemptions and stall time near capacity, with nearly its tokens.
 func TestNearCapacityBeatsBaseline(t *testing.T) {
 	is := is.New(t)
 	const length, rate = 60_000, 0.064
-	baseline := simulate(Options{Policy: PolicyBaseline}, 1, length, rate)
-	owner := simulate(Options{}, 1, length, rate)
+	baseline := simulate(manyFleet, Options{Policy: PolicyBaseline}, 1, length, tenWorkspaces(rate))
+	owner := simulate(manyFleet, Options{}, 1, length, tenWorkspaces(rate))
 	for name, s := range map[string]*simulation{"baseline": baseline, "owner": owner} {
 		t.Logf("%s: %d preemptions, stall %.0f ms, %d tokens", name, s.preemptions, s.stall, s.tokens)
 	}
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -62,6 +62,9 @@
 	QueuedFor time.Duration
 	// Reason says in a word why this replica was chosen, such as "prefix".
 	Reason string
+	// Yields is set when the engine shall preempt this generation before others
+	// of its class, because its workspace uses more than its share.
+	Yields bool
 }
 
 // Refusal is the error of a request that gets no grant. It was not run.
