Ask another group for urgent requests that find theirs busy

Cause, seen in a model of four data centres in virtual time: groups of 3 or 4 engines run short of memory for seconds while others have room, and the threshold for leaving the own data centre was 200 ms of predicted wait. With large workspaces the predicted wait counted their queues, so that all work went to the group whose last summary was the shortest.

Each gateway counts what it sent there.

TestPickGroup states the new threshold. Not measured yet on the whole fleet.

--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -28,6 +28,10 @@
 	failed map[string]bool
 	// hint is the owner that a gateway named, if any.
 	hint string
+	// spill is the group to ask when the first one is busy, and spilled is set
+	// once it was asked.
+	spill   *schedule.GroupKey
+	spilled bool
 	// skip holds the groups that refused or whose gateways have all failed.
 	skip map[schedule.GroupKey]bool
 	// unreachable holds those of skip whose gateways have all failed.
@@ -65,7 +69,7 @@
 	if m.isStopping() {
 		return schedule.Grant{}, &schedule.Refusal{Reason: schedule.ReasonStopping}, true
 	}
-	k, ok := m.opt.PickGroup(m.candidates(s.request.Model, s.skip), s.request, m.opt.View.Self().DataCentre)
+	k, ok := m.choose(s)
 	if !ok && len(s.unreachable) > 0 {
 		pause(ctx)
 		s.retryUnreachable()
@@ -80,7 +84,7 @@
 		return schedule.Grant{}, nil, false
 	}
 	s.attempt++
-	reply, err := m.ask(ctx, gateway, k, s)
+	reply, err := m.ask(ctx, gateway, m.acquireArgs(k, s))
 	switch {
 	case ctx.Err() != nil:
 		m.abandon(gateway, k, s)
@@ -93,6 +97,9 @@
 	case reply.Moved:
 		s.failed[gateway] = true
 		s.hint = reply.Hint
+	case reply.Refusal != nil && reply.Refusal.Reason == schedule.ReasonBusy && s.spill != nil:
+		m.spills.add(time.Now(), *s.spill)
+		s.spilled = true
 	case reply.Refusal != nil:
 		s.skip[k] = true
 		s.refusal = reply.Refusal
@@ -112,6 +119,40 @@
 	return schedule.Grant{}, nil, false
 }
 
+// choose returns the group to ask. A request that found its first group busy
+// goes to the other one that had room.
+func (m *Manager) choose(s *search) (schedule.GroupKey, bool) {
+	if s.spilled && s.spill != nil {
+		k := *s.spill
+		s.spill = nil
+		s.hint = ""
+		clear(s.failed)
+		return k, true
+	}
+	candidates := m.candidates(s.request.Model, s.skip)
+	k, ok := m.opt.PickGroup(candidates, s.request, m.opt.View.Self().DataCentre)
+	s.spill = nil
+	if !ok || s.spilled || m.opt.Policy != PolicyOwner {
+		return k, ok
+	}
+	now := time.Now()
+	sent := func(k schedule.GroupKey) int { return m.spills.count(now, k) }
+	if other, room := schedule.Spill(candidates, s.request, k, sent); room {
+		s.spill = &other
+	}
+	return k, true
+}
+
+// acquireArgs asks for a grant of a group. The wait is short while another group
+// has room.
+func (m *Manager) acquireArgs(k schedule.GroupKey, s *search) AcquireArgs {
+	a := AcquireArgs{Group: k, Request: s.request, Attempt: s.attempt}
+	if s.spill != nil {
+		a.Patience = schedule.SpillAfter
+	}
+	return a
+}
+
 // noGroup returns the refusal of a request for which no group is left.
 func (s *search) noGroup() *schedule.Refusal {
 	if s.refusal != nil {
@@ -169,8 +210,7 @@
 }
 
 // ask asks one gateway for a grant and waits.
-func (m *Manager) ask(ctx context.Context, gateway string, k schedule.GroupKey, s *search) (AcquireReply, error) {
-	args := AcquireArgs{Group: k, Request: s.request, Attempt: s.attempt}
+func (m *Manager) ask(ctx context.Context, gateway string, args AcquireArgs) (AcquireReply, error) {
 	if gateway == m.self() {
 		return m.serveAcquire(ctx, args)
 	}
@@ -178,8 +218,8 @@
 	if !ok {
 		return AcquireReply{}, errNotLive
 	}
-	if !s.request.Deadline.IsZero() {
-		args.Remaining = time.Until(s.request.Deadline)
+	if !args.Request.Deadline.IsZero() {
+		args.Remaining = time.Until(args.Request.Deadline)
 	}
 	reply := new(AcquireReply)
 	if err := m.opt.Caller.Call(ctx, address, ServiceName+".Acquire", &args, reply); err != nil {
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -172,17 +172,21 @@
 
 // fleet runs gateways and engines on an in-memory network.
 type fleet struct {
-	t        *testing.T
-	network  *peertest.Network
-	engines  *engines
-	list     []platform.Host
-	policy   owner.Policy
+	t       *testing.T
+	network *peertest.Network
+	engines *engines
+	list    []platform.Host
+	policy  owner.Policy
+	// away are the gateways and engines of data centre burnie; the others are in
+	// hobart.
+	away     map[string]bool
+	pick     func([]schedule.Summary, schedule.Request, string) (schedule.GroupKey, bool)
 	gateways []*gateway
 }
 
 func newFleet(t *testing.T, slots int, engineNames ...string) *fleet {
 	f := &fleet{
-		t: t, network: peertest.NewNetwork(), policy: owner.PolicyOwner,
+		t: t, network: peertest.NewNetwork(), policy: owner.PolicyOwner, away: map[string]bool{}, pick: mostFree,
 		engines: &engines{down: map[string]bool{}, starts: map[string]int{}, slots: slots},
 	}
 	for _, n := range engineNames {
@@ -191,6 +195,13 @@
 	return f
 }
 
+func (f *fleet) dataCentre(name string) string {
+	if f.away[name] {
+		return "burnie"
+	}
+	return "hobart"
+}
+
 // Hosts implements membership.HostList.
 func (f *fleet) Hosts(context.Context) ([]platform.Host, error) { return f.list, nil }
 
@@ -203,14 +214,14 @@
 	p := peer.NewPool([]byte("secret"), f.network.Dialer(address))
 	g := &gateway{name: name, address: address}
 	g.view = membership.NewGossiper(membership.Options{
-		Self:  membership.Host{Name: name, DataCentre: "hobart", PeerAddress: address, Incarnation: time.Now().UnixMilli()},
+		Self:  membership.Host{Name: name, DataCentre: f.dataCentre(name), PeerAddress: address, Incarnation: time.Now().UnixMilli()},
 		Seeds: []string{"address of a", "address of b"}, Caller: p, Logger: log.NewNopLogger(),
 		Rand:     rand.New(rand.NewPCG(2, uint64(len(f.gateways)))),
 		Revision: func() int64 { return 1 }, Draining: func() []string { return nil },
 	})
 	g.Manager = owner.New(owner.Options{
 		Policy: f.policy, View: g.view, Caller: p, Loads: f.engines, Logger: log.NewNopLogger(),
-		NewGroup: newFIFO, PickGroup: mostFree,
+		NewGroup: newFIFO, PickGroup: f.pick,
 		ShardCount: func(n int) int { return (n + 15) / 16 },
 		ShardOf: func(name string, shards int) int {
 			h := fnv.New32()
@@ -250,6 +261,16 @@
 	return slices.MaxFunc(c, func(a, b schedule.Summary) int { return a.FreeSlots - b.FreeSlots }).Group, true
 }
 
+// localFirst chooses the group of the own data centre.
+func localFirst(c []schedule.Summary, r schedule.Request, local string) (schedule.GroupKey, bool) {
+	for _, s := range c {
+		if s.Group.DataCentre == local {
+			return s.Group, true
+		}
+	}
+	return mostFree(c, r, local)
+}
+
 func (f *fleet) stop() {
 	for _, g := range f.gateways {
 		g.stop()
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -48,6 +48,7 @@
 	ticks    int
 	lastTick time.Time
 	missed   missedReports
+	spills   spills
 
 	// background counts calls that outlive their callers, such as releases.
 	background sync.WaitGroup
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -217,6 +217,19 @@
 	}
 }
 
+// giveBack refuses a request as busy if it still waits for this attempt.
+func (r *runner) giveBack(id string, attempt int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.waiting[id]
+	if !ok || t.attempt != attempt {
+		return
+	}
+	r.group.Cancel(id)
+	delete(r.waiting, id)
+	t.end(result{refusal: &schedule.Refusal{Reason: schedule.ReasonBusy}})
+}
+
 func (r *runner) markEnded(id string, attempt int) {
 	last, _ := r.ended.Get(id)
 	r.ended.Add(id, max(last, attempt))
--- a/internal/process/owner/service.go
+++ b/internal/process/owner/service.go
@@ -28,6 +28,9 @@
 	Request schedule.Request
 	// Attempt counts the owners that the gateway has asked for this request.
 	Attempt int
+	// Patience is how long the request waits before it is refused as busy,
+	// because another group has room for it; 0 means as long as it can.
+	Patience time.Duration
 	// Remaining is the time to the request's deadline, which the owner restates
 	// by its own clock; 0 means none.
 	Remaining time.Duration
@@ -160,6 +163,10 @@
 		return m.moved(a.Group), nil
 	}
 	t := r.enqueue(time.Now(), a.Request, a.Attempt)
+	if a.Patience > 0 {
+		after := time.AfterFunc(a.Patience, func() { r.giveBack(a.Request.ID, a.Attempt) })
+		defer after.Stop()
+	}
 	select {
 	case <-t.done:
 	case <-ctx.Done():
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -73,6 +73,7 @@
 		g.dispatchOne(p, class)
 	}
 	g.queue.Restore()
+	g.waitingSince = p.oldestShort()
 	decisions := p.decisions
 	p.decisions = nil
 	return decisions
@@ -90,6 +91,18 @@
 	return p
 }
 
+// oldestShort returns since when an entitled request has waited for room, or the
+// zero time.
+func (p *pass) oldestShort() time.Time {
+	var oldest time.Time
+	for _, e := range p.short[rankUrgent] {
+		if at := e.Value.enqueued; oldest.IsZero() || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
 func (p *pass) refuse(t ticket, reason string) {
 	p.decisions = append(p.decisions, Decision{Request: t.request, Refusal: &Refusal{Reason: reason}})
 }
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -109,6 +109,9 @@
 	entitled bool
 	shares   shares
 	pass     pass
+	// waitingSince is when the oldest entitled request was queued that lacked room
+	// in the last pass.
+	waitingSince time.Time
 	// unavailableSince is when the last replica stopped accepting.
 	unavailableSince time.Time
 	started          bool
--- a/internal/process/schedule/pick.go
+++ b/internal/process/schedule/pick.go
@@ -14,7 +14,7 @@
 	// replicasPerShard bounds a group, so that its owner's work stays small.
 	replicasPerShard = 16
 	// A request leaves its data centre when the predicted wait there is longer.
-	localWaitUrgent     = 200 * time.Millisecond
+	localWaitUrgent     = 50 * time.Millisecond
 	localWaitBackground = 2 * time.Second
 )
 
--- a/internal/process/schedule/pick_test.go
+++ b/internal/process/schedule/pick_test.go
@@ -21,8 +21,8 @@
 		candidates []Summary
 		want       string
 	}{
-		"local within its threshold": {catalogue.Urgent, []Summary{group("a", "m", 1, 200), group("b", "m", 9, 0)}, "a"},
-		"local above its threshold":  {catalogue.Urgent, []Summary{group("a", "m", 1, 201), group("b", "m", 9, 0)}, "b"},
+		"local within its threshold": {catalogue.Urgent, []Summary{group("a", "m", 1, 50), group("b", "m", 9, 0)}, "a"},
+		"local above its threshold":  {catalogue.Urgent, []Summary{group("a", "m", 1, 51), group("b", "m", 9, 0)}, "b"},
 		"background waits longer":    {catalogue.Background, []Summary{group("a", "m", 1, 2000), group("b", "m", 9, 0)}, "a"},
 		"local empty":                {catalogue.Urgent, []Summary{group("a", "m", 0, 0), group("b", "m", 1, 900)}, "b"},
 		"others are worse":           {catalogue.Urgent, []Summary{group("a", "m", 1, 800), group("b", "m", 1, 900)}, "a"},
@@ -39,6 +39,36 @@
 	}
 }
 
+// Guards against sending a request to a group without room, to one that was
+// already sent as much as it has room for, and against moving background work.
+func TestSpill(t *testing.T) {
+	group := func(dc string, free, queued int) Summary {
+		return Summary{Group: GroupKey{DataCentre: dc, Model: "m"}, Replicas: 1, FreeSlots: free, QueuedUrgent: queued}
+	}
+	sent := func(k GroupKey) int { return map[string]int{"sent": 3}[k.DataCentre] }
+	for name, c := range map[string]struct {
+		class      catalogue.Class
+		candidates []Summary
+		want       string
+	}{
+		"most free":          {catalogue.Urgent, []Summary{group("first", 9, 0), group("b", 1, 0), group("c", 2, 0)}, "c"},
+		"only the first":     {catalogue.Urgent, []Summary{group("first", 9, 0)}, ""},
+		"full":               {catalogue.Urgent, []Summary{group("b", 0, 0)}, ""},
+		"queue":              {catalogue.Urgent, []Summary{group("b", 9, 1)}, ""},
+		"sent enough":        {catalogue.Urgent, []Summary{group("sent", 3, 0)}, ""},
+		"sent less":          {catalogue.Urgent, []Summary{group("sent", 5, 0), group("b", 1, 0)}, "sent"},
+		"background":         {catalogue.Background, []Summary{group("b", 9, 0)}, ""},
+		"no replica accepts": {catalogue.Urgent, []Summary{{Group: GroupKey{DataCentre: "b", Model: "m"}, FreeSlots: 9}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			key, ok := Spill(c.candidates, Request{Model: "m", Class: c.class}, GroupKey{DataCentre: "first", Model: "m"}, sent)
+			is.Equal(ok, c.want != "")
+			is.Equal(key.DataCentre, c.want)
+		})
+	}
+}
+
 // Guards against very uneven shards and against moving many replicas when a
 // shard is added.
 func TestShards(t *testing.T) {
--- /dev/null
+++ b/internal/process/schedule/regions_test.go
@@ -0,0 +1,156 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand"
+	randv2 "math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"persimmonwing/internal/version/catalogue"
+)
+
+// regions are the groups of one model in several data centres. Requests arrive
+// evenly; every gateway sees summaries that are up to a second old.
+type regions struct {
+	groups    []*simulation
+	summaries []Summary
+	arrivals  *rand.Rand
+	pick      *randv2.Rand
+	sent      map[GroupKey]int
+	moved     int
+	// waiting are the requests that may still spill, in the order of arrival.
+	waiting []waitingRequest
+}
+
+type waitingRequest struct {
+	Request
+	sequence *simSequence
+	group    *simulation
+}
+
+func newRegions(seed int64, length float64, engines ...int) *regions {
+	r := &regions{arrivals: rand.New(rand.NewSource(seed)), pick: randv2.New(randv2.NewPCG(uint64(seed), 1)), sent: map[GroupKey]int{}}
+	for i, n := range engines {
+		f := dataCentreFleet
+		f.replicas = n
+		k := GroupKey{DataCentre: dataCentre(i), Model: "m"}
+		r.groups = append(r.groups, newSimulation(f, k, Options{BackgroundFloor: 0.1, UrgentReserve: 0.1}, length))
+	}
+	return r
+}
+
+func dataCentre(i int) string { return fmt.Sprint("dc", i) }
+
+func (r *regions) group(k GroupKey) *simulation {
+	return r.groups[slices.IndexFunc(r.groups, func(s *simulation) bool { return s.g.key == k })]
+}
+
+func (r *regions) enqueue(q Request, s *simSequence) {
+	local := dataCentre(r.arrivals.Intn(len(r.groups)))
+	k, _ := PickGroup(r.summaries, q, local, r.pick)
+	g := r.group(k)
+	g.enqueue(q, s)
+	r.waiting = append(r.waiting, waitingRequest{q, s, g})
+}
+
+// spill asks another group for the requests that have waited SpillAfter.
+func (r *regions) spill(now float64) {
+	for len(r.waiting) > 0 && now-r.waiting[0].sequence.arrived >= float64(SpillAfter.Milliseconds()) {
+		w := r.waiting[0]
+		r.waiting = r.waiting[1:]
+		k, ok := Spill(r.summaries, w.Request, w.group.g.key, func(k GroupKey) int { return r.sent[k] })
+		if !ok || !w.group.g.Cancel(w.ID) {
+			continue
+		}
+		delete(w.group.pending, w.ID)
+		r.sent[k]++
+		r.moved++
+		r.group(k).enqueue(w.Request, w.sequence)
+	}
+}
+
+func (r *regions) run(length float64, streams ...*simArrivals) {
+	number := 0
+	for now := 0.0; now < length; now++ {
+		if int(now)%1000 == 0 {
+			r.summaries = nil
+			clear(r.sent)
+			for _, g := range r.groups {
+				r.summaries = append(r.summaries, g.g.Summary(g.time()))
+			}
+		}
+		for _, a := range streams {
+			a.arrive(now, r.arrivals, &number, r.enqueue)
+		}
+		for _, g := range r.groups {
+			g.tick()
+		}
+		r.spill(now)
+	}
+}
+
+// total adds up the results of all groups.
+func (r *regions) total() *simulation {
+	sum := &simulation{waits: map[string][]float64{}, refused: map[string]int{}}
+	for _, g := range r.groups {
+		for name, waits := range g.waits {
+			sum.waits[name] = append(sum.waits[name], waits...)
+		}
+		for name, n := range g.refused {
+			sum.refused[name] += n
+		}
+		sum.preemptions += g.preemptions
+		sum.stall += g.stall
+	}
+	return sum
+}
+
+func steadyLoad() []*simArrivals {
+	return []*simArrivals{
+		floodStream(names("urgent", 10), catalogue.Urgent, 0.45, 0, urgentPatience),
+		floodStream(names("background", 10), catalogue.Background, 0.45, 0, 7500*time.Millisecond),
+	}
+}
+
+// Guards against an urgent request that waits in a data centre short of memory
+// while others have room, and against a flood that sends all work to the group
+// whose summary was the shortest. The goals are those of TestFloodLeavesFirstTokens.
+func TestRegionsLeaveFirstTokens(t *testing.T) {
+	for name, c := range map[string]struct {
+		load   func() []*simArrivals
+		prefix string
+		goal   float64
+	}{
+		"two large workspaces": {largeWorkspaces, "small", 1.25},
+		"background flood":     {backgroundFlood, "urgent", 1.2},
+		"steady":               {steadyLoad, "urgent", 620 / fullBatchFirstToken(dataCentreFleet)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limit := c.goal * fullBatchFirstToken(dataCentreFleet)
+			for seed := range int64(3) {
+				r := newRegions(seed+1, floodLength, 4, 4, 3, 3)
+				streams := c.load()
+				for _, a := range streams {
+					a.rate *= 14.0 / float64(dataCentreFleet.replicas)
+				}
+				r.run(floodLength, streams...)
+				sum := r.total()
+				refused := 0
+				for workspace, n := range sum.refused {
+					if strings.HasPrefix(workspace, c.prefix) {
+						refused += n
+					}
+				}
+				got := sum.firstToken(c.prefix, 0.95)
+				t.Logf("seed %d: first token p50 %.0f, p95 %.0f, p99 %.0f ms; %d refused, %d moved, %d preemptions, stall %.0f ms",
+					seed+1, sum.firstToken(c.prefix, 0.5), got, sum.firstToken(c.prefix, 0.99), refused, r.moved, sum.preemptions, sum.stall)
+				if got > limit {
+					t.Errorf("seed %d: first token p95 %.0f ms, want at most %.0f ms", seed+1, got, limit)
+				}
+			}
+		})
+	}
+}
--- a/internal/process/schedule/sim_test.go
+++ b/internal/process/schedule/sim_test.go
@@ -77,11 +77,10 @@
 
 type simulation struct {
 	simFleet
-	g        *Group
-	engines  []*simEngine
-	pending  map[string]*simSequence
-	now      float64
-	arrivals int
+	g       *Group
+	engines []*simEngine
+	pending map[string]*simSequence
+	now     float64
 	// The results: counts, and stall in ms.
 	preemptions, tokens int
 	stall               float64
@@ -94,8 +93,10 @@
 	half     float64
 }
 
-func (s *simulation) time() time.Time {
-	return start.Add(time.Duration(s.now * float64(time.Millisecond)))
+func (s *simulation) time() time.Time { return simTime(s.now) }
+
+func simTime(ms float64) time.Time {
+	return start.Add(time.Duration(ms * float64(time.Millisecond)))
 }
 
 func (s *simulation) dispatch() {
@@ -215,49 +216,66 @@
 	}
 }
 
-// simulate runs a group for a time in ms.
-func simulate(f simFleet, o Options, seed int64, length float64, streams ...*simArrivals) *simulation {
-	rnd := rand.New(rand.NewSource(seed))
-	s := &simulation{simFleet: f, g: NewGroup(GroupKey{}, o), pending: map[string]*simSequence{},
+// newSimulation returns a group for a run of a length in ms.
+func newSimulation(f simFleet, k GroupKey, o Options, length float64) *simulation {
+	s := &simulation{simFleet: f, g: NewGroup(k, o), pending: map[string]*simSequence{},
 		waits: map[string][]float64{}, refused: map[string]int{}, half: length / 2}
 	s.g.SetReplicas(start, testReplicas(f.replicas, f.batch, f.capacity))
 	for range f.replicas {
 		s.engines = append(s.engines, &simEngine{})
 	}
-	for ; s.now < length; s.now++ {
+	return s
+}
+
+// simulate runs a group for a time in ms.
+func simulate(f simFleet, o Options, seed int64, length float64, streams ...*simArrivals) *simulation {
+	rnd := rand.New(rand.NewSource(seed))
+	s := newSimulation(f, GroupKey{}, o, length)
+	number := 0
+	for s.now < length {
 		for _, a := range streams {
-			s.arrive(a, rnd)
-		}
-		if int(s.now)%250 == 0 {
-			s.report()
-		}
-		s.dispatch()
-		for _, e := range s.engines {
-			if e.next <= s.now {
-				s.step(e)
-			}
+			a.arrive(s.now, rnd, &number, s.enqueue)
 		}
+		s.tick()
 	}
 	return s
 }
 
-// arrive queues the requests of a stream that are due.
-func (s *simulation) arrive(a *simArrivals, rnd *rand.Rand) {
-	for a.next = max(a.next, a.from); a.next <= s.now; a.next += rnd.ExpFloat64() / a.rate {
-		s.arrivals++
+// tick runs one ms.
+func (s *simulation) tick() {
+	if int(s.now)%250 == 0 {
+		s.report()
+	}
+	s.dispatch()
+	for _, e := range s.engines {
+		if e.next <= s.now {
+			s.step(e)
+		}
+	}
+	s.now++
+}
+
+// arrive passes on the requests of a stream that are due.
+func (a *simArrivals) arrive(now float64, rnd *rand.Rand, number *int, to func(Request, *simSequence)) {
+	for a.next = max(a.next, a.from); a.next <= now; a.next += rnd.ExpFloat64() / a.rate {
+		*number++
 		a.sent++
-		q := testRequest(fmt.Sprint(s.arrivals), a.workspaces[a.sent%len(a.workspaces)], a.class)
+		q := testRequest(fmt.Sprint(*number), a.workspaces[a.sent%len(a.workspaces)], a.class)
 		q.PromptTokens, q.MaxOutputTokens, q.ExpectedOutputTokens = simPrompt, a.limit, a.expected
 		if a.prompt != nil {
 			q.PromptTokens = a.prompt(rnd)
 		}
 		if a.patience > 0 {
-			q.Deadline = s.time().Add(a.patience)
-		}
-		s.pending[q.ID] = &simSequence{id: q.ID, workspace: q.Workspace, class: a.class, prompt: q.PromptTokens, length: a.length(rnd), arrived: s.now}
-		if s.g.Enqueue(s.time(), q) != nil {
-			s.refuse(s.pending[q.ID])
+			q.Deadline = simTime(now).Add(a.patience)
 		}
+		to(q, &simSequence{id: q.ID, workspace: q.Workspace, class: a.class, prompt: q.PromptTokens, length: a.length(rnd), arrived: now})
+	}
+}
+
+func (s *simulation) enqueue(q Request, sequence *simSequence) {
+	s.pending[q.ID] = sequence
+	if s.g.Enqueue(s.time(), q) != nil {
+		s.refuse(sequence)
 	}
 }
 
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -50,14 +50,27 @@
 	for _, r := range g.available {
 		s.FreeSlots += g.freeSlots(r, now)
 	}
-	s.WaitUrgentMS = g.predict(now, catalogue.Urgent, s.QueuedUrgent, s.FreeSlots)
-	s.WaitBackgroundMS = g.predict(now, catalogue.Background, s.QueuedBackground, s.FreeSlots)
+	s.WaitUrgentMS = g.entitledWait(now, s.FreeSlots).Milliseconds()
+	s.WaitBackgroundMS = g.predict(now, catalogue.Background, s.QueuedBackground, s.FreeSlots).Milliseconds()
 	if s.QueuedUrgent > 0 {
 		s.WaitBackgroundMS = max(s.WaitBackgroundMS, s.WaitUrgentMS)
 	}
 	return s
 }
 
+// entitledWait returns the wait of urgent work of workspaces within their share.
+// Work over its share does not count: while large workspaces flood all groups, its
+// queues would send everybody to the group whose last summary was the shortest.
+func (g *Group) entitledWait(now time.Time, free int) time.Duration {
+	switch {
+	case g.o.Policy == PolicyBaseline || g.openCount == 0:
+		return g.predict(now, catalogue.Urgent, 0, free)
+	case g.waitingSince.IsZero() || g.queue.Len(catalogue.Urgent) == 0:
+		return 0
+	}
+	return now.Sub(g.waitingSince)
+}
+
 // freeSlots returns how many requests the replica can take now.
 func (g *Group) freeSlots(r *replica, now time.Time) int {
 	if g.o.Policy == PolicyBaseline {
@@ -69,10 +82,10 @@
 	return max(0, g.slots(r, now)-r.occupied())
 }
 
-// predict returns the wait in milliseconds of a request that joins a queue.
-func (g *Group) predict(now time.Time, class catalogue.Class, queued, free int) int64 {
+// predict returns the wait of a request that joins a queue.
+func (g *Group) predict(now time.Time, class catalogue.Class, queued, free int) time.Duration {
 	if queued == 0 && free > 0 {
 		return 0
 	}
-	return g.waitOf(now, class, float64(queued+1)).Milliseconds()
+	return g.waitOf(now, class, float64(queued+1))
 }
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -69,7 +69,8 @@
 
 // Refusal is the error of a request that gets no grant. It was not run.
 type Refusal struct {
-	// Reason is "queue_full", "deadline", "no_replica", "crashes_servers" or "stopping".
+	// Reason is "queue_full", "deadline", "no_replica", "crashes_servers", "busy"
+	// or "stopping".
 	Reason     string
 	RetryAfter time.Duration
 }
@@ -84,6 +85,8 @@
 	ReasonNoReplica = "no_replica"
 	ReasonCrashes   = "crashes_servers"
 	ReasonStopping  = "stopping"
+	// ReasonBusy ends a wait that the gateway limited to ask another group.
+	ReasonBusy = "busy"
 )
 
 // Outcome tells how a granted generation ended.
@@ -120,7 +123,8 @@
 	// QueuedUrgent and QueuedBackground count waiting requests.
 	QueuedUrgent     int
 	QueuedBackground int
-	// WaitUrgentMS and WaitBackgroundMS are predicted waits of a new request.
+	// WaitUrgentMS and WaitBackgroundMS are waits of a new request; the urgent one
+	// is that of a workspace within its share.
 	WaitUrgentMS     int64
 	WaitBackgroundMS int64
 }
