--- a/internal/process/schedule/flood_test.go
+++ b/internal/process/schedule/flood_test.go
@@ -20,6 +20,8 @@
 	floodTokensLimit = 2000
 )
 
+var floodOptions = Options{BackgroundFloor: 0.1, UrgentReserve: 0.1}
+
 // fullBatchFirstToken is the first token time without any wait for a replica in
 // ms: the step in progress and the own one, both of a full batch.
 func fullBatchFirstToken(f simFleet) float64 {
@@ -83,7 +85,7 @@
 		t.Run(name, func(t *testing.T) {
 			limit := c.goal * fullBatchFirstToken(dataCentreFleet)
 			for seed := range int64(floodSeeds) {
-				s := simulate(dataCentreFleet, Options{BackgroundFloor: 0.1, UrgentReserve: 0.1}, seed+1, floodLength, c.load()...)
+				s := simulate(dataCentreFleet, floodOptions, seed+1, floodLength, c.load()...)
 				got := s.firstToken(c.prefix, 0.95)
 				t.Logf("seed %d: first token p50 %.0f, p95 %.0f, p99 %.0f ms; %d preemptions, stall %.0f ms, slots %.2f",
 					seed+1, s.firstToken(c.prefix, 0.5), got, s.firstToken(c.prefix, 0.99), s.preemptions, s.stall, s.slotsInUse())
--- a/internal/process/schedule/regions_test.go
+++ b/internal/process/schedule/regions_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"persimmonwing/internal/version/catalogue"
 )
 
@@ -31,13 +33,26 @@
 	group    *simulation
 }
 
-func newRegions(seed int64, length float64, engines ...int) *regions {
+// simulateRegions runs the fleet of the experiments of the load tool: 14 engines in
+// four data centres. The load is that of dataCentreFleet, scaled up.
+func simulateRegions(o Options, seed int64, load func() []*simArrivals) (*regions, *simulation) {
+	engines := []int{4, 4, 3, 3}
+	r := newRegions(o, seed, floodLength, engines...)
+	streams := load()
+	for _, a := range streams {
+		a.rate *= 14.0 / float64(dataCentreFleet.replicas)
+	}
+	r.run(floodLength, streams...)
+	return r, r.total()
+}
+
+func newRegions(o Options, seed int64, length float64, engines ...int) *regions {
 	r := &regions{arrivals: rand.New(rand.NewSource(seed)), pick: randv2.New(randv2.NewPCG(uint64(seed), 1)), sent: map[GroupKey]int{}}
 	for i, n := range engines {
 		f := dataCentreFleet
 		f.replicas = n
 		k := GroupKey{DataCentre: dataCentre(i), Model: "m"}
-		r.groups = append(r.groups, newSimulation(f, k, Options{BackgroundFloor: 0.1, UrgentReserve: 0.1}, length))
+		r.groups = append(r.groups, newSimulation(f, k, o, length))
 	}
 	return r
 }
@@ -104,6 +119,7 @@
 		}
 		sum.preemptions += g.preemptions
 		sum.stall += g.stall
+		sum.tokens += g.tokens
 	}
 	return sum
 }
@@ -131,13 +147,7 @@
 		t.Run(name, func(t *testing.T) {
 			limit := c.goal * fullBatchFirstToken(dataCentreFleet)
 			for seed := range int64(3) {
-				r := newRegions(seed+1, floodLength, 4, 4, 3, 3)
-				streams := c.load()
-				for _, a := range streams {
-					a.rate *= 14.0 / float64(dataCentreFleet.replicas)
-				}
-				r.run(floodLength, streams...)
-				sum := r.total()
+				r, sum := simulateRegions(floodOptions, seed+1, c.load)
 				refused := 0
 				for workspace, n := range sum.refused {
 					if strings.HasPrefix(workspace, c.prefix) {
@@ -154,3 +164,27 @@
 		})
 	}
 }
+
+// Guards against first tokens that are bought with preemptions or stalls: at 90% of
+// the capacity the goals of the design page against the baseline must hold too.
+func TestRegionsBeatBaseline(t *testing.T) {
+	is := is.New(t)
+	for seed := range int64(3) {
+		_, baseline := simulateRegions(Options{Policy: PolicyBaseline}, seed+1, patientSteadyLoad)
+		_, owner := simulateRegions(floodOptions, seed+1, steadyLoad)
+		t.Logf("seed %d: preemptions %d, baseline %d; stall %.0f ms, %.0f ms; tokens %d, %d", seed+1,
+			owner.preemptions, baseline.preemptions, owner.stall, baseline.stall, owner.tokens, baseline.tokens)
+		is.True(owner.preemptions*10 <= baseline.preemptions)
+		is.True(owner.stall*5 <= baseline.stall)
+		is.True(float64(owner.tokens) >= 0.97*float64(baseline.tokens))
+	}
+}
+
+// patientSteadyLoad is steadyLoad for the baseline, which refuses nothing early.
+func patientSteadyLoad() []*simArrivals {
+	streams := steadyLoad()
+	for _, a := range streams {
+		a.patience = 0
+	}
+	return streams
+}
