Keep a full queue open for workspaces with few requests waiting

Cause: a class's queue is bounded as a whole, so that a flood of one workspace filled it and the requests of all others were refused.

A newcomer now takes the place of the newest request of the workspace with most waiting for its weight; that one is refused in the next Dispatch.

--- a/internal/process/fairqueue/queue.go
+++ b/internal/process/fairqueue/queue.go
@@ -119,6 +119,28 @@
 	return nil
 }
 
+// Displace removes the newest request of the workspace that has most requests
+// waiting for its weight, to make room in a full class for one of another
+// workspace. It returns false if none has more than the newcomer's would have.
+func (q *Queue[T]) Displace(newcomer Item[T]) (T, bool) {
+	c := q.classOf(newcomer.Class)
+	most := 1 / max(newcomer.Weight, MinWeight)
+	if f, known := c.flows[q.laneOf(newcomer.Workspace, newcomer.Isolated)]; known {
+		most *= float64(f.length + 1)
+	}
+	var longest *flow[T]
+	for _, f := range c.active {
+		if load := float64(f.length) / f.weight; load > most {
+			longest, most = f, load
+		}
+	}
+	if longest == nil || q.o.Unfair {
+		var zero T
+		return zero, false
+	}
+	return q.remove(longest.tail), true
+}
+
 // Next returns the first request of the workspace with the lowest virtual time
 // that is not set aside, or nil. The entry stays queued.
 func (q *Queue[T]) Next(class catalogue.Class) *Entry[T] {
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -57,9 +57,11 @@
 }
 
 // Dispatch returns the decisions that can be made now: grants, and refusals of
-// requests whose deadline has passed or that had no replica for too long.
+// requests that were displaced, whose deadline has passed or that had no replica
+// for too long.
 func (g *Group) Dispatch(now time.Time) []Decision {
 	p := g.newPass(now)
+	g.refuseDisplaced(p)
 	g.refuseExpired(p)
 	g.refuseUnplaceable(p)
 	g.endRests(now)
@@ -107,6 +109,17 @@
 	p.decisions = append(p.decisions, Decision{Request: t.request, Refusal: &Refusal{Reason: reason}})
 }
 
+func (g *Group) refuseDisplaced(p *pass) {
+	for _, t := range g.displaced {
+		class := t.request.Class
+		p.decisions = append(p.decisions, Decision{Request: t.request, Refusal: &Refusal{
+			Reason: ReasonQueueFull, RetryAfter: g.drainTime(p.now, class, g.queue.Len(class), 1),
+		}})
+	}
+	clear(g.displaced)
+	g.displaced = g.displaced[:0]
+}
+
 func (g *Group) refuseExpired(p *pass) {
 	for {
 		t, expired := g.queue.PopExpired(p.now)
--- a/internal/process/schedule/flood_test.go
+++ b/internal/process/schedule/flood_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"persimmonwing/internal/version/catalogue"
 )
 
@@ -101,3 +103,27 @@
 func (s *simulation) slotsInUse() float64 {
 	return s.slotTime / s.half / float64(s.batch*s.replicas)
 }
+
+// Guards against small workspaces whose background work is refused because large
+// ones have filled the queue.
+func TestFullQueueKeepsSmallWorkspaces(t *testing.T) {
+	is := is.New(t)
+	o := floodOptions
+	o.QueueBound = 100
+	load := func() []*simArrivals {
+		return []*simArrivals{
+			floodStream(names("small", 8), catalogue.Background, 0.2, 0, 7500*time.Millisecond),
+			floodStream(names("large", 2), catalogue.Background, 4, floodLength/3, 7500*time.Millisecond),
+		}
+	}
+	for seed := range int64(3) {
+		s := simulate(dataCentreFleet, o, seed+1, floodLength, load()...)
+		refused, served := 0, 0
+		for _, name := range names("small", 8) {
+			refused += s.refused[name]
+			served += len(s.waits[name])
+		}
+		t.Logf("seed %d: small workspaces: %d refused, %d served, first token p95 %.0f ms", seed+1, refused, served, s.firstToken("small", 0.95))
+		is.True(refused*100 <= served)
+	}
+}
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"persimmonwing/internal/process/fairqueue"
@@ -109,6 +110,8 @@
 	entitled bool
 	shares   shares
 	pass     pass
+	// displaced are the requests that the next Dispatch refuses.
+	displaced []ticket
 	// waitingSince is when the oldest entitled request was queued that lacked room
 	// in the last pass.
 	waitingSince time.Time
@@ -156,10 +159,11 @@
 }
 
 // Enqueue queues a request. It returns nil when the request is queued; a
-// request whose id is already queued keeps its place.
+// request whose id is already queued keeps its place. It may displace another
+// one, which Dispatch refuses.
 func (g *Group) Enqueue(now time.Time, r Request) *Refusal {
 	g.noteUnavailable(now)
-	err := g.queue.Push(fairqueue.Item[ticket]{
+	item := fairqueue.Item[ticket]{
 		ID:        r.ID,
 		Workspace: r.Workspace,
 		Class:     r.Class,
@@ -167,7 +171,11 @@
 		Weight:    r.Weight,
 		Deadline:  r.Deadline,
 		Value:     ticket{request: r, enqueued: now},
-	})
+	}
+	err := g.queue.Push(item)
+	if err == fairqueue.ErrClassFull {
+		err = g.displaceFor(item)
+	}
 	switch err {
 	case fairqueue.ErrClassFull:
 		wait := g.drainTime(now, r.Class, g.queue.Len(r.Class), 1)
@@ -180,8 +188,23 @@
 	return nil
 }
 
+// displaceFor queues a request of a full class in the place of one of a workspace
+// with more requests waiting, so that a flood fills the queue for itself only.
+func (g *Group) displaceFor(item fairqueue.Item[ticket]) error {
+	t, displaced := g.queue.Displace(item)
+	if !displaced {
+		return fairqueue.ErrClassFull
+	}
+	g.displaced = append(g.displaced, t)
+	return g.queue.Push(item)
+}
+
 // Cancel withdraws a waiting request and reports whether it was waiting.
 func (g *Group) Cancel(id string) bool {
+	if i := slices.IndexFunc(g.displaced, func(t ticket) bool { return t.request.ID == id }); i >= 0 {
+		g.displaced = slices.Delete(g.displaced, i, i+1)
+		return true
+	}
 	_, waiting := g.queue.Cancel(id)
 	return waiting
 }
