Divide limits among gateways by demand

Cause: each gateway enforced the limit divided by the number of live gateways. Callers keep connections, so that few gateways see a workspace's requests; and a share below one slot is rounded up to one at each gateway.

A gateway that needs more than its equal share now reports its demand to the limit's home, which divides the limit by max-min fairness. Nothing is sent while no limit is short.

--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -71,6 +71,7 @@
 	manager  *owner.Manager
 	claims   *claim.Store
 	limits   *limits.Limiter
+	division *limits.Exchange
 	hosts    *platform.HostList
 	services *service.Client
 	gateway  *Gateway
@@ -88,6 +89,10 @@
 	objects := platform.NewObjects(o.Platform.ObjectURL, platformHTTP, o.Platform.Timeout)
 	p.hosts = platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.Compressed(engine.NewTransport())}, o.Platform.Timeout)
 	p.gossiper = p.newGossiper()
+	p.division = &limits.Exchange{
+		Self: o.Name, Limiter: p.limits, Division: limits.NewDivision(), View: p.gossiper, Caller: p.pool,
+		Logger: logging.Part(logger, "limits"),
+	}
 	p.syncer = p.newSyncer(revision.Store{Table: table, Objects: objects})
 	p.manager = p.newManager(engines)
 	claimOptions := claim.DefaultOptions()
@@ -234,6 +239,7 @@
 		p.server.Register(membership.ServiceName, p.gossiper.Service()),
 		p.server.Register(owner.ServiceName, p.manager.Service()),
 		p.server.Register(owner.SuspectsServiceName, p.manager.Suspects()),
+		p.server.Register(limits.ServiceName, p.division.Service()),
 		p.server.Register(catalogueServiceName, &catalogueService{p.holder}),
 	)
 }
@@ -272,6 +278,7 @@
 		"scheduler":    p.manager.Run,
 		"claims":       p.claims.Run,
 		"shares":       p.keepShares,
+		"limits":       p.division.Run,
 	} {
 		wait.Go(func() {
 			if err := f(background); err != nil && background.Err() == nil {
--- a/internal/process/limits/limits.go
+++ b/internal/process/limits/limits.go
@@ -1,7 +1,12 @@
 // Package limits enforces the catalogue's rate and concurrency limits of
-// workspaces and entries at one gateway. Each gateway enforces its share, the
-// limit divided by the number of live gateways, so that no message is needed
-// for a request; a burst of two seconds' worth is allowed at each gateway.
+// workspaces and entries. Each gateway enforces a share of a limit, so that no
+// message is needed for a request. The share is the limit divided by the number of
+// live gateways until a gateway uses more than that; then one gateway, the home of
+// the workspace or entry, divides the limit by demand. A burst of two seconds' worth
+// is allowed at each gateway.
+//
+// Gateways that use less than their equal share tell nobody, so that the limit can
+// be exceeded by what they use, at most twofold.
 package limits
 
 import (
@@ -28,6 +33,8 @@
 	mu      sync.Mutex
 	share   float64
 	buckets map[string]*bucket
+	// reportedAt is the start of the period of use.
+	reportedAt time.Time
 }
 
 // New returns a limiter that enforces whole limits.
@@ -42,6 +49,10 @@
 	requests *rate.Limiter
 	tokens   *rate.Limiter
 	running  int
+	use      use
+	// allotted is the share that the home gave; it is in force until its end.
+	allotted Share
+	until    time.Time
 }
 
 // SetShare sets the fraction of each limit that this gateway may use.
@@ -55,6 +66,7 @@
 type Lease struct {
 	limiter *Limiter
 	held    []*bucket
+	tokens  int
 }
 
 // Acquire admits a request of a workspace for an entry, or says which limit is
@@ -69,7 +81,9 @@
 	held := make([]*bucket, 0, len(scopes))
 	for _, s := range scopes {
 		b := l.bucket(now, s.name, s.limits)
+		b.use.attempts++
 		if err := b.check(now, s.name); err != nil {
+			b.use.refused(err.Code)
 			return nil, err
 		}
 		held = append(held, b)
@@ -84,8 +98,10 @@
 func (x *Lease) Tokens(now time.Time, n int) {
 	x.limiter.mu.Lock()
 	defer x.limiter.mu.Unlock()
+	x.tokens += n
 	for _, b := range x.held {
 		b.charge(now, n)
+		b.use.tokens += n
 	}
 }
 
@@ -95,6 +111,7 @@
 	defer x.limiter.mu.Unlock()
 	for _, b := range x.held {
 		b.running--
+		b.use.ended(x.tokens)
 	}
 	x.held = nil
 }
@@ -106,8 +123,8 @@
 		b = &bucket{}
 		l.buckets[name] = b
 	}
-	if b.limits != limits || b.share != l.share {
-		b.adjust(now, limits, l.share)
+	if share := b.shareNow(now, l.share); b.limits != limits || b.share != share {
+		b.adjust(now, limits, share)
 	}
 	return b
 }
@@ -137,8 +154,8 @@
 
 // check reports the first limit that is reached.
 func (b *bucket) check(now time.Time, name string) *fault.Error {
-	if limit := b.concurrent(); limit > 0 && b.running >= limit {
-		return refusal(fault.ConcurrencyLimited, name, concurrencyRetryAfter, "%s runs %d requests at once here, its limit", name, limit)
+	if b.atLimit(now) {
+		return refusal(fault.ConcurrencyLimited, name, concurrencyRetryAfter, "%s runs %d requests at once here, its share of the limit of %d", name, b.running, b.limits.Concurrent)
 	}
 	if wait := untilPositive(now, b.requests, 1); wait > 0 {
 		return refusal(fault.RateLimited, name, wait, "%s is over its limit of %v requests a second", name, b.limits.RequestsPerSecond)
@@ -153,12 +170,16 @@
 	return fault.New(code, "limits", peer, api.NotRun, format, args...).WithRetryAfter(wait)
 }
 
-// concurrent is this gateway's share of the concurrency limit, at least 1.
-func (b *bucket) concurrent() int {
-	if b.limits.Concurrent == 0 {
-		return 0
+// atLimit reports whether the share of the concurrency limit is used up. Without
+// an allotment of the home, one request may always run.
+func (b *bucket) atLimit(now time.Time) bool {
+	switch {
+	case b.limits.Concurrent == 0:
+		return false
+	case now.Before(b.until):
+		return b.running >= b.allotted.Concurrent
 	}
-	return max(1, int(math.Ceil(float64(b.limits.Concurrent)*b.share)))
+	return b.running >= max(1, int(math.Ceil(float64(b.limits.Concurrent)*b.share)))
 }
 
 // untilPositive returns the time until the bucket holds need tokens.
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -101,6 +101,23 @@
 	return rank(g.names(k.DataCentre), k.String())
 }
 
+// Gateways returns the number of live gateways, this one included.
+func (g *Gossiper) Gateways() int { return len(g.Live()) }
+
+// Homes returns the choice of the live gateway, of any data centre, that is
+// responsible for a key. The choice is for a short time of use.
+func (g *Gossiper) Homes() func(key string) (name, address string) {
+	names, addresses := []string(nil), map[string]string{}
+	for _, gateway := range g.Live() {
+		names = append(names, gateway.Name)
+		addresses[gateway.Name] = gateway.PeerAddress
+	}
+	return func(key string) (name, address string) {
+		name = first(names, "home/"+key)
+		return name, addresses[name]
+	}
+}
+
 // Discovers returns the backend servers that this gateway polls although their
 // poller does not follow from a group: application servers, and engines whose
 // models may be unknown.
