Send method names between gateways once per connection

Cause: net/rpc repeats the full method name in the header of each request and answer, about 50 bytes of a call; a gateway takes part in some 75 calls/s. The codec numbers the methods of a connection and leaves the name out of answers, which the client finds by their sequence number. The handshake version is raised, since both sides must agree.

Ruled out: compressing the connection. A compressor needs over 500 KB for each connection, and a gateway has 64 MB for everything.

The size tests use the codec itself and keep their bounds.

--- a/internal/connection/peer/conn.go
+++ b/internal/connection/peer/conn.go
@@ -46,7 +46,7 @@
 
 // newConn returns a connection whose watch the caller starts.
 func newConn(c net.Conn, lost func(*conn, error)) *conn {
-	n := &conn{client: rpc.NewClient(c), lost: lost, ended: make(chan struct{})}
+	n := &conn{client: rpc.NewClientWithCodec(NewClientCodec(c)), lost: lost, ended: make(chan struct{})}
 	n.touch()
 	return n
 }
--- a/internal/connection/peer/handshake.go
+++ b/internal/connection/peer/handshake.go
@@ -20,8 +20,8 @@
 
 // The roles keep an answer of one side from being replayed as that of the other.
 const (
-	roleClient = "persimmonwing peer client v1"
-	roleServer = "persimmonwing peer server v1"
+	roleClient = "persimmonwing peer client v2"
+	roleServer = "persimmonwing peer server v2"
 )
 
 // ErrHandshake is returned when the other side does not know the shared secret.
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/rpc"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,3 +118,24 @@
 		}
 	})
 }
+
+// Guards against calls that reach another method than the one named, when a
+// connection carries several methods by their numbers.
+func TestMethodsOfOneConnection(t *testing.T) {
+	is := is.New(t)
+	n := peertest.NewNetwork()
+	s, e := start(t, n.Listen("b"), "x")
+	defer s.Close()
+	close(e.hold)
+	p := peer.NewPool([]byte("x"), n.Dialer("a"))
+	defer p.Close()
+	for range 3 {
+		in, out := "hello", ""
+		is.NoErr(p.Call(t.Context(), "b", "Echo.Echo", &in, &out))
+		is.Equal(out, "hello")
+		is.NoErr(p.Call(t.Context(), "b", "Echo.Hold", &struct{}{}, &struct{}{}))
+		err := p.Call(t.Context(), "b", "Echo.None", &struct{}{}, &struct{}{})
+		_, answered := errors.AsType[rpc.ServerError](err)
+		is.True(answered) // an unknown method is refused and the connection stays
+	}
+}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -112,7 +112,7 @@
 		level.Warn(s.logger).Log("msg", "refused a peer connection", "remote", c.RemoteAddr(), "err", err)
 		return
 	}
-	s.rpc.ServeConn(c)
+	s.rpc.ServeCodec(NewServerCodec(c))
 }
 
 func (s *Server) drop(c net.Conn) {
--- a/internal/process/loadgen/capacity/gossip.go
+++ b/internal/process/loadgen/capacity/gossip.go
@@ -1,12 +1,9 @@
 package capacity
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"fmt"
 	"math/rand/v2"
-	"net/rpc"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -14,6 +11,7 @@
 
 	"github.com/go-kit/log"
 
+	"persimmonwing/internal/connection/peer/peertest"
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/process/schedule"
 )
@@ -23,59 +21,20 @@
 	gossipMeasure = 2 * time.Second
 )
 
-// stream encodes messages as on a net/rpc connection that stays open, whose
-// type descriptions were sent long ago.
-type stream struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-	enc *gob.Encoder
-	dec *gob.Decoder
-}
-
-func newStream() *stream {
-	s := &stream{}
-	s.enc, s.dec = gob.NewEncoder(&s.buf), gob.NewDecoder(&s.buf)
-	return s
-}
-
-// send carries header and body and returns the size of both.
-func (s *stream) send(header, headerOut, body, bodyOut any) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, v := range []any{header, body} {
-		if err := s.enc.Encode(v); err != nil {
-			return 0, err
-		}
-	}
-	n := int64(s.buf.Len())
-	for _, v := range []any{headerOut, bodyOut} {
-		if err := s.dec.Decode(v); err != nil {
-			return 0, err
-		}
-	}
-	return n, nil
-}
-
 // memoryNetwork carries the gossip of many gateways in this process.
 type memoryNetwork struct {
 	services map[string]*membership.Service
-	requests map[string]*stream
-	answers  map[string]*stream
+	wires    map[string]*peertest.Wire
 	bytes    atomic.Int64
 }
 
 // Call implements membership.Caller.
 func (n *memoryNetwork) Call(_ context.Context, address, method string, args, reply any) error {
 	var in, out membership.Message
-	size, err := n.requests[address].send(rpc.Request{ServiceMethod: method, Seq: 1 << 15}, new(rpc.Request), args, &in)
-	if err != nil {
-		return err
-	}
-	if err := n.services[address].Exchange(&in, &out); err != nil {
-		return err
-	}
-	back, err := n.answers[address].send(rpc.Response{ServiceMethod: method, Seq: 1 << 15}, new(rpc.Response), &out, reply)
-	n.bytes.Add(size + back)
+	size, err := n.wires[address].Call(method, args, &in, &out, reply, func() error {
+		return n.services[address].Exchange(&in, &out)
+	})
+	n.bytes.Add(int64(size))
 	return err
 }
 
@@ -87,7 +46,7 @@
 
 func gossipCostOf(ctx context.Context, centres, perCentre int) gossipCost {
 	before := heap()
-	n := &memoryNetwork{services: map[string]*membership.Service{}, requests: map[string]*stream{}, answers: map[string]*stream{}}
+	n := &memoryNetwork{services: map[string]*membership.Service{}, wires: map[string]*peertest.Wire{}}
 	var all []*membership.Gossiper
 	intro := gossipIntroduction(centres, perCentre)
 	for i, h := range intro.Hosts {
@@ -96,7 +55,7 @@
 			Revision: func() int64 { return 7 }, Draining: func() []string { return nil },
 		})
 		all = append(all, g)
-		n.services[h.PeerAddress], n.requests[h.PeerAddress], n.answers[h.PeerAddress] = g.Service(), newStream(), newStream()
+		n.services[h.PeerAddress], n.wires[h.PeerAddress] = g.Service(), peertest.NewWire()
 	}
 	for _, g := range all {
 		_ = g.Service().Exchange(&intro, new(membership.Message))
--- a/internal/process/membership/cost_test.go
+++ b/internal/process/membership/cost_test.go
@@ -1,14 +1,12 @@
 package membership
 
 import (
-	"bytes"
-	"encoding/gob"
 	"fmt"
 	"math/rand/v2"
-	"net/rpc"
 	"testing"
 	"time"
 
+	"persimmonwing/internal/connection/peer/peertest"
 	"persimmonwing/internal/process/schedule"
 )
 
@@ -18,34 +16,17 @@
 	core  float64 // fraction of a core, with encoding
 }
 
-// wire carries messages through gob streams whose types are already known, as
-// on connections that stay open.
-type wire struct {
-	buf bytes.Buffer
-	enc *gob.Encoder
-	dec *gob.Decoder
-}
-
-func newWire() *wire {
-	w := &wire{}
-	w.enc, w.dec = gob.NewEncoder(&w.buf), gob.NewDecoder(&w.buf)
-	return w
-}
-
-// send returns the message as its receiver gets it, and its size with the
-// header that net/rpc adds.
-func (w *wire) send(header any, got any, m Message) (Message, int) {
-	var out Message
-	_ = w.enc.Encode(header)
-	_ = w.enc.Encode(m)
-	size := w.buf.Len()
-	if err := w.dec.Decode(got); err != nil {
-		panic(err)
-	}
-	if err := w.dec.Decode(&out); err != nil {
+// carry sends request over w to b and returns b's answer and the bytes of both.
+func carry(w *peertest.Wire, now time.Time, request Message, b *state) (answer Message, size int) {
+	var in, out Message
+	size, err := w.Call("Membership.Exchange", &request, &in, &out, &answer, func() error {
+		out = b.answer(now, &in)
+		return nil
+	})
+	if err != nil {
 		panic(err)
 	}
-	return out, size
+	return answer, size
 }
 
 // simulate runs gossip between gateways for some seconds and returns the mean
@@ -70,20 +51,18 @@
 			}
 		}
 	}
-	w, bytes, took := newWire(), 0, time.Duration(0)
+	w, bytes, took := peertest.NewWire(), 0, time.Duration(0)
 	exchange := func(a, b *state) {
-		request, n := w.send(rpc.Request{ServiceMethod: "Membership.Exchange", Seq: 1 << 15}, new(rpc.Request), a.compose(now, nil))
-		answer, k := w.send(rpc.Response{ServiceMethod: "Membership.Exchange", Seq: 1 << 15}, new(rpc.Response), b.answer(now, &request))
-		bytes += 2 * (n + k) // each byte is sent by one gateway and received by another
+		answer, n := carry(w, now, a.compose(now, nil), b)
 		want := a.absorb(now, &answer)
 		if len(want) > 0 || len(answer.Want) > 0 {
 			follow := a.names(answer.Want)
 			follow.Want = want
-			names, n := w.send(rpc.Request{ServiceMethod: "Membership.Exchange"}, new(rpc.Request), follow)
-			answer, k = w.send(rpc.Response{ServiceMethod: "Membership.Exchange"}, new(rpc.Response), b.answer(now, &names))
-			bytes += 2 * (n + k)
-			a.absorb(now, &answer)
+			names, k := carry(w, now, follow, b)
+			n += k
+			a.absorb(now, &names)
 		}
+		bytes += 2 * n // each byte is sent by one gateway and received by another
 	}
 	for second := range seconds {
 		if second == seconds/2 {
@@ -142,7 +121,7 @@
 // Guards against messages that exceed the budget at the target of 400 gateways
 // and 80 groups, when each side has newer heartbeats of half of the hosts.
 func TestMessageSizeAtTarget(t *testing.T) {
-	now, w, total := epoch, newWire(), 0
+	now, w, total := epoch, peertest.NewWire(), 0
 	ends := [2]*state{}
 	for i := range ends {
 		ends[i] = newState(Host{Name: fmt.Sprint("end-", i), DataCentre: "centre-0", PeerAddress: fmt.Sprint(i), Incarnation: 1})
@@ -165,10 +144,9 @@
 				}
 			}
 		}
-		request, n := w.send(rpc.Request{ServiceMethod: "Membership.Exchange", Seq: 1 << 15}, new(rpc.Request), ends[0].compose(now, nil))
-		_, k := w.send(rpc.Response{ServiceMethod: "Membership.Exchange", Seq: 1 << 15}, new(rpc.Response), ends[1].answer(now, &request))
+		_, n := carry(w, now, ends[0].compose(now, nil), ends[1])
 		if round > 0 { // the first carries gob's type descriptions
-			total += n + k
+			total += n
 		}
 	}
 	// Each second a gateway starts 3.5 exchanges and answers as many.
--- a/internal/process/owner/cost_test.go
+++ b/internal/process/owner/cost_test.go
@@ -1,34 +1,28 @@
 package owner_test
 
 import (
-	"bytes"
-	"encoding/gob"
-	"net/rpc"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 
+	"persimmonwing/internal/connection/peer/peertest"
 	"persimmonwing/internal/process/owner"
 	"persimmonwing/internal/process/schedule"
 )
 
 // size returns the bytes of a call and its answer on a connection in use.
-func size(t *testing.T, args, reply any) int {
-	var b bytes.Buffer
-	enc := gob.NewEncoder(&b)
+func size(t *testing.T, method string, args, reply any) int {
+	w, size := peertest.NewWire(), 0
 	for range 2 { // the first also carries gob's type descriptions
-		b.Reset()
-		for _, v := range []any{
-			rpc.Request{ServiceMethod: "Scheduler.Acquire", Seq: 1 << 15}, args,
-			rpc.Response{ServiceMethod: "Scheduler.Acquire", Seq: 1 << 15}, reply,
-		} {
-			if err := enc.Encode(v); err != nil {
-				t.Fatal(err)
-			}
+		var err error
+		in, got := reflect.New(reflect.TypeOf(args)).Interface(), reflect.New(reflect.TypeOf(reply)).Interface()
+		if size, err = w.Call(method, args, in, reply, got, func() error { return nil }); err != nil {
+			t.Fatal(err)
 		}
 	}
-	return b.Len()
+	return size
 }
 
 // Guards against grants whose calls alone exceed the 17 KB/s for a gateway, in
@@ -37,7 +31,7 @@
 	const requests, running, budget = 8, 50, 17000
 	k := schedule.GroupKey{DataCentre: "region-1-centre-4", Model: "guide-writer-large", Shard: 1}
 	id := ulid.Make().String()
-	acquire := size(t, owner.AcquireArgs{
+	acquire := size(t, "Scheduler.Acquire", owner.AcquireArgs{
 		Group: k, Attempt: 1, Remaining: time.Minute,
 		Request: schedule.Request{
 			ID: id, Gateway: "gateway-123", Workspace: "workspace-123", Weight: 1.5, Entry: "travel-guide", Class: "background",
@@ -51,14 +45,14 @@
 		},
 		Incarnation: id, Hint: "gateway-234",
 	})
-	release := size(t, owner.ReleaseArgs{Group: k, ID: id, Outcome: schedule.Outcome{Generated: 240, Completed: true}}, owner.Empty{})
+	release := size(t, "Scheduler.Release", owner.ReleaseArgs{Group: k, ID: id, Outcome: schedule.Outcome{Generated: 240, Completed: true}}, owner.Empty{})
 	// The grants are spread over ten groups, one for each model, and as many owners.
 	one := owner.RenewArgs{Groups: []owner.GroupGrants{{Group: k}}}
 	for range running / 10 {
 		g := &one.Groups[0]
 		g.Grants, g.Generated = append(g.Grants, 1<<63), append(g.Generated, 200)
 	}
-	renewal := 10 * size(t, one, owner.RenewReply{})
+	renewal := 10 * size(t, "Scheduler.Renew", one, owner.RenewReply{})
 	// A gateway makes as many calls as it answers as an owner.
 	perSecond := 2 * (requests*(acquire+release) + 2*renewal)
 	t.Logf("acquire %d, release %d, renewal of 50 grants %d bytes: %.1f KB/s in and out", acquire, release, renewal, float64(perSecond)/1e3)
