Read load reports of owned engines from a stream of changes

Cause: an owner asked each engine for its whole load report 4 times/s; of the 470 bytes of a poll some 110 were a changed value.

GET /v1/load?every=250ms asks for server-sent events that hold the changed fields. Loads returns the last event while it is under 400 ms old and polls otherwise, so an engine without streams works as before and a lost or frozen engine shows as failed polls, up to 150 ms later than before. An event is sent when a report becomes visible, so reports are no older than those of a poll at the same tick: at most 250 ms besides the engine's own lag. The engine that drains or stops ends the stream.

Ruled out: polling steady or idle engines once a second. It saves nothing at the target, where every engine is loaded, and delays the draining flag.

The step time of the stand-in is constant; one that changes adds about 20 bytes to each event.

--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -73,6 +73,7 @@
 	limits   *limits.Limiter
 	hosts    *platform.HostList
 	services *service.Client
+	loads    *engine.Loads
 	gateway  *Gateway
 	// found is set once backend servers were discovered.
 	found atomic.Bool
@@ -89,7 +90,8 @@
 	p.hosts = platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.Compressed(engine.NewTransport())}, o.Platform.Timeout)
 	p.gossiper = p.newGossiper()
 	p.syncer = p.newSyncer(revision.Store{Table: table, Objects: objects})
-	p.manager = p.newManager(engines)
+	p.loads = engine.NewLoads(engines)
+	p.manager = p.newManager(p.loads)
 	claimOptions := claim.DefaultOptions()
 	claimOptions.Logger = logging.Part(logger, "claim")
 	p.claims = claim.NewStore(table, claimOptions)
@@ -286,6 +288,7 @@
 	p.pool.Close()
 	p.server.Close()
 	wait.Wait()
+	p.loads.Close()
 	return err
 }
 
--- a/internal/process/loadgen/capacity/controller.go
+++ b/internal/process/loadgen/capacity/controller.go
@@ -60,7 +60,7 @@
 }
 
 func measureController(ctx context.Context, r *report) error {
-	c, stop, err := standinEngine()
+	_, c, stop, err := standinEngine()
 	if err != nil {
 		return err
 	}
--- a/internal/process/loadgen/capacity/polls.go
+++ b/internal/process/loadgen/capacity/polls.go
@@ -14,6 +14,7 @@
 	"persimmonwing/internal/connection/platform"
 	standin "persimmonwing/internal/process/standin/engine"
 	standinplatform "persimmonwing/internal/process/standin/platform"
+	"persimmonwing/internal/request/api"
 )
 
 // countedListener counts the bytes of all its connections.
@@ -78,50 +79,110 @@
 	return float64(c.bytes.Load()-b) / float64(calls), (cpu() - u) / time.Duration(calls), nil
 }
 
-func standinEngine() (*counted, func(), error) {
+func standinEngine() (*standin.Engine, *counted, func(), error) {
 	s := standin.DefaultSettings()
 	s.Name, s.Models = "engine-4-123", []string{"guide-writer-large"}
+	s.StepBase, s.StepPerSequence = 26*time.Millisecond, 0
 	e, err := standin.New(s, log.NewNopLogger())
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	e.Start()
 	c, err := serveCounted(e.Handler())
 	if err != nil {
 		e.Close()
-		return nil, nil, err
+		return nil, nil, nil, err
+	}
+	return e, c, func() { c.close(); e.Close() }, nil
+}
+
+// engineStreams is the number of generations of an engine at the target.
+const engineStreams = 33
+
+// occupy starts generations at an engine over connections of their own, which
+// are not counted, and returns their end.
+func occupy(ctx context.Context, e *standin.Engine) (func(), error) {
+	c, err := serveCounted(e.Handler())
+	if err != nil {
+		return nil, err
+	}
+	client := engine.New(&http.Client{Transport: engine.NewTransport()})
+	for range engineStreams {
+		r := api.CreateRequest{Model: "guide-writer-large", Input: "#tokens=4000 ", MaxOutputTokens: 4000}
+		if _, err := client.Create(ctx, "e", c.address, r); err != nil {
+			c.close()
+			return nil, err
+		}
+	}
+	return c.close, nil
+}
+
+// streamWindow is the time over which the bytes of a load stream are counted.
+const streamWindow = 10 * time.Second
+
+// loadStreamBytes returns the bytes/s of the reports that an owner reads at
+// every tick.
+func loadStreamBytes(ctx context.Context, client *engine.Client, c *counted) (float64, error) {
+	loads := engine.NewLoads(client)
+	defer loads.Close()
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	var begin time.Time
+	var before int64
+	for n := 0; ; n++ {
+		if _, err := loads.Load(ctx, "e", c.address); err != nil {
+			return 0, err
+		}
+		if n == 8 { // the stream has begun
+			begin, before = time.Now(), c.bytes.Load()
+		}
+		if n > 8 && time.Since(begin) >= streamWindow {
+			return float64(c.bytes.Load()-before) / time.Since(begin).Seconds(), nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
 	}
-	return c, func() { c.close(); e.Close() }, nil
 }
 
 const cpuOfPoll = "CPU by getrusage of client and stand-in server together with their system calls, an upper bound"
 
 func measurePolls(ctx context.Context, r *report) error {
-	c, stop, err := standinEngine()
+	e, c, stop, err := standinEngine()
 	if err != nil {
 		return err
 	}
 	defer stop()
+	free, err := occupy(ctx, e)
+	if err != nil {
+		return err
+	}
+	defer free()
 	client := engine.New(&http.Client{Transport: engine.NewTransport()})
 	bytes, used, err := c.cost(500, func() error { _, err := client.Load(ctx, "e", c.address); return err })
 	if err != nil {
 		return err
 	}
-	// An owner polls its engines 4 times/s, and each engine once more each
-	// second by the gateway that discovers it.
-	const perEngine = 5
+	stream, err := loadStreamBytes(ctx, client, c)
+	if err != nil {
+		return err
+	}
+	// An owner reads its engines 4 times/s from a stream, and each engine is read
+	// once a second by the gateway that discovers it.
+	const perEngine, discovered = 4, 1
 	var b, u []point
 	for _, engines := range []float64{18, 150, targetReplicas} {
-		polls := engines * perEngine / targetGateways
-		b = append(b, point{engines, polls * bytes})
-		u = append(u, point{engines, polls * used.Seconds() * 100})
+		b = append(b, point{engines, engines * (stream + discovered*bytes) / targetGateways})
+		u = append(u, point{engines, engines * (perEngine + discovered) / targetGateways * used.Seconds() * 100})
 	}
 	r.add(line{name: "engine poll bytes", size: "engines, 400 gateways", unit: "B/s", points: b, target: targetReplicas,
-		note: fmt.Sprintf("one poll: %.0f bytes, %v; mean over gateways, the sizes are multiples of it", bytes, used)})
+		note: fmt.Sprintf("engine with %d sequences; stream of reports: %.0f B/s; one poll, for engines without streams: %.0f bytes, %v; mean over gateways, the sizes are multiples of it", engineStreams, stream, bytes, used)})
 	r.add(line{name: "engine poll CPU", size: "engines, 400 gateways", unit: "% core", points: u, target: targetReplicas, note: cpuOfPoll})
 	owner := []point{}
 	for _, replicas := range []float64{4, 8, 16} {
-		owner = append(owner, point{replicas, replicas * 4 * bytes})
+		owner = append(owner, point{replicas, replicas * stream})
 	}
 	r.add(line{name: "engine poll bytes of an owner", size: "replicas of an owned group", unit: "B/s", points: owner, target: 8})
 	return measureHostList(ctx, r)
--- a/internal/process/standin/engine/http.go
+++ b/internal/process/standin/engine/http.go
@@ -172,6 +172,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if every, err := time.ParseDuration(r.URL.Query().Get("every")); err == nil && !report.Draining {
+		e.streamLoad(w, r, max(every, leastEvery))
+		return
+	}
 	e.reply(w, report)
 }
 
