Read an unchanged host list by its entity tag

The client sends If-None-Match and repeats the last list on 304. A host list without entity tags is read in full as before; the stand-in sends weak tags.

--- a/internal/connection/engine/loads_test.go
+++ b/internal/connection/engine/loads_test.go
@@ -64,7 +64,7 @@
 		for range 4 {
 			load()
 		}
-		is.Equal(polls.Load(), int64(2)) // the second call within a tick opens the stream
+		is.Equal(polls.Load(), int64(2))  // the second call within a tick opens the stream
 		time.Sleep(10 * time.Millisecond) // not at the instant of an event
 		before := load()
 		is.True(load() > before)
--- a/internal/connection/platform/contract_test.go
+++ b/internal/connection/platform/contract_test.go
@@ -219,6 +219,8 @@
 		is.NoErr(err)
 		resp.Body.Close()
 	}
+	read()
+	is.Equal(read(), platform.HostLive) // the unchanged list, answered with 304
 	srv.SetFaults(standin.Faults{HostListFrozen: true})
 	setLeaving()
 	time.Sleep(60 * time.Millisecond)
--- a/internal/connection/platform/hosts.go
+++ b/internal/connection/platform/hosts.go
@@ -5,12 +5,22 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 )
 
 // HostList is the client of a host list in Prometheus HTTP service discovery
 // format.
-type HostList struct{ caller caller }
+type HostList struct {
+	caller caller
+
+	mu sync.Mutex
+	// last is the last list that came with an entity tag, which a read of an
+	// unchanged list repeats in place of the list.
+	tag  string
+	last []Host
+}
 
 // NewHostList returns a client for the service at the base URL.
 func NewHostList(base string, c *http.Client, timeout time.Duration) *HostList {
@@ -44,19 +54,46 @@
 
 // Hosts returns the list as the platform has it, which lags.
 func (l *HostList) Hosts(ctx context.Context) ([]Host, error) {
-	_, body, err := l.caller.do(ctx, call{step: stepHosts, method: http.MethodGet, path: "/hosts"})
+	tag, last := l.known()
+	k := call{step: stepHosts, method: http.MethodGet, path: "/hosts"}
+	if tag != "" {
+		k.header = http.Header{"If-None-Match": {tag}}
+		k.accept = []int{http.StatusNotModified}
+	}
+	status, header, body, err := l.caller.exchange(ctx, k)
 	if err != nil {
 		return nil, err
 	}
+	if status == http.StatusNotModified {
+		return last, nil
+	}
+	hosts, err := parseHosts(body)
+	if err != nil {
+		return nil, NewError(stepHosts, l.caller.base, ErrNotApplied, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tag, l.last = header.Get("ETag"), slices.Clone(hosts)
+	return hosts, nil
+}
+
+// known returns the entity tag of the last list and a copy of it.
+func (l *HostList) known() (string, []Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tag, slices.Clone(l.last)
+}
+
+func parseHosts(body []byte) ([]Host, error) {
 	var groups []targetGroup
 	if err := json.Unmarshal(body, &groups); err != nil {
-		return nil, NewError(stepHosts, l.caller.base, ErrNotApplied, err)
+		return nil, err
 	}
 	hosts := make([]Host, 0, len(groups))
 	for _, g := range groups {
 		h, err := g.host()
 		if err != nil {
-			return nil, NewError(stepHosts, l.caller.base, ErrNotApplied, err)
+			return nil, err
 		}
 		hosts = append(hosts, h)
 	}
--- a/internal/connection/platform/http.go
+++ b/internal/connection/platform/http.go
@@ -46,11 +46,17 @@
 
 // do returns the status and the whole body.
 func (c caller) do(ctx context.Context, k call) (int, []byte, error) {
+	status, _, body, err := c.exchange(ctx, k)
+	return status, body, err
+}
+
+// exchange is do with the headers of the answer.
+func (c caller) exchange(ctx context.Context, k call) (int, http.Header, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	resp, err := c.send(ctx, k)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, nil, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
@@ -58,9 +64,9 @@
 		err = fmt.Errorf("answer is larger than %d bytes", maxAnswer)
 	}
 	if err != nil {
-		return 0, nil, NewError(k.step, c.base, k.outcome(true), err)
+		return 0, nil, nil, NewError(k.step, c.base, k.outcome(true), err)
 	}
-	return resp.StatusCode, body, nil
+	return resp.StatusCode, resp.Header, body, nil
 }
 
 // send returns an answer with an accepted status; the caller closes its body.
--- a/internal/process/loadgen/capacity/polls.go
+++ b/internal/process/loadgen/capacity/polls.go
@@ -188,8 +188,12 @@
 	return measureHostList(ctx, r)
 }
 
+// listChangesPerDay counts the changes of the host list at the target: 227
+// hosts fail or are restarted, each of which leaves, is gone and returns.
+const listChangesPerDay = 3 * 227
+
 func measureHostList(ctx context.Context, r *report) error {
-	var b, u []point
+	var full, b, u []point
 	for _, engines := range []int{18, 150, targetReplicas} {
 		s := standinplatform.DefaultSettings()
 		for i := range engines {
@@ -203,16 +207,25 @@
 		if err != nil {
 			return err
 		}
-		list := platform.NewHostList("http://"+c.address, &http.Client{Transport: platform.Compressed(engine.NewTransport())}, 2*time.Second)
-		bytes, used, err := c.cost(100, func() error { _, err := list.Hosts(ctx); return err })
+		client := &http.Client{Transport: platform.Compressed(engine.NewTransport())}
+		read := func(l *platform.HostList) error { _, err := l.Hosts(ctx); return err }
+		newList := func() *platform.HostList { return platform.NewHostList("http://"+c.address, client, 2*time.Second) }
+		changed, _, err := c.cost(100, func() error { return read(newList()) })
+		if err != nil {
+			return err
+		}
+		list := newList()
+		bytes, used, err := c.cost(100, func() error { return read(list) })
 		c.close()
 		if err != nil {
 			return err
 		}
+		full = append(full, point{float64(engines), changed})
 		b = append(b, point{float64(engines), bytes})
 		u = append(u, point{float64(engines), float64(used.Microseconds())})
 	}
-	r.add(line{name: "host list read bytes", size: "engines", unit: "B", points: b, target: targetReplicas})
-	r.add(line{name: "host list read CPU", size: "engines", unit: "us", points: u, target: targetReplicas, note: cpuOfPoll})
+	r.add(line{name: "changed host list read bytes", size: "engines", unit: "B", points: full, target: targetReplicas})
+	r.add(line{name: "host list read bytes", size: "engines", unit: "B", points: b, target: targetReplicas, note: "the list has not changed since the last read; needs a host list that sends entity tags"})
+	r.add(line{name: "host list read CPU", size: "engines", unit: "us", points: u, target: targetReplicas, note: "of an unchanged list; " + cpuOfPoll})
 	return nil
 }
--- a/internal/process/loadgen/capacity/roles.go
+++ b/internal/process/loadgen/capacity/roles.go
@@ -13,6 +13,7 @@
 		{"grants: Acquire, Release, Renew, pings", slope * targetRequests},
 		{"polls of engines, mean", r.at("engine poll bytes")},
 		{"host list every 10 s", fallback * r.at("host list read bytes")},
+		{"changes of the host list", listChangesPerDay / secondsPerDay * r.at("changed host list read bytes")},
 		{"catalogue fetches", edits},
 	}
 	r.sum("control bytes of a gateway", "B/s", budgetBytes, bytes)
--- a/internal/process/standin/platform/hosts.go
+++ b/internal/process/standin/platform/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"compress/gzip"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"persimmonwing/internal/process/standin/serve"
@@ -95,6 +97,13 @@
 	for _, h := range hosts {
 		groups = append(groups, targetGroup{Targets: []string{h.Address}, Labels: labels(h)})
 	}
+	// The tag is weak, because the plain and the compressed body share it.
+	tag := fmt.Sprintf(`W/"%x"`, xxhash.Sum64String(fmt.Sprint(hosts)))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		serve.WriteJSON(w, http.StatusOK, groups)
 		return
