--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -74,6 +74,7 @@
 	division *limits.Exchange
 	hosts    *platform.HostList
 	services *service.Client
+	loads    *engine.Loads
 	gateway  *Gateway
 	// found is set once backend servers were discovered.
 	found atomic.Bool
@@ -94,7 +95,8 @@
 		Logger: logging.Part(logger, "limits"),
 	}
 	p.syncer = p.newSyncer(revision.Store{Table: table, Objects: objects})
-	p.manager = p.newManager(engines)
+	p.loads = engine.NewLoads(engines)
+	p.manager = p.newManager(p.loads)
 	claimOptions := claim.DefaultOptions()
 	claimOptions.Logger = logging.Part(logger, "claim")
 	p.claims = claim.NewStore(table, claimOptions)
@@ -293,6 +295,7 @@
 	p.pool.Close()
 	p.server.Close()
 	wait.Wait()
+	p.loads.Close()
 	return err
 }
 
