End a group's takeover when all gateways have registered their grants

Cause: a new group owner granted nothing for 600 ms, longer than an urgent request may wait (three quarters of its first token target, 465 ms at 620 ms), so that each restart of an owner refused urgent requests.

Gateways now register their grants as soon as they see another owner, and the takeover ends when all live gateways of the data centre have. A gateway that leaves gives up its groups at once and tells its whole data centre.

--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -149,7 +149,10 @@
 			}
 			return nil
 		},
-		Changed: p.hearRevision,
+		Changed: func() {
+			p.hearRevision()
+			p.manager.OwnersChanged()
+		},
 	})
 }
 
--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -21,8 +21,10 @@
 	remoteEvery = 2
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
-	// leaveFanout is the number of peers that hear of a graceful end at once.
-	leaveFanout = 8
+	// leaveFanout is the number of peers of the own data centre that hear of a
+	// graceful end at once. It covers a data centre of the target, so that groups
+	// change owners without waiting for gossip.
+	leaveFanout = 64
 )
 
 // ServiceName is the name under which the Gossiper serves its peers.
@@ -211,7 +213,8 @@
 	return answer, true
 }
 
-// Leave tells some peers that this gateway ends; they pass it on.
+// Leave tells the peers of the data centre, and one of another, that this gateway
+// ends; they pass it on.
 func (g *Gossiper) Leave(ctx context.Context) {
 	g.mu.Lock()
 	g.state.table.Leave()
@@ -219,6 +222,7 @@
 	to := g.sample(addresses(local), leaveFanout)
 	to = append(to, g.sample(addresses(remote), 1)...)
 	g.mu.Unlock()
+	g.changed()
 	var wait sync.WaitGroup
 	for _, address := range to {
 		wait.Go(func() { g.exchange(ctx, address) })
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -218,6 +218,7 @@
 		Seeds: []string{"address of a", "address of b"}, Caller: p, Logger: log.NewNopLogger(),
 		Rand:     rand.New(rand.NewPCG(2, uint64(len(f.gateways)))),
 		Revision: func() int64 { return 1 }, Draining: func() []string { return nil },
+		Changed: func() { g.OwnersChanged() },
 	})
 	g.Manager = owner.New(owner.Options{
 		Policy: f.policy, View: g.view, Caller: p, Loads: f.engines, Logger: log.NewNopLogger(),
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -49,6 +49,9 @@
 	lastTick time.Time
 	missed   missedReports
 	spills   spills
+	// owners are the last known owners of the groups of this data centre.
+	owners  map[schedule.GroupKey]string
+	changed chan struct{}
 
 	// background counts calls that outlive their callers, such as releases.
 	background sync.WaitGroup
@@ -62,6 +65,7 @@
 		held:    map[string]*held{},
 		engines: map[string]*engine{},
 		avoided: map[string]time.Time{},
+		changed: make(chan struct{}, 1),
 	}
 	m.guard = newGuard(m.tell)
 	return m
@@ -73,6 +77,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { every(ctx, tickPeriod, func() { m.tick(ctx, time.Now()) }) })
 	wait.Go(func() { every(ctx, renewPeriod, func() { m.renewAll(ctx) }) })
+	wait.Go(func() { m.watchOwners(ctx) })
 	wait.Wait()
 	m.close()
 	return nil
--- a/internal/process/owner/manager_test.go
+++ b/internal/process/owner/manager_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// Guards against waits in a planned restart: the new owner of a group grants as
+// soon as all gateways have registered, and gives no slot in use away.
+func TestGracefulHandoverIsFast(t *testing.T) {
+	withFleet(t, 2, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		_, err := g[1].acquire("used", 1, time.Second)
+		is.NoErr(err)
+		g[0].view.Leave(context.Background())
+		time.Sleep(10 * time.Millisecond)
+		begin := time.Now()
+		next, err := g[2].acquire("next", 2, time.Second)
+		is.NoErr(err)
+		is.Equal(next.Owner, g[1].name)
+		is.True(time.Since(begin) < 100*time.Millisecond)
+		_, err = g[2].acquire("third", 3, time.Second)
+		is.True(err != nil) // both slots are in use
+	})
+}
+
 // Guards against a grant that stays at its owner after its caller has left.
 func TestLateGrantIsReleased(t *testing.T) {
 	withFleet(t, 1, []string{"e"}, func(is *is.I, f *fleet) {
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -17,10 +17,6 @@
 	// endedIDs bounds the ids remembered so that a cancel or release that
 	// overtakes its request or renewal still holds.
 	endedIDs = 4096
-	// takeover is the time for which a new runner grants nothing under
-	// PolicyOwner, so that gateways first register the grants of an earlier owner.
-	// It is longer than renewPeriod.
-	takeover = 600 * time.Millisecond
 	// longWait bounds the sleep of a group that has nothing to do.
 	longWait = time.Second
 )
@@ -62,14 +58,16 @@
 	check func(fingerprint uint64) crashguard.Verdict
 	wake  chan struct{}
 	stop  chan struct{}
-	// readyAt is the time of the first dispatch.
-	readyAt time.Time
 
-	mu      sync.Mutex
-	group   Group
-	waiting map[string]*ticket
-	granted map[string]given
-	byHash  map[uint32]string // ids of granted
+	mu sync.Mutex
+	// readyAt is the time of the first dispatch, and registrations are the gateways
+	// that have registered until then.
+	readyAt       time.Time
+	registrations map[string]bool
+	group         Group
+	waiting       map[string]*ticket
+	granted       map[string]given
+	byHash        map[uint32]string // ids of granted
 	// ended holds the highest attempt that was cancelled or released of an id.
 	ended    *simplelru.LRU[string, int]
 	replicas []schedule.Replica
