Show the backend servers in persimmonctl status -backends

Cause: status listed gateways only, so an operator could not see which server gets no work or why.

Each gateway answers /backends on its admin address. The command merges the answers: the owner of an engine's group wins, then the gateway that polls the server; gateways that see it differently are listed. Owners add running sequences, batch bound and KV tokens.

Membership joins the causes of a stop into one flag and is left as it is, so the gateway keeps the latest host list and probe answers that pass through it to name the cause. Ruled out: reading the host list for each /backends, which would make the answer depend on the platform. Where no first-hand knowledge exists the reason is "reported".

The fakes of owner.Group get the new method.

--- a/internal/process/gateway/admin.go
+++ b/internal/process/gateway/admin.go
@@ -36,6 +36,7 @@
 	r.HandleFunc("/readyz", g.readyz).Methods(http.MethodGet)
 	r.Handle("/metrics", g.metrics.Handler()).Methods(http.MethodGet)
 	r.HandleFunc("/status", g.status).Methods(http.MethodGet)
+	r.HandleFunc("/backends", g.listBackends).Methods(http.MethodGet)
 	r.HandleFunc("/explain/{id}", g.explainRequest).Methods(http.MethodGet)
 	return r
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
 
+	"persimmonwing/internal/process/adminapi"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/process/logging"
@@ -47,6 +48,8 @@
 	Discovered func() bool
 	// StatusSources complete the answer of /status.
 	StatusSources []StatusSource
+	// BackendSource lists all backend servers known, for /backends; nil means none.
+	BackendSource func() []adminapi.Backend
 }
 
 // Gateway serves callers and operators over HTTP.
@@ -63,6 +66,7 @@
 	logger        log.Logger
 	discovered    func() bool
 	statusSources []StatusSource
+	backendSource func() []adminapi.Backend
 
 	ids         *responseid.Codec
 	explain     *explain.Log
@@ -92,6 +96,7 @@
 		logger:        logging.Part(d.Logger, "gateway"),
 		discovered:    d.Discovered,
 		statusSources: d.StatusSources,
+		backendSource: d.BackendSource,
 		ids:           ids,
 		explain:       explain.NewLog(explain.DefaultRecords),
 		retryBudget:   health.NewBudget(retryRatio, retryReserve),
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -71,8 +71,8 @@
 	manager  *owner.Manager
 	claims   *claim.Store
 	limits   *limits.Limiter
-	hosts    *platform.HostList
 	services *service.Client
+	observed *observed
 	gateway  *Gateway
 	// found is set once backend servers were discovered.
 	found atomic.Bool
@@ -86,7 +86,8 @@
 	platformHTTP := &http.Client{Transport: engine.NewTransport()}
 	table := platform.NewTable(o.Platform.TableURL, platformHTTP, o.Platform.Timeout)
 	objects := platform.NewObjects(o.Platform.ObjectURL, platformHTTP, o.Platform.Timeout)
-	p.hosts = platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.Compressed(engine.NewTransport())}, o.Platform.Timeout)
+	hosts := platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.Compressed(engine.NewTransport())}, o.Platform.Timeout)
+	p.observed = newObserved(hosts, prober{p.services})
 	p.gossiper = p.newGossiper()
 	p.syncer = p.newSyncer(revision.Store{Table: table, Objects: objects})
 	p.manager = p.newManager(engines)
@@ -109,6 +110,7 @@
 		Logger:        logger,
 		Discovered:    p.discovered,
 		StatusSources: []StatusSource{p.status},
+		BackendSource: p.backends,
 	})
 	return p, err
 }
@@ -266,8 +268,8 @@
 	for name, f := range map[string]func(context.Context) error{
 		"peer server":  func(context.Context) error { return p.server.Serve(peers) },
 		"gossip":       p.gossiper.Run,
-		"host list":    func(c context.Context) error { return p.gossiper.PollHosts(c, p.hosts) },
-		"applications": func(c context.Context) error { return p.gossiper.PollApplications(c, prober{p.services}) },
+		"host list":    func(c context.Context) error { return p.gossiper.PollHosts(c, p.observed) },
+		"applications": func(c context.Context) error { return p.gossiper.PollApplications(c, p.observed) },
 		"catalogue":    p.syncer.Run,
 		"scheduler":    p.manager.Run,
 		"claims":       p.claims.Run,
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -45,6 +45,14 @@
 	return set
 }
 
+// ejected reports whether a replica of a service is ejected.
+func (s *serviceSets) ejected(now time.Time, service, replica string) bool {
+	s.mu.Lock()
+	set := s.sets[service]
+	s.mu.Unlock()
+	return set != nil && set.IsEjected(now, replica)
+}
+
 // serviceCall is one call of a plain service on its way.
 type serviceCall struct {
 	g       *Gateway
--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -94,6 +94,13 @@
 	return b, func(at time.Time, r Result) { s.finish(at, b.Name, r, total) }, true
 }
 
+// IsEjected reports whether a replica is ejected now.
+func (s *Set) IsEjected(now time.Time, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ejected(now, name)
+}
+
 // Ejected counts the replicas ejected now.
 func (s *Set) Ejected(now time.Time) int {
 	s.mu.Lock()
--- a/internal/process/operator/gateways.go
+++ b/internal/process/operator/gateways.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -11,7 +11,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -43,8 +42,11 @@
 }
 
 func (c *command) statusCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("status", flag.ContinueOnError)
+	backends := fs.Bool("backends", false, "show the backend servers as the gateways see them")
 	return &ffcli.Command{
-		Name: "status", ShortUsage: "persimmonctl status", ShortHelp: "show the state of the gateways",
+		Name: "status", ShortUsage: "persimmonctl status [-backends]", ShortHelp: "show the state of the gateways or backend servers",
+		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if err := noArguments("status", args); err != nil {
 				return err
@@ -53,29 +55,22 @@
 			if err != nil {
 				return err
 			}
-			list := make([]gatewayStatus, len(addresses))
-			var wg sync.WaitGroup
-			for i, a := range addresses {
-				wg.Go(func() { list[i] = c.askStatus(ctx, a) })
+			if *backends {
+				return c.showBackends(ctx, addresses)
+			}
+			var list []gatewayStatus
+			for _, a := range askAll[Status](ctx, c, addresses, "/status") {
+				s := gatewayStatus{Address: a.address, Status: a.value}
+				if a.err != nil {
+					s.Error = a.err.Error()
+				}
+				list = append(list, s)
 			}
-			wg.Wait()
 			return c.printStatus(list)
 		},
 	}
 }
 
-func (c *command) askStatus(ctx context.Context, address string) gatewayStatus {
-	s := gatewayStatus{Address: address}
-	body, err := c.ask(ctx, address, "/status")
-	if err == nil {
-		err = json.Unmarshal(body, &s.Status)
-	}
-	if err != nil {
-		s.Error = err.Error()
-	}
-	return s
-}
-
 func (c *command) printStatus(list []gatewayStatus) error {
 	var rows [][]string
 	failed := 0
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/process/adminapi"
 	"persimmonwing/internal/version/catalogue"
 	"persimmonwing/internal/version/revision"
 )
@@ -114,6 +115,30 @@
 
 const example = "../../../examples/huon-cane.yaml"
 
+// gatewayBackends is a gateway's answer at /backends.
+const gatewayBackends = `[{"name":"engine-1","kind":"engine","data_centre":"hobart","accepting":false,"reason":"resting","models":["guide"],` +
+	`"source":"owner","load":{"running":4,"batch_bound":16,"kv_used_tokens":900,"kv_capacity_tokens":20000}}]`
+
+// Guards against a merged line that is not the owner's, and against a server on
+// which gateways disagree that is not marked, or marked for a gateway that is silent.
+func TestMergeBackends(t *testing.T) {
+	is := is.New(t)
+	engine := func(s adminapi.Source, r adminapi.Reason) adminapi.Backend {
+		return adminapi.Backend{Name: "e", Source: s, Reason: r, Accepting: r == ""}
+	}
+	lines := mergeBackends([]answer[[]adminapi.Backend]{
+		{address: "a", value: []adminapi.Backend{engine(adminapi.SourceGossip, "")}},
+		{address: "b", value: []adminapi.Backend{engine(adminapi.SourceOwner, adminapi.ReasonUnreachable), {Name: "d", Source: adminapi.SourceGossip, Accepting: true}}},
+		{address: "c", value: []adminapi.Backend{engine(adminapi.SourcePoll, adminapi.ReasonUnreachable)}},
+		{address: "silent", err: errors.New("timeout")},
+	})
+	is.Equal(len(lines), 2)
+	is.Equal(lines[0].Differs, []string{"a: not known", "c: not known"})
+	is.Equal(lines[1].Gateway, "b")
+	is.Equal(lines[1].Reason, adminapi.ReasonUnreachable)
+	is.Equal(lines[1].Differs, []string{"a: accepting"})
+}
+
 // Guards against commands with a wrong exit code or without their output, over
 // the life of a catalogue.
 func TestCommands(t *testing.T) {
@@ -121,6 +146,8 @@
 		switch r.URL.Path {
 		case "/status":
 			w.Write([]byte(`{"name":"gw1","data_centre":"hobart","revision":7,"ready":true,"live_peers":5,"groups_owned":2,"platform_reachable":true}`))
+		case "/backends":
+			w.Write([]byte(gatewayBackends))
 		case "/explain/abc":
 			w.Write([]byte("granted e1\n"))
 		default:
@@ -193,6 +220,8 @@
 		{"-gateways " + address + " status", "", 0, "gw1      hobart       7         true   5           2       true"},
 		{"status -gateways " + address + " -output json", "", 0, `"groups_owned": 2`},
 		{"-gateways 127.0.0.1:1," + address + " status", "", 1, "1 of 2 gateways didn't answer; check -gateways"},
+		{"status -backends -gateways " + address, "", 0, "engine-1  engine  hobart       guide   resting  4        16     900 of 20000"},
+		{"status -backends -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer; check -gateways"},
 		{"-gateways 127.0.0.1:1," + address + " explain abc", "", 0, "granted e1"},
 		{"-gateways " + address + " explain xyz", "", 1, "each keeps its latest 2000"},
 		{"catalogue get -revision -3", "", 2, "-revision: -3 is not allowed"},
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -27,6 +27,7 @@
 	Expire(now time.Time, notRenewedFor time.Duration) []string
 	Running(replica string) []schedule.Request
 	Summary(now time.Time) schedule.Summary
+	State(now time.Time) map[string]schedule.ReplicaState
 	NextWake(now time.Time) time.Time
 	SetShare(share float64)
 	SetFloor(backgroundFloor, urgentReserve float64)
--- a/internal/process/owner/tick_test.go
+++ b/internal/process/owner/tick_test.go
@@ -18,14 +18,15 @@
 // noGroup is a Group that does nothing.
 type noGroup struct{ Group }
 
-func (noGroup) SetReplicas(time.Time, []schedule.Replica) {}
-func (noGroup) Report(time.Time, string, api.LoadReport)  {}
-func (noGroup) Expire(time.Time, time.Duration) []string  { return nil }
-func (noGroup) Summary(time.Time) schedule.Summary        { return schedule.Summary{} }
-func (noGroup) SetShare(float64)                          {}
-func (noGroup) SetFloor(float64, float64)                 {}
-func (noGroup) Dispatch(time.Time) []schedule.Decision    { return nil }
-func (noGroup) NextWake(time.Time) time.Time              { return time.Time{} }
+func (noGroup) SetReplicas(time.Time, []schedule.Replica)        {}
+func (noGroup) Report(time.Time, string, api.LoadReport)         {}
+func (noGroup) Expire(time.Time, time.Duration) []string         { return nil }
+func (noGroup) Summary(time.Time) schedule.Summary               { return schedule.Summary{} }
+func (noGroup) State(time.Time) map[string]schedule.ReplicaState { return nil }
+func (noGroup) SetShare(float64)                                 {}
+func (noGroup) SetFloor(float64, float64)                        {}
+func (noGroup) Dispatch(time.Time) []schedule.Decision           { return nil }
+func (noGroup) NextWake(time.Time) time.Time                     { return time.Time{} }
 
 type instantLoads struct{}
 
