Show the use of workspaces beside their limits

Cause: persimmonctl workspaces showed limits only, so an operator could not see which workspace is close to one.

Each gateway answers /usage with admitted requests/s, generated tokens/s and running requests of the workspaces of the catalogue in force. The command sums the answers of -gateways and marks limits of which 90% or more are used. The rates are go-metrics moving averages with a time constant of 10 s, ticked when they are read or written, so no goroutine is added.

Ruled out: the counters of /metrics, which count since the start and have no tokens for each workspace.

--- a/internal/process/adminapi/adminapi.go
+++ b/internal/process/adminapi/adminapi.go
@@ -70,3 +70,13 @@
 	KVUsedTokens     int `json:"kv_used_tokens"`
 	KVCapacityTokens int `json:"kv_capacity_tokens"`
 }
+
+// Usage is what a workspace uses at one gateway, in the answer of GET /usage,
+// which has every workspace of the catalogue in force and no others. Rates are
+// moving averages over some 10 s.
+type Usage struct {
+	Workspace         string  `json:"workspace"`
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	TokensPerSecond   float64 `json:"tokens_per_second"`
+	Concurrent        int     `json:"concurrent"`
+}
--- a/internal/process/gateway/backends_test.go
+++ b/internal/process/gateway/backends_test.go
@@ -105,3 +105,17 @@
 	is.True(!list[0].Accepting)
 	is.True(list[1].Accepting)
 }
+
+// Guards against use that is booked to another workspace, that is left out of
+// the answer, or that stays after the request has ended.
+func TestUsage(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, nil)
+	stream := w.open(w.create("plan", "#id=x #tokens=4000", true))
+	_, ok := stream.next()
+	is.True(ok)
+	is.Equal(fetchJSON[[]adminapi.Usage](t, w.admin+"/usage"), []adminapi.Usage{{Workspace: "a", Concurrent: 1}, {Workspace: "b"}})
+	_ = stream.resp.Body.Close()
+	w.idle()
+	is.Equal(fetchJSON[[]adminapi.Usage](t, w.admin+"/usage")[0].Concurrent, 0)
+}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -243,11 +243,15 @@
 // sharePeriod is the time between two looks at the number of live gateways.
 const sharePeriod = time.Second
 
-// keepShares adjusts this gateway's share of rate limits to the live gateways.
+// keepShares adjusts this gateway's share of rate limits to the live gateways
+// and the limits to the catalogue.
 func (p *process) keepShares(ctx context.Context) error {
 	tick := time.NewTicker(sharePeriod)
 	defer tick.Stop()
 	for {
+		if s := p.holder.Current(); s != nil {
+			p.limits.Retain(s.Catalogue)
+		}
 		p.limits.SetShare(1 / float64(max(1, len(p.gossiper.Live()))))
 		p.metrics.Gauge("catalogue_revision").Update(p.holder.Number())
 		p.metrics.Gauge("peer_bytes_in").Update(p.pool.Traffic().In() + p.server.Traffic().In())
--- /dev/null
+++ b/internal/process/gateway/usage.go
@@ -0,0 +1,24 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"persimmonwing/internal/process/adminapi"
+)
+
+// usage serves GET /usage.
+func (g *Gateway) usage(w http.ResponseWriter, _ *http.Request) {
+	list := []adminapi.Usage{}
+	if s := g.catalogue.Current(); s != nil {
+		now := time.Now()
+		for _, space := range s.Workspaces {
+			u := g.limits.Use(now, space.Name)
+			list = append(list, adminapi.Usage{
+				Workspace: space.Name, RequestsPerSecond: u.RequestsPerSecond,
+				TokensPerSecond: u.TokensPerSecond, Concurrent: u.Concurrent,
+			})
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
--- a/internal/process/limits/limits.go
+++ b/internal/process/limits/limits.go
@@ -42,6 +42,7 @@
 	requests *rate.Limiter
 	tokens   *rate.Limiter
 	running  int
+	use      use
 }
 
 // SetShare sets the fraction of each limit that this gateway may use.
@@ -51,6 +52,12 @@
 	l.share = share
 }
 
+// The prefixes of the names of buckets.
+const (
+	workspaceScope = "workspace "
+	entryScope     = "entry "
+)
+
 // Lease is the permission to run one request. Release must be called once.
 type Lease struct {
 	limiter *Limiter
@@ -65,7 +72,7 @@
 	scopes := []struct {
 		name   string
 		limits catalogue.Limits
-	}{{"workspace " + w.Name, w.Limits}, {"entry " + e.Name, e.Limits}}
+	}{{workspaceScope + w.Name, w.Limits}, {entryScope + e.Name, e.Limits}}
 	held := make([]*bucket, 0, len(scopes))
 	for _, s := range scopes {
 		b := l.bucket(now, s.name, s.limits)
@@ -103,7 +110,7 @@
 func (l *Limiter) bucket(now time.Time, name string, limits catalogue.Limits) *bucket {
 	b := l.buckets[name]
 	if b == nil {
-		b = &bucket{}
+		b = &bucket{use: newUse(now)}
 		l.buckets[name] = b
 	}
 	if b.limits != limits || b.share != l.share {
@@ -175,12 +182,14 @@
 
 func (b *bucket) take(now time.Time) {
 	b.running++
+	b.use.count(now, 1, 0)
 	if b.requests != nil {
 		b.requests.ReserveN(now, 1)
 	}
 }
 
 func (b *bucket) charge(now time.Time, n int) {
+	b.use.count(now, 0, n)
 	if b.tokens == nil {
 		return
 	}
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -148,6 +148,8 @@
 			w.Write([]byte(`{"name":"gw1","data_centre":"hobart","revision":7,"ready":true,"live_peers":5,"groups_owned":2,"platform_reachable":true}`))
 		case "/backends":
 			w.Write([]byte(gatewayBackends))
+		case "/usage":
+			w.Write([]byte(`[{"workspace":"gone","concurrent":9},{"workspace":"hobart-shop","requests_per_second":4.56,"concurrent":2}]`))
 		case "/explain/abc":
 			w.Write([]byte("granted e1\n"))
 		default:
@@ -222,6 +224,10 @@
 		{"-gateways 127.0.0.1:1," + address + " status", "", 1, "1 of 2 gateways didn't answer; check -gateways"},
 		{"status -backends -gateways " + address, "", 0, "engine-1  engine  hobart       guide   resting  4        16     900 of 20000"},
 		{"status -backends -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer; check -gateways"},
+		{"workspaces -gateways " + address + "," + address, "", 0, "hobart-shop      1       1     9.1 of 10   0 of unlimited  4 of 40     requests_per_second  "},
+		{"workspaces -gateways " + address, "", 0, "hobart-shop      1       1     4.6 of 10   0 of unlimited  2 of 40                 "},
+		{"workspaces -gateways " + address + "," + address + " -output json", "", 0, `"near_limits": [`},
+		{"workspaces -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer"},
 		{"-gateways 127.0.0.1:1," + address + " explain abc", "", 0, "granted e1"},
 		{"-gateways " + address + " explain xyz", "", 1, "each keeps its latest 2000"},
 		{"catalogue get -revision -3", "", 2, "-revision: -3 is not allowed"},
--- a/internal/process/operator/workspaces.go
+++ b/internal/process/operator/workspaces.go
@@ -9,6 +9,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"persimmonwing/internal/process/adminapi"
 	"persimmonwing/internal/version/catalogue"
 )
 
@@ -19,11 +20,17 @@
 	Keys    int              `json:"keys"`
 	Limits  catalogue.Limits `json:"limits"`
 	Entries []string         `json:"entries"`
+	// Use and NearLimits are set when gateways were asked.
+	Use        *adminapi.Usage `json:"use,omitempty"`
+	NearLimits []string        `json:"near_limits,omitempty"`
 }
 
+// limitColumns is the index of the first column with a limit.
+const limitColumns = 3
+
 func (c *command) workspacesCommand() *ffcli.Command {
 	return &ffcli.Command{
-		Name: "workspaces", ShortUsage: "persimmonctl workspaces", ShortHelp: "list workspaces with their limits and entries",
+		Name: "workspaces", ShortUsage: "persimmonctl workspaces", ShortHelp: "list workspaces with their limits, entries and, with -gateways, their use",
 		Exec: func(ctx context.Context, args []string) error {
 			if err := noArguments("workspaces", args); err != nil {
 				return err
@@ -39,12 +46,30 @@
 			if parsed == nil {
 				return errNoRevision
 			}
-			lines, rows := listWorkspaces(parsed)
-			return c.print(lines, []string{"WORKSPACE", "WEIGHT", "KEYS", "REQUESTS/S", "TOKENS/S", "CONCURRENT", "ENTRIES"}, rows)
+			return c.printWorkspaces(ctx, parsed)
 		},
 	}
 }
 
+// printWorkspaces lists the workspaces, with their use if -gateways is set.
+func (c *command) printWorkspaces(ctx context.Context, parsed *catalogue.Catalogue) error {
+	lines, rows := listWorkspaces(parsed)
+	header := []string{"WORKSPACE", "WEIGHT", "KEYS", "REQUESTS/S", "TOKENS/S", "CONCURRENT", "ENTRIES"}
+	if c.gateways == "" {
+		return c.print(lines, header, rows)
+	}
+	addresses, err := c.addresses()
+	if err != nil {
+		return err
+	}
+	use, incomplete := c.usage(ctx, addresses)
+	withUse(lines, rows, use)
+	if err := c.print(lines, slices.Insert(header, len(header)-1, "NEAR LIMIT"), rows); err != nil {
+		return err
+	}
+	return incomplete
+}
+
 func listWorkspaces(c *catalogue.Catalogue) (lines []workspaceLine, rows [][]string) {
 	for _, w := range c.Workspaces {
 		l := workspaceLine{Name: w.Name, Weight: w.Weight, Keys: len(w.KeyDigests), Limits: w.Limits}
