Handle the flags and the sending of edits in one place

Cause: apply, rollback and drain each repeated -message, -yes, the parsing of interleaved flags and the reading of the stored body.

editCommand does this once and asks each command for a proposal only. One thing differs: apply now reports a file that can't be read before a missing -message.

--- a/internal/process/operator/edit.go
+++ b/internal/process/operator/edit.go
@@ -19,107 +19,111 @@
 // noBase is the value of -base that stands for the current revision.
 const noBase = -1
 
-func (c *command) apply() *ffcli.Command {
-	fs := flag.NewFlagSet("apply", flag.ContinueOnError)
-	base := fs.Int64("base", noBase, "revision the file is based on; the edit is refused if it is not current (default: the current one)")
+// proposal is an edit before it is confirmed and sent.
+type proposal struct {
+	// base is the revision it is based on, or noBase.
+	base int64
+	body []byte
+	// message is the reason if -message is not set; "" means that it must be.
+	message string
+	// reasons are reasons to ask for a confirmation besides those in the changes.
+	reasons []string
+	// unchangedSince is the current revision if the edit would change nothing.
+	unchangedSince *revision.Revision
+}
+
+// editCommand returns a command that proposes an edit from its arguments and
+// sends it. All edits have the flags -message and -yes.
+func (c *command) editCommand(fs *flag.FlagSet, usage, help string, propose func(ctx context.Context, args []string) (proposal, error)) *ffcli.Command {
 	message := fs.String("message", "", "reason for the edit")
 	yes := fs.Bool("yes", false, "don't ask before a dangerous edit")
 	return &ffcli.Command{
-		Name: "apply", ShortUsage: "persimmonctl catalogue apply FILE [-base N] -message M [-yes]", ShortHelp: "make a file the next revision",
+		Name: fs.Name(), ShortUsage: "persimmonctl " + usage, ShortHelp: help,
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			args, err := interleaved(fs, args)
 			if err != nil {
 				return err
 			}
-			if *message == "" {
-				return usagef("apply: -message is needed")
-			}
-			_, body, err := readFile(args)
+			p, err := propose(ctx, args)
 			if err != nil {
 				return err
 			}
-			return c.submit(ctx, *base, body, *message, *yes)
+			if r := p.unchangedSince; r != nil {
+				return c.print(*r, nil, [][]string{{fmt.Sprintf("no changes: revision %d already says so", r.Number)}})
+			}
+			if *message != "" {
+				p.message = *message
+			}
+			if p.message == "" {
+				return usagef("%s: -message is needed", fs.Name())
+			}
+			return c.submit(ctx, p, *yes)
 		},
 	}
 }
 
+func (c *command) apply() *ffcli.Command {
+	fs := flag.NewFlagSet("apply", flag.ContinueOnError)
+	base := fs.Int64("base", noBase, "revision the file is based on; the edit is refused if it is not current (default: the current one)")
+	return c.editCommand(fs, "catalogue apply FILE [-base N] -message M [-yes]", "make a file the next revision",
+		func(_ context.Context, args []string) (proposal, error) {
+			_, body, err := readFile(args)
+			return proposal{base: *base, body: body}, err
+		})
+}
+
 func (c *command) rollback() *ffcli.Command {
 	fs := flag.NewFlagSet("rollback", flag.ContinueOnError)
-	message := fs.String("message", "", "reason for the edit")
-	yes := fs.Bool("yes", false, "don't ask before a dangerous edit")
-	return &ffcli.Command{
-		Name: "rollback", ShortUsage: "persimmonctl catalogue rollback N [-message M] [-yes]", ShortHelp: "make an older body the next revision",
-		FlagSet: fs,
-		Exec: func(ctx context.Context, args []string) error {
-			args, err := interleaved(fs, args)
-			if err != nil {
-				return err
-			}
+	return c.editCommand(fs, "catalogue rollback N [-message M] [-yes]", "make an older body the next revision",
+		func(ctx context.Context, args []string) (proposal, error) {
 			if len(args) != 1 {
-				return usagef("rollback: one revision is needed")
+				return proposal{}, usagef("rollback: one revision is needed")
 			}
 			number, err := strconv.ParseInt(args[0], 10, 64)
 			if err != nil || number < 1 {
-				return usagef("rollback: %q is not allowed; a revision number from 1", args[0])
+				return proposal{}, usagef("rollback: %q is not allowed; a revision number from 1", args[0])
 			}
-			e, err := c.editor()
-			if err != nil {
-				return err
-			}
-			r, body, err := e.Get(ctx, number)
-			if err != nil {
-				return explained(err, r, number)
-			}
-			if *message == "" {
-				*message = fmt.Sprintf("rollback to revision %d", number)
-			}
-			return c.submit(ctx, noBase, body, *message, *yes)
-		},
-	}
+			_, body, err := c.stored(ctx, number)
+			return proposal{base: noBase, body: body, message: fmt.Sprintf("rollback to revision %d", number)}, err
+		})
 }
 
 func (c *command) drainCommand(name string, drain bool) *ffcli.Command {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	message := fs.String("message", "", "reason for the edit")
-	yes := fs.Bool("yes", false, "don't ask before a dangerous edit")
 	help := map[bool]string{true: "send a backend server no new work", false: "send a drained backend server work again"}[drain]
-	return &ffcli.Command{
-		Name: name, ShortUsage: "persimmonctl " + name + " NAME [-message M] [-yes]", ShortHelp: help,
-		FlagSet: fs,
-		Exec: func(ctx context.Context, args []string) error {
-			args, err := interleaved(fs, args)
-			if err != nil {
-				return err
-			}
+	return c.editCommand(fs, name+" NAME [-message M] [-yes]", help,
+		func(ctx context.Context, args []string) (proposal, error) {
 			if len(args) != 1 {
-				return usagef("%s: the name of one backend server is needed", name)
-			}
-			e, err := c.editor()
-			if err != nil {
-				return err
+				return proposal{}, usagef("%s: the name of one backend server is needed", name)
 			}
-			r, body, err := e.Get(ctx, 0)
+			r, body, err := c.stored(ctx, 0)
 			if err != nil {
-				return explained(err, r, 0)
+				return proposal{}, err
 			}
 			edited, changed, err := catalogue.SetDraining(body, args[0], drain)
-			if err != nil {
-				return err
+			if err != nil || !changed {
+				return proposal{unchangedSince: &r}, err
 			}
-			if !changed {
-				return c.print(r, nil, [][]string{{fmt.Sprintf("no changes: revision %d already says so", r.Number)}})
-			}
-			if *message == "" {
-				*message = name + " " + args[0]
-			}
-			return c.submit(ctx, r.Number, edited, *message, *yes)
-		},
+			return proposal{base: r.Number, body: edited, message: name + " " + args[0]}, nil
+		})
+}
+
+// stored returns a revision with its body; number 0 means the current one.
+func (c *command) stored(ctx context.Context, number int64) (revision.Revision, []byte, error) {
+	e, err := c.editor()
+	if err != nil {
+		return revision.Revision{}, nil, err
+	}
+	r, body, err := e.Get(ctx, number)
+	if err != nil {
+		return r, nil, explained(err, r, number)
 	}
+	return r, body, nil
 }
 
 // submit shows the changes, asks if they are dangerous and applies the body.
-func (c *command) submit(ctx context.Context, base int64, body []byte, message string, yes bool) error {
+func (c *command) submit(ctx context.Context, p proposal, yes bool) error {
 	if strings.TrimSpace(c.author) == "" {
 		return usagef("-author is needed, because USER is not set")
 	}
@@ -132,22 +136,22 @@
 	if err != nil && !errors.As(err, &invalid) {
 		return err
 	}
-	if base == noBase {
-		base = head.Number
+	if p.base == noBase {
+		p.base = head.Number
 	}
-	after, err := catalogue.Parse("catalogue", body)
+	after, err := catalogue.Parse("catalogue", p.body)
 	if err != nil {
 		return err
 	}
-	if base == head.Number {
-		if head.Digest == catalogue.Digest(body) {
+	if p.base == head.Number {
+		if head.Digest == catalogue.Digest(p.body) {
 			return c.print(head, nil, [][]string{{fmt.Sprintf("no changes: revision %d has this body", head.Number)}})
 		}
-		if err := c.review(before, after, invalid, yes); err != nil {
+		if err := c.review(before, after, invalid, p.reasons, yes); err != nil {
 			return err
 		}
 	}
-	accepted, err := c.applyResolved(e, base, body, message)
+	accepted, err := c.applyResolved(e, p)
 	if err != nil {
 		return err
 	}
@@ -160,12 +164,12 @@
 // review shows the changes and asks if they are dangerous. A current body that
 // a newer build no longer accepts must stay replaceable, so it only needs a
 // confirmation.
-func (c *command) review(before, after *catalogue.Catalogue, invalid *catalogue.InvalidError, yes bool) error {
+func (c *command) review(before, after *catalogue.Catalogue, invalid *catalogue.InvalidError, reasons []string, yes bool) error {
 	changes := catalogue.Diff(before, after)
 	for _, ch := range changes {
 		fmt.Fprintln(c.Stderr, ch)
 	}
-	reasons := dangers(changes, after)
+	reasons = append(reasons, dangers(changes, after)...)
 	if invalid != nil {
 		reasons = append(reasons, "the current body isn't valid, so the changes against it are not known: "+invalid.Error())
 	}
@@ -174,10 +178,10 @@
 
 // applyResolved applies an edit and, if its answer was lost, waits for the
 // platform until the outcome is known.
-func (c *command) applyResolved(e *revision.Editor, base int64, body []byte, message string) (revision.Accepted, error) {
+func (c *command) applyResolved(e *revision.Editor, p proposal) (revision.Accepted, error) {
 	ctx, cancel := context.WithTimeout(c.parent, c.timeout)
 	defer cancel()
-	accepted, err := e.Apply(ctx, base, body, c.author, message)
+	accepted, err := e.Apply(ctx, p.base, p.body, c.author, p.message)
 	var unresolved *revision.UnresolvedError
 	if !errors.As(err, &unresolved) {
 		return accepted, merged(err)
