Ask before a drain of a name that no gateway knows

Cause: drain accepted any name, so a mistyped one drained nothing and nobody was told.

With -gateways, drain asks them for their backend servers; if none that answered knows the name, or none answered, this is a reason to ask. -yes confirms it as before, and the check of the edit itself is unchanged. Undrain does not ask: its name must be on the catalogue's list to change anything.

Ruled out: refusing the edit, because a server may be drained before it joins the host list. New steps in TestCommands check all cases. Its expected revision numbers and the length of the history it reads grow by these steps.

--- a/internal/process/operator/backends.go
+++ b/internal/process/operator/backends.go
@@ -133,3 +133,26 @@
 	}
 	return []string{strconv.Itoa(l.Running), bound, fmt.Sprintf("%d of %d", l.KVUsedTokens, l.KVCapacityTokens)}
 }
+
+// checkKnown returns a reason to ask before a drain if no gateway knows the
+// backend server: a mistyped name would drain nothing.
+func (c *command) checkKnown(ctx context.Context, name string) ([]string, error) {
+	addresses, err := c.addresses()
+	if err != nil {
+		return nil, err
+	}
+	answers := askAll[[]adminapi.Backend](ctx, c, addresses, "/backends")
+	answered := 0
+	for _, a := range answers {
+		if a.err == nil {
+			answered++
+		}
+		if slices.ContainsFunc(a.value, func(b adminapi.Backend) bool { return b.Name == name }) {
+			return nil, nil
+		}
+	}
+	if answered == 0 {
+		return []string{fmt.Sprintf("none of the %d gateways answered, so the name %s was not checked", len(answers), name)}, nil
+	}
+	return []string{fmt.Sprintf("none of the %d gateways that answered knows a backend server named %s", answered, name)}, nil
+}
--- a/internal/process/operator/edit.go
+++ b/internal/process/operator/edit.go
@@ -105,7 +105,11 @@
 			if err != nil || !changed {
 				return proposal{unchangedSince: &r}, err
 			}
-			return proposal{base: r.Number, body: edited, message: name + " " + args[0]}, nil
+			p := proposal{base: r.Number, body: edited, message: name + " " + args[0]}
+			if drain && c.gateways != "" {
+				p.reasons, err = c.checkKnown(ctx, args[0])
+			}
+			return p, err
 		})
 }
 
