Keep addresses out of the messages that callers get

Cause: the message of an error body was the text of its cause. For a failed link that text is net/http's, with the URL and address of the engine, application server or platform.

The body now says step, peer name and reason (connection refused, timed out, and so on) for errors of links; errors of the platform client give their step and outcome. Other texts, such as those of another gateway, pass a filter for URLs and IP addresses. The log keeps the whole error.

Ruled out: the filter alone, because it misses host names in texts without a URL and leaves half sentences; an address-free text in each client, because the log then lacks the address too.

--- a/internal/request/fault/fault.go
+++ b/internal/request/fault/fault.go
@@ -97,11 +97,12 @@
 	return Wrap(err, Internal, "internal", "", api.Unknown)
 }
 
-// Body returns the wire form of e for a request.
+// Body returns the wire form of e for a request. Its message names no address,
+// unlike that of Error.
 func (e *Error) Body(requestID string) api.ErrorBody {
 	return api.ErrorBody{Error: api.Error{
 		Code:         string(e.Code),
-		Message:      e.cause.Error(),
+		Message:      e.message(),
 		Execution:    e.Execution,
 		RequestID:    requestID,
 		Step:         e.Step,
--- /dev/null
+++ b/internal/request/fault/message.go
@@ -0,0 +1,92 @@
+package fault
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/url"
+	"regexp"
+	"syscall"
+)
+
+// Outward is implemented by errors whose text names an address and that can be
+// told to callers without it.
+type Outward interface {
+	error
+	// Outward returns the text without addresses.
+	Outward() string
+}
+
+// address matches URLs, IPv4 addresses and bracketed IPv6 addresses with their
+// ports. It covers texts of other processes, whose errors have no type here.
+var address = regexp.MustCompile(`https?://[^\s"']+|\b\d{1,3}(?:\.\d{1,3}){3}(?::\d+)?\b|\[[0-9a-fA-F:.]*:[0-9a-fA-F:.%a-z]*\](?::\d+)?`)
+
+// message is the cause as callers may read it. Addresses of backend servers and
+// of the platform are kept from them (D7).
+func (e *Error) message() string {
+	var outward Outward
+	link := linkError(e.cause)
+	text := ""
+	switch known := errors.As(e.cause, &outward); {
+	case known && link != nil:
+		text = outward.Outward() + ": " + linkReason(link)
+	case known:
+		text = outward.Outward()
+	case link != nil:
+		text = linkReason(link)
+	default:
+		return withoutAddresses(e.cause.Error())
+	}
+	if e.Peer == "" {
+		return withoutAddresses(e.Step + ": " + text)
+	}
+	return withoutAddresses(e.Step + " at " + e.Peer + ": " + text)
+}
+
+func withoutAddresses(text string) string { return address.ReplaceAllString(text, "(address)") }
+
+// linkError returns the first error of the chain that net or net/http made with
+// an address in it, or else the end of a context, or nil.
+func linkError(err error) error {
+	var u *url.Error
+	var op *net.OpError
+	var dns *net.DNSError
+	switch {
+	case errors.As(err, &u):
+		return u
+	case errors.As(err, &op):
+		return op
+	case errors.As(err, &dns):
+		return dns
+	case errors.Is(err, context.DeadlineExceeded):
+		return context.DeadlineExceeded
+	case errors.Is(err, context.Canceled):
+		return context.Canceled
+	default:
+		return nil
+	}
+}
+
+// linkReason says why a link failed.
+func linkReason(err error) string {
+	var timeout net.Error
+	var errno syscall.Errno
+	var dns *net.DNSError
+	switch {
+	case errors.Is(err, context.Canceled):
+		return "cancelled"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "timed out"
+	case errors.As(err, &errno):
+		return errno.Error()
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "connection closed"
+	case errors.As(err, &dns):
+		return "host not found"
+	}
+	for inner := err; inner != nil; inner = errors.Unwrap(inner) {
+		err = inner
+	}
+	return err.Error()
+}
