State which refusals have no typed body

Cause: net/http answers 431 and 400 by itself as plain text, against the rule that every error has a typed JSON body.

Ruled out: a hook, since http.Server writes these answers straight to the connection; rewriting its output in a net.Conn, which is HTTP code of our own; a larger limit for net/http with a check in a handler, which only moves the point from which the answer is plain text and doubles the memory of a header.

--- a/internal/process/gateway/badinput_test.go
+++ b/internal/process/gateway/badinput_test.go
@@ -221,3 +221,36 @@
 		})
 	}
 }
+
+// Guards against a design page that is wrong about the requests that net/http
+// refuses by itself: which status, a plain text, and no work.
+func TestRefusedByNetHTTP(t *testing.T) {
+	w := newWorld(t, nil)
+	post := "POST /v1/responses HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + keyA + "\r\n"
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"large headers":             {post + "X: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"no request line":           {"{}\r\n\r\n", http.StatusBadRequest},
+		"no host":                   {"POST /v1/responses HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		"malformed header":          {post + "no colon\r\n\r\n", http.StatusBadRequest},
+		"two lengths":               {post + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}", http.StatusBadRequest},
+		"unknown transfer encoding": {post + "Transfer-Encoding: gzip\r\n\r\n", http.StatusNotImplemented},
+		"other HTTP version":        {"POST /v1/responses HTTP/3.0\r\nHost: x\r\n\r\n", http.StatusHTTPVersionNotSupported},
+		"unknown expectation":       {post + "Expect: x\r\nContent-Length: 2\r\n\r\n{}", http.StatusExpectationFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn := w.dial()
+			_, err := conn.Write([]byte(c.text))
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.True(resp.Header.Get("Content-Type") != "application/json")
+			is.Equal(resp.Header.Get(headerRequestID), "")
+		})
+	}
+	is.New(t).Equal(w.scheduler.grantedSoFar(), 0)
+}
