Offer flags and files in the bash completion

Cause: the completion script chose its words by the previous word only, so after "catalogue apply" or "drain" it offered the top commands instead of files, and it never offered flags. No test ran it.

The script now follows the path of commands through the line, skips the values of flags, and offers flags for words that begin with a dash. A value that is also the name of a command is still taken for that command.

The step of TestCommands that quotes a line of the script quotes the new form of the same line.

--- a/internal/process/operator/completion.go
+++ b/internal/process/operator/completion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"strings"
 
@@ -15,28 +16,81 @@
 			if len(args) != 1 || args[0] != "bash" {
 				return usagef("completion: use bash")
 			}
-			_, err := fmt.Fprint(c.Stdout, bashCompletion(c.tree()))
+			other := &command{Env: c.Env}
+			root := other.tree()
+			other.prepare(root)
+			_, err := fmt.Fprint(c.Stdout, bashCompletion(root))
 			return err
 		},
 	}
 }
 
-// bashCompletion completes the words of the command tree, and files elsewhere.
+// bashScript has the cases that extend the path of commands, the flags that take
+// a value, and the cases that choose words and flags by the path. Where it has
+// no words, bash completes files.
+const bashScript = `_persimmonctl() {
+  local path="" words="" flags="" i
+  local current="${COMP_WORDS[COMP_CWORD]}" previous="${COMP_WORDS[COMP_CWORD-1]}"
+  for ((i = 1; i < COMP_CWORD; i++)); do
+    case "$path ${COMP_WORDS[i]}" in
+      %s) path="$path ${COMP_WORDS[i]}" ;;
+    esac
+  done
+  COMPREPLY=()
+  case "$previous" in
+    %s) return ;;
+  esac
+  case "$path" in
+%s  esac
+  if [[ $current == -* ]]; then words="$flags"; fi
+  COMPREPLY=($(compgen -W "$words" -- "$current"))
+}
+complete -o default -F _persimmonctl persimmonctl
+`
+
+// bashCompletion completes the words and flags of the command tree, and files
+// elsewhere. The commands must be prepared.
 func bashCompletion(root *ffcli.Command) string {
-	var b strings.Builder
-	b.WriteString("_persimmonctl() {\n  local words=\"" + names(root) + "\"\n  case \"${COMP_WORDS[COMP_CWORD-1]}\" in\n")
-	for _, sub := range root.Subcommands {
-		words := names(sub)
-		if sub.Name == "completion" {
-			words = "bash"
-		}
-		if words != "" {
-			fmt.Fprintf(&b, "    %s) words=\"%s\" ;;\n", sub.Name, words)
-		}
+	s := &completionScript{valued: map[string]bool{}}
+	s.add("", root)
+	return fmt.Sprintf(bashScript, strings.Join(s.paths, "|"), strings.Join(s.values, "|"), s.cases.String())
+}
+
+// completionScript collects the parts of the script.
+type completionScript struct {
+	paths, values []string
+	valued        map[string]bool
+	cases         strings.Builder
+}
+
+// add adds a command and those below it. The path holds the names of the
+// command and of those above it, each after a space.
+func (s *completionScript) add(path string, cmd *ffcli.Command) {
+	words := names(cmd)
+	if cmd.Name == "completion" {
+		words = "bash"
+	}
+	fmt.Fprintf(&s.cases, "    %q) words=%q flags=%q ;;\n", path, words, s.flags(cmd.FlagSet))
+	for _, sub := range cmd.Subcommands {
+		below := path + " " + sub.Name
+		s.paths = append(s.paths, fmt.Sprintf("%q", below))
+		s.add(below, sub)
 	}
-	b.WriteString("  esac\n  COMPREPLY=($(compgen -W \"$words\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n}\n")
-	b.WriteString("complete -o default -F _persimmonctl persimmonctl\n")
-	return b.String()
+}
+
+// flags returns the flags of a command and notes those that take a value.
+func (s *completionScript) flags(fs *flag.FlagSet) string {
+	var list []string
+	fs.VisitAll(func(f *flag.Flag) {
+		name := "-" + f.Name
+		list = append(list, name)
+		b, ok := f.Value.(interface{ IsBoolFlag() bool })
+		if (!ok || !b.IsBoolFlag()) && !s.valued[name] {
+			s.valued[name] = true
+			s.values = append(s.values, name)
+		}
+	})
+	return strings.Join(list, " ")
 }
 
 func names(c *ffcli.Command) string {
--- /dev/null
+++ b/internal/process/operator/completion_test.go
@@ -0,0 +1,60 @@
+package operator
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a completion script that bash refuses, that registers nothing,
+// or that offers commands where a file, a flag or a name is wanted.
+func TestBashCompletion(t *testing.T) {
+	bash, err := exec.LookPath("bash")
+	if err != nil {
+		t.Skip("there is no bash")
+	}
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.run("completion", "bash"), 0)
+	script := filepath.Join(t.TempDir(), "completion.bash")
+	is.NoErr(os.WriteFile(script, b.stdout.Bytes(), 0o600))
+	run := func(args ...string) string {
+		t.Helper()
+		out, err := exec.CommandContext(t.Context(), bash, append([]string{"--noprofile", "--norc"}, args...)...).CombinedOutput()
+		if err != nil {
+			t.Fatalf("bash %q: %v\n%s", args, err, out)
+		}
+		return strings.TrimSpace(string(out))
+	}
+	is.Equal(run("-n", script), "")
+	is.Equal(run("-c", `. "$1"; complete -p persimmonctl`, "bash", script), "complete -o default -F _persimmonctl persimmonctl")
+	// The words of the line follow the script; the last one is being completed.
+	complete := `set -u; . "$1"; shift; COMP_WORDS=("$@"); COMP_CWORD=$(($# - 1)); _persimmonctl; echo "${COMPREPLY[*]-}"`
+	for _, c := range []struct {
+		words []string
+		want  string
+	}{
+		{[]string{""}, "catalogue status workspaces explain drain undrain completion"},
+		{[]string{"un"}, "undrain"},
+		{[]string{"catalogue", ""}, "validate diff apply get history rollback"},
+		{[]string{"-gateways", "a:1", "catalogue", "r"}, "rollback"},
+		{[]string{"catalogue", "-author", "ann", "ap"}, "apply"},
+		{[]string{"catalogue", "apply", ""}, ""}, // files
+		{[]string{"catalogue", "apply", "f", "-m"}, "-message"},
+		{[]string{"catalogue", "apply", "f", "-message", ""}, ""},
+		{[]string{"status", ""}, ""},
+		{[]string{"status", "-b"}, "-backends"},
+		{[]string{"drain", ""}, ""},
+		{[]string{"drain", "status", "-y"}, "-yes"},
+		{[]string{"completion", ""}, "bash"},
+	} {
+		got := run(append([]string{"-c", complete, "bash", script, "persimmonctl"}, c.words...)...)
+		if got != c.want {
+			t.Errorf("%q: %q is offered, want %q", c.words, got, c.want)
+		}
+	}
+}
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -239,7 +239,7 @@
 		{"-gateways " + address + " explain xyz", "", 1, "each keeps its latest 2000"},
 		{"catalogue get -revision -3", "", 2, "-revision: -3 is not allowed"},
 		{"catalogue diff " + example + " -revision -3", "", 2, "-revision: -3 is not allowed"},
-		{"completion bash", "", 0, "catalogue) words=\"validate diff apply get history rollback\""},
+		{"completion bash", "", 0, "\" catalogue\") words=\"validate diff apply get history rollback\""},
 		{"completion fish", "", 2, "use bash"},
 	}
 	for _, s := range steps {
