Skip the values of flags in the bash completion

Cause: a value that is also the name of a command, as in "-author status", was taken for that command, and the words offered were those below it.

The loop over the line now passes over the word after a flag that takes a value. A new line of TestBashCompletion fails without it.

--- a/internal/process/operator/completion.go
+++ b/internal/process/operator/completion.go
@@ -25,23 +25,26 @@
 	}
 }
 
-// bashScript has the cases that extend the path of commands, the flags that take
-// a value, and the cases that choose words and flags by the path. Where it has
-// no words, bash completes files.
+// bashScript has three arguments: the cases that extend the path of commands,
+// the flags that take a value, and the cases that choose words and flags by the
+// path. Where it has no words, bash completes files.
 const bashScript = `_persimmonctl() {
   local path="" words="" flags="" i
   local current="${COMP_WORDS[COMP_CWORD]}" previous="${COMP_WORDS[COMP_CWORD-1]}"
   for ((i = 1; i < COMP_CWORD; i++)); do
+    case "${COMP_WORDS[i-1]}" in
+      %[2]s) continue ;;
+    esac
     case "$path ${COMP_WORDS[i]}" in
-      %s) path="$path ${COMP_WORDS[i]}" ;;
+      %[1]s) path="$path ${COMP_WORDS[i]}" ;;
     esac
   done
   COMPREPLY=()
   case "$previous" in
-    %s) return ;;
+    %[2]s) return ;;
   esac
   case "$path" in
-%s  esac
+%[3]s  esac
   if [[ $current == -* ]]; then words="$flags"; fi
   COMPREPLY=($(compgen -W "$words" -- "$current"))
 }
--- a/internal/process/operator/completion_test.go
+++ b/internal/process/operator/completion_test.go
@@ -43,6 +43,7 @@
 		{[]string{"catalogue", ""}, "validate diff apply get history rollback"},
 		{[]string{"-gateways", "a:1", "catalogue", "r"}, "rollback"},
 		{[]string{"catalogue", "-author", "ann", "ap"}, "apply"},
+		{[]string{"-author", "status", "d"}, "drain"},
 		{[]string{"catalogue", "apply", ""}, ""}, // files
 		{[]string{"catalogue", "apply", "f", "-m"}, "-message"},
 		{[]string{"catalogue", "apply", "f", "-message", ""}, ""},
