--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -40,12 +40,19 @@
 
 func (f *fifo) SetReplicas(_ time.Time, r []schedule.Replica)      { f.replicas = r }
 func (f *fifo) Report(time.Time, string, api.LoadReport)           {}
-func (f *fifo) State(time.Time) map[string]schedule.ReplicaState   { return nil }
 func (f *fifo) SetShare(float64)                                   {}
 func (f *fifo) SetFloor(float64, float64)                          {}
 func (f *fifo) NextWake(now time.Time) time.Time                   { return now.Add(100 * time.Millisecond) }
 func (f *fifo) Release(_ time.Time, id string, _ schedule.Outcome) { delete(f.running, id) }
 
+func (f *fifo) State(time.Time) map[string]schedule.ReplicaState {
+	out := map[string]schedule.ReplicaState{}
+	for _, p := range f.replicas {
+		out[p.Name] = schedule.ReplicaState{Running: len(f.running), BatchBound: p.MaxBatch}
+	}
+	return out
+}
+
 func (f *fifo) Enqueue(_ time.Time, r schedule.Request) *schedule.Refusal {
 	f.waiting = append(f.waiting, r)
 	return nil
--- a/internal/process/owner/manager_test.go
+++ b/internal/process/owner/manager_test.go
@@ -49,6 +49,26 @@
 	})
 }
 
+// Guards against a gateway that speaks for an engine whose group another one
+// owns, and against an owner that shows a lost engine as reachable.
+func TestEngineStates(t *testing.T) {
+	withFleet(t, 2, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		_, err := g[1].acquire("1", 1, time.Second)
+		is.NoErr(err)
+		state := g[0].EngineStates(time.Now())["e"]
+		is.True(state.Owned && state.Polled && !state.Unreachable)
+		is.Equal(state.Replica, schedule.ReplicaState{Running: 1, BatchBound: 2})
+		is.Equal(state.Report.KVCapacityTokens, 1000)
+		for _, other := range g[1:] {
+			is.True(!other.EngineStates(time.Now())["e"].Owned)
+		}
+		f.engines.crash("e", false)
+		time.Sleep(3 * time.Second)
+		is.True(g[0].EngineStates(time.Now())["e"].Unreachable)
+	})
+}
+
 // Guards against waits and grants that are lost with their owner: a killed
 // owner's callers go to the next one, which learns of the grants in use before
 // it gives their slots away for long.
