--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -72,8 +72,8 @@
 	claims   *claim.Store
 	limits   *limits.Limiter
 	division *limits.Exchange
-	hosts    *platform.HostList
 	services *service.Client
+	observed *observed
 	loads    *engine.Loads
 	gateway  *Gateway
 	// found is set once backend servers were discovered.
@@ -88,7 +88,8 @@
 	platformHTTP := &http.Client{Transport: engine.NewTransport()}
 	table := platform.NewTable(o.Platform.TableURL, platformHTTP, o.Platform.Timeout)
 	objects := platform.NewObjects(o.Platform.ObjectURL, platformHTTP, o.Platform.Timeout)
-	p.hosts = platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.Compressed(engine.NewTransport())}, o.Platform.Timeout)
+	hosts := platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.Compressed(engine.NewTransport())}, o.Platform.Timeout)
+	p.observed = newObserved(hosts, prober{p.services})
 	p.gossiper = p.newGossiper()
 	p.division = &limits.Exchange{
 		Self: o.Name, Limiter: p.limits, Division: limits.NewDivision(), View: p.gossiper, Caller: p.pool,
@@ -116,6 +117,7 @@
 		Logger:        logger,
 		Discovered:    p.discovered,
 		StatusSources: []StatusSource{p.status},
+		BackendSource: p.backends,
 	})
 	return p, err
 }
@@ -252,11 +254,15 @@
 // sharePeriod is the time between two looks at the number of live gateways.
 const sharePeriod = time.Second
 
-// keepShares adjusts this gateway's share of rate limits to the live gateways.
+// keepShares adjusts this gateway's share of rate limits to the live gateways
+// and the limits to the catalogue.
 func (p *process) keepShares(ctx context.Context) error {
 	tick := time.NewTicker(sharePeriod)
 	defer tick.Stop()
 	for {
+		if s := p.holder.Current(); s != nil {
+			p.limits.Retain(s.Catalogue)
+		}
 		p.limits.SetShare(1 / float64(max(1, len(p.gossiper.Live()))))
 		p.metrics.Gauge("catalogue_revision").Update(p.holder.Number())
 		p.metrics.Gauge("peer_bytes_in").Update(p.pool.Traffic().In() + p.server.Traffic().In())
@@ -277,8 +283,8 @@
 	for name, f := range map[string]func(context.Context) error{
 		"peer server":  func(context.Context) error { return p.server.Serve(peers) },
 		"gossip":       p.gossiper.Run,
-		"host list":    func(c context.Context) error { return p.gossiper.PollHosts(c, p.hosts) },
-		"applications": func(c context.Context) error { return p.gossiper.PollApplications(c, prober{p.services}) },
+		"host list":    func(c context.Context) error { return p.gossiper.PollHosts(c, p.observed) },
+		"applications": func(c context.Context) error { return p.gossiper.PollApplications(c, p.observed) },
 		"catalogue":    p.syncer.Run,
 		"scheduler":    p.manager.Run,
 		"claims":       p.claims.Run,
--- a/internal/process/limits/demand.go
+++ b/internal/process/limits/demand.go
@@ -35,27 +35,27 @@
 	Concurrent int
 }
 
-// use counts what was asked of one bucket since the last report.
-type use struct {
+// wanted counts what was asked of one bucket since the last report.
+type wanted struct {
 	attempts, refusedRate, refusedConcurrent int
 	tokens                                   int
 	// meanTokens is the mean number of tokens of a request.
 	meanTokens float64
 }
 
-func (u *use) refused(code fault.Code) {
+func (w *wanted) refused(code fault.Code) {
 	if code == fault.ConcurrencyLimited {
-		u.refusedConcurrent++
+		w.refusedConcurrent++
 		return
 	}
-	u.refusedRate++
+	w.refusedRate++
 }
 
-func (u *use) ended(tokens int) {
-	if u.meanTokens == 0 {
-		u.meanTokens = float64(tokens)
+func (w *wanted) ended(tokens int) {
+	if w.meanTokens == 0 {
+		w.meanTokens = float64(tokens)
 	}
-	u.meanTokens += sizeWeight * (float64(tokens) - u.meanTokens)
+	w.meanTokens += sizeWeight * (float64(tokens) - w.meanTokens)
 }
 
 // fraction is the demand in parts of the whole limit over a period.
@@ -63,15 +63,15 @@
 	seconds := period.Seconds()
 	demand := 0.0
 	if b.limits.RequestsPerSecond > 0 {
-		demand = max(demand, float64(b.use.attempts)/seconds/b.limits.RequestsPerSecond)
+		demand = max(demand, float64(b.wanted.attempts)/seconds/b.limits.RequestsPerSecond)
 	}
 	if b.limits.TokensPerSecond > 0 {
-		wanted := float64(b.use.tokens) + float64(b.use.refusedRate)*b.use.meanTokens
-		demand = max(demand, wanted/seconds/b.limits.TokensPerSecond)
+		tokens := float64(b.wanted.tokens) + float64(b.wanted.refusedRate)*b.wanted.meanTokens
+		demand = max(demand, tokens/seconds/b.limits.TokensPerSecond)
 	}
 	if b.limits.Concurrent > 0 {
-		wanted := b.running + b.use.refusedConcurrent
-		demand = max(demand, float64(wanted)/float64(b.limits.Concurrent))
+		concurrent := b.running + b.wanted.refusedConcurrent
+		demand = max(demand, float64(concurrent)/float64(b.limits.Concurrent))
 	}
 	return demand
 }
@@ -80,7 +80,7 @@
 // allotment that it uses.
 func (b *bucket) short(now time.Time, equal, fraction float64) bool {
 	switch {
-	case b.use.refusedRate+b.use.refusedConcurrent > 0:
+	case b.wanted.refusedRate+b.wanted.refusedConcurrent > 0:
 		return true
 	case now.Before(b.until) && fraction > 0:
 		return true
@@ -106,7 +106,7 @@
 		if f := b.fraction(period); b.short(now, l.share, f) {
 			out = append(out, Demand{Scope: name, Fraction: f, Concurrent: b.limits.Concurrent})
 		}
-		b.use = use{meanTokens: b.use.meanTokens}
+		b.wanted = wanted{meanTokens: b.wanted.meanTokens}
 	}
 	return out
 }
--- a/internal/process/limits/limits.go
+++ b/internal/process/limits/limits.go
@@ -50,6 +50,7 @@
 	tokens   *rate.Limiter
 	running  int
 	use      use
+	wanted   wanted
 	// allotted is the share that the home gave; it is in force until its end.
 	allotted Share
 	until    time.Time
@@ -62,6 +63,12 @@
 	l.share = share
 }
 
+// The prefixes of the names of buckets.
+const (
+	workspaceScope = "workspace "
+	entryScope     = "entry "
+)
+
 // Lease is the permission to run one request. Release must be called once.
 type Lease struct {
 	limiter *Limiter
@@ -77,13 +84,13 @@
 	scopes := []struct {
 		name   string
 		limits catalogue.Limits
-	}{{"workspace " + w.Name, w.Limits}, {"entry " + e.Name, e.Limits}}
+	}{{workspaceScope + w.Name, w.Limits}, {entryScope + e.Name, e.Limits}}
 	held := make([]*bucket, 0, len(scopes))
 	for _, s := range scopes {
 		b := l.bucket(now, s.name, s.limits)
-		b.use.attempts++
+		b.wanted.attempts++
 		if err := b.check(now, s.name); err != nil {
-			b.use.refused(err.Code)
+			b.wanted.refused(err.Code)
 			return nil, err
 		}
 		held = append(held, b)
@@ -101,7 +108,7 @@
 	x.tokens += n
 	for _, b := range x.held {
 		b.charge(now, n)
-		b.use.tokens += n
+		b.wanted.tokens += n
 	}
 }
 
@@ -111,7 +118,7 @@
 	defer x.limiter.mu.Unlock()
 	for _, b := range x.held {
 		b.running--
-		b.use.ended(x.tokens)
+		b.wanted.ended(x.tokens)
 	}
 	x.held = nil
 }
@@ -120,7 +127,7 @@
 func (l *Limiter) bucket(now time.Time, name string, limits catalogue.Limits) *bucket {
 	b := l.buckets[name]
 	if b == nil {
-		b = &bucket{}
+		b = &bucket{use: newUse(now)}
 		l.buckets[name] = b
 	}
 	if share := b.shareNow(now, l.share); b.limits != limits || b.share != share {
@@ -196,12 +203,14 @@
 
 func (b *bucket) take(now time.Time) {
 	b.running++
+	b.use.count(now, 1, 0)
 	if b.requests != nil {
 		b.requests.ReserveN(now, 1)
 	}
 }
 
 func (b *bucket) charge(now time.Time, n int) {
+	b.use.count(now, 0, n)
 	if b.tokens == nil {
 		return
 	}
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/process/adminapi"
 	"persimmonwing/internal/version/catalogue"
 	"persimmonwing/internal/version/revision"
 )
@@ -114,6 +115,30 @@
 
 const example = "../../../examples/huon-cane.yaml"
 
+// gatewayBackends is a gateway's answer at /backends.
+const gatewayBackends = `[{"name":"engine-1","kind":"engine","data_centre":"hobart","accepting":false,"reason":"resting","models":["guide"],` +
+	`"source":"owner","load":{"running":4,"batch_bound":16,"kv_used_tokens":900,"kv_capacity_tokens":20000}}]`
+
+// Guards against a merged line that is not the owner's, and against a server on
+// which gateways disagree that is not marked, or marked for a gateway that is silent.
+func TestMergeBackends(t *testing.T) {
+	is := is.New(t)
+	engine := func(s adminapi.Source, r adminapi.Reason) adminapi.Backend {
+		return adminapi.Backend{Name: "e", Source: s, Reason: r, Accepting: r == ""}
+	}
+	lines := mergeBackends([]answer[[]adminapi.Backend]{
+		{address: "a", value: []adminapi.Backend{engine(adminapi.SourceGossip, "")}},
+		{address: "b", value: []adminapi.Backend{engine(adminapi.SourceOwner, adminapi.ReasonUnreachable), {Name: "d", Source: adminapi.SourceGossip, Accepting: true}}},
+		{address: "c", value: []adminapi.Backend{engine(adminapi.SourcePoll, adminapi.ReasonUnreachable)}},
+		{address: "silent", err: errors.New("timeout")},
+	})
+	is.Equal(len(lines), 2)
+	is.Equal(lines[0].Differs, []string{"a: not known", "c: not known"})
+	is.Equal(lines[1].Gateway, "b")
+	is.Equal(lines[1].Reason, adminapi.ReasonUnreachable)
+	is.Equal(lines[1].Differs, []string{"a: accepting"})
+}
+
 // Guards against commands with a wrong exit code or without their output, over
 // the life of a catalogue.
 func TestCommands(t *testing.T) {
@@ -121,6 +146,10 @@
 		switch r.URL.Path {
 		case "/status":
 			w.Write([]byte(`{"name":"gw1","data_centre":"hobart","revision":7,"ready":true,"live_peers":5,"groups_owned":2,"platform_reachable":true}`))
+		case "/backends":
+			w.Write([]byte(gatewayBackends))
+		case "/usage":
+			w.Write([]byte(`[{"workspace":"gone","concurrent":9},{"workspace":"hobart-shop","requests_per_second":4.56,"concurrent":2}]`))
 		case "/explain/abc":
 			w.Write([]byte("granted e1\n"))
 		default:
@@ -180,9 +209,16 @@
 		{"drain engine-2", "", 1, "more than half of the 3 replicas"},
 		{"drain engine-2 -yes", "", 0, "accepted as revision 5"},
 		{"undrain engine-1", "", 0, "accepted as revision 6"},
+		{"undrain engine-2 -gateways " + address, "", 0, "accepted as revision 7"},
+		{"drain engine-1 -gateways " + address, "", 0, "accepted as revision 8"},
+		{"undrain engine-1 -gateways " + address, "", 0, "accepted as revision 9"},
+		{"drain engine-9 -gateways 127.0.0.1:1," + address, "", 1, "none of the 1 gateways that answered knows a backend server named engine-9"},
+		{"drain engine-9 -gateways 127.0.0.1:1", "no\n", 1, "none of the 1 gateways answered, so the name engine-9 was not checked"},
+		{"drain engine-9 -gateways " + address, "yes\n", 0, "accepted as revision 10"},
+		{"undrain engine-9 -gateways " + address, "", 0, "accepted as revision 11"},
 		{"drain", "", 2, "one backend server"},
-		{"catalogue history -limit 4", "", 0, "rollback to revision 1\n"},
-		{"catalogue history -output json", "", 0, `"revision": 6`},
+		{"catalogue history -limit 9", "", 0, "rollback to revision 1\n"},
+		{"catalogue history -output json", "", 0, `"revision": 11`},
 		{"workspaces", "", 0, "care-guide,letter-sorting"},
 		{"status", "", 2, "-gateways must be set"},
 		{"status -gateways localhost", "", 2, "use host:port"},
@@ -193,11 +229,17 @@
 		{"-gateways " + address + " status", "", 0, "gw1      hobart       7         true   5           2       true"},
 		{"status -gateways " + address + " -output json", "", 0, `"groups_owned": 2`},
 		{"-gateways 127.0.0.1:1," + address + " status", "", 1, "1 of 2 gateways didn't answer; check -gateways"},
+		{"status -backends -gateways " + address, "", 0, "engine-1  engine  hobart       guide   resting  4        16     900 of 20000"},
+		{"status -backends -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer; check -gateways"},
+		{"workspaces -gateways " + address + "," + address, "", 0, "hobart-shop      1       1     9.1 of 10   0 of unlimited  4 of 40     requests_per_second  "},
+		{"workspaces -gateways " + address, "", 0, "hobart-shop      1       1     4.6 of 10   0 of unlimited  2 of 40                 "},
+		{"workspaces -gateways " + address + "," + address + " -output json", "", 0, `"near_limits": [`},
+		{"workspaces -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer"},
 		{"-gateways 127.0.0.1:1," + address + " explain abc", "", 0, "granted e1"},
 		{"-gateways " + address + " explain xyz", "", 1, "each keeps its latest 2000"},
 		{"catalogue get -revision -3", "", 2, "-revision: -3 is not allowed"},
 		{"catalogue diff " + example + " -revision -3", "", 2, "-revision: -3 is not allowed"},
-		{"completion bash", "", 0, "catalogue) words=\"validate diff apply get history rollback\""},
+		{"completion bash", "", 0, "\" catalogue\") words=\"validate diff apply get history rollback\""},
 		{"completion fish", "", 2, "use bash"},
 	}
 	for _, s := range steps {
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -45,6 +45,14 @@
 func (f *fifo) NextWake(now time.Time) time.Time                   { return now.Add(100 * time.Millisecond) }
 func (f *fifo) Release(_ time.Time, id string, _ schedule.Outcome) { delete(f.running, id) }
 
+func (f *fifo) State(time.Time) map[string]schedule.ReplicaState {
+	out := map[string]schedule.ReplicaState{}
+	for _, p := range f.replicas {
+		out[p.Name] = schedule.ReplicaState{Running: len(f.running), BatchBound: p.MaxBatch}
+	}
+	return out
+}
+
 func (f *fifo) Enqueue(_ time.Time, r schedule.Request) *schedule.Refusal {
 	f.waiting = append(f.waiting, r)
 	return nil
