Write claims through one collector in each data centre

Cause: at the target (400 gateways, 0.8 non-idempotent calls/s each) no two claims of a gateway share a transaction, so the table sees 640 transactions/s and is good for about 500.

A gateway now hands its claim rows to the first live gateway of its data centre by rendezvous hash. That one writes all rows of the data centre in one transaction, at most one in 40 ms unless 64 rows wait. A write without an answer has an unknown outcome, as with the table, and the nonce read-back decides; repeated writes go directly to the table. A silent collector rests for 3 s, and the second gateway by hash takes its place.

Ruled out: settlements that share the transaction of the gateway's next claim (320 transactions/s remain and grow with the calls; a settlement waits 1.25 s on average at 0.8 calls/s); a wait of 50 ms after the first row (100 ms for claim and settlement when calls are few); two collectors by hash of the key (twice the transactions).

--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -115,6 +115,59 @@
 	is.Equal(all.Resumed, 0)
 }
 
+// Guards against claims that do not go through the collector of a data centre,
+// and against calls that fail or run twice when the collector has stopped.
+func TestClaimsOutliveTheirCollector(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := smallFleet(t, nil)
+	book := func(target, key string) int {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, target+"/v1/services/booking", strings.NewReader("seat"))
+		is.NoErr(err)
+		r.Header.Set("Authorization", "Bearer "+keyA)
+		r.Header.Set("Idempotency-Key", key)
+		resp, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	forwarded := func(admin string) int64 {
+		resp := call(t, http.MethodGet, admin+"/metrics", "", "")
+		defer func() { _ = resp.Body.Close() }()
+		var m map[string]struct {
+			Value int64 `json:"value"`
+		}
+		is.NoErr(json.NewDecoder(resp.Body).Decode(&m))
+		return m["claim_batches_forwarded"].Value
+	}
+	collector := -1
+	for i, target := range f.Targets() {
+		is.Equal(book(target, fmt.Sprint("before-", i)), http.StatusOK)
+	}
+	for range 50 {
+		for i, admin := range f.AdminTargets() {
+			if forwarded(admin) > 0 {
+				collector = 1 - i
+			}
+		}
+		if collector >= 0 {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.True(collector >= 0) // one of the two forwards its claims to the other
+	survivor := f.Targets()[1-collector]
+	<-f.StopGateway(collector)
+	for i := range 3 {
+		is.Equal(book(survivor, fmt.Sprint("after-", i)), http.StatusOK)
+	}
+	for id, runs := range f.CallRuns() {
+		if runs > 1 {
+			t.Errorf("call %s ran %d times", id, runs)
+		}
+	}
+}
+
 // restartAll stops one gateway after the other and starts it anew with the same
 // settings, as soon as it has ended.
 func restartAll(ctx context.Context, f *fleet.Fleet, options []*gateway.Options, running *sync.WaitGroup) error {
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -92,6 +92,8 @@
 	p.manager = p.newManager(engines)
 	claimOptions := claim.DefaultOptions()
 	claimOptions.Logger = logging.Part(logger, "claim")
+	claimOptions.Collectors = p.claimCollectors
+	claimOptions.Caller = p.pool
 	p.claims = claim.NewStore(table, claimOptions)
 	if err := p.newServer(); err != nil {
 		return nil, err
@@ -153,6 +155,18 @@
 	}
 }
 
+// purposeClaims elects the collectors of claim writes.
+const purposeClaims = "claims"
+
+// claimCollectors lists the collectors of this data centre, the first one first.
+func (p *process) claimCollectors() []claim.Collector {
+	var out []claim.Collector
+	for _, g := range p.gossiper.Ranked(purposeClaims, claim.MaxCollectors) {
+		out = append(out, claim.Collector{Address: g.PeerAddress, Self: g.Name == p.opts.Name})
+	}
+	return out
+}
+
 // purposeCatalogue elects the pollers of the catalogue's head.
 const purposeCatalogue = "catalogue"
 
@@ -235,6 +249,7 @@
 		p.server.Register(owner.ServiceName, p.manager.Service()),
 		p.server.Register(owner.SuspectsServiceName, p.manager.Suspects()),
 		p.server.Register(catalogueServiceName, &catalogueService{p.holder}),
+		p.server.Register(claim.ServiceName, p.claims.Service()),
 	)
 }
 
@@ -250,6 +265,9 @@
 		p.metrics.Gauge("catalogue_revision").Update(p.holder.Number())
 		p.metrics.Gauge("peer_bytes_in").Update(p.pool.Traffic().In() + p.server.Traffic().In())
 		p.metrics.Gauge("peer_bytes_out").Update(p.pool.Traffic().Out() + p.server.Traffic().Out())
+		claims := p.claims.Stats()
+		p.metrics.Gauge("claim_transactions").Update(claims.Transactions)
+		p.metrics.Gauge("claim_batches_forwarded").Update(claims.Forwarded)
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
--- a/internal/process/loadgen/capacity/claims.go
+++ b/internal/process/loadgen/capacity/claims.go
@@ -4,17 +4,113 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"persimmonwing/internal/connection/engine"
+	"persimmonwing/internal/connection/peer"
 	"persimmonwing/internal/connection/platform"
 	standinplatform "persimmonwing/internal/process/standin/platform"
 	"persimmonwing/internal/request/claim"
 )
 
+const (
+	claimMeasure = 6 * time.Second
+	// claimCallTime is the time in which the application server answers.
+	claimCallTime = 20 * time.Millisecond
+	// claimAnswer is the size of a recorded body, in bytes.
+	claimAnswer = 300
+	// budgetWait is the bound of a caller's added latency, in ms at p95.
+	budgetWait = 100
+	claimRate  = targetRequests * nonIdempotentShare // calls/s of one gateway
+)
+
+// claimCost is what the claims of one data centre cost.
+type claimCost struct {
+	// txns are transactions/s, rows the rows of one.
+	txns, rows float64
+	// wait is the time of claim and settlement together, in ms at p95.
+	wait float64
+	// collector and gateway are bytes/s: those of the collector with peers and
+	// table, and those of each other gateway with the collector.
+	collector, gateway float64
+	failed             int64
+}
+
+// claimSizes are gateways of one data centre.
+var claimSizes = []int{7, 25, targetPerCentre, 2 * targetPerCentre, 4 * targetPerCentre}
+
+func measureClaims(ctx context.Context, r *report) error {
+	costs := make([]claimCost, len(claimSizes)+1)
+	errs := make([]error, len(costs))
+	// The sizes run at once, each with its own table, since their load is light
+	// and they mostly wait.
+	var wait sync.WaitGroup
+	for i := range costs {
+		wait.Go(func() {
+			if i == len(claimSizes) {
+				costs[i], errs[i] = claimsOf(ctx, targetPerCentre, false, i)
+				return
+			}
+			costs[i], errs[i] = claimsOf(ctx, claimSizes[i], true, i)
+		})
+	}
+	wait.Wait()
+	failed := int64(0)
+	for i, err := range errs {
+		if err != nil {
+			return err
+		}
+		failed += costs[i].failed
+	}
+	reportClaims(r, costs[:len(claimSizes)], costs[len(claimSizes)], failed)
+	return nil
+}
+
+func reportClaims(r *report, costs []claimCost, direct claimCost, failed int64) {
+	pick := func(value func(claimCost) float64) []point {
+		var out []point
+		for i, c := range costs {
+			out = append(out, point{float64(claimSizes[i]), value(c)})
+		}
+		return out
+	}
+	const size = "gateways of a data centre, 0.8 calls/s each"
+	add := func(name, unit string, budget float64, note string, value func(claimCost) float64) {
+		r.add(line{name: name, size: size, unit: unit, points: pick(value), target: targetPerCentre, budget: budget, note: note})
+	}
+	add("transactions of a collector", "transactions/s", 0,
+		fmt.Sprintf("one transaction in %v at most; without a collector %.4g; failed calls: %d", claim.DefaultOptions().CollectPace, direct.txns, failed),
+		func(c claimCost) float64 { return c.txns })
+	add("rows of a claim transaction", "rows", 0, "one row to claim, one to record the answer", func(c claimCost) float64 { return c.rows })
+	add("wait for claim and settlement", "ms at p95", budgetWait,
+		fmt.Sprintf("without a collector %.4g; the sizes run at once on one machine", direct.wait), func(c claimCost) float64 { return c.wait })
+	add("claim bytes of a collector", "B/s", 0, fmt.Sprintf("with peers and table; answers of %d bytes; without collectors %.4g with the table at each gateway", claimAnswer, direct.collector/targetPerCentre), func(c claimCost) float64 { return c.collector })
+	add("claim bytes of a gateway", "B/s", 0, "with the collector; mean of the others, with pings and handshakes", func(c claimCost) float64 { return c.gateway })
+	var writes []point
+	for _, centres := range []float64{1, 4, targetCentres} {
+		writes = append(writes, point{centres, centres * r.at("transactions of a collector")})
+	}
+	r.add(line{name: "table writes of claims", size: "data centres, 50 gateways each", unit: "writes/s", points: writes, target: targetCentres, budget: budgetWrites,
+		note: fmt.Sprintf("multiples of one data centre; without collectors %.4g", targetCentres*direct.txns)})
+}
+
+// claimWorld is one data centre's gateways, the first of which collects.
+type claimWorld struct {
+	table  *countedTable
+	http   *counted
+	server *peer.Server
+	pools  []*peer.Pool
+	stores []*claim.Store
+}
+
 // countedTable counts transactions and rows.
 type countedTable struct {
 	claim.Table
@@ -28,52 +124,103 @@
 	return t.Table.Txn(ctx, ops)
 }
 
-// claimRates are calls/s of one gateway. The first is the target's.
-var claimRates = []float64{targetRequests * nonIdempotentShare, 8, 80, 400}
-
-func measureClaims(ctx context.Context, r *report) error {
-	c, err := serveCounted(standinplatform.New(standinplatform.DefaultSettings()))
+func newClaimWorld(gateways int, collected bool) (*claimWorld, error) {
+	secret := []byte("secret of the capacity measurement")
+	w := &claimWorld{}
+	var err error
+	if w.http, err = serveCounted(standinplatform.New(standinplatform.DefaultSettings())); err != nil {
+		return nil, err
+	}
+	w.table = &countedTable{Table: platform.NewTable("http://"+w.http.address, &http.Client{Transport: engine.NewTransport()}, 2*time.Second)}
+	if w.server, err = peer.NewServer(secret, log.NewNopLogger()); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer c.close()
-	var perCall, perTxn []point
-	for i, rate := range claimRates {
-		t := &countedTable{Table: platform.NewTable("http://"+c.address, &http.Client{Transport: engine.NewTransport()}, 2*time.Second)}
-		calls := callsAt(ctx, t, rate, i)
-		perCall = append(perCall, point{rate, float64(t.txns.Load()) / float64(calls)})
-		perTxn = append(perTxn, point{rate, float64(t.rows.Load()) / float64(t.txns.Load())})
+	for i := range gateways {
+		pool := peer.NewPool(secret, peer.DialTCP)
+		o := claim.DefaultOptions()
+		o.Caller = pool
+		if collected {
+			o.Collectors = func() []claim.Collector {
+				return []claim.Collector{{Address: listener.Addr().String(), Self: i == 0}}
+			}
+		}
+		w.pools = append(w.pools, pool)
+		w.stores = append(w.stores, claim.NewStore(w.table, o))
 	}
-	r.add(line{name: "rows of a claim transaction", size: "calls/s of a gateway", unit: "rows", points: perTxn, target: claimRates[0]})
-	r.add(line{name: "transactions of a call", size: "calls/s of a gateway", unit: "transactions", points: perCall, target: claimRates[0],
-		note: "one row to claim, one to record the answer"})
-	var writes []point
-	for _, gateways := range []float64{7, 100, targetGateways} {
-		writes = append(writes, point{gateways, gateways * claimRates[0] * perCall[0].value})
+	if err := w.server.Register(claim.ServiceName, w.stores[0].Service()); err != nil {
+		return nil, err
 	}
-	r.add(line{name: "table writes of claims", size: "gateways, 0.8 calls/s each", unit: "writes/s", points: writes, target: targetGateways, budget: budgetWrites,
-		note: "the sizes are multiples of the measured transactions of a call; at 0.8 calls/s nothing shares a transaction (gaps above 100 ms are cut to it, which can only group more)"})
-	return nil
+	go func() { _ = w.server.Serve(listener) }()
+	return w, nil
+}
+
+func (w *claimWorld) close() {
+	for _, p := range w.pools {
+		p.Close()
+	}
+	w.server.Close()
+	w.http.close()
 }
 
-// callsAt makes calls with random gaps for a few seconds and returns their number.
-func callsAt(ctx context.Context, t claim.Table, rate float64, run int) int {
-	s := claim.NewStore(t, claim.DefaultOptions())
+// claimsOf makes calls at random gateways with random gaps.
+func claimsOf(ctx context.Context, gateways int, collected bool, run int) (claimCost, error) {
+	w, err := newClaimWorld(gateways, collected)
+	if err != nil {
+		return claimCost{}, err
+	}
+	defer w.close()
 	random := rand.New(rand.NewPCG(5, uint64(run)))
-	calls := max(20, int(rate*2))
-	var wait sync.WaitGroup
-	for i := range calls {
-		wait.Go(func() {
-			k := claim.Key{Workspace: "w", Entry: "booking", IdempotencyKey: fmt.Sprint(run, "-", i)}
-			if c, _, err := s.Begin(ctx, k, "digest"); err == nil {
-				// The application server answers after about 20 ms.
-				pause(ctx, 20*time.Millisecond)
-				_ = c.Finish(ctx, claim.Answer{Status: http.StatusOK, Body: []byte("booked")})
+	rate := claimRate * float64(gateways)
+	var cost claimCost
+	var failed atomic.Int64
+	var mu sync.Mutex
+	var waits []float64
+	var calls sync.WaitGroup
+	start := time.Now()
+	for i := 0; time.Since(start) < claimMeasure && ctx.Err() == nil; i++ {
+		store := w.stores[random.IntN(gateways)]
+		key := claim.Key{Workspace: "workspace-17", Entry: "booking", IdempotencyKey: fmt.Sprintf("%08x-%024x", run, i)}
+		calls.Go(func() {
+			took, err := callOnce(ctx, store, key)
+			if err != nil {
+				failed.Add(1)
+				return
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			waits = append(waits, float64(took.Microseconds())/1e3)
 		})
-		// Gaps above 100 ms are cut, since nothing is grouped over them.
-		pause(ctx, time.Duration(min(random.ExpFloat64()/rate, 0.1)*float64(time.Second)))
+		pause(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
 	}
-	wait.Wait()
-	return calls
+	calls.Wait()
+	seconds := time.Since(start).Seconds()
+	slices.Sort(waits)
+	peers := float64(w.server.Traffic().In() + w.server.Traffic().Out())
+	cost.failed = failed.Load()
+	cost.txns = float64(w.table.txns.Load()) / seconds
+	cost.rows = float64(w.table.rows.Load()) / float64(w.table.txns.Load())
+	if len(waits) > 0 {
+		cost.wait = waits[len(waits)*95/100]
+	}
+	cost.collector = (peers + float64(w.http.bytes.Load())) / seconds
+	cost.gateway = peers / seconds / float64(gateways-1)
+	return cost, nil
+}
+
+// callOnce returns the time of claim and settlement of one call.
+func callOnce(ctx context.Context, s *claim.Store, k claim.Key) (time.Duration, error) {
+	start := time.Now()
+	c, _, err := s.Begin(ctx, k, strings.Repeat("d", 64))
+	if err != nil {
+		return 0, err
+	}
+	claimed := time.Since(start)
+	pause(ctx, claimCallTime)
+	start = time.Now()
+	err = c.Finish(ctx, claim.Answer{Status: http.StatusOK, Body: []byte(strings.Repeat("a", claimAnswer))})
+	return claimed + time.Since(start), err
 }
--- a/internal/process/loadgen/capacity/roles.go
+++ b/internal/process/loadgen/capacity/roles.go
@@ -14,12 +14,15 @@
 		{"polls of engines, mean", r.at("engine poll bytes")},
 		{"host list every 10 s", fallback * r.at("host list read bytes")},
 		{"catalogue fetches", edits},
+		{"claims, handed to the collector", r.at("claim bytes of a gateway")},
 	}
 	r.sum("control bytes of a gateway", "B/s", budgetBytes, bytes)
 	poller := append(append([]part(nil), bytes...), part{"host list every second instead", (1 - fallback) * r.at("host list read bytes")})
 	r.sum("control bytes of an elected poller", "B/s", budgetBytes, poller)
 	owner := append(append([]part(nil), bytes...), part{"polls of 8 owned replicas instead of the mean", r.at("engine poll bytes of an owner") - r.at("engine poll bytes")})
 	r.sum("control bytes of a group owner", "B/s", budgetBytes, owner)
+	collector := append(append([]part(nil), bytes...), part{"claims of the data centre, with the table", r.at("claim bytes of a collector") - r.at("claim bytes of a gateway")})
+	r.sum("control bytes of a claim collector", "B/s", budgetBytes, collector)
 	core := []part{
 		{"gossip", r.at("gossip CPU " + gossip)},
 		{"decisions, 8 a second", targetRequests * r.at("decision") / 1e4},
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -137,6 +137,24 @@
 	return slices.Contains(order[:min(pollers, len(order))], self.Name)
 }
 
+// Ranked returns at most n live gateways of this data centre, by rendezvous hash
+// for purpose. Gateways with the same view get the same result.
+func (g *Gossiper) Ranked(purpose string, n int) []Gateway {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.state.table
+	order := rank(g.names(t.self.DataCentre), purpose)
+	var out []Gateway
+	for _, name := range order[:min(n, len(order))] {
+		host := t.self
+		if name != host.Name {
+			host = t.hosts[name].Host
+		}
+		out = append(out, Gateway{Name: name, DataCentre: host.DataCentre, PeerAddress: host.PeerAddress, Incarnation: host.Incarnation, Live: true})
+	}
+	return out
+}
+
 func pollerKey(purpose, gateway string) FactKey {
 	return FactKey{FactPoller, purpose + "/" + gateway}
 }
--- a/internal/request/claim/begin.go
+++ b/internal/request/claim/begin.go
@@ -62,7 +62,9 @@
 	// unresolved tells that a write with ifRevision may have been applied or may
 	// still be.
 	unresolved bool
-	backoff    *backoff.ExponentialBackOff
+	// repeat tells that an earlier write of this attempt had no answer.
+	repeat  bool
+	backoff *backoff.ExponentialBackOff
 }
 
 // run returns the revision of the row that it claimed, or a recorded answer.
@@ -83,7 +85,7 @@
 // answer is resolved by reading the row back.
 func (a *attempt) write(ctx context.Context) (platform.Row, error) {
 	op := platform.CondPut{Key: a.key, Value: a.record.encode(), IfRevision: a.ifRevision}
-	put, err := a.store.batcher.put(ctx, op)
+	put, err := a.store.put(ctx, op, a.repeat)
 	switch {
 	case err == nil:
 		return put.Row, nil
@@ -91,6 +93,7 @@
 		return platform.Row{}, err
 	}
 	a.unresolved = true
+	a.repeat = true
 	return a.readBack(ctx, err)
 }
 
--- a/internal/request/claim/property_test.go
+++ b/internal/request/claim/property_test.go
@@ -178,15 +178,16 @@
 	}
 }
 
-// play runs the sends in virtual time and returns the problems seen.
-func play(sends []send, plans []platformtest.Plan) []string {
+// play runs the sends in virtual time and returns the problems seen. With a
+// network the gateways write through collectors.
+func play(sends []send, plans []platformtest.Plan, n *network) []string {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	faults := &faultQueue{plans: plans}
 	table := &platformtest.Table{Next: faults.next}
 	var stores [gateways]*Store
 	for i := range stores {
-		stores[i] = startStore(ctx, table)
+		stores[i] = n.startStore(ctx, table, i)
 	}
 	w := &world{nonces: map[string]bool{}}
 	var callers sync.WaitGroup
@@ -195,6 +196,7 @@
 	}
 	callers.Wait()
 	faults.clear()
+	n.clear()
 	time.Sleep(time.Minute)
 	w.checkEnd(stores[0])
 	return w.problems
@@ -209,7 +211,7 @@
 		sends := rapid.SliceOfN(rapid.Custom(drawSend), 1, 8).Draw(rt, "sends")
 		plans := rapid.SliceOfN(rapid.Custom(drawPlan), 0, 24).Draw(rt, "plans")
 		var problems []string
-		synctest.Test(t, func(*testing.T) { problems = play(sends, plans) })
+		synctest.Test(t, func(*testing.T) { problems = play(sends, plans, nil) })
 		if len(problems) > 0 {
 			rt.Fatalf("%d problems: %q", len(problems), problems)
 		}
--- a/internal/request/claim/row.go
+++ b/internal/request/claim/row.go
@@ -32,6 +32,8 @@
 	return rowPrefix + strings.Join(parts, "/")
 }
 
+func isClaimRow(key string) bool { return strings.HasPrefix(key, rowPrefix) }
+
 // Answer is the outcome of a call that ran.
 type Answer struct {
 	Status int         `json:"status"`
--- a/internal/request/claim/settle.go
+++ b/internal/request/claim/settle.go
@@ -22,6 +22,8 @@
 	// ifRevision is the revision on which an earlier write of this nonce was
 	// conditional, or that of the claimed row.
 	ifRevision int64
+	// repeat tells that an earlier write of it had no answer.
+	repeat bool
 }
 
 // settle writes until the row no longer can be claimed under the nonce.
@@ -36,7 +38,8 @@
 func (s *Store) settleOnce(ctx context.Context, t *settlement) error {
 	for {
 		op := platform.CondPut{Key: t.key, Value: t.value, IfRevision: t.ifRevision}
-		put, err := s.batcher.put(ctx, op)
+		put, err := s.put(ctx, op, t.repeat)
+		t.repeat = t.repeat || err != nil
 		if err != nil || put.Applied {
 			return err
 		}
--- a/internal/request/claim/store.go
+++ b/internal/request/claim/store.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -33,7 +35,22 @@
 	ResolveTimeout time.Duration
 	// QueueSize bounds the rows that wait to be settled in the background.
 	QueueSize int
-	Logger    log.Logger
+	// Collectors returns the gateways of this data centre that may write for the
+	// others, in the same order at each of them as far as their views agree. Nil
+	// or an empty result means that all writes go directly to the table.
+	Collectors func() []Collector
+	// Caller reaches collectors.
+	Caller Caller
+	// CollectPace is the least time between two transactions of a collector,
+	// unless a batch is full.
+	CollectPace time.Duration
+	// CollectTimeout is the time in which a collector answers, with an unknown
+	// outcome if the table is slower; CollectGrace is added by the sender, and a
+	// collector that has not answered by then is not asked again for CollectRest.
+	CollectTimeout time.Duration
+	CollectGrace   time.Duration
+	CollectRest    time.Duration
+	Logger         log.Logger
 }
 
 // DefaultOptions returns the limits of the design.
@@ -44,7 +61,14 @@
 		TxnTimeout:     time.Second,
 		ResolveTimeout: 2 * time.Second,
 		QueueSize:      4096,
-		Logger:         log.NewNopLogger(),
+		// A call waits for the pace twice, to claim and to settle, each time evenly
+		// spread over it: 67 ms at p95. Each data centre makes 25 transactions/s.
+		CollectPace:    40 * time.Millisecond,
+		CollectTimeout: 300 * time.Millisecond,
+		CollectGrace:   100 * time.Millisecond,
+		// Gossip counts a lost gateway dead after 3 s.
+		CollectRest: 3 * time.Second,
+		Logger:      log.NewNopLogger(),
 	}
 }
 
@@ -53,18 +77,56 @@
 type Store struct {
 	table   Table
 	options Options
-	batcher *batcher
-	queue   chan settlement
+	// routed is for the first write of a row, repeats for later attempts of it,
+	// and collected for the rows of the data centre when this gateway collects.
+	routed, repeats, collected *batcher
+	router                     *router
+	queue                      chan settlement
+	transactions               atomic.Int64
 }
 
 // NewStore returns a Store over a table.
 func NewStore(t Table, o Options) *Store {
-	return &Store{
-		table:   t,
-		options: o,
-		batcher: &batcher{table: t, rows: o.BatchRows, wait: o.BatchWait, timeout: o.TxnTimeout},
-		queue:   make(chan settlement, o.QueueSize),
+	s := &Store{table: t, options: o, queue: make(chan settlement, o.QueueSize)}
+	table := direct{t, &s.transactions}
+	s.collected = &batcher{to: table, rows: o.BatchRows, pace: o.CollectPace, timeout: o.TxnTimeout}
+	s.router = &router{
+		collectors: o.Collectors,
+		caller:     o.Caller,
+		collected:  s.collected,
+		direct:     table,
+		timeout:    o.CollectTimeout,
+		grace:      o.CollectGrace,
+		rest:       o.CollectRest,
+		resting:    map[string]time.Time{},
 	}
+	s.routed = &batcher{to: s.router, rows: o.BatchRows, wait: o.BatchWait, timeout: o.TxnTimeout}
+	s.repeats = &batcher{to: bypass{s.router}, rows: o.BatchRows, wait: o.BatchWait, timeout: o.TxnTimeout}
+	return s
+}
+
+// Stats counts the writes of a Store since its start.
+type Stats struct {
+	// Transactions were sent to the table, Forwarded to another collector.
+	Transactions, Forwarded int64
+}
+
+// Stats returns the counts so far.
+func (s *Store) Stats() Stats {
+	return Stats{Transactions: s.transactions.Load(), Forwarded: s.router.forwarded.Load()}
+}
+
+// put writes one row. The first write of it goes through a collector, unless
+// there is none. A repeated one goes directly to the table, as does one that the
+// collector certainly did not make: it may be cut off from the table.
+func (s *Store) put(ctx context.Context, op platform.CondPut, repeat bool) (platform.PutResult, error) {
+	if !repeat {
+		put, err := s.routed.put(ctx, op)
+		if !errors.Is(err, errCollected) || !errors.Is(err, platform.ErrNotApplied) {
+			return put, err
+		}
+	}
+	return s.repeats.put(ctx, op)
 }
 
 // Backoff between attempts of one write: short at first, as most losses are of
