Delete claim rows 7 days after their last write

Cause: nothing deleted claim rows, although the design keeps them for 7 days.

One gateway of each data centre reads one page of 128 keys a second and deletes the expired ones in at most one transaction a second, on condition of the revision that it read. The age of a row is counted in marks: a row of the table holds its own former revisions, and one is added only by a process that saw the row unchanged for an hour on its monotonic clock. The revision of a claim row tells how many marks it is older than. Wall clocks are not used.

Decisions: rows in progress are deleted like all others, because retention limits the promise in every state and each timed-out call would otherwise leave a row for ever. A claim is no longer dispatched after its deadline by the wall clock either, since the monotonic clock of a suspended host stops.

Ruled out: a time in the row (a wrong wall clock would end the protection of a call early), an index row by time (one more row for each transaction), the active controller (gateways serve without one).

The tests fail with a cutoff that is one mark too new, with marks after 54 minutes, and with marks that ignore a change of the row.

--- a/internal/connection/platform/contract_test.go
+++ b/internal/connection/platform/contract_test.go
@@ -25,6 +25,7 @@
 type table interface {
 	Get(ctx context.Context, key string) (platform.Row, error)
 	List(ctx context.Context, prefix string, limit int) ([]platform.Row, error)
+	Keys(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error)
 	Txn(ctx context.Context, ops []platform.CondPut) ([]platform.PutResult, error)
 }
 
@@ -124,6 +125,19 @@
 	if err != nil || len(first) != min(1, len(model)) {
 		t.Fatalf("list with limit: %d rows, err %v", len(first), err)
 	}
+	after := prefix
+	for i := 0; i < len(rows); i += 2 {
+		page, err := tab.Keys(t.Context(), prefix, after, 2)
+		if err != nil || len(page) != min(2, len(rows)-i) {
+			t.Fatalf("keys after %q: %d rows, err %v", after, len(page), err)
+		}
+		for j, row := range page {
+			if row.Key != rows[i+j].Key || row.Revision != rows[i+j].Revision || len(row.Value) > 0 {
+				t.Fatalf("keys after %q: %+v", after, row)
+			}
+			after = row.Key
+		}
+	}
 	_, err = tab.Get(t.Context(), prefix+"none")
 	if !errors.Is(err, platform.ErrNotFound) {
 		t.Fatalf("get of no row: %v", err)
--- a/internal/connection/platform/etcdjson/etcdjson.go
+++ b/internal/connection/platform/etcdjson/etcdjson.go
@@ -30,6 +30,8 @@
 	RangeEnd []byte `json:"range_end,omitempty"`
 	// Limit is 0 for no limit.
 	Limit int64 `json:"limit,string,omitempty"`
+	// KeysOnly leaves out the values.
+	KeysOnly bool `json:"keys_only,omitempty"`
 }
 
 // RangeResponse lists rows in key order.
--- a/internal/connection/platform/etcdtable.go
+++ b/internal/connection/platform/etcdtable.go
@@ -52,6 +52,17 @@
 	if prefix == "" {
 		req.Key = []byte{0}
 	}
+	return t.list(ctx, req)
+}
+
+// Keys returns rows without values, in key order: at most limit of those whose
+// keys begin with prefix and come after the key after.
+func (t *Table) Keys(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	first := max(prefix, after+"\x00")
+	return t.list(ctx, etcdjson.RangeRequest{Key: []byte(first), RangeEnd: prefixEnd(prefix), Limit: int64(limit), KeysOnly: true})
+}
+
+func (t *Table) list(ctx context.Context, req etcdjson.RangeRequest) ([]Row, error) {
 	var resp etcdjson.RangeResponse
 	if err := t.caller.doJSON(ctx, call{step: stepList, path: etcdjson.PathRange}, req, &resp); err != nil {
 		return nil, err
--- a/internal/connection/platform/platformtest/table.go
+++ b/internal/connection/platform/platformtest/table.go
@@ -88,6 +88,22 @@
 	return rows, nil
 }
 
+// Keys returns at most limit rows with the prefix after the key after, in key
+// order and without values.
+func (t *Table) Keys(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	all, err := t.List(ctx, prefix, 0)
+	if err != nil {
+		return nil, err
+	}
+	rows := []platform.Row{}
+	for _, r := range all {
+		if r.Key > after && len(rows) < limit {
+			rows = append(rows, platform.Row{Key: r.Key, Revision: r.Revision})
+		}
+	}
+	return rows, nil
+}
+
 // Txn applies each operation whose condition holds.
 func (t *Table) Txn(ctx context.Context, ops []platform.CondPut) ([]platform.PutResult, error) {
 	const step = "table.txn"
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -70,6 +70,7 @@
 	syncer   *revision.Syncer
 	manager  *owner.Manager
 	claims   *claim.Store
+	sweeper  *claim.Sweeper
 	limits   *limits.Limiter
 	hosts    *platform.HostList
 	services *service.Client
@@ -95,6 +96,7 @@
 	claimOptions.Collectors = p.claimCollectors
 	claimOptions.Caller = p.pool
 	p.claims = claim.NewStore(table, claimOptions)
+	p.sweeper = claim.NewSweeper(table, claim.SweepOptions{Elected: p.sweeps, Start: p.anyWorkspace, Logger: claimOptions.Logger})
 	if err := p.newServer(); err != nil {
 		return nil, err
 	}
@@ -167,6 +169,23 @@
 	return out
 }
 
+// purposeRetention elects the gateway of a data centre that deletes expired claims.
+const purposeRetention = "retention"
+
+func (p *process) sweeps() bool {
+	first := p.gossiper.Ranked(purposeRetention, 1)
+	return len(first) > 0 && first[0].Name == p.opts.Name
+}
+
+// anyWorkspace draws a workspace, at whose claims a pass of the sweeper begins.
+func (p *process) anyWorkspace() string {
+	s := p.holder.Current()
+	if s == nil || len(s.Workspaces) == 0 {
+		return ""
+	}
+	return s.Workspaces[sharedRand.IntN(len(s.Workspaces))].Name
+}
+
 // purposeCatalogue elects the pollers of the catalogue's head.
 const purposeCatalogue = "catalogue"
 
@@ -268,6 +287,7 @@
 		claims := p.claims.Stats()
 		p.metrics.Gauge("claim_transactions").Update(claims.Transactions)
 		p.metrics.Gauge("claim_batches_forwarded").Update(claims.Forwarded)
+		p.metrics.Gauge("claim_rows_deleted").Update(p.sweeper.Deleted())
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -289,6 +309,7 @@
 		"catalogue":    p.syncer.Run,
 		"scheduler":    p.manager.Run,
 		"claims":       p.claims.Run,
+		"retention":    p.sweeper.Run,
 		"shares":       p.keepShares,
 	} {
 		wait.Go(func() {
--- a/internal/process/standin/platform/table.go
+++ b/internal/process/standin/platform/table.go
@@ -84,7 +84,11 @@
 		resp.More = true
 	}
 	for _, k := range keys {
-		resp.Kvs = append(resp.Kvs, t.rows[k])
+		kv := t.rows[k]
+		if r.KeysOnly {
+			kv.Value = nil
+		}
+		resp.Kvs = append(resp.Kvs, kv)
 	}
 	return resp
 }
--- a/internal/request/claim/begin.go
+++ b/internal/request/claim/begin.go
@@ -49,7 +49,8 @@
 	if err != nil || answer != nil {
 		return nil, answer, err
 	}
-	return &Claim{store: s, key: a.key, record: a.record, revision: revision, deadline: deadline}, nil, nil
+	c := &Claim{store: s, key: a.key, record: a.record, revision: revision, deadline: deadline, wallDeadline: deadline.Round(0)}
+	return c, nil, nil
 }
 
 // attempt is one Begin. All its writes carry the same nonce, so repeating one
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -19,7 +19,10 @@
 	record   record
 	revision int64
 	deadline time.Time
-	settled  atomic.Bool
+	// wallDeadline is deadline without its monotonic reading. The monotonic clock
+	// stops while a host is suspended, which may last longer than the row is kept.
+	wallDeadline time.Time
+	settled      atomic.Bool
 }
 
 // Nonce identifies this attempt; it differs for each claim.
@@ -28,7 +31,7 @@
 // Dispatchable reports whether the call may be dispatched now. A process that
 // was paused past the request's deadline shall release the claim instead.
 func (c *Claim) Dispatchable(now time.Time) bool {
-	return !c.settled.Load() && now.Before(c.deadline)
+	return !c.settled.Load() && now.Before(c.deadline) && now.Round(0).Before(c.wallDeadline)
 }
 
 // Finish records the answer of a call that ran. If that fails within ctx, it is
