Write queued outcomes of calls before a gateway stops

Cause: a graceful stop cancelled the store of claims while outcomes were still queued. After an outage of the table at the wrong moment, the row of a call that had been answered stayed claimed, and resends were told call_in_progress.

The gateway now waits until the queue is empty after its last request and before it closes the connections to peers, for at most 10 s; what is left is logged. A longer wait was ruled out, since an outage may be long and a claimed row is safe.

--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -17,6 +17,7 @@
 	"persimmonwing/internal/process/fleet"
 	"persimmonwing/internal/process/gateway"
 	"persimmonwing/internal/process/loadgen"
+	"persimmonwing/internal/process/standin/platform"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/version/catalogue"
 )
@@ -121,16 +122,6 @@
 	t.Parallel()
 	is := is.New(t)
 	f := smallFleet(t, nil)
-	book := func(target, key string) int {
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, target+"/v1/services/booking", strings.NewReader("seat"))
-		is.NoErr(err)
-		r.Header.Set("Authorization", "Bearer "+keyA)
-		r.Header.Set("Idempotency-Key", key)
-		resp, err := http.DefaultClient.Do(r)
-		is.NoErr(err)
-		_ = resp.Body.Close()
-		return resp.StatusCode
-	}
 	forwarded := func(admin string) int64 {
 		resp := call(t, http.MethodGet, admin+"/metrics", "", "")
 		defer func() { _ = resp.Body.Close() }()
@@ -142,7 +133,7 @@
 	}
 	collector := -1
 	for i, target := range f.Targets() {
-		is.Equal(book(target, fmt.Sprint("before-", i)), http.StatusOK)
+		is.Equal(book(t, target, fmt.Sprint("before-", i)), http.StatusOK)
 	}
 	for range 50 {
 		for i, admin := range f.AdminTargets() {
@@ -159,7 +150,7 @@
 	survivor := f.Targets()[1-collector]
 	<-f.StopGateway(collector)
 	for i := range 3 {
-		is.Equal(book(survivor, fmt.Sprint("after-", i)), http.StatusOK)
+		is.Equal(book(t, survivor, fmt.Sprint("after-", i)), http.StatusOK)
 	}
 	for id, runs := range f.CallRuns() {
 		if runs > 1 {
@@ -168,6 +159,51 @@
 	}
 }
 
+// book sends a call that may not be repeated and returns the status.
+func book(t *testing.T, target, key string) int {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, target+"/v1/services/booking", strings.NewReader("seat"))
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	r.Header.Set("Authorization", "Bearer "+keyA)
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a gateway that ends while the outcome of a call that it has
+// answered is not written yet: a resend would be told for 7 days that the call is
+// in progress.
+func TestGracefulStopSettlesClaims(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := smallFleet(t, func(o *fleet.Options) { o.AppDelay = 500 * time.Millisecond })
+	status := make(chan int, 1)
+	go func() { status <- book(t, f.Targets()[0], "once") }()
+	for len(f.CallRuns()) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.SetPlatformFaults(platform.Faults{Outage: true})
+	is.Equal(<-status, http.StatusOK)
+	ended := f.StopGateway(0)
+	time.Sleep(500 * time.Millisecond)
+	f.SetPlatformFaults(platform.Faults{})
+	<-ended
+	is.Equal(book(t, f.Targets()[1], "once"), http.StatusOK) // the recorded answer
+	for id, runs := range f.CallRuns() {
+		if runs != 1 {
+			t.Errorf("call %s ran %d times", id, runs)
+		}
+	}
+}
+
 // restartAll stops one gateway after the other and starts it anew with the same
 // settings, as soon as it has ended.
 func restartAll(ctx context.Context, f *fleet.Fleet, options []*gateway.Options, running *sync.WaitGroup) error {
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -321,6 +321,7 @@
 	leaving := context.AfterFunc(ctx, func() { p.leave(background) })
 	err := p.gateway.Run(ctx, callers, admin)
 	leaving()
+	p.drainClaims(background)
 	stop()
 	p.pool.Close()
 	p.server.Close()
@@ -328,6 +329,19 @@
 	return err
 }
 
+// claimDrainTimeout bounds the wait for queued outcomes of calls at a stop. It is
+// longer than the longest back-off between two attempts of a write.
+const claimDrainTimeout = 10 * time.Second
+
+// drainClaims writes the outcomes of calls that could not be written so far.
+func (p *process) drainClaims(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, claimDrainTimeout)
+	defer cancel()
+	if err := p.claims.Drain(ctx); err != nil {
+		_ = level.Warn(p.logger).Log("part", "gateway", "msg", "stopping without the outcome of some calls", "err", err)
+	}
+}
+
 // leaveTimeout bounds telling peers of a graceful stop.
 const leaveTimeout = time.Second
 
--- a/internal/request/claim/claim_test.go
+++ b/internal/request/claim/claim_test.go
@@ -104,6 +104,32 @@
 	})
 }
 
+// Guards against a stop that forgets a queued outcome, and against one that waits
+// for an outage without end.
+func TestDrainWritesQueuedOutcomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		faults := &faultQueue{}
+		store := startStore(t.Context(), &platformtest.Table{Next: faults.next})
+		c, _, err := store.Begin(t.Context(), testKey, "d")
+		is.NoErr(err)
+		faults.plans = slices.Repeat([]platformtest.Plan{{Fault: platformtest.Refuse}}, 1000)
+		ctx, cancel := within(time.Second)
+		defer cancel()
+		is.True(c.Finish(ctx, Answer{Status: 201}) != nil)
+		ctx, cancel = within(2 * time.Second)
+		defer cancel()
+		is.True(store.Drain(ctx) != nil)
+		time.AfterFunc(time.Second, faults.clear)
+		ctx, cancel = within(10 * time.Second)
+		defer cancel()
+		is.NoErr(store.Drain(ctx))
+		_, recorded, err := store.Begin(t.Context(), testKey, "d")
+		is.NoErr(err)
+		is.Equal(recorded.Status, 201)
+	})
+}
+
 // Guards against large answers filling the table, and against a large answer
 // that is replayed as if it were empty.
 func TestLargeAnswerIsNotRecorded(t *testing.T) {
--- a/internal/request/claim/settle.go
+++ b/internal/request/claim/settle.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-kit/log/level"
@@ -55,9 +57,11 @@
 // later queues a settlement for Run. When the queue is full the row stays
 // claimed: resends are then refused as call_in_progress, which is safe.
 func (s *Store) later(t settlement) {
+	s.unsettled.Add(1)
 	select {
 	case s.queue <- t:
 	default:
+		s.unsettled.Add(-1)
 		level.Warn(s.options.Logger).Log("msg", "settlement dropped, queue is full", "row", t.key)
 	}
 }
@@ -72,12 +76,31 @@
 	return ctx.Err()
 }
 
+// drainPoll is the time between two looks at the rows that are not settled yet.
+const drainPoll = 20 * time.Millisecond
+
+// Drain waits, while Run runs, until all queued rows are settled or ctx ends. A
+// row that is left then stays claimed, and resends are refused.
+func (s *Store) Drain(ctx context.Context) error {
+	for {
+		left := s.unsettled.Load()
+		if left == 0 {
+			return nil
+		}
+		if !pause(ctx, drainPoll) {
+			return fmt.Errorf("claim: %d rows are not settled: %w", left, ctx.Err())
+		}
+	}
+}
+
 func (s *Store) work(ctx context.Context) {
 	for {
 		select {
 		case t := <-s.queue:
 			// An error only tells that ctx ended.
-			_ = s.settle(ctx, t)
+			if s.settle(ctx, t) == nil {
+				s.unsettled.Add(-1)
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/request/claim/store.go
+++ b/internal/request/claim/store.go
@@ -82,7 +82,9 @@
 	routed, repeats, collected *batcher
 	router                     *router
 	queue                      chan settlement
-	transactions               atomic.Int64
+	// unsettled counts the rows in the queue and those that Run is settling.
+	unsettled    atomic.Int64
+	transactions atomic.Int64
 }
 
 // NewStore returns a Store over a table.
