Measure the pages of the deleter of old claims

Cause: the bytes of a sweeper were not known.

A page each 2 s was ruled out for now: at the target it would let rows stay up to 6 days longer (arithmetic).

--- a/internal/process/loadgen/capacity/claims.go
+++ b/internal/process/loadgen/capacity/claims.go
@@ -71,6 +71,35 @@
 		failed += costs[i].failed
 	}
 	reportClaims(r, costs[:len(claimSizes)], costs[len(claimSizes)], failed)
+	return measureSweep(ctx, r)
+}
+
+// measureSweep reads pages of claim keys. A sweeper reads one a second while
+// there may be expired rows.
+func measureSweep(ctx context.Context, r *report) error {
+	c, err := serveCounted(standinplatform.New(standinplatform.DefaultSettings()))
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	table := platform.NewTable("http://"+c.address, &http.Client{Transport: engine.NewTransport()}, 2*time.Second)
+	var ops []platform.CondPut
+	for i := range platform.MaxTxnRows {
+		ops = append(ops, platform.CondPut{Key: fmt.Sprintf("claims/workspace-17/booking/%08x-%024x", 1, i), Value: []byte("row")})
+	}
+	if _, err := table.Txn(ctx, ops); err != nil {
+		return err
+	}
+	var points []point
+	for _, rows := range []int{32, 64, platform.MaxTxnRows} {
+		bytes, _, err := c.cost(100, func() error { _, err := table.Keys(ctx, "claims/", "", rows); return err })
+		if err != nil {
+			return err
+		}
+		points = append(points, point{float64(rows), bytes})
+	}
+	r.add(line{name: "bytes of a sweeper's page", size: "rows", unit: "B", points: points, target: platform.MaxTxnRows,
+		note: "one page a second during a pass, one gateway of a data centre; the deletions and the marks are not in it"})
 	return nil
 }
 
