--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -17,6 +17,7 @@
 	"persimmonwing/internal/process/fleet"
 	"persimmonwing/internal/process/gateway"
 	"persimmonwing/internal/process/loadgen"
+	"persimmonwing/internal/process/standin/platform"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/version/catalogue"
 )
@@ -62,8 +63,9 @@
 	return f
 }
 
-// Guards against requests that break while all gateways are restarted one after
-// another under load, and against a gateway that is ready before it can serve.
+// Guards against requests that break while all gateways, and so the collectors of
+// claims, are restarted one after another under load, against claims that do not go
+// through a collector, and against a gateway that is ready before it can serve.
 func TestRollingRestart(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -113,6 +115,73 @@
 	is.True(all.Requests > 100)
 	is.Equal(all.Completed(), all.Requests) // no request broke
 	is.Equal(all.Resumed, 0)
+	is.True(forwardsClaims(t, f)) // else claims did not outlive their collectors
+}
+
+// forwardsClaims calls all gateways until one of them shows that it hands claims to
+// the collector. Gauges are a second old and views may differ after a restart.
+func forwardsClaims(t *testing.T, f *fleet.Fleet) bool {
+	for i := range 40 {
+		for _, target := range f.Targets() {
+			book(t, target, fmt.Sprint(target, i))
+		}
+		for _, admin := range f.AdminTargets() {
+			resp := call(t, http.MethodGet, admin+"/metrics", "", "")
+			var m map[string]struct{ Value int64 }
+			err := json.NewDecoder(resp.Body).Decode(&m)
+			_ = resp.Body.Close()
+			if err == nil && m["claim_batches_forwarded"].Value > 0 {
+				return true
+			}
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	return false
+}
+
+// book sends a call that may not be repeated and returns the status.
+func book(t *testing.T, target, key string) int {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, target+"/v1/services/booking", strings.NewReader("seat"))
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	r.Header.Set("Authorization", "Bearer "+keyA)
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a gateway that ends while the outcome of a call that it has
+// answered is not written yet: a resend would be told for 7 days that the call is
+// in progress.
+func TestGracefulStopSettlesClaims(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := smallFleet(t, func(o *fleet.Options) { o.AppDelay = 500 * time.Millisecond })
+	status := make(chan int, 1)
+	go func() { status <- book(t, f.Targets()[0], "once") }()
+	for len(f.CallRuns()) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.SetPlatformFaults(platform.Faults{Outage: true})
+	is.Equal(<-status, http.StatusOK)
+	ended := f.StopGateway(0)
+	time.Sleep(500 * time.Millisecond)
+	f.SetPlatformFaults(platform.Faults{})
+	<-ended
+	is.Equal(book(t, f.Targets()[1], "once"), http.StatusOK) // the recorded answer
+	for id, runs := range f.CallRuns() {
+		if runs != 1 {
+			t.Errorf("call %s ran %d times", id, runs)
+		}
+	}
 }
 
 // restartAll stops one gateway after the other and starts it anew with the same
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -70,6 +70,7 @@
 	syncer   *revision.Syncer
 	manager  *owner.Manager
 	claims   *claim.Store
+	sweeper  *claim.Sweeper
 	limits   *limits.Limiter
 	division *limits.Exchange
 	services *service.Client
@@ -100,7 +101,10 @@
 	p.manager = p.newManager(p.loads)
 	claimOptions := claim.DefaultOptions()
 	claimOptions.Logger = logging.Part(logger, "claim")
+	claimOptions.Collectors = p.claimCollectors
+	claimOptions.Caller = p.pool
 	p.claims = claim.NewStore(table, claimOptions)
+	p.sweeper = claim.NewSweeper(table, claim.SweepOptions{Elected: p.sweeps, Start: p.anyWorkspace, Logger: claimOptions.Logger})
 	if err := p.newServer(); err != nil {
 		return nil, err
 	}
@@ -165,6 +169,35 @@
 	}
 }
 
+// purposeClaims elects the collectors of claim writes.
+const purposeClaims = "claims"
+
+// claimCollectors lists the collectors of this data centre, the first one first.
+func (p *process) claimCollectors() []claim.Collector {
+	var out []claim.Collector
+	for _, g := range p.gossiper.Ranked(purposeClaims, claim.MaxCollectors) {
+		out = append(out, claim.Collector{Address: g.PeerAddress, Self: g.Name == p.opts.Name})
+	}
+	return out
+}
+
+// purposeRetention elects the gateway of a data centre that deletes expired claims.
+const purposeRetention = "retention"
+
+func (p *process) sweeps() bool {
+	first := p.gossiper.Ranked(purposeRetention, 1)
+	return len(first) > 0 && first[0].Name == p.opts.Name
+}
+
+// anyWorkspace draws a workspace, at whose claims a pass of the sweeper begins.
+func (p *process) anyWorkspace() string {
+	s := p.holder.Current()
+	if s == nil || len(s.Workspaces) == 0 {
+		return ""
+	}
+	return s.Workspaces[sharedRand.IntN(len(s.Workspaces))].Name
+}
+
 // purposeCatalogue elects the pollers of the catalogue's head.
 const purposeCatalogue = "catalogue"
 
@@ -248,6 +281,7 @@
 		p.server.Register(owner.SuspectsServiceName, p.manager.Suspects()),
 		p.server.Register(limits.ServiceName, p.division.Service()),
 		p.server.Register(catalogueServiceName, &catalogueService{p.holder}),
+		p.server.Register(claim.ServiceName, p.claims.Service()),
 	)
 }
 
@@ -267,6 +301,10 @@
 		p.metrics.Gauge("catalogue_revision").Update(p.holder.Number())
 		p.metrics.Gauge("peer_bytes_in").Update(p.pool.Traffic().In() + p.server.Traffic().In())
 		p.metrics.Gauge("peer_bytes_out").Update(p.pool.Traffic().Out() + p.server.Traffic().Out())
+		claims := p.claims.Stats()
+		p.metrics.Gauge("claim_transactions").Update(claims.Transactions)
+		p.metrics.Gauge("claim_batches_forwarded").Update(claims.Forwarded)
+		p.metrics.Gauge("claim_rows_deleted").Update(p.sweeper.Deleted())
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -288,6 +326,7 @@
 		"catalogue":    p.syncer.Run,
 		"scheduler":    p.manager.Run,
 		"claims":       p.claims.Run,
+		"retention":    p.sweeper.Run,
 		"shares":       p.keepShares,
 		"limits":       p.division.Run,
 	} {
@@ -300,6 +339,7 @@
 	leaving := context.AfterFunc(ctx, func() { p.leave(background) })
 	err := p.gateway.Run(ctx, callers, admin)
 	leaving()
+	p.drainClaims(background)
 	stop()
 	p.pool.Close()
 	p.server.Close()
@@ -308,6 +348,19 @@
 	return err
 }
 
+// claimDrainTimeout bounds the wait for queued outcomes of calls at a stop. It is
+// longer than the longest back-off between two attempts of a write.
+const claimDrainTimeout = 10 * time.Second
+
+// drainClaims writes the outcomes of calls that could not be written so far.
+func (p *process) drainClaims(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, claimDrainTimeout)
+	defer cancel()
+	if err := p.claims.Drain(ctx); err != nil {
+		_ = level.Warn(p.logger).Log("part", "gateway", "msg", "stopping without the outcome of some calls", "err", err)
+	}
+}
+
 // leaveTimeout bounds telling peers of a graceful stop.
 const leaveTimeout = time.Second
 
--- a/internal/request/claim/begin.go
+++ b/internal/request/claim/begin.go
@@ -49,7 +49,8 @@
 	if err != nil || answer != nil {
 		return nil, answer, err
 	}
-	return &Claim{store: s, key: a.key, record: a.record, revision: revision, deadline: deadline}, nil, nil
+	c := &Claim{store: s, key: a.key, record: a.record, revision: revision, deadline: deadline, wallDeadline: deadline.Round(0)}
+	return c, nil, nil
 }
 
 // attempt is one Begin. All its writes carry the same nonce, so repeating one
@@ -62,7 +63,9 @@
 	// unresolved tells that a write with ifRevision may have been applied or may
 	// still be.
 	unresolved bool
-	backoff    *backoff.ExponentialBackOff
+	// repeat tells that an earlier write of this attempt had no answer.
+	repeat  bool
+	backoff *backoff.ExponentialBackOff
 }
 
 // run returns the revision of the row that it claimed, or a recorded answer.
@@ -83,7 +86,7 @@
 // answer is resolved by reading the row back.
 func (a *attempt) write(ctx context.Context) (platform.Row, error) {
 	op := platform.CondPut{Key: a.key, Value: a.record.encode(), IfRevision: a.ifRevision}
-	put, err := a.store.batcher.put(ctx, op)
+	put, err := a.store.put(ctx, op, a.repeat)
 	switch {
 	case err == nil:
 		return put.Row, nil
@@ -91,6 +94,7 @@
 		return platform.Row{}, err
 	}
 	a.unresolved = true
+	a.repeat = true
 	return a.readBack(ctx, err)
 }
 
