Send heartbeats of the own data centre without ids

Cause: each first message of an exchange held 50 ids of 4 bytes with heartbeats of 3, and the sender's whole entry.

Hosts of the data centre that both sides know are a list in the order of their ids, whose hash the message carries; heartbeats follow as their low 2 bytes. A receiver that knows other hosts answers Plain, and the exchange goes on with ids. The sender is named by its id and sent in full when asked for or when it leaves. A follow-up may now be answered by a question for names, since ids are no longer in the first message.

Ruled out: less fanout or fewer remote heartbeats; in virtual time the oldest heartbeat of another data centre is 19 s old, and hosts count dead after 20 s.

--- a/internal/process/loadgen/capacity/gossip.go
+++ b/internal/process/loadgen/capacity/gossip.go
@@ -90,8 +90,9 @@
 	return c
 }
 
-// gossipIntroduction tells of all gateways, and of the target's share of
-// engines of each data centre.
+// gossipIntroduction tells of all gateways and groups, and of the target's share
+// of engines of each data centre. Without the groups their names, which are asked
+// for once, would be counted on a busy machine.
 func gossipIntroduction(centres, perCentre int) membership.Message {
 	var m membership.Message
 	now := time.Now().UnixMilli()
@@ -114,6 +115,11 @@
 			})
 		}
 	}
+	for dc := range centres {
+		for model := range targetModels {
+			m.Groups = append(m.Groups, schedule.GroupKey{DataCentre: fmt.Sprint("centre-", dc), Model: fmt.Sprint("model-", model)})
+		}
+	}
 	m.From = m.Hosts[0]
 	return m
 }
--- a/internal/process/membership/cost_test.go
+++ b/internal/process/membership/cost_test.go
@@ -53,14 +53,15 @@
 	}
 	w, bytes, took := peertest.NewWire(), 0, time.Duration(0)
 	exchange := func(a, b *state) {
-		answer, n := carry(w, now, a.compose(now, nil), b)
-		want := a.absorb(now, &answer)
-		if len(want) > 0 || len(answer.Want) > 0 {
-			follow := a.names(answer.Want)
-			follow.Want = want
+		answer, n := carry(w, now, a.compose(now, a.table.local(b.table.self.PeerAddress)), b)
+		if follow, needed := a.follow(now, &answer); needed {
 			names, k := carry(w, now, follow, b)
 			n += k
 			a.absorb(now, &names)
+			if len(names.Want) > 0 {
+				_, k = carry(w, now, a.names(names.Want), b)
+				n += k
+			}
 		}
 		bytes += 2 * n // each byte is sent by one gateway and received by another
 	}
@@ -144,7 +145,7 @@
 				}
 			}
 		}
-		_, n := carry(w, now, ends[0].compose(now, nil), ends[1])
+		_, n := carry(w, now, ends[0].compose(now, true), ends[1])
 		if round > 0 { // the first carries gob's type descriptions
 			total += n
 		}
--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -179,28 +179,34 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	g.mu.Lock()
-	request := g.state.compose(time.Now(), nil)
+	request := g.state.compose(time.Now(), g.state.table.local(address))
 	g.mu.Unlock()
 	answer, ok := g.call(ctx, address, request)
 	if !ok {
 		return
 	}
 	g.mu.Lock()
-	want := g.state.absorb(time.Now(), &answer)
-	follow := g.state.names(answer.Want)
-	follow.Want = want
+	follow, needed := g.state.follow(time.Now(), &answer)
 	g.mu.Unlock()
-	if len(want) > 0 || len(follow.Hosts)+len(follow.Groups) > 0 {
+	if needed {
 		g.follow(ctx, address, follow)
 	}
 	g.changed()
 }
 
+// follow goes on with an exchange. The answer may ask for names in turn, of ids
+// that m was the first to show.
 func (g *Gossiper) follow(ctx context.Context, address string, m Message) {
-	if answer, ok := g.call(ctx, address, m); ok {
-		g.mu.Lock()
-		g.state.absorb(time.Now(), &answer)
-		g.mu.Unlock()
+	answer, ok := g.call(ctx, address, m)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	g.state.absorb(time.Now(), &answer)
+	names := g.state.names(answer.Want)
+	g.mu.Unlock()
+	if len(answer.Want) > 0 {
+		g.call(ctx, address, names)
 	}
 }
 
--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -13,6 +13,8 @@
 	// maxLocalBeats bounds the heartbeats of the own data centre; above it they
 	// are sent in turn.
 	maxLocalBeats = 64
+	// maxPositions bounds the data centre whose heartbeats are sent without ids.
+	maxPositions = 256
 	// maxRemoteBeats bounds those of other data centres, sent in turn.
 	maxRemoteBeats = 24
 	// maxRemoteRows bounds the summaries of other data centres, sent in turn.
@@ -27,9 +29,18 @@
 
 // Message is the argument and the answer of Membership.Exchange.
 type Message struct {
+	// From is set in messages with names and by a gateway that leaves.
 	From Host
+	// Sender is the id of the sender, and Revision its catalogue revision.
+	Sender   uint32
+	Revision int64
 	// Beats holds (id, heartbeat) pairs, see appendBeat.
 	Beats []byte
+	// Local holds the heartbeats of the sender's data centre without ids, see
+	// localBeats.
+	Local []byte
+	// Plain asks for Local again with ids, because the receiver knows others.
+	Plain bool
 	Rows  summaryRows
 	Facts []Fact
 	// Digest covers all facts of the sender.
@@ -44,25 +55,29 @@
 	NamesOnly bool
 }
 
-// appendBeat appends 4 bytes of id and the heartbeat as a varint.
+// beatSize is the size of a pair in Beats.
+const beatSize = 6
+
+// appendBeat appends 4 bytes of id and the low 2 bytes of the heartbeat.
 func appendBeat(b []byte, id uint32, heartbeat uint64) []byte {
 	b = binary.LittleEndian.AppendUint32(b, id)
-	return binary.AppendUvarint(b, heartbeat)
+	return binary.LittleEndian.AppendUint16(b, uint16(heartbeat))
 }
 
 // readBeats calls f for each pair; malformed trailing bytes are ignored.
-func readBeats(b []byte, f func(id uint32, heartbeat uint64)) {
-	for len(b) > 4 {
-		id := binary.LittleEndian.Uint32(b)
-		heartbeat, n := binary.Uvarint(b[4:])
-		if n <= 0 {
-			return
-		}
-		f(id, heartbeat)
-		b = b[4+n:]
+func readBeats(b []byte, f func(id uint32, low uint16)) {
+	for ; len(b) >= beatSize; b = b[beatSize:] {
+		f(binary.LittleEndian.Uint32(b), binary.LittleEndian.Uint16(b[4:]))
 	}
 }
 
+// expand returns the heartbeat nearest to a known one that ends in low. Hosts
+// without news are forgotten after 5 minutes, so that it is within 9 hours.
+func expand(known uint64, low uint16) uint64 {
+	difference := int64(int16(low - uint16(known)))
+	return uint64(max(0, int64(known)+difference))
+}
+
 // state is what gossip replicates.
 type state struct {
 	table      *Table
@@ -76,21 +91,35 @@
 	return &state{table: NewTable(self), facts: newFacts(), summaries: newSummaries()}
 }
 
-// compose makes a message for a peer. request is the message to which it
+// compose makes the first message of an exchange. A peer of the own data centre
+// gets its heartbeats without ids.
+func (s *state) compose(now time.Time, localPeer bool) Message {
+	m := s.message(now, nil)
+	local, remote := s.beating(now)
+	if localPeer && len(s.table.look().local) <= maxPositions {
+		m.Local = s.localBeats(now)
+	} else {
+		m.Beats = s.plainLocal(local, nil)
+	}
+	m.Beats = s.beats(m.Beats, remote, maxRemoteBeats, &s.nextRemote, nil)
+	return m
+}
+
+// message makes a message without heartbeats. request is the one to which it
 // answers, or nil.
-func (s *state) compose(now time.Time, request *Message) Message {
-	m := Message{From: s.table.self, Digest: s.facts.digest}
-	peerBeats, peerRows := map[uint32]uint64{}, map[uint32]int64{}
+func (s *state) message(now time.Time, request *Message) Message {
+	self := s.table.self
+	m := Message{Sender: self.ID(), Revision: self.CatalogueRevision, Digest: s.facts.digest}
+	if self.Left {
+		m.From = self
+	}
+	peerRows := map[uint32]int64{}
 	if request != nil {
-		readBeats(request.Beats, func(id uint32, h uint64) { peerBeats[id] = h })
 		for _, r := range request.Rows {
 			peerRows[r.Group] = r.Version
 		}
 	}
-	local, remote := s.beating(now)
-	m.Beats = s.beats(m.Beats, local, maxLocalBeats, &s.nextLocal, peerBeats)
-	m.Beats = s.beats(m.Beats, remote, maxRemoteBeats, &s.nextRemote, peerBeats)
-	m.Rows = s.summaries.rows(now, s.table.self.DataCentre, maxRemoteRows, peerRows)
+	m.Rows = s.summaries.rows(now, self.DataCentre, maxRemoteRows, peerRows)
 	m.Facts = s.facts.fresh(now, maxFreshFacts)
 	if request != nil && request.Digest != s.facts.digest {
 		m.Facts = append(m.Facts, s.facts.rotate(maxRepairFacts)...)
@@ -99,6 +128,67 @@
 	return m
 }
 
+// plainLocal returns the heartbeats of this gateway and its data centre with ids.
+func (s *state) plainLocal(local []known, peerHas map[uint32]uint64) []byte {
+	b := appendBeat(nil, s.table.self.ID(), s.table.self.Heartbeat)
+	return s.beats(b, local, maxLocalBeats, &s.nextLocal, peerHas)
+}
+
+// localBeats returns 4 bytes that identify the known hosts of the own data centre
+// and, in the order of their ids, the low 2 bytes of their heartbeats, or 0 of a
+// host that is not heard. With ids they would take three times as much.
+func (s *state) localBeats(now time.Time) []byte {
+	x := s.table.look()
+	b := binary.LittleEndian.AppendUint32(nil, x.localSet)
+	for _, name := range x.local {
+		heartbeat := uint64(0)
+		if name == s.table.self.Name {
+			heartbeat = s.table.self.Heartbeat
+		} else if k := s.table.hosts[name]; s.table.alive(now, k) {
+			heartbeat = k.Heartbeat
+		}
+		b = binary.LittleEndian.AppendUint16(b, uint16(heartbeat))
+	}
+	return b
+}
+
+// readLocal calls f for the heartbeats of localBeats. It reports false if the
+// sender knows other hosts.
+func (s *state) readLocal(b []byte, f func(name string, low uint16)) bool {
+	if len(b) == 0 {
+		return true
+	}
+	x := s.table.look()
+	if len(b) != 4+2*len(x.local) || binary.LittleEndian.Uint32(b) != x.localSet {
+		return false
+	}
+	for i, name := range x.local {
+		if low := binary.LittleEndian.Uint16(b[4+2*i:]); low != 0 {
+			f(name, low)
+		}
+	}
+	return true
+}
+
+// read calls f for all heartbeats of known hosts, and unknown for other ids. It
+// reports false if Local cannot be read.
+func (s *state) read(m *Message, f func(k known, low uint16), unknown func(id uint32)) bool {
+	byName := func(name string, low uint16) {
+		if name != s.table.self.Name {
+			f(s.table.hosts[name], low)
+		}
+	}
+	ids := s.table.look().byID
+	readBeats(m.Beats, func(id uint32, low uint16) {
+		if name, ok := ids[id]; ok {
+			byName(name, low)
+		} else {
+			unknown(id)
+		}
+	})
+	return s.readLocal(m.Local, byName)
+}
+
 // beating returns the hosts whose processes run, of the own and of other data
 // centres, sorted by name.
 func (s *state) beating(now time.Time) (local, remote []known) {
@@ -147,11 +237,15 @@
 	return out
 }
 
-// absorb takes over a message and returns the ids whose names are unknown.
-func (s *state) absorb(now time.Time, m *Message) []uint32 {
-	s.table.Merge(now, m.From)
+// absorb takes over a message. It returns the ids whose names are unknown, and
+// false if Local cannot be read.
+func (s *state) absorb(now time.Time, m *Message) (want []uint32, readable bool) {
+	sender := s.sender(now, m)
+	if sender.Name == "" {
+		want = append(want, m.Sender)
+	}
 	for _, h := range m.Hosts {
-		s.mergeFrom(now, m.From, h)
+		s.mergeFrom(now, sender, h)
 	}
 	for _, k := range m.Groups {
 		s.summaries.groups[groupID(k)] = k
@@ -159,25 +253,34 @@
 	for _, f := range m.Facts {
 		s.facts.Merge(now, f)
 	}
-	x := s.table.look()
-	var want []uint32
-	readBeats(m.Beats, func(id uint32, heartbeat uint64) {
-		name, ok := x.byID[id]
-		if name == s.table.self.Name {
-			return
-		}
-		if !ok {
+	readable = s.read(m, func(k known, low uint16) {
+		h := k.Host
+		h.Heartbeat = expand(h.Heartbeat, low)
+		s.mergeFrom(now, sender, h)
+	}, func(id uint32) {
+		if id != m.Sender {
 			want = append(want, id)
-			return
 		}
-		h := s.table.hosts[name].Host
-		h.Heartbeat = heartbeat
-		s.mergeFrom(now, m.From, h)
 	})
+	owners := s.table.look().byName
 	for _, r := range m.Rows {
-		want = append(want, s.absorbRow(now, r, x.byName)...)
+		want = append(want, s.absorbRow(now, r, owners)...)
 	}
-	return want[:min(len(want), maxNames)]
+	return want[:min(len(want), maxNames)], readable
+}
+
+// sender returns the sender's entry, or an empty one if it is not known.
+func (s *state) sender(now time.Time, m *Message) Host {
+	if m.From.Name != "" {
+		s.table.Merge(now, m.From)
+		return m.From
+	}
+	h := s.table.hosts[s.table.look().byID[m.Sender]].Host
+	if h.Name != "" && m.Revision > h.CatalogueRevision {
+		h.CatalogueRevision = m.Revision
+		s.table.Merge(now, h)
+	}
+	return h
 }
 
 // mergeFrom merges an entry that a sender passed on. A heartbeat of a host of
@@ -221,13 +324,34 @@
 	return m
 }
 
-// answer absorbs a request and makes its answer.
+// answer absorbs a request and makes its answer, with the heartbeats that are
+// news to the peer.
 func (s *state) answer(now time.Time, m *Message) Message {
-	want := s.absorb(now, m)
+	want, readable := s.absorb(now, m)
 	if m.NamesOnly {
-		return s.names(m.Want)
+		out := s.names(m.Want)
+		out.Want = want
+		return out
 	}
-	out := s.compose(now, m)
-	out.Want = want
+	out := s.message(now, m)
+	peerHas := map[uint32]uint64{}
+	s.read(m, func(k known, low uint16) { peerHas[k.id] = expand(k.Heartbeat, low) }, func(uint32) {})
+	local, remote := s.beating(now)
+	out.Beats = s.plainLocal(local, peerHas)
+	out.Beats = s.beats(out.Beats, remote, maxRemoteBeats, &s.nextRemote, peerHas)
+	out.Want, out.Plain = want, !readable
 	return out
 }
+
+// follow absorbs an answer and returns the message that goes on with the
+// exchange, and whether there is a need for it.
+func (s *state) follow(now time.Time, answer *Message) (Message, bool) {
+	want, _ := s.absorb(now, answer)
+	m := s.names(answer.Want)
+	m.Want = want
+	if answer.Plain {
+		local, _ := s.beating(now)
+		m.Beats = s.plainLocal(local, nil)
+	}
+	return m, len(want)+len(answer.Want) > 0 || answer.Plain
+}
