Send versions of summary rows as differences

Cause: each of some 24 rows of an exchange held its version, Unix milliseconds, in 6 bytes.

The highest version precedes the rows, which hold their distance from it.

BenchmarkGossip in virtual time, 50 gateways in 8 data centres: 8.52 -> 7.75 KB/s; in one: 2.81 -> 2.54.

--- a/internal/process/membership/rows.go
+++ b/internal/process/membership/rows.go
@@ -10,20 +10,29 @@
 // varints, because rows are the largest part of a message.
 type summaryRows []summaryRow
 
-// rowInts is the number of varints of a row, after two ids of 4 bytes.
-const rowInts = 8
+// rowInts is the number of varints of a row, after two ids of 4 bytes and its
+// distance from the highest version, which precedes the rows.
+const rowInts = 7
 
 // ints returns pointers to the integers of a row in wire order.
 func (r *summaryRow) ints() [rowInts]any {
-	return [rowInts]any{&r.Version, &r.AgeMS, &r.Replicas, &r.Free, &r.Urgent, &r.Background, &r.UrgentMS, &r.BackgroundWaitMS}
+	return [rowInts]any{&r.AgeMS, &r.Replicas, &r.Free, &r.Urgent, &r.Background, &r.UrgentMS, &r.BackgroundWaitMS}
 }
 
 // GobEncode implements gob.GobEncoder.
 func (rows summaryRows) GobEncode() ([]byte, error) {
-	var b []byte
+	if len(rows) == 0 {
+		return nil, nil
+	}
+	highest := rows[0].Version
+	for _, r := range rows {
+		highest = max(highest, r.Version)
+	}
+	b := binary.AppendUvarint(nil, uint64(highest))
 	for i := range rows {
 		b = binary.LittleEndian.AppendUint32(b, rows[i].Group)
 		b = binary.LittleEndian.AppendUint32(b, rows[i].Owner)
+		b = binary.AppendUvarint(b, uint64(highest-rows[i].Version))
 		for _, p := range rows[i].ints() {
 			switch v := p.(type) {
 			case *int64:
@@ -44,13 +53,26 @@
 // GobDecode implements gob.GobDecoder.
 func (rows *summaryRows) GobDecode(b []byte) error {
 	*rows = nil
-	for len(b) > 0 {
+	if len(b) == 0 {
+		return nil
+	}
+	highest, n := binary.Uvarint(b)
+	if n <= 0 {
+		return errRows
+	}
+	for b = b[n:]; len(b) > 0; {
 		var r summaryRow
 		if len(b) < 8 {
 			return errRows
 		}
 		r.Group, r.Owner = binary.LittleEndian.Uint32(b), binary.LittleEndian.Uint32(b[4:])
 		b = b[8:]
+		below, n := binary.Uvarint(b)
+		if n <= 0 {
+			return errRows
+		}
+		r.Version = int64(highest - below)
+		b = b[n:]
 		for _, p := range r.ints() {
 			u, n := binary.Uvarint(b)
 			if n <= 0 {
