Poll engines with known models by the owners of their groups only

Cause: the gateway that discovers an engine polled it every second for ever, also when the owner of its group polls it 4 times/s.

The discoverer now polls engines whose models nobody has told.

Polls of an engine with known models whose discoverer is not its owner: 5 -> 4 a second by the periods; the new test counts at most 4.1 and fails without the change.

--- a/internal/process/loadgen/capacity/polls.go
+++ b/internal/process/loadgen/capacity/polls.go
@@ -169,13 +169,12 @@
 	if err != nil {
 		return err
 	}
-	// An owner reads its engines 4 times/s from a stream, and each engine is read
-	// once a second by the gateway that discovers it.
-	const perEngine, discovered = 4, 1
+	// Only the owner reads an engine whose models are known, 4 times/s from a stream.
+	const perEngine = 4
 	var b, u []point
 	for _, engines := range []float64{18, 150, targetReplicas} {
-		b = append(b, point{engines, engines * (stream + discovered*bytes) / targetGateways})
-		u = append(u, point{engines, engines * (perEngine + discovered) / targetGateways * used.Seconds() * 100})
+		b = append(b, point{engines, engines * stream / targetGateways})
+		u = append(u, point{engines, engines * perEngine / targetGateways * used.Seconds() * 100})
 	}
 	r.add(line{name: "engine poll bytes", size: "engines, 400 gateways", unit: "B/s", points: b, target: targetReplicas,
 		note: fmt.Sprintf("engine with %d sequences; stream of reports: %.0f B/s; one poll, for engines without streams: %.0f bytes, %v; mean over gateways, the sizes are multiples of it", engineStreams, stream, bytes, used)})
--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -35,13 +35,16 @@
 }
 
 // poll starts the polls that are due: those of the engines of own groups, and
-// every second those of the engines that this gateway discovers.
+// every second those of the engines that this gateway discovers and whose models
+// nobody knows.
 func (m *Manager) poll(ctx context.Context, discover bool) {
 	engines := m.opt.View.Engines(m.scope())
 	due := m.grouped()
 	if discover {
 		for _, b := range m.opt.View.Discovers(engines) {
-			due[b.Name] = true
+			// The owners of its groups poll an engine that has told its models.
+			models, _ := m.opt.View.Reported(b.Name)
+			due[b.Name] = due[b.Name] || len(models) == 0
 		}
 	}
 	listed := make(map[string]bool, len(engines))
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -145,11 +145,13 @@
 	down   map[string]bool
 	starts map[string]int
 	slots  int
+	polls  int
 }
 
 func (e *engines) Load(ctx context.Context, name, _ string) (api.LoadReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.polls++
 	if e.down[name] {
 		return api.LoadReport{}, errors.New("connection refused")
 	}
@@ -159,6 +161,12 @@
 	}, nil
 }
 
+func (e *engines) polled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.polls
+}
+
 func (e *engines) crash(name string, restart bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/process/owner/manager_test.go
+++ b/internal/process/owner/manager_test.go
@@ -307,3 +307,16 @@
 		})
 	}
 }
+
+// Guards against engines that are polled by the gateway that discovers them as
+// well as by the owner of their group.
+func TestOnlyTheOwnerPollsKnownEngines(t *testing.T) {
+	withFleet(t, 1, []string{"e1", "e2", "e3", "e4"}, func(is *is.I, f *fleet) {
+		const seconds, ticksPerSecond = 10, 4
+		before := f.engines.polled()
+		time.Sleep(seconds * time.Second)
+		polls := f.engines.polled() - before
+		is.True(polls >= (seconds-1)*ticksPerSecond*4)
+		is.True(polls <= (seconds*ticksPerSecond+1)*4)
+	})
+}
