Count the answers of a group owner in its control bytes

Cause: the sum of a group owner held the mean of grants. Ten of the 50 gateways of a data centre own its ten groups, so an owner answers 40 requests/s where the mean gateway answers 8.

Half of the measured bytes are of questions, which every gateway asks at its own rate, and half of answers.

--- a/internal/process/loadgen/capacity/capacity.go
+++ b/internal/process/loadgen/capacity/capacity.go
@@ -22,7 +22,8 @@
 	targetWorkspaces    = 350
 	targetEntries       = 700
 	targetRequests      = 8.0 // per second and gateway
-	targetStreams       = 50  // in progress at a gateway
+	targetGroupRequests = targetRequests * targetPerCentre / targetModels
+	targetStreams       = 50 // in progress at a gateway
 	targetTokens        = 1900.0
 	targetTokensRequest = 240
 	targetEditsPerDay   = 1200
--- a/internal/process/loadgen/capacity/roles.go
+++ b/internal/process/loadgen/capacity/roles.go
@@ -20,7 +20,11 @@
 	r.sum("control bytes of a gateway", "B/s", budgetBytes, bytes)
 	poller := append(append([]part(nil), bytes...), part{"host list every second instead", (1 - fallback) * r.at("host list read bytes")})
 	r.sum("control bytes of an elected poller", "B/s", budgetBytes, poller)
-	owner := append(append([]part(nil), bytes...), part{"polls of 8 owned replicas instead of the mean", r.at("engine poll bytes of an owner") - r.at("engine poll bytes")})
+	// Half of the bytes of grants are of questions and half of answers, and 10 of
+	// the 50 gateways of a data centre answer for its ten groups.
+	owner := append(append([]part(nil), bytes...),
+		part{"polls of 8 owned replicas instead of the mean", r.at("engine poll bytes of an owner") - r.at("engine poll bytes")},
+		part{"answers for its group instead of the mean", slope / 2 * (targetGroupRequests - targetRequests)})
 	r.sum("control bytes of a group owner", "B/s", budgetBytes, owner)
 	collector := append(append([]part(nil), bytes...), part{"claims of the data centre, with the table", r.at("claim bytes of a collector") - r.at("claim bytes of a gateway")})
 	r.sum("control bytes of a claim collector", "B/s", budgetBytes, collector)
