Test that the stream of load reports ends with the engine

The stand-in ends the stream after the report that says draining. The new test guards against a shutdown that waits for readers of the stream.

--- a/internal/process/standin/engine/contract_test.go
+++ b/internal/process/standin/engine/contract_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -390,3 +391,28 @@
 	_, err := f.client.Load(f.ctx, testName, f.address)
 	f.Equal(fault.From(err).Step, client.StepLoad)
 }
+
+// Guards against an engine that waits at its end for readers of its load report,
+// and against readers that do not hear that it drains.
+func TestLoadStreamEndsWithTheEngine(t *testing.T) {
+	f := start(t, nil)
+	for { // the first report comes after the start
+		if _, err := f.client.Load(f.ctx, testName, f.address); err == nil {
+			break
+		}
+	}
+	r, err := http.NewRequestWithContext(f.ctx, http.MethodGet, "http://"+f.address+"/v1/load?every=250ms", nil)
+	f.NoErr(err)
+	resp, err := http.DefaultClient.Do(r)
+	f.NoErr(err)
+	defer resp.Body.Close()
+	f.NoErr(f.engine.Drain(f.ctx))
+	text, err := io.ReadAll(resp.Body)
+	f.NoErr(err)
+	events := strings.Split(strings.TrimSpace(string(text)), "\n\n")
+	f.True(strings.Contains(events[0], `"name":"`+testName+`"`))
+	f.True(strings.Contains(events[len(events)-1], `"draining":true`))
+	if len(events) > 1 {
+		f.True(!strings.Contains(events[len(events)-1], "name")) // changes only
+	}
+}
