Add a forwarder that cuts links; dial peers from the configured host

The fault run could not partition gateways, since their peer connections all came from one address and went straight to the listener. The forwarder stands in front of addresses and tells callers apart by source host or by route. A cut either holds all bytes until it heals, so that late effects of abandoned writes are tried too, or resets connections.

Gateways now dial peers from the host of peer_listen, as a machine with several addresses should, and announce peer_advertise if it is set. Without a second address a forwarder could not stand in front of a gateway, because the announced address was always the one listened on.

Ruled out: one forwarder on the dialling side, since gateways learn addresses of others by gossip and would dial around it.

--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -117,3 +117,21 @@
 		}
 	})
 }
+
+// Guards against a machine with several addresses that dials its peers from
+// another one than the configured, and against a choice of source that makes a
+// peer unreachable.
+func TestDialFromTheConfiguredHost(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	for listen, want := range map[string]string{"127.0.0.5:7": "127.0.0.5", "0.0.0.0:7": "127.0.0.1", "[::1]:7": "127.0.0.1"} {
+		c, err := peer.DialFrom(listen)(t.Context(), l.Addr().String())
+		is.NoErr(err)
+		host, _, err := net.SplitHostPort(c.LocalAddr().String())
+		is.NoErr(err)
+		is.Equal(host, want)
+		is.NoErr(c.Close())
+	}
+}
--- a/internal/connection/peer/pool.go
+++ b/internal/connection/peer/pool.go
@@ -30,6 +30,23 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", address)
 }
 
+// DialFrom returns a Dialer for TCP that dials from the host of the listen address,
+// so that on a machine with several addresses peers see the configured one. It
+// leaves the choice to the system if that host is unspecified or of the other
+// family than the peer's.
+func DialFrom(listen string) Dialer {
+	host, _, _ := net.SplitHostPort(listen)
+	own := net.ParseIP(host)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		host, _, _ := net.SplitHostPort(address)
+		if remote := net.ParseIP(host); own != nil && remote != nil && !own.IsUnspecified() && (own.To4() == nil) == (remote.To4() == nil) {
+			d.LocalAddr = &net.TCPAddr{IP: own}
+		}
+		return d.DialContext(ctx, "tcp", address)
+	}
+}
+
 // Pool keeps one connection to each peer.
 type Pool struct {
 	secret  []byte
--- a/internal/process/gateway/options.go
+++ b/internal/process/gateway/options.go
@@ -33,6 +33,8 @@
 	Listen      string `yaml:"listen"`
 	AdminListen string `yaml:"admin_listen"`
 	PeerListen  string `yaml:"peer_listen"`
+	// PeerAdvertise is the address that other gateways connect to; empty means PeerListen.
+	PeerAdvertise string `yaml:"peer_advertise"`
 	// Peers are peer addresses of other gateways, asked first after a start.
 	Peers []string `yaml:"peers"`
 	// PeerSecret authenticates gateways to each other.
@@ -111,6 +113,14 @@
 	}
 }
 
+// peerAddress is the address under which other gateways know this one.
+func (o *Options) peerAddress() string {
+	if o.PeerAdvertise != "" {
+		return o.PeerAdvertise
+	}
+	return o.PeerListen
+}
+
 func (o *Options) disabled(mechanism string) bool { return slices.Contains(o.Disable, mechanism) }
 
 // Validate names every bad value by key, value and what is allowed.
@@ -131,6 +141,9 @@
 	for _, v := range []struct{ key, value string }{{"listen", o.Listen}, {"admin_listen", o.AdminListen}, {"peer_listen", o.PeerListen}} {
 		errs = append(errs, checkAddress(v.key, v.value))
 	}
+	if o.PeerAdvertise != "" {
+		errs = append(errs, checkAddress("peer_advertise", o.PeerAdvertise))
+	}
 	for i, p := range o.Peers {
 		errs = append(errs, checkAddress(fmt.Sprintf("peers[%d]", i), p))
 	}
--- a/internal/process/gateway/options_test.go
+++ b/internal/process/gateway/options_test.go
@@ -38,6 +38,7 @@
 		{"listen: localhost:7001", `listen: "localhost:7001" is not allowed; ` + address},
 		{"listen: 127.0.0.1", `listen: "127.0.0.1" is not allowed; ` + address},
 		{"admin_listen: ':7101'", `admin_listen: ":7101" is not allowed; ` + address},
+		{"peer_advertise: host:1", `peer_advertise: "host:1" is not allowed; ` + address},
 		{"peer_listen: ''", `peer_listen: "" is not allowed; ` + address},
 		{"peers: ['127.0.0.1:7201', gateway-2]", `peers[1]: "gateway-2" is not allowed; ` + address},
 		{"peer_secret: short", "peer_secret: has 5 bytes; at least 16 are needed"},
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -80,7 +80,7 @@
 
 func newProcess(o *Options, logger log.Logger) (*process, error) {
 	p := &process{opts: o, logger: logger, metrics: telemetry.New(), holder: new(revision.Holder), limits: limits.New()}
-	p.pool = peer.NewPool([]byte(o.PeerSecret), peer.DialTCP)
+	p.pool = peer.NewPool([]byte(o.PeerSecret), peer.DialFrom(o.PeerListen))
 	p.services = service.New(&http.Client{Transport: engine.NewTransport()})
 	engines := engine.New(&http.Client{Transport: engine.NewTransport()})
 	platformHTTP := &http.Client{Transport: engine.NewTransport()}
@@ -128,7 +128,7 @@
 		Self: membership.Host{
 			Name:        p.opts.Name,
 			DataCentre:  p.opts.DataCentre,
-			PeerAddress: p.opts.PeerListen,
+			PeerAddress: p.opts.peerAddress(),
 			Incarnation: time.Now().UnixMilli(),
 		},
 		Seeds:    p.opts.Peers,
@@ -179,7 +179,7 @@
 		return peers
 	}
 	for _, a := range p.opts.Peers {
-		if a != p.opts.PeerListen {
+		if a != p.opts.peerAddress() {
 			peers = append(peers, cataloguePeer{address: a, caller: p.pool})
 		}
 	}
--- a/internal/process/loadgen/cli/cli.go
+++ b/internal/process/loadgen/cli/cli.go
@@ -75,13 +75,13 @@
 	fs := newFlagSet("loadgen", stderr)
 	version := fs.Bool("version", false, "print the build and exit")
 	return &ffcli.Command{
-		ShortUsage: "loadgen [-version] <run|experiment|capacity|faults|audit> [flags]",
+		ShortUsage: "loadgen [-version] <run|experiment|capacity|faults|partition|audit> [flags]",
 		ShortHelp:  "Sends load to gateways and checks every answer.",
 		LongHelp:   "Exit codes: 0 success, 1 failure or violations found, 2 bad usage or workload.",
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
 			runCommand(stdout, stderr), experimentCommand(stdout, stderr), capacityCommand(stdout, stderr),
-			faultsCommand(stdout, stderr), auditCommand(stdout, stderr),
+			faultsCommand(stdout, stderr), partitionCommand(stderr), auditCommand(stdout, stderr),
 		},
 		Exec: func(context.Context, []string) error {
 			if !*version {
--- /dev/null
+++ b/internal/process/loadgen/cli/partition.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"persimmonwing/internal/process/loadgen/partition"
+	"persimmonwing/internal/process/logging"
+	"persimmonwing/internal/process/settings"
+)
+
+func partitionCommand(stderr io.Writer) *ffcli.Command {
+	fs := newFlagSet("loadgen partition", stderr)
+	config := fs.String("config", "", "`file` with routes (YAML, required)")
+	return &ffcli.Command{
+		Name:       "partition",
+		ShortUsage: "loadgen partition -config FILE",
+		ShortHelp:  "Forwards TCP connections and cuts links by PUT /cuts/{name} until it is stopped.",
+		FlagSet:    fs,
+		Options:    options(),
+		Exec: marked(func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage(errors.New("partition takes no argument"))
+			}
+			var s partition.Settings
+			if err := settings.Load(*config, &s); err != nil {
+				return usage(err)
+			}
+			return partition.Run(ctx, &s, logging.New(stderr, logging.DefaultOptions(), "partition"))
+		}),
+	}
+}
--- /dev/null
+++ b/internal/process/loadgen/partition/forwarder_test.go
@@ -0,0 +1,149 @@
+package partition
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+)
+
+// bound ends a test that would hang.
+const bound = 10 * time.Second
+
+// quiet is a time in which nothing may arrive over a dropped link.
+const quiet = 50 * time.Millisecond
+
+// echo answers each connection with the bytes that it sends.
+func echo(t *testing.T) string {
+	l := listen(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// start forwards to an echo server named b and returns its address.
+func start(t *testing.T, callers map[string]string) (*Forwarder, string) {
+	f := NewForwarder(callers, log.NewNopLogger())
+	l := listen(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Serve(Route{To: "b", Target: echo(t)}, l)
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+		f.Close()
+	})
+	return f, l.Addr().String()
+}
+
+func dial(t *testing.T, host, address string) net.Conn {
+	c, err := tryDial(t, host, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func tryDial(t *testing.T, host, address string) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	c, err := d.DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c, c.SetDeadline(time.Now().Add(bound))
+}
+
+// answered sends a byte and returns whether it comes back within a time.
+func answered(c net.Conn, within time.Duration) error {
+	_, _ = c.Write([]byte("x"))
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+// Guards against a cut that lets bytes through, loses them for good, or reaches
+// links of other callers.
+func TestDroppedLinkDeliversAfterHealing(t *testing.T) {
+	is := is.New(t)
+	f, address := start(t, map[string]string{"127.0.0.2": "a", "127.0.0.3": "c"})
+	a, c := dial(t, "127.0.0.2", address), dial(t, "127.0.0.3", address)
+	is.NoErr(answered(a, bound))
+	f.Set("one", Cut{Kind: Drop, A: []string{"b"}, B: []string{"a"}})
+	late := dial(t, "127.0.0.2", address)
+	is.True(answered(a, quiet) != nil)
+	is.True(answered(late, quiet) != nil)
+	is.NoErr(answered(c, bound))
+	f.Set("two", Cut{Kind: Drop, A: []string{"a", "c"}, B: []string{"b"}})
+	f.Set("one", Cut{})
+	is.True(answered(a, quiet) != nil) // the second cut still covers it
+	f.Set("two", Cut{})
+	for _, conn := range []net.Conn{a, late} {
+		_ = conn.(*net.TCPConn).CloseWrite()
+		_ = conn.SetReadDeadline(time.Now().Add(bound))
+		body, err := io.ReadAll(conn)
+		is.NoErr(err)
+		is.True(len(body) >= 1) // what was sent during the cut has come back
+	}
+}
+
+// Guards against a reset link that stays open, new connections that pass it, and
+// a process that is not known and passes every cut.
+func TestResetLinkAndUnknownCaller(t *testing.T) {
+	is := is.New(t)
+	f, address := start(t, map[string]string{"127.0.0.2": "a"})
+	a := dial(t, "127.0.0.2", address)
+	is.NoErr(answered(a, bound))
+	f.Set("cut", Cut{Kind: Reset, A: []string{"a"}, B: []string{"b"}})
+	_, err := a.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	// The reset may come before or after the dial has returned.
+	late, err := tryDial(t, "127.0.0.2", address)
+	is.True(err != nil || answered(late, bound) != nil)
+	f.Set("cut", Cut{})
+	is.NoErr(answered(dial(t, "127.0.0.2", address), bound))
+	is.True(answered(dial(t, "127.0.0.4", address), bound) != nil)
+}
+
+// Guards against a misspelt kind that cuts nothing.
+func TestControlRefusesUnknownKinds(t *testing.T) {
+	is := is.New(t)
+	f := NewForwarder(nil, log.NewNopLogger())
+	for body, want := range map[string]int{`{"kind":"drop","a":["x"],"b":["y"]}`: http.StatusOK, `{"kind":"lose"}`: http.StatusBadRequest, `{}`: http.StatusOK} {
+		w := httptest.NewRecorder()
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodPut, "/cuts/n", strings.NewReader(body))
+		is.NoErr(err)
+		f.handler().ServeHTTP(w, r)
+		is.Equal(w.Code, want)
+	}
+}
