Partition gateways and platform in the fault run

make faults killed, froze and restarted processes but never cut links. Each schedule now has eight partitions of 4 to 8 s: data centres from each other, one gateway from all others and a data centre from the platform, each once with silent drops and once with resets; a data centre from everything with an edit during it; and a gateway that is cut off while a request crashes engines and gets that request after the cut heals. The run takes 15 s longer.

The audit counts the 5 s of P7 for each gateway from the time at which it can reach the platform or a gateway that has the revision. A new check covers the exchanges of cut-off gateways: generations and idempotent calls are served, and no call that may run only once is completed without the platform.

Partitions from the platform keep away from leaving servers, which a data centre without host list cannot know, and from the frozen holder of the lease.

--- a/internal/process/loadgen/cli/faults.go
+++ b/internal/process/loadgen/cli/faults.go
@@ -19,9 +19,11 @@
 	seed := fs.Uint64("seed", 1, "seed of the schedule")
 	gateways := fs.Int("gateways", 7, "number of gateways")
 	engines := fs.Int("engines", 14, "number of engines")
+	dataCentres := fs.Int("data-centres", 4, "number of data centres; gateways and controllers are dealt out to them in turn")
+	controllers := fs.Int("controllers", 2, "number of controllers")
 	return &ffcli.Command{
 		Name:       "faults",
-		ShortUsage: "loadgen faults [-seed N] [-gateways N] [-engines N]",
+		ShortUsage: "loadgen faults [-seed N] [-gateways N] [-engines N] [-data-centres N] [-controllers N]",
 		ShortHelp:  "Prints a schedule of faults: milliseconds, action, target, value.",
 		FlagSet:    fs,
 		Options:    options(),
@@ -29,7 +31,9 @@
 			if len(args) > 0 {
 				return usage(errors.New("faults takes no argument"))
 			}
-			steps, err := faults.Schedule(*seed, faults.Fleet{Gateways: *gateways, Engines: *engines})
+			steps, err := faults.Schedule(*seed, faults.Fleet{
+				Gateways: *gateways, Engines: *engines, DataCentres: *dataCentres, Controllers: *controllers,
+			})
 			if err != nil {
 				return usage(err)
 			}
--- a/internal/process/loadgen/faults/audit.go
+++ b/internal/process/loadgen/faults/audit.go
@@ -43,6 +43,7 @@
 		e.editsDecided(),
 		e.lease(),
 		e.crashes(),
+		e.cutOff(),
 		e.ends(),
 	}
 }
@@ -236,8 +237,10 @@
 	for _, v := range e.Events {
 		kind, _, _ := strings.Cut(v.Target, "-")
 		switch v.Action {
-		case Start, Continue, Clear, Return, Settled, ContinueHolder:
+		case Start, Continue, Clear, Return, Settled, ContinueHolder, Heal, CrashAgain:
 			continue
+		case Cut:
+			counts["cut "+v.Target]++
 		case Put:
 			counts[kind+" "+strings.Trim(v.Value, "{}")]++
 		default:
@@ -265,6 +268,10 @@
 		passed = passed && c.Passed()
 		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\n", c.Property, c.What, c.Checks, len(c.Breaches), c.result())
 	}
+	fmt.Fprintln(t, "\nAT CUT-OFF GATEWAYS\tCOMPLETED\tEXCHANGES")
+	for _, key := range slices.Sorted(maps.Keys(e.Served)) {
+		fmt.Fprintf(t, "%s\t%d\t%d\n", key, e.Served[key].Completed, e.Served[key].All)
+	}
 	if err := t.Flush(); err != nil {
 		return false, err
 	}
--- a/internal/process/loadgen/faults/evidence.go
+++ b/internal/process/loadgen/faults/evidence.go
@@ -93,6 +93,11 @@
 	// Crashes holds the engines that ended by themselves, and CrashResends the
 	// codes with which the request that crashes engines was answered.
 	Crashes, CrashResends []string
+	// Cuts holds the partitions.
+	Cuts   []cutSpan
+	gapsOf map[gapKey][]span
+	// Served is set by the audit, by kind of partition and of request.
+	Served map[string]*Served
 	// GatewayURLs gives the callers' address of each gateway.
 	GatewayURLs map[string]string
 }
@@ -122,7 +127,9 @@
 		fields(dir, "resends.log", 1, func(f []string) error { e.CrashResends = append(e.CrashResends, f[0]); return nil }),
 		e.runs(dir),
 	)
-	return e, err
+	cuts, err2 := e.cutSpans()
+	e.Cuts = cuts
+	return e, errors.Join(err, err2)
 }
 
 func (e *Evidence) event(f []string) error {
--- a/internal/process/loadgen/faults/freshness.go
+++ b/internal/process/loadgen/faults/freshness.go
@@ -34,27 +34,33 @@
 	return list
 }
 
-// deadline is the time by which revision n, accepted at the given time, is in
-// force at every gateway that can reach others. When an outage begins within the
-// bound, the edit may be known to nobody until it ends or until a gateway has it.
-func (e *Evidence) deadline(n, acceptedMS int64) int64 {
-	start := acceptedMS
-	for _, o := range e.outages() {
-		if o.from < acceptedMS+editBoundMS && o.to > acceptedMS {
-			start = max(start, min(o.to, e.firstSeen(n)))
+// deadline is the time by which a gateway has revision n, if it has run since a
+// given time. While the gateway can reach neither the platform nor a gateway that
+// has the revision, the bound does not begin.
+func (e *Evidence) deadline(name string, n, sinceMS int64) int64 {
+	start := sinceMS
+	for _, u := range e.gaps(name, n) {
+		if u.from < start+editBoundMS && u.to > start {
+			start = u.to
 		}
 	}
 	return start + editBoundMS
 }
 
-// firstSeen is the latest time at which the first gateway got revision n.
-func (e *Evidence) firstSeen(n int64) int64 {
-	for _, s := range e.Samples {
-		if slices.ContainsFunc(s.Gateways, func(g GatewayStatus) bool { return g.Error == "" && g.Revision >= n }) {
-			return s.FromMS + sampleLengthMS
+// runsSince is the last time up to atMS at which a gateway began to run.
+func (e *Evidence) runsSince(name string, atMS int64) int64 {
+	since := int64(0)
+	for _, v := range e.Events {
+		if v.Target == name && (v.Action == Start || v.Action == Continue) && v.AtMS <= atMS {
+			since = max(since, v.AtMS)
+		}
+	}
+	for _, x := range e.Exits {
+		if x.Name == name && x.AtMS <= atMS {
+			since = max(since, x.AtMS)
 		}
 	}
-	return 1 << 62
+	return since
 }
 
 // disturbed tells whether a gateway was stopped or restarted within the bound
@@ -98,7 +104,7 @@
 		if n == 0 {
 			continue
 		}
-		if deadline := e.deadline(n, edit.EndMS); atMS >= deadline {
+		if deadline := e.deadline(g.Name, n, max(edit.EndMS, e.runsSince(g.Name, atMS))); atMS >= deadline {
 			c.Checks++
 			if g.Revision < n {
 				c.breach("%s has revision %d, %d ms after the bound of revision %d", g.Name, g.Revision, atMS-deadline, n)
--- a/internal/process/loadgen/faults/schedule.go
+++ b/internal/process/loadgen/faults/schedule.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"persimmonwing/internal/process/loadgen/partition"
 )
 
 // Action is what the script does at a step.
@@ -39,8 +41,13 @@
 	Edit       Action = "edit"
 	Race       Action = "race"
 	EditOutage Action = "edit_outage"
-	// Crash sends a request that crashes engines again and again to several gateways.
-	Crash Action = "crash"
+	// Crash sends a request that crashes engines again and again to all gateways but
+	// the one named by the value, and CrashAgain to that one.
+	Crash      Action = "crash"
+	CrashAgain Action = "crash_again"
+	// Cut sends the value, a partition.Cut, to the forwarder, and Heal takes it back.
+	Cut  Action = "cut"
+	Heal Action = "heal"
 	// StopHolder sends SIGSTOP to the controller that holds the lease, and
 	// ContinueHolder wakes it.
 	StopHolder     Action = "stop_holder"
@@ -48,7 +55,7 @@
 )
 
 // Length is the time in which faults begin and end.
-const Length = 60 * time.Second
+const Length = 75 * time.Second
 
 // LeaveBound is the time after which a leaving server gets no new work (P5).
 const LeaveBound = 3 * time.Second
@@ -77,18 +84,25 @@
 }
 
 // Fleet is the number of processes of each kind, named as in scripts/fleet.sh.
-type Fleet struct{ Gateways, Engines int }
+type Fleet struct {
+	Gateways, Engines int
+	// Gateways and controllers are dealt out to the data centres in turn.
+	DataCentres, Controllers int
+}
 
 // The fewest processes that a schedule needs, so that no process has two faults
 // at once and a terminated gateway has no other fault.
 const (
 	minGateways = 7
 	minEngines  = 13
+	// Two data centres that have no controller and at least one that has.
+	minDataCentres = 3
 )
 
 // plan collects the steps of a schedule.
 type plan struct {
 	random *rand.Rand
+	fleet  Fleet
 	steps  []Step
 }
 
@@ -98,13 +112,19 @@
 	if f.Gateways < minGateways || f.Engines < minEngines {
 		return nil, fmt.Errorf("fleet: %d gateways and %d engines are not enough; use %d and %d or more", f.Gateways, f.Engines, minGateways, minEngines)
 	}
-	p := &plan{random: rand.New(rand.NewPCG(seed, 0))}
+	if f.DataCentres < minDataCentres || f.Controllers < 1 || f.Controllers >= f.DataCentres {
+		return nil, fmt.Errorf("fleet: use %d or more data centres and 1 to %d controllers", minDataCentres, f.DataCentres-1)
+	}
+	p := &plan{random: rand.New(rand.NewPCG(seed, 0)), fleet: f}
 	leaving := p.names("engine", f.Engines)
-	p.gateways(p.names("gateway", f.Gateways))
+	gateways := p.names("gateway", f.Gateways)
+	undisturbed := slices.Clone(gateways[disturbedGateways:])
+	p.gateways(gateways)
 	p.engines(leaving[1:])
-	p.platform(leaving[0])
+	p.platform(leaving[0], undisturbed[0])
 	p.apps()
 	p.controller()
+	p.cuts(undisturbed[1:])
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps, nil
 }
@@ -142,6 +162,9 @@
 	mostFreeze  = 12 * time.Second
 )
 
+// disturbedGateways is the number of gateways that are killed or frozen.
+const disturbedGateways = 4
+
 // gateways kills two and freezes two in one half of the run, and restarts all of
 // them one after the other in the other half. A terminated gateway has no other
 // fault, since P6 holds for a shutdown that is not itself cut off.
@@ -152,7 +175,7 @@
 		// The restarted gateways need some seconds to finish their requests.
 		faults, restarts = half+10*time.Second, time.Second
 	}
-	for i, name := range names[:4] {
+	for i, name := range names[:disturbedGateways] {
 		begin, end, least, most := Kill, Start, leastDown, mostDown
 		if i >= 2 {
 			begin, end, least, most = Stop, Continue, leastFreeze, mostFreeze
@@ -225,13 +248,18 @@
 	}
 }
 
-// crashLength is the time for the resends of a request that crashes engines.
-const crashLength = 7 * time.Second
+// crashLength is the time for the resends of a request that crashes engines, and
+// rejoin the time after which a gateway that was cut off has the others' reports.
+const (
+	crashLength = 7 * time.Second
+	rejoin      = 2 * time.Second
+)
 
-// platform draws the faults of the platform, the edits, and the time in which
-// two backend servers leave. Nobody can learn of a leaving server from a host
+// platform draws the faults of the platform, the edits, one of them while a data
+// centre is cut off from everything, the request that crashes engines while the
+// gateway is cut off from the others, and the time in which two backend servers leave. Nobody can learn of a leaving server from a host
 // list that doesn't answer, so these don't overlap with the platform's faults.
-func (p *plan) platform(engine string) {
+func (p *plan) platform(engine, gateway string) {
 	fault := func(value string, least, most time.Duration) block {
 		return func(at time.Duration) time.Duration {
 			n := p.between(least, most)
@@ -251,8 +279,11 @@
 		fault(`{"delay_ms":300}`, 2*time.Second, 5*time.Second),
 		fault(`{"host_list_frozen":true}`, 2*time.Second, 4*time.Second),
 		func(at time.Duration) time.Duration {
-			p.add(at, Edit, "catalogue", "")
-			return 2 * time.Second
+			n := p.between(4*time.Second, 6*time.Second)
+			p.add(at, Cut, "island-drop", p.island(partition.Drop))
+			p.add(at+time.Second, Edit, "catalogue", "")
+			p.add(at+n, Heal, "island-drop", "")
+			return n + time.Second
 		},
 		func(at time.Duration) time.Duration {
 			p.add(at, Race, "catalogue", "")
@@ -267,8 +298,11 @@
 		// An engine that crashes loses its run counters, which P5 needs, so that
 		// this doesn't overlap with leaving servers either.
 		func(at time.Duration) time.Duration {
-			p.add(at, Crash, "request", "")
-			return crashLength
+			p.add(at, Cut, "crash-drop", p.alone(partition.Drop, gateway))
+			p.add(at+time.Second, Crash, "request", gateway)
+			p.add(at+time.Second+crashLength, Heal, "crash-drop", "")
+			p.add(at+time.Second+crashLength+rejoin, CrashAgain, "request", gateway)
+			return 2*crashLength - 2*time.Second
 		},
 		func(at time.Duration) time.Duration {
 			n := LeaveBound + p.between(4*time.Second, 6*time.Second)
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,6 +15,10 @@
 MODEL=${MODEL:-plan-large}
 SERVICES=(${SERVICES:-bookings roster records bookings})
 BIN=${BIN:-bin}
+# LINKS=1 puts a forwarder in front of the peer addresses of all gateways and of
+# the platform. Each gateway then listens and dials at 127.0.1.N, so that the
+# forwarder can tell gateways apart, and is reached at 127.0.2.N.
+LINKS=${LINKS:-}
 
 platform_port() { echo "$PORT_BASE"; }
 engine_port() { echo $((PORT_BASE + 100 + $1)); }
@@ -23,9 +27,16 @@
 admin_port() { echo $((PORT_BASE + 400 + $1)); }
 peer_port() { echo $((PORT_BASE + 500 + $1)); }
 controller_port() { echo $((PORT_BASE + 600 + $1)); }
+link_port() { case $1 in gateway-*) echo $((PORT_BASE + 700 + ${1##*-})) ;; *) echo $((PORT_BASE + 750 + ${1##*-})) ;; esac; }
+links_control_port() { echo $((PORT_BASE + 790)); }
+peer_host() { if [ -n "$LINKS" ]; then echo "127.0.1.$1"; else echo 127.0.0.1; fi; }
+# peer_contact N prints the address at which other gateways reach gateway-N.
+peer_contact() { if [ -n "$LINKS" ]; then echo "127.0.2.$1:$(peer_port "$1")"; else echo "127.0.0.1:$(peer_port "$1")"; fi; }
 data_centre() { echo "${DATA_CENTRES[$((($1 - 1) % ${#DATA_CENTRES[@]}))]}"; }
 service() { echo "${SERVICES[$((($1 - 1) % ${#SERVICES[@]}))]}"; }
 platform_url() { echo "http://127.0.0.1:$(platform_port)"; }
+# platform_url_of NAME prints the URL at which a process reaches the platform.
+platform_url_of() { if [ -n "$LINKS" ]; then echo "http://127.0.0.1:$(link_port "$1")"; else platform_url; fi; }
 
 # targets prints the callers' addresses of all gateways, comma-separated.
 targets() { for i in $(seq "$GATEWAYS"); do printf 'http://127.0.0.1:%s,' "$(gateway_port "$i")"; done | sed 's/,$//'; }
@@ -74,14 +85,15 @@
 		data_centre: $(data_centre "$1")
 		listen: 127.0.0.1:$(gateway_port "$1")
 		admin_listen: 127.0.0.1:$(admin_port "$1")
-		peer_listen: 127.0.0.1:$(peer_port "$1")
-		peers: [$(for i in $(seq "$GATEWAYS"); do printf '"127.0.0.1:%s",' "$(peer_port "$i")"; done)]
+		peer_listen: $(peer_host "$1"):$(peer_port "$1")
+		peer_advertise: $(peer_contact "$1")
+		peers: [$(for i in $(seq "$GATEWAYS"); do printf '"%s",' "$(peer_contact "$i")"; done)]
 		peer_secret: loopback-demo-peer-secret
 		response_keys: [{id: demo1, secret: loopback-demo-response-key}]
 		platform:
-		  table_url: $(platform_url)
-		  object_url: $(platform_url)/objects
-		  hosts_url: $(platform_url)
+		  table_url: $(platform_url_of "gateway-$1")
+		  object_url: $(platform_url_of "gateway-$1")/objects
+		  hosts_url: $(platform_url_of "gateway-$1")
 		policy: ${POLICY:-owner}
 	END
 }
@@ -92,12 +104,34 @@
 		data_centre: $(data_centre "$1")
 		admin_listen: 127.0.0.1:$(controller_port "$1")
 		platform:
-		  table_url: $(platform_url)
-		  object_url: $(platform_url)/objects
-		  hosts_url: $(platform_url)
+		  table_url: $(platform_url_of "controller-$1")
+		  object_url: $(platform_url_of "controller-$1")/objects
+		  hosts_url: $(platform_url_of "controller-$1")
 	END
 }
 
+write_links_settings() {
+	local i
+	{
+		printf 'control: 127.0.0.1:%s\nroutes:\n' "$(links_control_port)"
+		for i in $(seq "$GATEWAYS"); do
+			printf -- '- {to: gateway-%s, listen: "%s", target: "%s:%s"}\n' "$i" "$(peer_contact "$i")" "$(peer_host "$i")" "$(peer_port "$i")"
+		done
+		for i in $(seq -f 'gateway-%g' "$GATEWAYS") $(seq -f 'controller-%g' "$CONTROLLERS"); do
+			printf -- '- {from: %s, to: platform, listen: "127.0.0.1:%s", target: "127.0.0.1:%s"}\n' "$i" "$(link_port "$i")" "$(platform_port)"
+		done
+		printf 'callers:\n'
+		for i in $(seq "$GATEWAYS"); do printf '  %s: gateway-%s\n' "$(peer_host "$i")" "$i"; done
+	} >"$FLEET_DIR/links.yaml"
+}
+
+# start_links runs the forwarder.
+start_links() {
+	write_links_settings
+	"$BIN/loadgen" partition -config "$FLEET_DIR/links.yaml" >>"$FLEET_DIR/links.log" 2>&1 &
+	echo $! >"$FLEET_DIR/links.pid"
+}
+
 # start BINARY NAME runs a binary with the settings of NAME in the background.
 start() {
 	"$BIN/$1" -config "$FLEET_DIR/$2.yaml" >>"$FLEET_DIR/$2.log" 2>&1 &
@@ -132,24 +166,38 @@
 # check_ports fails if a port of the fleet is taken. Without it, a run would use
 # and disturb another fleet that has the same PORT_BASE.
 check_ports() {
-	local port
+	local port i
+	if [ -n "$LINKS" ]; then
+		for i in $(seq "$GATEWAYS"); do
+			check_address "127.0.1.$i" "$(peer_port "$i")"
+			check_address "127.0.2.$i" "$(peer_port "$i")"
+			check_address 127.0.0.1 "$(link_port "gateway-$i")"
+		done
+		for i in $(seq "$CONTROLLERS"); do check_address 127.0.0.1 "$(link_port "controller-$i")"; done
+		check_address 127.0.0.1 "$(links_control_port)"
+	fi
 	for port in $(platform_port) $(for i in $(seq "$ENGINES"); do engine_port "$i"; done) \
 		$(for i in $(seq "$APPS"); do app_port "$i"; done) \
 		$(for i in $(seq "$GATEWAYS"); do gateway_port "$i"; admin_port "$i"; peer_port "$i"; done) \
 		$(for i in $(seq "$CONTROLLERS"); do controller_port "$i"; done); do
-		if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-			echo "port $port is in use; set PORT_BASE to a free range"
-			return 1
-		fi
+		check_address 127.0.0.1 "$port"
 	done
 }
 
+check_address() {
+	if (exec 3<>"/dev/tcp/$1/$2") 2>/dev/null; then
+		echo "port $2 of $1 is in use; set PORT_BASE to a free range"
+		return 1
+	fi
+}
+
 # start_backends starts platform, engines and application servers.
 start_backends() {
 	check_ports
 	write_platform_settings
 	start standin-platform platform
 	await_ready "$(platform_url)/hosts"
+	if [ -n "$LINKS" ]; then start_links; fi
 	for i in $(seq "$ENGINES"); do write_engine_settings "$i"; start standin-engine "engine-$i"; done
 	for i in $(seq "$APPS"); do write_app_settings "$i"; start standin-app "app-$i"; done
 }
@@ -166,7 +214,7 @@
 # last.
 stop_fleet() {
 	local kind pid_file
-	for kind in controller gateway app engine platform; do
+	for kind in controller gateway links app engine platform; do
 		for pid_file in "$FLEET_DIR"/"$kind"*.pid; do
 			[ -e "$pid_file" ] || continue
 			stop "$(basename "$pid_file" .pid)"
