Count the time to record an outcome from the end of the call

The context for settling a claim began before the call was dispatched, so after a call of more than 1 s it had already expired. The outcome then always went to the background queue: the caller was answered before the claim was settled, and if the gateway was killed before the queue ran, the row stayed claimed and every resend got call_in_progress with execution unknown, although the call had been answered.

Found by reading the path of a settlement that is lost with its gateway.

--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -167,24 +167,28 @@
 // dispatchClaimed sends a claimed call and settles its claim. A call whose
 // outcome is unknown keeps its claim, so that it never runs again.
 func (s *serviceCall) dispatchClaimed(ctx context.Context, held *claim.Claim) (service.Response, string, *fault.Error) {
-	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
-	defer cancel()
 	if !held.Dispatchable(time.Now()) {
-		s.logSettled(held.ReleaseNotRun(settle))
+		s.settle(ctx, held.ReleaseNotRun)
 		return service.Response{}, "", fault.New(fault.DeadlineExceeded, "dispatch", "", api.NotRun, "the deadline passed before the call was sent")
 	}
 	answer, backend, ferr := s.dispatch(ctx)
 	switch {
 	case ferr == nil:
-		s.logSettled(held.Finish(settle, claim.Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body}))
+		s.settle(ctx, func(ctx context.Context) error {
+			return held.Finish(ctx, claim.Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body})
+		})
 	case ferr.Execution == api.NotRun:
-		s.logSettled(held.ReleaseNotRun(settle))
+		s.settle(ctx, held.ReleaseNotRun)
 	}
 	return answer, backend, ferr
 }
 
-func (s *serviceCall) logSettled(err error) {
-	if err != nil {
+// settle records the outcome of a claimed call. Its time begins here and not with
+// the call, which may run for longer.
+func (s *serviceCall) settle(ctx context.Context, write func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	if err := write(ctx); err != nil {
 		_ = level.Warn(s.call.logger).Log("msg", "outcome not recorded yet, trying again in the background", "err", err)
 	}
 }
--- /dev/null
+++ b/internal/process/gateway/settle_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/connection/platform/platformtest"
+	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/limits"
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/telemetry"
+	"persimmonwing/internal/request/claim"
+)
+
+// slowServer answers calls after a time.
+type slowServer struct{ takes time.Duration }
+
+func (s slowServer) Do(context.Context, string, string, service.Request) (service.Response, error) {
+	time.Sleep(s.takes)
+	return service.Response{Status: http.StatusOK, Body: []byte("booked")}, nil
+}
+
+// recorder is a ResponseRecorder that takes deadlines, as a connection does.
+type recorder struct{ *httptest.ResponseRecorder }
+
+func (recorder) SetReadDeadline(time.Time) error  { return nil }
+func (recorder) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against a call that runs longer than the write of its outcome may take
+// and is answered before the outcome is recorded: a gateway that is killed then
+// leaves the claim in progress for ever.
+func TestOutcomeOfSlowCallIsRecordedBeforeTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		current := &fakeCatalogue{}
+		current.set(testCatalogue())
+		g, err := New(testOptions(), Deps{
+			Catalogue: current,
+			Backends:  &fakeBackends{membership.Backend{Name: "app-1", Address: "10.0.0.1:80", Service: "shop", Accepting: true}},
+			Services:  slowServer{2 * settleTimeout},
+			// Nothing works on the claims in the background, as in a gateway that is
+			// killed right after the answer.
+			Claims:  claim.NewStore(&platformtest.Table{}, claim.DefaultOptions()),
+			Limits:  limits.New(),
+			Metrics: telemetry.New(),
+			Logger:  log.NewNopLogger(),
+		})
+		is.NoErr(err)
+		for range 2 {
+			r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/v1/services/booking", strings.NewReader("x"))
+			is.NoErr(err)
+			r.Header.Set("Authorization", "Bearer "+keyA)
+			r.Header.Set("Idempotency-Key", "k")
+			w := recorder{httptest.NewRecorder()}
+			g.CallerHandler().ServeHTTP(w, r)
+			is.Equal(w.Code, http.StatusOK) // the resend gets the recorded answer
+			is.Equal(w.Body.String(), "booked")
+		}
+	})
+}
