Deliver reports of suspects to gateways that were cut off

Cause: a report went once to the gateways that counted live, and a gateway asked for missed reports only after a start or a pause. Now a report that was not delivered is kept for its gateway and sent again, in order, every 250 ms until it arrives or the gateway is no longer known.

Ruled out: asking again when a gateway counts live anew, since one of another data centre counts live for 20 s of a cut.

The cuts around the crash and of the island now draw drops or resets.

--- a/internal/process/loadgen/faults/cuts.go
+++ b/internal/process/loadgen/faults/cuts.go
@@ -16,6 +16,7 @@
 	cutGateway     = "gateway"       // one gateway from all others
 	cutPlatform    = "platform_link" // a data centre from the platform
 	cutIsland      = "island"        // a data centre from everything
+	cutCrash       = "crash"         // one gateway, while a request crashes engines
 )
 
 // platformName is the platform's name in cuts.
@@ -65,6 +66,11 @@
 	return string(b)
 }
 
+// either draws a kind.
+func (p *plan) either() partition.Kind {
+	return []partition.Kind{partition.Drop, partition.Reset}[p.random.IntN(2)]
+}
+
 // alone cuts one gateway off from all others.
 func (p *plan) alone(kind partition.Kind, gateway string) string {
 	side := []string{gateway}
@@ -101,7 +107,7 @@
 // those from the platform from leaving servers, of which a data centre without
 // host list cannot know, and from the frozen holder of the lease.
 func (p *plan) cuts(gateways []string) {
-	crash := p.windows(Cut, "crash-drop", CrashAgain, "request")
+	crash := p.windows(Crash, "request", CrashAgain, "request")
 	leaving := p.windows(Leave, leavingApp, Return, leavingApp)
 	holder := p.windows(StopHolder, "controller", ContinueHolder, "controller")
 	for i, kind := range []partition.Kind{partition.Drop, partition.Reset} {
--- a/internal/process/loadgen/faults/schedule.go
+++ b/internal/process/loadgen/faults/schedule.go
@@ -10,8 +10,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"persimmonwing/internal/process/loadgen/partition"
 )
 
 // Action is what the script does at a step.
@@ -280,9 +278,11 @@
 		fault(`{"host_list_frozen":true}`, 2*time.Second, 4*time.Second),
 		func(at time.Duration) time.Duration {
 			n := p.between(4*time.Second, 6*time.Second)
-			p.add(at, Cut, "island-drop", p.island(partition.Drop))
+			kind := p.either()
+			target := cutIsland + "-" + string(kind)
+			p.add(at, Cut, target, p.island(kind))
 			p.add(at+time.Second, Edit, "catalogue", "")
-			p.add(at+n, Heal, "island-drop", "")
+			p.add(at+n, Heal, target, "")
 			return n + time.Second
 		},
 		func(at time.Duration) time.Duration {
@@ -298,9 +298,11 @@
 		// An engine that crashes loses its run counters, which P5 needs, so that
 		// this doesn't overlap with leaving servers either.
 		func(at time.Duration) time.Duration {
-			p.add(at, Cut, "crash-drop", p.alone(partition.Drop, gateway))
+			kind := p.either()
+			target := cutCrash + "-" + string(kind)
+			p.add(at, Cut, target, p.alone(kind, gateway))
 			p.add(at+time.Second, Crash, "request", gateway)
-			p.add(at+time.Second+crashLength, Heal, "crash-drop", "")
+			p.add(at+time.Second+crashLength, Heal, target, "")
 			p.add(at+time.Second+crashLength+rejoin, CrashAgain, "request", gateway)
 			return 2*crashLength - 2*time.Second
 		},
--- a/internal/process/loadgen/faults/schedule_test.go
+++ b/internal/process/loadgen/faults/schedule_test.go
@@ -106,7 +106,7 @@
 			case Crash:
 				crash = true
 			case CrashAgain:
-				is.True(!open["crash-drop"])
+				is.True(!open["crash-drop"] && !open["crash-reset"])
 				crash = false
 			case Leave:
 				leaving++
@@ -119,7 +119,7 @@
 			}
 			for name := range open {
 				kind, _, _ := strings.Cut(name, "-")
-				is.True(!crash || kind == "crash" || kind == cutPlatform)
+				is.True(!crash || kind == cutCrash || kind == cutPlatform)
 				is.True(kind != cutPlatform || leaving == 0 && !frozen)
 			}
 		}
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -48,6 +48,7 @@
 	ticks    int
 	lastTick time.Time
 	missed   missedReports
+	unsent   map[string]*unsent
 
 	// background counts calls that outlive their callers, such as releases.
 	background sync.WaitGroup
@@ -61,6 +62,7 @@
 		held:    map[string]*held{},
 		engines: map[string]*engine{},
 		avoided: map[string]time.Time{},
+		unsent:  map[string]*unsent{},
 	}
 	m.guard = newGuard(m.tell)
 	return m
@@ -186,6 +188,7 @@
 		m.keep(now, r, paused, slow)
 	}
 	m.poll(ctx, slow)
+	m.resendReports()
 }
 
 // keep does the periodic work of one group.
--- a/internal/process/owner/missed_test.go
+++ b/internal/process/owner/missed_test.go
@@ -98,3 +98,67 @@
 		is.True(!m.missed.stale)
 	})
 }
+
+// cutCaller takes reports unless the link to their address is cut.
+type cutCaller struct {
+	cut bool
+	got map[string][]crashguard.Report
+}
+
+func (c *cutCaller) Call(_ context.Context, address, _ string, args, _ any) error {
+	if c.cut {
+		return errors.New("link is cut")
+	}
+	c.got[address] = append(c.got[address], *args.(*crashguard.Report))
+	return nil
+}
+
+// Guards against a gateway that was cut off while a request crashed engines and
+// runs it once more after the link has healed, and against reports that arrive
+// twice or in another order.
+func TestReportsReachAGatewayAfterACut(t *testing.T) {
+	for name, live := range map[string]bool{"counted live": true, "counted dead": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				caller := &cutCaller{cut: true, got: map[string][]crashguard.Report{}}
+				view := &peersView{known: []membership.Gateway{{Name: "g2", PeerAddress: "p2", Live: live}}}
+				m := New(Options{View: view, Caller: caller, Logger: log.NewNopLogger()})
+				first := crashguard.Report{Loss: crashguard.Loss{Engine: "engine-1"}, Fingerprints: []uint64{7}}
+				second := crashguard.Report{Finished: []uint64{7}}
+				third := crashguard.Report{Loss: crashguard.Loss{Engine: "engine-2"}, Fingerprints: []uint64{7}}
+				m.broadcast(first)
+				m.broadcast(second)
+				m.resendReports()
+				synctest.Wait()
+				is.Equal(len(caller.got), 0)
+				caller.cut = false
+				m.broadcast(third)
+				m.resendReports()
+				synctest.Wait()
+				is.Equal(caller.got["p2"], []crashguard.Report{first, second, third})
+				m.resendReports()
+				synctest.Wait()
+				is.Equal(len(caller.got["p2"]), 3)
+				is.Equal(len(m.unsent), 0)
+			})
+		})
+	}
+}
+
+// Guards against reports that are kept without bound, or for gateways that are gone.
+func TestUnsentReportsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		view := &peersView{known: []membership.Gateway{{Name: "g2", PeerAddress: "p2", Live: true}}}
+		m := New(Options{View: view, Caller: &cutCaller{cut: true}, Logger: log.NewNopLogger()})
+		for i := range uint64(2 * maxUnsent) {
+			m.broadcast(crashguard.Report{Finished: []uint64{i}})
+		}
+		is.Equal(len(m.unsent["g2"].reports), maxUnsent)
+		is.Equal(m.unsent["g2"].reports[maxUnsent-1].Finished, []uint64{2*maxUnsent - 1}) // the latest are kept
+		view.known = nil
+		m.resendReports()
+		is.Equal(len(m.unsent), 0)
+	})
+}
