Read the host list after a pause and without peers

After a pause of more than 2.5 s the gateway now reads the host list at once and waits for it, at most 600 ms, before it chooses an application server; a group that was paused grants nothing for 600 ms, as one with a new owner.

Looking for the same fault in partitions showed another one: a gateway that is not elected to read the list and is cut off from its peers went on with its last copy until its peers counted dead. It now reads the list itself after 1.5 s without an exchange.

Ruled out: facts by gossip alone, since a message carries the latest 32 and 16 others, so that an older change may come late.

Not covered: a grant that had arrived right before the freeze is used after it.

--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -121,6 +121,16 @@
 	return s, nil
 }
 
+// freshBackends lists application servers by a view that is not from before a pause
+// of this process.
+type freshBackends struct{ *membership.Gossiper }
+
+// Services implements Backends.
+func (b freshBackends) Services(service string) []membership.Backend {
+	b.AwaitFresh()
+	return b.Gossiper.Services(service)
+}
+
 // prober asks application servers whether they take new work.
 type prober struct{ client *service.Client }
 
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -100,7 +100,7 @@
 	p.gateway, err = New(o, Deps{
 		Scheduler:     p.manager,
 		Catalogue:     p.holder,
-		Backends:      p.gossiper,
+		Backends:      freshBackends{p.gossiper},
 		Engines:       engineClient{engines},
 		Services:      p.services,
 		Claims:        p.claims,
--- a/internal/process/membership/gossip_test.go
+++ b/internal/process/membership/gossip_test.go
@@ -203,6 +203,12 @@
 	for name, shows := range map[string]func(c *cluster, nodes []*node){
 		"host list":              func(c *cluster, _ []*node) { c.list.set(leaving, other) },
 		"removed from host list": func(c *cluster, _ []*node) { c.list.set(other) },
+		"host list, each gateway cut off from all others": func(c *cluster, _ []*node) {
+			for i, a := range everywhere {
+				c.network.Cut([]string{a}, everywhere[i+1:])
+			}
+			c.list.set(leaving, other)
+		},
 		"host list read by one gateway": func(c *cluster, _ []*node) {
 			c.list.fail("1", "2", "3", "4")
 			time.Sleep(10 * time.Second)
--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -60,6 +60,7 @@
 	failed map[string]bool
 	steady map[string]time.Time // since when the list shows a leaving host live again
 	round  int
+	fresh  freshness
 }
 
 // NewGossiper returns a gossiper that knows only itself.
@@ -78,6 +79,7 @@
 	s.g.mu.Lock()
 	*out = s.g.state.answer(time.Now(), in)
 	s.g.mu.Unlock()
+	s.g.heard()
 	s.g.changed()
 	return nil
 }
@@ -110,6 +112,7 @@
 func (g *Gossiper) beat(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.fresh.beat(now)
 	g.state.table.Beat(g.opt.Revision())
 	g.state.table.Forget(now)
 	g.state.facts.Forget(now)
@@ -183,6 +186,7 @@
 	if !ok {
 		return
 	}
+	g.heard()
 	g.mu.Lock()
 	want := g.state.absorb(time.Now(), &answer)
 	follow := g.state.names(answer.Want)
--- a/internal/process/membership/poller.go
+++ b/internal/process/membership/poller.go
@@ -39,13 +39,13 @@
 	Ready(ctx context.Context, b Backend) (bool, error)
 }
 
-// PollHosts polls the host list until ctx ends: every second if elected, else
-// every 10 s. Its first poll is at once.
+// PollHosts polls the host list until ctx ends: every second if elected, if cut off
+// from all peers or after a pause, else every 10 s. Its first poll is at once.
 func (g *Gossiper) PollHosts(ctx context.Context, list HostList) error {
 	tick := time.NewTicker(listPeriod)
 	defer tick.Stop()
 	for turn := 0; ; turn++ {
-		if turn%fallbackEvery == 0 || g.Polls(purposeHosts) {
+		if turn%fallbackEvery == 0 || g.Polls(purposeHosts) || g.needsList(time.Now()) {
 			g.pollHosts(ctx, list)
 		}
 		select {
@@ -59,6 +59,7 @@
 func (g *Gossiper) pollHosts(ctx context.Context, list HostList) {
 	ctx, cancel := context.WithTimeout(ctx, listPeriod)
 	defer cancel()
+	askedAt := time.Now()
 	hosts, err := list.Hosts(ctx)
 	g.SetPolled(purposeHosts, err == nil)
 	if err != nil {
@@ -66,6 +67,9 @@
 		return
 	}
 	g.SetHosts(hosts)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fresh.listRead(askedAt)
 }
 
 // PollApplications polls the application servers that this gateway discovers
--- a/internal/process/owner/missed_test.go
+++ b/internal/process/owner/missed_test.go
@@ -12,6 +12,7 @@
 
 	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/schedule"
 )
 
 // peersView knows other gateways, none of which counts live after a pause.
@@ -162,3 +163,31 @@
 		is.Equal(len(m.unsent), 0)
 	})
 }
+
+// countedGroup counts its dispatches.
+type countedGroup struct {
+	Group
+	dispatches int
+}
+
+func (g *countedGroup) Dispatch(time.Time) []schedule.Decision { g.dispatches++; return nil }
+
+func (*countedGroup) NextWake(time.Time) time.Time { return time.Time{} }
+
+// Guards against an owner that was frozen and, on waking, grants replicas that have
+// been leaving for longer than 3 s, before it has read the host list.
+func TestPausedOwnerWaitsBeforeItGrants(t *testing.T) {
+	is := is.New(t)
+	g := &countedGroup{}
+	r := newRunner(schedule.GroupKey{}, "g1", g, nil)
+	now := time.Now()
+	is.Equal(r.dispatch(now), longWait)
+	is.Equal(r.dispatch(now.Add(longWait)), longWait) // a group that runs does not wait
+	is.Equal(g.dispatches, 2)
+	woken := now.Add(longWait + 12*time.Second)
+	is.Equal(r.dispatch(woken), takeover)
+	is.Equal(r.dispatch(woken.Add(takeover/2)), takeover/2)
+	is.Equal(g.dispatches, 2)
+	is.Equal(r.dispatch(woken.Add(takeover)), longWait)
+	is.Equal(g.dispatches, 3)
+}
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -63,8 +63,10 @@
 	check func(fingerprint uint64) crashguard.Verdict
 	wake  chan struct{}
 	stop  chan struct{}
-	// readyAt is the time of the first dispatch.
+	// readyAt is the time of the first dispatch after the start or a pause.
 	readyAt time.Time
+	// lookedAt is the time of the last look at the queue.
+	lookedAt time.Time
 
 	mu      sync.Mutex
 	group   Group
@@ -114,6 +116,12 @@
 func (r *runner) dispatch(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.lookedAt.IsZero() && now.Sub(r.lookedAt) > frozenAfter {
+		// After a pause, replicas may have been leaving for long and other gateways
+		// may have granted: wait for the host list and for renewals.
+		r.readyAt = now.Add(takeover)
+	}
+	r.lookedAt = now
 	if now.Before(r.readyAt) {
 		return r.readyAt.Sub(now)
 	}
