Ask gateways that rejoin after a long partition for their suspects

Membership forgets gateways after 5 minutes of a partition, and with them the reports of suspects that are kept for them, while a suspect lives for 10 minutes. A request that crashed two engines on one side would then crash two more on the other after the link has healed. Each gateway now asks one that becomes known anew, unless it has itself started in the last minute.

Ruled out: sending the whole table to each gateway that becomes known, because all others would send it to one that restarts; asking one instead is a single call each.

--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -49,6 +49,9 @@
 	lastTick time.Time
 	missed   missedReports
 	unsent   map[string]*unsent
+	// knownNames holds the gateways known at the last look for rejoined ones.
+	knownNames map[string]bool
+	startedAt  time.Time
 
 	// background counts calls that outlive their callers, such as releases.
 	background sync.WaitGroup
@@ -189,6 +192,9 @@
 	}
 	m.poll(ctx, slow)
 	m.resendReports()
+	if slow {
+		m.fetchFromRejoined(now)
+	}
 }
 
 // keep does the periodic work of one group.
--- a/internal/process/owner/missed.go
+++ b/internal/process/owner/missed.go
@@ -17,6 +17,9 @@
 	fetchPeers = 8
 	// fetchTimeout bounds that question, for which a caller waits.
 	fetchTimeout = 300 * time.Millisecond
+	// joinTime is the time after the start in which gateways become known for the
+	// first time. The start itself asks for suspects.
+	joinTime = time.Minute
 	// fetchAgain is the time between two questions that nobody answered.
 	fetchAgain = 2 * time.Second
 )
@@ -87,6 +90,41 @@
 	return all[:min(len(all), fetchPeers)]
 }
 
+// fetchFromRejoined asks gateways that were not known a second ago for their
+// suspects. After a partition of more than 5 minutes, in which membership forgets
+// gateways, nobody has kept reports for them, and suspects live for 10.
+func (m *Manager) fetchFromRejoined(now time.Time) {
+	var rejoined []membership.Gateway
+	names := map[string]bool{}
+	gateways := m.opt.View.Known()
+	m.mu.Lock()
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
+	for _, g := range gateways {
+		names[g.Name] = true
+		if !m.knownNames[g.Name] && now.Sub(m.startedAt) > joinTime {
+			rejoined = append(rejoined, g)
+		}
+	}
+	m.knownNames = names
+	m.mu.Unlock()
+	for _, g := range rejoined {
+		m.later(func() { m.fetchFromOne(g) })
+	}
+}
+
+// fetchFromOne asks one gateway, and again at the next look if it does not answer.
+func (m *Manager) fetchFromOne(g membership.Gateway) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	if !m.fetchReports(ctx, []membership.Gateway{g}) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.knownNames, g.Name)
+	}
+}
+
 // fetchReports merges the answers of all peers and reports whether any came.
 func (m *Manager) fetchReports(ctx context.Context, peers []membership.Gateway) bool {
 	var wait sync.WaitGroup
--- a/internal/process/owner/missed_test.go
+++ b/internal/process/owner/missed_test.go
@@ -164,6 +164,44 @@
 	})
 }
 
+// Guards against a partition of more than 5 minutes, after which gateways know each
+// other anew and each runs the requests that crashed engines on the other side, and
+// against a start that asks every gateway.
+func TestRejoinedGatewayIsAskedForSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const fingerprint = 7
+		source := crashguard.New()
+		source.EngineLost(time.Now(), "engine-1", "a", []uint64{fingerprint})
+		source.EngineLost(time.Now(), "engine-2", "a", []uint64{fingerprint})
+		peer := &suspectPeer{reports: source.Reports(time.Now()), down: true}
+		other := []membership.Gateway{{Name: "g2", PeerAddress: "p2"}}
+		view := &peersView{}
+		m := New(Options{View: view, Caller: peer, Logger: log.NewNopLogger()})
+		look := func(known []membership.Gateway) {
+			view.known = known
+			m.fetchFromRejoined(time.Now())
+			synctest.Wait()
+			time.Sleep(time.Second)
+		}
+		look(nil)
+		look(other)
+		is.Equal(peer.calls, 0)
+		time.Sleep(joinTime)
+		look(other)
+		look(nil)
+		is.Equal(peer.calls, 0)
+		look(other)
+		is.Equal(peer.calls, 1)
+		peer.down = false
+		look(other)
+		is.Equal(peer.calls, 2) // the first question was not answered
+		is.Equal(m.guard.check(fingerprint), crashguard.Refuse)
+		look(other)
+		is.Equal(peer.calls, 2)
+	})
+}
+
 // countedGroup counts its dispatches.
 type countedGroup struct {
 	Group
