--- a/internal/process/loadgen/faults/schedule.go
+++ b/internal/process/loadgen/faults/schedule.go
@@ -93,7 +93,7 @@
 const (
 	minGateways = 7
 	minEngines  = 13
-	// Two data centres that have no controller and at least one that has.
+	// One or two data centres are cut off from the others.
 	minDataCentres = 3
 )
 
@@ -255,8 +255,9 @@
 
 // platform draws the faults of the platform, the edits, one of them while a data
 // centre is cut off from everything, the request that crashes engines while the
-// gateway is cut off from the others, and the time in which two backend servers leave. Nobody can learn of a leaving server from a host
-// list that doesn't answer, so these don't overlap with the platform's faults.
+// gateway is cut off from the others, and the time in which two backend servers
+// leave. Nobody can learn of a leaving server from a host list that doesn't answer,
+// so these don't overlap with the platform's faults.
 func (p *plan) platform(engine, gateway string) {
 	fault := func(value string, least, most time.Duration) block {
 		return func(at time.Duration) time.Duration {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -169,18 +169,18 @@
 	local port i
 	if [ -n "$LINKS" ]; then
 		for i in $(seq "$GATEWAYS"); do
-			check_address "127.0.1.$i" "$(peer_port "$i")"
-			check_address "127.0.2.$i" "$(peer_port "$i")"
-			check_address 127.0.0.1 "$(link_port "gateway-$i")"
+			check_address "127.0.1.$i" "$(peer_port "$i")" || return 1
+			check_address "127.0.2.$i" "$(peer_port "$i")" || return 1
+			check_address 127.0.0.1 "$(link_port "gateway-$i")" || return 1
 		done
-		for i in $(seq "$CONTROLLERS"); do check_address 127.0.0.1 "$(link_port "controller-$i")"; done
-		check_address 127.0.0.1 "$(links_control_port)"
+		for i in $(seq "$CONTROLLERS"); do check_address 127.0.0.1 "$(link_port "controller-$i")" || return 1; done
+		check_address 127.0.0.1 "$(links_control_port)" || return 1
 	fi
 	for port in $(platform_port) $(for i in $(seq "$ENGINES"); do engine_port "$i"; done) \
 		$(for i in $(seq "$APPS"); do app_port "$i"; done) \
 		$(for i in $(seq "$GATEWAYS"); do gateway_port "$i"; admin_port "$i"; peer_port "$i"; done) \
 		$(for i in $(seq "$CONTROLLERS"); do controller_port "$i"; done); do
-		check_address 127.0.0.1 "$port"
+		check_address 127.0.0.1 "$port" || return 1
 	done
 }
 
