Let a gateway that starts during a cut ask for suspects after it

With no gateway known to ask, it took its empty table for complete, and the others had not kept reports for it, because it had left. It now asks the first gateway that becomes known.

The focused test failed before the change and holds after it.

--- a/internal/process/owner/missed.go
+++ b/internal/process/owner/missed.go
@@ -67,8 +67,10 @@
 	answered := m.fetchReports(ctx, peers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.missed.stale = !answered && len(peers) > 0
-	if m.missed.stale {
+	m.missed.stale = !answered
+	// Without anybody to ask, as after a start during a partition, the first gateway
+	// that becomes known is asked at once.
+	if m.missed.stale && len(peers) > 0 {
 		m.missed.asked = time.Now()
 	}
 }
--- a/internal/process/owner/missed_test.go
+++ b/internal/process/owner/missed_test.go
@@ -100,6 +100,30 @@
 	})
 }
 
+// Guards against a gateway that starts while it is cut off, knows nobody to ask, and
+// runs a request that crashes engines once more when the link has healed: the fault
+// run of seed 8 lost four engines that way.
+func TestGatewayStartedDuringACutAsksLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const fingerprint = 7
+		source := crashguard.New()
+		source.EngineLost(time.Now(), "engine-1", "a", []uint64{fingerprint})
+		source.EngineLost(time.Now(), "engine-2", "a", []uint64{fingerprint})
+		peer := &suspectPeer{reports: source.Reports(time.Now())}
+		view := &peersView{}
+		m := New(Options{View: view, Caller: peer, Logger: log.NewNopLogger()})
+		m.missed.stale = true
+		m.fetchMissed(t.Context())
+		is.Equal(peer.calls, 0)
+		view.known = []membership.Gateway{{Name: "g2", PeerAddress: "p2"}}
+		m.fetchMissed(t.Context())
+		is.Equal(m.guard.check(fingerprint), crashguard.Refuse)
+		m.fetchMissed(t.Context())
+		is.Equal(peer.calls, 1)
+	})
+}
+
 // cutCaller takes reports unless the link to their address is cut.
 type cutCaller struct {
 	cut bool
