--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -62,6 +62,7 @@
 	failed map[string]bool
 	steady map[string]time.Time // since when the list shows a leaving host live again
 	round  int
+	fresh  freshness
 }
 
 // NewGossiper returns a gossiper that knows only itself.
@@ -80,6 +81,7 @@
 	s.g.mu.Lock()
 	*out = s.g.state.answer(time.Now(), in)
 	s.g.mu.Unlock()
+	s.g.heard()
 	s.g.changed()
 	return nil
 }
@@ -112,6 +114,7 @@
 func (g *Gossiper) beat(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.fresh.beat(now)
 	g.state.table.Beat(g.opt.Revision())
 	g.state.table.Forget(now)
 	g.state.facts.Forget(now)
@@ -185,6 +188,7 @@
 	if !ok {
 		return
 	}
+	g.heard()
 	g.mu.Lock()
 	follow, needed := g.state.follow(time.Now(), &answer)
 	g.mu.Unlock()
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -52,6 +52,10 @@
 	// owners are the last known owners of the groups of this data centre.
 	owners  map[schedule.GroupKey]string
 	changed chan struct{}
+	unsent  map[string]*unsent
+	// knownNames holds the gateways known at the last look for rejoined ones.
+	knownNames map[string]bool
+	startedAt  time.Time
 
 	// background counts calls that outlive their callers, such as releases.
 	background sync.WaitGroup
@@ -66,6 +70,7 @@
 		engines: map[string]*engine{},
 		avoided: map[string]time.Time{},
 		changed: make(chan struct{}, 1),
+		unsent:  map[string]*unsent{},
 	}
 	m.guard = newGuard(m.tell)
 	return m
@@ -192,6 +197,10 @@
 		m.keep(now, r, paused, slow)
 	}
 	m.poll(ctx, slow)
+	m.resendReports()
+	if slow {
+		m.fetchFromRejoined(now)
+	}
 }
 
 // keep does the periodic work of one group.
--- a/internal/process/owner/missed_test.go
+++ b/internal/process/owner/missed_test.go
@@ -12,6 +12,7 @@
 
 	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/schedule"
 )
 
 // peersView knows other gateways, none of which counts live after a pause.
@@ -98,3 +99,157 @@
 		is.True(!m.missed.stale)
 	})
 }
+
+// Guards against a gateway that starts while it is cut off, knows nobody to ask, and
+// runs a request that crashes engines once more when the link has healed: the fault
+// run of seed 8 lost four engines that way.
+func TestGatewayStartedDuringACutAsksLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const fingerprint = 7
+		source := crashguard.New()
+		source.EngineLost(time.Now(), "engine-1", "a", []uint64{fingerprint})
+		source.EngineLost(time.Now(), "engine-2", "a", []uint64{fingerprint})
+		peer := &suspectPeer{reports: source.Reports(time.Now())}
+		view := &peersView{}
+		m := New(Options{View: view, Caller: peer, Logger: log.NewNopLogger()})
+		m.missed.stale = true
+		m.fetchMissed(t.Context())
+		is.Equal(peer.calls, 0)
+		view.known = []membership.Gateway{{Name: "g2", PeerAddress: "p2"}}
+		m.fetchMissed(t.Context())
+		is.Equal(m.guard.check(fingerprint), crashguard.Refuse)
+		m.fetchMissed(t.Context())
+		is.Equal(peer.calls, 1)
+	})
+}
+
+// cutCaller takes reports unless the link to their address is cut.
+type cutCaller struct {
+	cut bool
+	got map[string][]crashguard.Report
+}
+
+func (c *cutCaller) Call(_ context.Context, address, _ string, args, _ any) error {
+	if c.cut {
+		return errors.New("link is cut")
+	}
+	c.got[address] = append(c.got[address], *args.(*crashguard.Report))
+	return nil
+}
+
+// Guards against a gateway that was cut off while a request crashed engines and
+// runs it once more after the link has healed, and against reports that arrive
+// twice or in another order.
+func TestReportsReachAGatewayAfterACut(t *testing.T) {
+	for name, live := range map[string]bool{"counted live": true, "counted dead": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				caller := &cutCaller{cut: true, got: map[string][]crashguard.Report{}}
+				view := &peersView{known: []membership.Gateway{{Name: "g2", PeerAddress: "p2", Live: live}}}
+				m := New(Options{View: view, Caller: caller, Logger: log.NewNopLogger()})
+				first := crashguard.Report{Loss: crashguard.Loss{Engine: "engine-1"}, Fingerprints: []uint64{7}}
+				second := crashguard.Report{Finished: []uint64{7}}
+				third := crashguard.Report{Loss: crashguard.Loss{Engine: "engine-2"}, Fingerprints: []uint64{7}}
+				m.broadcast(first)
+				m.broadcast(second)
+				m.resendReports()
+				synctest.Wait()
+				is.Equal(len(caller.got), 0)
+				caller.cut = false
+				m.broadcast(third)
+				m.resendReports()
+				synctest.Wait()
+				is.Equal(caller.got["p2"], []crashguard.Report{first, second, third})
+				m.resendReports()
+				synctest.Wait()
+				is.Equal(len(caller.got["p2"]), 3)
+				is.Equal(len(m.unsent), 0)
+			})
+		})
+	}
+}
+
+// Guards against reports that are kept without bound, or for gateways that are gone.
+func TestUnsentReportsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		view := &peersView{known: []membership.Gateway{{Name: "g2", PeerAddress: "p2", Live: true}}}
+		m := New(Options{View: view, Caller: &cutCaller{cut: true}, Logger: log.NewNopLogger()})
+		for i := range uint64(2 * maxUnsent) {
+			m.broadcast(crashguard.Report{Finished: []uint64{i}})
+		}
+		is.Equal(len(m.unsent["g2"].reports), maxUnsent)
+		is.Equal(m.unsent["g2"].reports[maxUnsent-1].Finished, []uint64{2*maxUnsent - 1}) // the latest are kept
+		view.known = nil
+		m.resendReports()
+		is.Equal(len(m.unsent), 0)
+	})
+}
+
+// Guards against a partition of more than 5 minutes, after which gateways know each
+// other anew and each runs the requests that crashed engines on the other side, and
+// against a start that asks every gateway.
+func TestRejoinedGatewayIsAskedForSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const fingerprint = 7
+		source := crashguard.New()
+		source.EngineLost(time.Now(), "engine-1", "a", []uint64{fingerprint})
+		source.EngineLost(time.Now(), "engine-2", "a", []uint64{fingerprint})
+		peer := &suspectPeer{reports: source.Reports(time.Now()), down: true}
+		other := []membership.Gateway{{Name: "g2", PeerAddress: "p2"}}
+		view := &peersView{}
+		m := New(Options{View: view, Caller: peer, Logger: log.NewNopLogger()})
+		look := func(known []membership.Gateway) {
+			view.known = known
+			m.fetchFromRejoined(time.Now())
+			synctest.Wait()
+			time.Sleep(time.Second)
+		}
+		look(nil)
+		look(other)
+		is.Equal(peer.calls, 0)
+		time.Sleep(joinTime)
+		look(other)
+		look(nil)
+		is.Equal(peer.calls, 0)
+		look(other)
+		is.Equal(peer.calls, 1)
+		peer.down = false
+		look(other)
+		is.Equal(peer.calls, 2) // the first question was not answered
+		is.Equal(m.guard.check(fingerprint), crashguard.Refuse)
+		look(other)
+		is.Equal(peer.calls, 2)
+	})
+}
+
+// countedGroup counts its dispatches.
+type countedGroup struct {
+	Group
+	dispatches int
+}
+
+func (g *countedGroup) Dispatch(time.Time) []schedule.Decision { g.dispatches++; return nil }
+
+func (*countedGroup) NextWake(time.Time) time.Time { return time.Time{} }
+
+// Guards against an owner that was frozen and, on waking, grants replicas that have
+// been leaving for longer than 3 s, before it has read the host list.
+func TestPausedOwnerWaitsBeforeItGrants(t *testing.T) {
+	is := is.New(t)
+	g := &countedGroup{}
+	r := newRunner(schedule.GroupKey{}, "g1", g, nil)
+	now := time.Now()
+	is.Equal(r.dispatch(now), longWait)
+	is.Equal(r.dispatch(now.Add(longWait)), longWait) // a group that runs does not wait
+	is.Equal(g.dispatches, 2)
+	woken := now.Add(longWait + 12*time.Second)
+	is.Equal(r.dispatch(woken), takeover)
+	is.Equal(r.dispatch(woken.Add(takeover/2)), takeover/2)
+	is.Equal(g.dispatches, 2)
+	is.Equal(r.dispatch(woken.Add(takeover)), longWait)
+	is.Equal(g.dispatches, 3)
+}
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -60,14 +60,17 @@
 	stop  chan struct{}
 
 	mu sync.Mutex
-	// readyAt is the time of the first dispatch, and registrations are the gateways
+	// readyAt is the time of the first dispatch after the start or a pause, and
+	// registrations are the gateways
 	// that have registered until then.
 	readyAt       time.Time
 	registrations map[string]bool
-	group         Group
-	waiting       map[string]*ticket
-	granted       map[string]given
-	byHash        map[uint32]string // ids of granted
+	// lookedAt is the time of the last look at the queue.
+	lookedAt time.Time
+	group    Group
+	waiting  map[string]*ticket
+	granted  map[string]given
+	byHash   map[uint32]string // ids of granted
 	// ended holds the highest attempt that was cancelled or released of an id.
 	ended    *simplelru.LRU[string, int]
 	replicas []schedule.Replica
@@ -111,9 +114,16 @@
 func (r *runner) dispatch(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.lookedAt.IsZero() && now.Sub(r.lookedAt) > frozenAfter {
+		// After a pause, replicas may have been leaving for long and other gateways
+		// may have granted: wait for the host list and for renewals.
+		r.readyAt, r.registrations = now.Add(takeover), nil
+	}
+	r.lookedAt = now
 	if now.Before(r.readyAt) {
 		return r.readyAt.Sub(now)
 	}
+	r.readyAt, r.registrations = time.Time{}, nil
 	for _, d := range r.group.Dispatch(now) {
 		r.decide(now, d)
 	}
