Divide the engines over one controller lease for each data centre

Each data centre with engines has a lease row and fencing numbers. A controller takes its own data centre's lease first, another one only after it stayed free for 30 s more, and a controller that returns marks a row held from elsewhere so that the holder's next renewal fails. The old shared row is taken over by its own rule and replaced by a value that the former version cannot decode before any lease is taken; numbers start above its last one. An engine that moved between data centres raises its new holder's number.

Standby controllers read their row every 2 s and once more when it may be free: 15 s after the last renewal at most, as with 1 s polls before. The catalogue head is still read every second by all.

Ruled out: one lease with slower reads (27 s a round at the budget, for which a stale order would stand); leases on hash shards (a plan needs all engines of a data centre); a give-back by the holder after its last order (faster by some seconds, one more state).

--- a/internal/process/controller/admin.go
+++ b/internal/process/controller/admin.go
@@ -14,28 +14,35 @@
 	Name       string `json:"name"`
 	DataCentre string `json:"data_centre"`
 	Stopping   bool   `json:"stopping"`
-	// Active tells whether this controller may send orders now.
+	// Active tells whether this controller may send orders in its own data
+	// centre now.
 	Active bool `json:"active"`
-	// Holder and Fencing are those of the lease as last seen.
+	// Holder and Fencing are those of the own data centre's lease as last seen.
 	Holder  string `json:"holder"`
 	Fencing int64  `json:"fencing"`
+	// Leases are those of all data centres with engines.
+	Leases []order.LeaseStatus `json:"leases"`
 	// Revision is the catalogue revision known; 0 before the first one.
 	Revision int64 `json:"revision"`
-	// Orders describes the last round; it is zero while not active.
+	// Orders sums up the last rounds; it is zero without a lease.
 	Orders order.Progress `json:"orders"`
 }
 
 // Status returns the present state.
 func (c *Controller) Status() Status {
-	l := c.lease.Status()
 	s := Status{
 		Name:       c.opts.Name,
 		DataCentre: c.opts.DataCentre,
 		Stopping:   c.stopping.Load(),
-		Active:     l.Held,
-		Holder:     l.Holder,
-		Fencing:    l.Fencing,
-		Orders:     c.reconciler.Progress(),
+		Leases:     c.leases(),
+	}
+	for _, l := range s.Leases {
+		if l.DataCentre == c.opts.DataCentre {
+			s.Active, s.Holder, s.Fencing = l.Held, l.Holder, l.Fencing
+		}
+	}
+	for _, u := range c.allUnits() {
+		s.Orders = s.Orders.Plus(u.reconciler.Progress())
 	}
 	if snapshot := c.catalogue.Current(); snapshot != nil {
 		s.Revision = snapshot.Revision
@@ -56,7 +63,7 @@
 	return r
 }
 
-// readyz succeeds at a controller without the lease too: it stands by.
+// readyz succeeds at a controller without a lease too: it stands by.
 func (c *Controller) readyz(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case c.stopping.Load():
@@ -71,8 +78,10 @@
 func (c *Controller) serveMetrics(w http.ResponseWriter, r *http.Request) {
 	s := c.Status()
 	active := int64(0)
-	if s.Active {
-		active = 1
+	for _, l := range s.Leases {
+		if l.Held {
+			active++
+		}
 	}
 	for name, value := range map[string]int64{
 		"lease.active":         active,
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -1,4 +1,4 @@
-// Package controller is the controller process: it holds the lease and orders
+// Package controller is the controller process: it holds leases and orders
 // engines to load what the catalogue says.
 package controller
 
@@ -21,42 +21,35 @@
 	"persimmonwing/internal/version/order"
 )
 
-// Controller is one controller.
+// Controller is one controller. It has a unit for each data centre with engines.
 type Controller struct {
-	opts       *Options
-	logger     log.Logger
-	metrics    *telemetry.Metrics
-	catalogue  order.Catalogue
-	lease      *order.Lease
-	reconciler *order.Reconciler
-	stopping   atomic.Bool
+	opts         *Options
+	logger       log.Logger
+	metrics      *telemetry.Metrics
+	catalogue    order.Catalogue
+	table        order.Table
+	engines      order.Engines
+	sites        *sites
+	leaseOptions order.LeaseOptions
+	stopping     atomic.Bool
+
+	mu    sync.Mutex
+	units map[string]*unit
 }
 
 // New returns a controller with valid options. Run runs it.
 func New(o *Options, d Deps, logger log.Logger) *Controller {
-	c := &Controller{
-		opts:      o,
-		logger:    logging.Part(logger, "controller"),
-		metrics:   telemetry.New(),
-		catalogue: d.Catalogue,
-		lease:     order.NewLease(d.Table, d.Lease),
+	return &Controller{
+		opts:         o,
+		logger:       logging.Part(logger, "controller"),
+		metrics:      telemetry.New(),
+		catalogue:    d.Catalogue,
+		table:        d.Table,
+		engines:      d.Engines,
+		sites:        &sites{list: d.Hosts},
+		leaseOptions: d.Lease,
+		units:        map[string]*unit{},
 	}
-	c.reconciler = order.NewReconciler(order.Options{
-		Permit:         c.lease,
-		Catalogue:      d.Catalogue,
-		Hosts:          d.Hosts,
-		Engines:        d.Engines,
-		Interval:       o.Reconcile.Interval,
-		CallTimeout:    o.Reconcile.CallTimeout,
-		LostAfter:      o.Reconcile.LostAfter,
-		Concurrency:    o.Reconcile.Concurrency,
-		MaxLoads:       o.MaxLoads,
-		LoadsPerSecond: o.WeightsPerSecond,
-		HonourFencing:  o.HonourFencing,
-		Logger:         logging.Part(logger, "order"),
-		Metrics:        c.metrics,
-	})
-	return c
 }
 
 // Main runs a whole controller until ctx ends, then stops it gracefully.
@@ -81,7 +74,7 @@
 )
 
 // Run works until ctx ends or a part fails. It then finishes the orders in
-// flight and gives the lease up.
+// flight and gives its leases up.
 func (c *Controller) Run(ctx context.Context, listener net.Listener) error {
 	var group run.Group
 	add := func(part func(context.Context) error) {
@@ -89,8 +82,7 @@
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
 	}
 	group.Add(func() error { <-ctx.Done(); return nil }, func(error) { c.stopping.Store(true) })
-	add(c.lease.Run)
-	add(c.reconciler.Run)
+	add(c.runUnits)
 	server := &http.Server{Handler: c.router(), ReadHeaderTimeout: headerTimeout}
 	group.Add(func() error { return server.Serve(listener) }, func(error) { c.shutdown(server) })
 	level.Info(c.logger).Log("msg", "controller runs", "name", c.opts.Name, "admin", listener.Addr())
@@ -109,15 +101,3 @@
 		_ = server.Close()
 	}
 }
-
-// release lets a successor act at once. Without it the successor waits until
-// the lease has run out, so a failure does no harm.
-func (c *Controller) release(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-	if err := c.lease.Release(ctx); err != nil {
-		level.Warn(c.logger).Log("msg", "lease was not given up", "err", err)
-		return
-	}
-	level.Info(c.logger).Log("msg", "controller has stopped")
-}
--- a/internal/process/controller/wire.go
+++ b/internal/process/controller/wire.go
@@ -37,7 +37,7 @@
 		Logger: logging.Part(logger, "catalogue"),
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	lease := order.DefaultLeaseOptions(o.Name)
+	lease := order.DefaultLeaseOptions(o.Name, o.DataCentre)
 	lease.Logger = logging.Part(logger, "lease")
 	lease.CallTimeout = o.Platform.Timeout
 	return Deps{
--- a/internal/process/loadgen/capacity/capacity.go
+++ b/internal/process/loadgen/capacity/capacity.go
@@ -111,6 +111,9 @@
 	out   io.Writer
 	lines map[string]line
 	over  []string
+	// listReads is the number of host lists that the active controller reads in
+	// a second.
+	listReads float64
 }
 
 func (r *report) add(l line) {
@@ -187,28 +190,30 @@
 	}
 }
 
-// Sections returns the names that Run accepts as only. The controller needs
-// the lines of polls and is left out.
+// Sections returns the names that Run accepts as only.
 func Sections() []string {
 	var names []string
 	for _, p := range parts() {
-		if p.name != "controller" {
-			names = append(names, p.name)
-		}
+		names = append(names, p.name)
 	}
 	return names
 }
 
+// selected tells whether a section runs. The controller needs the lines of polls.
+func selected(section, only string) bool {
+	return only == "" || section == only || section == "polls" && only == "controller"
+}
+
 // Run measures everything and writes the report. It returns the names of the
 // lines that are over their budget.
-// With only, it runs the part of that name and makes no sums.
+// With only, it runs the part of that name and makes no sums of gateways.
 func Run(ctx context.Context, out io.Writer, only string) (over []string, err error) {
 	r := &report{out: out, lines: map[string]line{}}
 	began := time.Now()
 	fmt.Fprintf(out, "capacity on %s, GOMAXPROCS %d, %s\n", runtime.Version(), runtime.GOMAXPROCS(0), began.UTC().Format(time.RFC3339))
 	fmt.Fprintf(out, "bytes: in plus out of a node, without TCP and IP headers; 1 KB = 1,000 bytes\n\n")
 	for _, p := range parts() {
-		if only != "" && p.name != only {
+		if !selected(p.name, only) {
 			continue
 		}
 		if err := p.measure(ctx, r); err != nil {
--- a/internal/process/loadgen/capacity/controller.go
+++ b/internal/process/loadgen/capacity/controller.go
@@ -1,10 +1,12 @@
 package capacity
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"runtime"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"persimmonwing/internal/connection/engine"
 	"persimmonwing/internal/connection/platform"
+	standinplatform "persimmonwing/internal/process/standin/platform"
 	"persimmonwing/internal/process/telemetry"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/version/catalogue"
@@ -25,17 +28,21 @@
 
 func (alwaysPermit) Allow() (int64, time.Time, bool) { return 1, time.Now().Add(3 * time.Second), true }
 
-type fixedHosts []platform.Host
+// fixedHosts is a host list that counts its reads.
+type fixedHosts struct {
+	list  []platform.Host
+	reads atomic.Int64
+}
 
-func (h fixedHosts) Hosts(context.Context) ([]platform.Host, error) {
-	return append([]platform.Host(nil), h...), nil
+func (h *fixedHosts) Hosts(context.Context) ([]platform.Host, error) {
+	h.reads.Add(1)
+	return slices.Clone(h.list), nil
 }
 
 // obedientEngines takes over each goal at once.
 type obedientEngines struct {
-	goals  map[string]*atomic.Pointer[api.Goal]
-	reads  atomic.Int64
-	orders atomic.Int64
+	goals         map[string]*atomic.Pointer[api.Goal]
+	loads, states atomic.Int64
 }
 
 func (e *obedientEngines) state(name string) api.OrderState {
@@ -44,101 +51,159 @@
 }
 
 func (e *obedientEngines) Order(_ context.Context, name, _ string, o api.Order) (api.OrderState, error) {
-	e.orders.Add(1)
 	e.goals[name].Store(&o.Goal)
 	return e.state(name), nil
 }
 
 func (e *obedientEngines) OrderState(_ context.Context, name, _ string) (api.OrderState, error) {
-	e.reads.Add(1)
+	e.states.Add(1)
 	return e.state(name), nil
 }
 
 func (e *obedientEngines) Load(_ context.Context, name, _ string) (api.LoadReport, error) {
-	e.reads.Add(1)
+	e.loads.Add(1)
 	return api.LoadReport{Name: name, Models: e.goals[name].Load().Models, MaxBatch: 64}, nil
 }
 
-func measureController(ctx context.Context, r *report) error {
-	_, c, stop, err := standinEngine()
+// callCost is the cost of one call.
+type callCost struct {
+	bytes float64
+	used  time.Duration
+}
+
+// controllerCalls are the calls that a controller makes.
+type controllerCalls struct{ load, state, renew, head callCost }
+
+func measureCalls(ctx context.Context) (c controllerCalls, err error) {
+	_, e, stop, err := standinEngine()
 	if err != nil {
-		return err
+		return c, err
 	}
 	defer stop()
 	client := engine.New(&http.Client{Transport: engine.NewTransport()})
-	bytes, used, err := c.cost(300, func() error {
-		if _, err := client.Load(ctx, "e", c.address); err != nil {
-			return err
+	p, err := serveCounted(standinplatform.New(standinplatform.DefaultSettings()))
+	if err != nil {
+		return c, err
+	}
+	defer p.close()
+	table := platform.NewTable("http://"+p.address, &http.Client{Transport: engine.NewTransport()}, time.Second)
+	row := platform.CondPut{Key: "controller/lease/centre-4", Value: bytes.Repeat([]byte("x"), leaseBytes)}
+	write := func() error {
+		results, err := table.Txn(ctx, []platform.CondPut{row})
+		if err == nil {
+			row.IfRevision = results[0].Row.Revision
 		}
-		_, err := client.OrderState(ctx, "e", c.address)
 		return err
-	})
+	}
+	for _, m := range []struct {
+		to   *callCost
+		at   *counted
+		call func() error
+	}{
+		{&c.load, e, func() error { _, err := client.Load(ctx, "e", e.address); return err }},
+		{&c.state, e, func() error { _, err := client.OrderState(ctx, "e", e.address); return err }},
+		{&c.renew, p, write},
+		// The row of the head is about as long as that of a lease.
+		{&c.head, p, func() error { _, err := table.Get(ctx, row.Key); return err }},
+	} {
+		if m.to.bytes, m.to.used, err = m.at.cost(300, m.call); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// leaseBytes is the length of the value of a lease row.
+const leaseBytes = 150
+
+// measureController measures the active controller of one data centre.
+func measureController(ctx context.Context, r *report) error {
+	calls, err := measureCalls(ctx)
 	if err != nil {
 		return err
 	}
 	var reads, memory, plan, wire, wireCPU []point
 	note := ""
-	for _, n := range []int{18, 150, targetReplicas} {
+	for _, n := range []int{targetReplicas / targetCentres / 8, targetReplicas / targetCentres / 2, targetReplicas / targetCentres, targetReplicas} {
 		x := float64(n)
 		cost, err := reconcileCost(ctx, n)
 		if err != nil {
 			return err
 		}
 		note += fmt.Sprintf("%d: %d differing; ", n, cost.differing)
-		reads = append(reads, point{x, cost.reads * roundsPerSecond})
+		loads, states := cost.loads*roundsPerSecond, cost.states*roundsPerSecond
+		reads = append(reads, point{x, loads + states})
 		memory = append(memory, point{x, cost.memory})
 		plan = append(plan, point{x, cost.core})
-		// The host list is read once in a round.
-		list := r.lines["host list read bytes"]
-		slope, offset := fit(list.points)
-		wire = append(wire, point{x, (x*bytes + slope*x + offset) * roundsPerSecond})
-		wireCPU = append(wireCPU, point{x, x * used.Seconds() * roundsPerSecond * 100})
+		wire = append(wire, point{x, loads*calls.load.bytes + states*calls.state.bytes})
+		used := loads*calls.load.used.Seconds() + states*calls.state.used.Seconds()
+		wireCPU = append(wireCPU, point{x, used * 100})
+		if n == targetReplicas/targetCentres {
+			r.listReads = cost.lists * roundsPerSecond
+		}
 	}
-	r.add(line{name: "controller reads", size: "engines", unit: "reads/s", points: reads, target: targetReplicas, note: note})
-	r.add(line{name: "controller memory", size: "engines", unit: "B", points: memory, target: targetReplicas})
-	r.add(line{name: "controller plan CPU", size: "engines", unit: "% core", points: plan, target: targetReplicas, note: "rounds on engines in memory; HTTP is not in it"})
-	r.add(line{name: "controller read CPU", size: "engines", unit: "% core", points: wireCPU, target: targetReplicas, note: cpuOfPoll + "; multiples of one engine's reads"})
-	r.add(line{name: "controller bytes", size: "engines", unit: "B/s", points: wire, target: targetReplicas, budget: budgetBytes,
-		note: fmt.Sprintf("the active controller only; one engine's load report and order state: %.0f bytes", bytes)})
+	const size, target = "engines of a data centre", targetReplicas / targetCentres
+	r.add(line{name: "controller reads", size: size, unit: "reads/s", points: reads, target: target, note: note})
+	r.add(line{name: "controller memory", size: size, unit: "B", points: memory, target: target})
+	r.add(line{name: "controller plan CPU", size: size, unit: "% core", points: plan, target: target, note: "rounds on engines in memory; HTTP is not in it"})
+	r.add(line{name: "controller read CPU", size: size, unit: "% core", points: wireCPU, target: target, note: cpuOfPoll + "; multiples of one engine's reads"})
+	r.add(line{name: "controller read bytes", size: size, unit: "B/s", points: wire, target: target,
+		note: fmt.Sprintf("a load report takes %.0f bytes, an order state %.0f", calls.load.bytes, calls.state.bytes)})
+	platformCalls := []part{
+		{"lease renewal every 3 s", calls.renew.bytes / 3},
+		{"catalogue head every second", calls.head.bytes},
+	}
+	r.sum("control bytes of the active controller", "B/s", budgetBytes, append([]part{
+		{"reads of engines", r.at("controller read bytes")},
+		{"host list", r.listReads * r.at("host list read bytes")},
+	}, platformCalls...))
+	r.sum("control CPU of the active controller", "% core", budgetCore, []part{
+		{"plan", r.at("controller plan CPU")}, {"reads", r.at("controller read CPU")},
+		{"host list", r.listReads * r.at("host list read CPU") / 1e4},
+		{"lease and catalogue head", 100 * (calls.renew.used.Seconds()/3 + calls.head.used.Seconds())},
+	})
 	return nil
 }
 
+// reconcile is the cost of one data centre's rounds; reads are for one round.
 type reconcile struct {
-	reads, memory, core float64
-	differing           int
+	loads, states, lists, memory, core float64
+	differing                          int
 }
 
 // reconcileCost runs rounds at engines that have reached their goals.
 func reconcileCost(ctx context.Context, n int) (reconcile, error) {
 	before := heap()
-	var hosts fixedHosts
+	hosts := &fixedHosts{}
 	e := &obedientEngines{goals: map[string]*atomic.Pointer[api.Goal]{}}
 	for i := range n {
-		name := fmt.Sprintf("engine-%d-%03d", i%targetCentres, i)
-		hosts = append(hosts, platform.Host{Name: name, Kind: platform.KindEngine, Address: fmt.Sprint("10.0.0.", i),
-			DataCentre: fmt.Sprint("centre-", i%targetCentres), State: platform.HostLive})
+		name := fmt.Sprintf("engine-4-%03d", i)
+		hosts.list = append(hosts.list, platform.Host{Name: name, Kind: platform.KindEngine, Address: fmt.Sprint("10.0.0.", i),
+			DataCentre: "centre-4", State: platform.HostLive})
 		e.goals[name] = &atomic.Pointer[api.Goal]{}
 		e.goals[name].Store(&api.Goal{})
 	}
 	c := catalogueOf(targetWorkspaces)
 	for i := range c.Models {
-		c.Models[i].Replicas = max(1, n/targetCentres/targetModels)
+		c.Models[i].Replicas = max(1, n/targetModels)
 	}
 	rec := order.NewReconciler(order.Options{
 		Permit: alwaysPermit{}, Catalogue: fixedCatalogue{catalogue.NewSnapshot(1, "", c)}, Hosts: hosts, Engines: e,
 		Interval: 2 * time.Second, CallTimeout: 500 * time.Millisecond, LostAfter: 10 * time.Second, Concurrency: 64,
 		MaxLoads: 10_000, LoadsPerSecond: 1e6, Logger: log.NewNopLogger(), Metrics: telemetry.New(),
 	})
-	for range 3 {
+	for range 12 {
 		rec.Round(ctx)
 	}
-	const rounds = 20
-	reads, used := e.reads.Load(), cpu()
+	const rounds = 24
+	loads, states, lists, used := e.loads.Load(), e.states.Load(), hosts.reads.Load(), cpu()
 	for range rounds {
 		rec.Round(ctx)
 	}
 	out := reconcile{
-		reads:     float64(e.reads.Load()-reads) / rounds,
+		loads:     float64(e.loads.Load()-loads) / rounds,
+		states:    float64(e.states.Load()-states) / rounds,
+		lists:     float64(hosts.reads.Load()-lists) / rounds,
 		core:      (cpu() - used).Seconds() / rounds * roundsPerSecond * 100,
 		memory:    heap() - before,
 		differing: rec.Progress().Differing,
--- a/internal/process/loadgen/capacity/roles.go
+++ b/internal/process/loadgen/capacity/roles.go
@@ -37,10 +37,6 @@
 	}
 	r.sum("control CPU of a gateway", "% core", budgetCore, core)
 	r.sum("control CPU of an elected poller", "% core", budgetCore, append(core, part{"host list every second instead", (1 - fallback) * r.at("host list read CPU") / 1e4}))
-	r.sum("control CPU of the active controller", "% core", budgetCore, []part{
-		{"plan", r.at("controller plan CPU")}, {"reads", r.at("controller read CPU")},
-		{"host list every 2 s", r.at("host list read CPU") * roundsPerSecond / 1e4},
-	})
 	// At the largest fleet the fixed part matters least.
 	points := r.lines["idle gateway memory"].points
 	largest := points[len(points)-1]
--- a/internal/process/loadgen/faults/evidence.go
+++ b/internal/process/loadgen/faults/evidence.go
@@ -67,11 +67,13 @@
 	Code int
 }
 
-// ControllerSample tells which controllers said that they may send orders.
+// ControllerSample tells which controllers said that they may send orders in
+// their own data centre.
 type ControllerSample struct {
-	Name    string `json:"name"`
-	Active  bool   `json:"active"`
-	Fencing int64  `json:"fencing"`
+	Name       string `json:"name"`
+	Active     bool   `json:"active"`
+	Fencing    int64  `json:"fencing"`
+	DataCentre string `json:"data_centre"`
 }
 
 // Runs counts the runs of each request id at one server.
--- a/internal/version/order/gate.go
+++ b/internal/version/order/gate.go
@@ -91,8 +91,10 @@
 	return true
 }
 
+// mayLoad admits one order at least however small the share is.
 func (g *gate) mayLoad(dc string, n int) bool {
-	return !g.unread[dc] && g.loads+n <= g.r.opt.MaxLoads
+	share := int(float64(g.r.opt.MaxLoads) * g.r.opt.Share())
+	return !g.unread[dc] && g.loads+n <= min(g.r.opt.MaxLoads, max(n, share))
 }
 
 // mayFetch waits for the rate of the weight store. One order may fetch several
--- a/internal/version/order/leaserow.go
+++ b/internal/version/order/leaserow.go
@@ -16,18 +16,29 @@
 type leaseValue struct {
 	// Holder is empty after a release.
 	Holder string `json:"holder"`
-	// Fencing grows by 1 with each take-over.
+	// DataCentre is that of the holder.
+	DataCentre string `json:"data_centre,omitempty"`
+	// Claimant is a controller of the lease's own data centre that asks a holder
+	// of another one to stop. A renewal by that holder then fails.
+	Claimant string `json:"claimant,omitempty"`
+	// Fencing grows by 1 with each take-over. The holder raises it when an
+	// engine has accepted a higher one.
 	Fencing int64 `json:"fencing"`
 	// Nonce differs with each write, so that a writer recognises its own.
 	Nonce    string `json:"nonce"`
 	Renewals int64  `json:"renewals"`
+	// retired marks the shared row of earlier versions as out of use.
+	retired bool
 }
 
 // leaseRow is the row as last read or written. One goroutine uses it.
 type leaseRow struct {
 	table   Table
+	key     string
 	timeout time.Duration
 	holder  string
+	// home is the data centre of this controller.
+	home string
 
 	value    leaseValue
 	revision int64
@@ -48,25 +59,45 @@
 // mine reports whether the row was last written by this process and is held.
 func (r *leaseRow) mine() bool { return !r.sentAt.IsZero() && r.value.Holder == r.holder }
 
-// free reports whether the row may be taken over: there is no holder, or the
-// row has not changed for the given time.
-func (r *leaseRow) free(after time.Duration) bool {
-	return r.value.Holder == "" || time.Since(r.changedAt) >= after
+// freeAt returns the time from which the row may be taken over if it does not
+// change until then: the holder's time and extra have passed, or there is no
+// holder and extra has passed.
+func (r *leaseRow) freeAt(after, extra time.Duration) time.Time {
+	if r.value.Holder == "" {
+		after = 0
+	}
+	return r.changedAt.Add(after + extra)
+}
+
+// free reports whether the row may be taken over now.
+func (r *leaseRow) free(after, extra time.Duration) bool {
+	return !time.Now().Before(r.freeAt(after, extra))
 }
 
-func (r *leaseRow) renewed() leaseValue {
+// renewed returns the next value, with a fencing number above floor.
+func (r *leaseRow) renewed(floor int64) leaseValue {
 	v := r.value
 	v.Renewals++
+	if v.Fencing <= floor {
+		v.Fencing = floor + 1
+	}
 	return v
 }
 
-func (r *leaseRow) takenOver() leaseValue {
-	return leaseValue{Holder: r.holder, Fencing: r.value.Fencing + 1}
+// takenOver returns a value with a fencing number above the last one and floor.
+func (r *leaseRow) takenOver(floor int64) leaseValue {
+	return leaseValue{Holder: r.holder, DataCentre: r.home, Fencing: max(r.value.Fencing, floor) + 1}
+}
+
+func (r *leaseRow) claimed() leaseValue {
+	v := r.value
+	v.Claimant = r.holder
+	return v
 }
 
 func (r *leaseRow) released() leaseValue {
 	v := r.value
-	v.Holder = ""
+	v.Holder, v.DataCentre = "", ""
 	return v
 }
 
@@ -74,7 +105,7 @@
 func (r *leaseRow) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	row, err := r.table.Get(ctx, LeaseKey)
+	row, err := r.table.Get(ctx, r.key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return eris.Wrap(err, "read lease")
 	}
@@ -93,8 +124,8 @@
 	// not go back, and its holder may still act.
 	v := r.value
 	if row.Revision != 0 {
-		v = leaseValue{}
-		if err := json.Unmarshal(row.Value, &v); err != nil {
+		var err error
+		if v, err = decodeLease(row.Value); err != nil {
 			return eris.Wrap(err, "decode lease")
 		}
 	}
@@ -112,7 +143,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	v.Nonce = ulid.Make().String()
-	raw, err := json.Marshal(v)
+	raw, err := encodeLease(v)
 	if err != nil {
 		return eris.Wrap(err, "encode lease")
 	}
@@ -120,7 +151,7 @@
 		r.sent = map[string]time.Time{}
 	}
 	r.sent[v.Nonce] = time.Now()
-	results, err := r.table.Txn(ctx, []platform.CondPut{{Key: LeaseKey, Value: raw, IfRevision: r.revision}})
+	results, err := r.table.Txn(ctx, []platform.CondPut{{Key: r.key, Value: raw, IfRevision: r.revision}})
 	if err == nil {
 		return r.see(results[0].Row)
 	}
@@ -137,3 +168,32 @@
 	}
 	return nil
 }
+
+// retiredLease is the value of the shared row after it went out of use.
+type retiredLease struct {
+	// Fencing is a text, so that versions that use the shared row can't decode
+	// it and never take it over.
+	Fencing string `json:"fencing"`
+	// LastFencing is the number of the last holder.
+	LastFencing int64  `json:"last_fencing"`
+	Nonce       string `json:"nonce"`
+}
+
+const retiredFencing = "retired"
+
+func encodeLease(v leaseValue) ([]byte, error) {
+	if v.retired {
+		return json.Marshal(retiredLease{Fencing: retiredFencing, LastFencing: v.Fencing, Nonce: v.Nonce})
+	}
+	return json.Marshal(v)
+}
+
+func decodeLease(raw []byte) (leaseValue, error) {
+	var old retiredLease
+	if json.Unmarshal(raw, &old) == nil && old.Fencing == retiredFencing {
+		return leaseValue{Fencing: old.LastFencing, Nonce: old.Nonce, retired: true}, nil
+	}
+	var v leaseValue
+	err := json.Unmarshal(raw, &v)
+	return v, err
+}
--- a/internal/version/order/reconciler.go
+++ b/internal/version/order/reconciler.go
@@ -42,10 +42,16 @@
 	MaxLoads int
 	// LoadsPerSecond bounds the rate at which loads of models and adapters start.
 	LoadsPerSecond float64
+	// Share returns the part of MaxLoads and LoadsPerSecond that this reconciler
+	// may use, over 0 and up to 1; nil means all. At least one load may be in flight.
+	Share func() float64
 	// HonourFencing names the engines that refuse old fencing numbers.
 	HonourFencing []string
-	Logger        log.Logger
-	Metrics       *telemetry.Metrics
+	// Raise asks for a fencing number above one that such an engine has accepted;
+	// it may be nil.
+	Raise   func(accepted int64)
+	Logger  log.Logger
+	Metrics *telemetry.Metrics
 }
 
 // Progress describes the last round for operators.
@@ -60,12 +66,25 @@
 	PendingLoads int `json:"pending_loads"`
 }
 
+// Plus adds up the progress in two data centres.
+func (p Progress) Plus(o Progress) Progress {
+	return Progress{
+		Revision:     max(p.Revision, o.Revision),
+		Engines:      p.Engines + o.Engines,
+		Unreachable:  p.Unreachable + o.Unreachable,
+		Differing:    p.Differing + o.Differing,
+		PendingLoads: p.PendingLoads + o.PendingLoads,
+	}
+}
+
 // Reconciler brings the engines to the plan. Only one goroutine runs it.
 type Reconciler struct {
 	opt     Options
 	limiter *rate.Limiter
 	hosts   []platform.Host
 	engines map[string]*record
+	// honours holds the names of HonourFencing.
+	honours map[string]bool
 	// active tells whether the permit was held in the last round.
 	active bool
 
@@ -75,11 +94,22 @@
 
 // NewReconciler returns a reconciler; Run runs it.
 func NewReconciler(opt Options) *Reconciler {
-	return &Reconciler{
+	if opt.Share == nil {
+		opt.Share = func() float64 { return 1 }
+	}
+	if opt.Raise == nil {
+		opt.Raise = func(int64) {}
+	}
+	r := &Reconciler{
 		opt:     opt,
 		limiter: rate.NewLimiter(rate.Limit(opt.LoadsPerSecond), 1),
 		engines: map[string]*record{},
+		honours: map[string]bool{},
 	}
+	for _, name := range opt.HonourFencing {
+		r.honours[name] = true
+	}
+	return r
 }
 
 // Progress returns the state after the last round.
@@ -142,6 +172,7 @@
 // first, because they wait for nothing.
 func (r *Reconciler) act(ctx context.Context, snapshot *catalogue.Snapshot, start time.Time) {
 	now := time.Now()
+	r.limiter.SetLimit(rate.Limit(r.opt.LoadsPerSecond * r.opt.Share()))
 	orders, differing := r.differences(snapshot.Catalogue, now)
 	gate := r.newGate(snapshot.Catalogue, now)
 	// Loads that wait for their rate must not delay the next round.
@@ -202,6 +233,8 @@
 		}
 		switch {
 		case !rec.reachable():
+		case r.fencingAhead(rec):
+			r.opt.Raise(rec.state.HighestFencing)
 		case same && len(o.loads) == 0 && !r.fencingBehind(rec):
 		case same && len(o.loads) > 0 && now.Before(rec.restateAt):
 		case o.fetches > 0:
@@ -217,7 +250,14 @@
 // still accept orders of an earlier holder.
 func (r *Reconciler) fencingBehind(rec *record) bool {
 	fencing, _, ok := r.opt.Permit.Allow()
-	return ok && rec.state.HighestFencing < fencing && slices.Contains(r.opt.HonourFencing, rec.host.Name)
+	return ok && rec.state.HighestFencing < fencing && r.honours[rec.host.Name]
+}
+
+// fencingAhead reports whether an engine would refuse orders because it has
+// accepted a higher number, of the lease of another data centre.
+func (r *Reconciler) fencingAhead(rec *record) bool {
+	fencing, _, ok := r.opt.Permit.Allow()
+	return ok && rec.state.HighestFencing > fencing && r.honours[rec.host.Name]
 }
 
 // without returns the elements of list that are in none of the others.
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # A mixed fault run over real processes on loopback: 7 gateways, 14 engines, 4
-# application servers, 2 controllers, the platform stand-in, and a forwarder that
+# application servers, 8 controllers, the platform stand-in, and a forwarder that
 # cuts gateways off from each other and from the platform. `loadgen faults`
 # draws the schedule from SEED, this script carries it out while `loadgen run`
 # sends requests, and `loadgen audit` checks the properties P1 to P7 afterwards.
@@ -20,6 +20,8 @@
 # Gateways learn of hosts and of each other within this many seconds.
 DISCOVERY_SECONDS=4
 LINKS=1
+# Two in each data centre, so that a frozen holder has a successor there.
+CONTROLLERS=${CONTROLLERS:-8}
 FLEET_DIR=$(mktemp -d)
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
@@ -94,7 +96,7 @@
 	sed "s/^background_floor:.*/background_floor: 0.1$BODY/" examples/kernfield.yaml >"$FLEET_DIR/edit-$1-$2.yaml"
 }
 
-# lease_holder prints the controller that may send orders.
+# lease_holder prints a controller that may send orders in its data centre.
 lease_holder() {
 	local i
 	for i in $(seq "$CONTROLLERS"); do
