Read load reports of settled engines and the host list less often

Cause: 75 engines in one data centre cost their controller 31.5 KB/s, of which 17.6 KB/s are load reports. A report only tells the controller that an engine drains of its own accord.

A report is read in every fourth round (8 s) while the engine answers, is at its goal and loads nothing, and in each round otherwise and once after an edit. The host list is read in every second round. Order states stay at each round, so a stale order at an engine that ignores fencing numbers is corrected within 2 s as before. An engine that drains of its own accord is planned elsewhere up to 6 s later than before.

Ruled out: order states at a longer period (the 2 s for stale orders would not hold at engines that ignore the number); a report every 10 s (a drained engine would not be replaced within the 15 s of TestFaults).

--- a/internal/version/order/engines.go
+++ b/internal/version/order/engines.go
@@ -21,6 +21,8 @@
 	state api.OrderState
 	// draining is set when the engine reports it without having been ordered to.
 	draining bool
+	// settled is set while the engine answers and has nothing left to do.
+	settled bool
 
 	// failedSince is zero for a reachable engine; retryAt is the next attempt.
 	failedSince time.Time
@@ -77,12 +79,39 @@
 // report may still show the former state.
 const reportLag = 5 * time.Second
 
+const (
+	// reportRounds is the number of rounds in which the load report of a settled
+	// engine is read once. The report only tells that an engine drains of its own
+	// accord; gateways poll it themselves. The order state is read in each round,
+	// so that a stale order is corrected within one interval.
+	reportRounds = 4
+	// listRounds is the number of rounds in which the host list is read once. It
+	// lags by more than a round, and gateways read it every second.
+	listRounds = 2
+)
+
+// needsReport tells whether to read an engine's load report in this round. The
+// turns of engines differ, so that rounds cost the same.
+func (r *Reconciler) needsReport(rec *record) bool {
+	turn := rendezvous("report", rec.host.Name) % reportRounds
+	return !rec.settled || uint64(r.round)%reportRounds == turn
+}
+
+// readAll makes the next round read everything.
+func (r *Reconciler) readAll() {
+	r.listDue = true
+	for _, rec := range r.engines {
+		rec.settled = false
+	}
+}
+
 // readHosts returns the engines of the host list. While the list is out, the
 // last good copy is used.
 func (r *Reconciler) readHosts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.opt.CallTimeout)
 	defer cancel()
 	hosts, err := r.opt.Hosts.Hosts(ctx)
+	r.listDue = err != nil
 	if err != nil {
 		r.opt.Metrics.Counter("hosts", "failed").Inc(1)
 		level.Debug(r.opt.Logger).Log("msg", "host list was not read, keeping the last copy", "err", err)
@@ -127,7 +156,10 @@
 	var wait sync.WaitGroup
 	var load api.LoadReport
 	var loadErr error
-	wait.Go(func() { load, loadErr = r.opt.Engines.Load(readCtx, rec.host.Name, rec.host.Address) })
+	reads := r.needsReport(rec)
+	if reads {
+		wait.Go(func() { load, loadErr = r.opt.Engines.Load(readCtx, rec.host.Name, rec.host.Address) })
+	}
 	state, err := r.opt.Engines.OrderState(readCtx, rec.host.Name, rec.host.Address)
 	wait.Wait()
 	if ctx.Err() != nil {
@@ -141,7 +173,7 @@
 	rec.known, rec.state = true, state
 	rec.failedSince, rec.retryAt = time.Time{}, time.Time{}
 	rec.readPause.Reset()
-	if loadErr == nil {
+	if reads && loadErr == nil {
 		rec.draining = load.Draining && !state.Goal.Drain && now.Sub(rec.undrainedAt) >= reportLag
 	}
 }
@@ -150,6 +182,7 @@
 	if rec.failedSince.IsZero() {
 		rec.failedSince = now
 	}
+	rec.settled = false
 	rec.retryAt = now.Add(rec.readPause.NextBackOff())
 	r.opt.Metrics.Counter("engines", "unreachable").Inc(1)
 	level.Info(r.opt.Logger).Log("msg", "engine was not reached", "engine", rec.host.Name, "err", err)
--- a/internal/version/order/reconciler.go
+++ b/internal/version/order/reconciler.go
@@ -87,6 +87,11 @@
 	honours map[string]bool
 	// active tells whether the permit was held in the last round.
 	active bool
+	// round counts the rounds, and revision is the catalogue's in the last one.
+	round    int
+	revision int64
+	// listDue makes the next round read the host list.
+	listDue bool
 
 	mu       sync.Mutex
 	progress Progress
@@ -105,6 +110,7 @@
 		limiter: rate.NewLimiter(rate.Limit(opt.LoadsPerSecond), 1),
 		engines: map[string]*record{},
 		honours: map[string]bool{},
+		listDue: true,
 	}
 	for _, name := range opt.HonourFencing {
 		r.honours[name] = true
@@ -146,12 +152,20 @@
 	if !ok {
 		// What was read under an earlier permit is too old for the next one.
 		clear(r.engines)
+		r.listDue = true
 		r.setProgress(Progress{})
 		return
 	}
 	start := time.Now()
-	r.readHosts(ctx)
 	snapshot := r.opt.Catalogue.Current()
+	if snapshot != nil && snapshot.Revision != r.revision {
+		r.revision = snapshot.Revision
+		r.readAll()
+	}
+	r.round++
+	if r.listDue || r.round%listRounds == 0 {
+		r.readHosts(ctx)
+	}
 	if snapshot == nil {
 		return
 	}
@@ -215,6 +229,9 @@
 // the number of engines that do not have their goal.
 func (r *Reconciler) differences(c *catalogue.Catalogue, now time.Time) (orders []pendingOrder, differing int) {
 	var loading []pendingOrder
+	for _, rec := range r.engines {
+		rec.settled = rec.reachable() && !rec.draining && len(rec.state.Loading) == 0
+	}
 	for _, a := range Plan(c, r.views(now)) {
 		rec := r.engines[a.Engine]
 		o := pendingOrder{
@@ -226,6 +243,7 @@
 		o.fetches = len(o.loads) + len(without(a.Goal.Adapters, rec.state.Goal.Adapters))
 		same := sameGoal(a.Goal, rec.state.Goal)
 		reached := same && len(without(a.Goal.Models, rec.state.Loaded)) == 0
+		rec.settled = rec.settled && reached
 		if !reached {
 			differing++
 		} else {
--- a/internal/version/order/reconciler_test.go
+++ b/internal/version/order/reconciler_test.go
@@ -239,3 +239,40 @@
 		f.processes[0].stop()
 	})
 }
+
+// Guards against a controller that reads engines more often than they change,
+// against order states read less than once in an interval, and against full
+// reads that do not come back after an edit or a difference.
+func TestSettledEnginesAreReadLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(map[string]int{"a": 2})
+		w.add("e0", "a")
+		w.add("e1", "a")
+		w.add("spare")
+		_, stop := w.reconcile(&permit{fencing: 1})
+		reads := func(name string, d time.Duration) (states, reports, lists int) {
+			before, l := w.engine(name), w.lists()
+			time.Sleep(d)
+			after := w.engine(name)
+			return after.states - before.states, after.reports - before.reports, w.lists() - l
+		}
+		time.Sleep(9 * time.Second)
+		for _, name := range []string{"e0", "spare"} {
+			states, reports, lists := reads(name, 80*time.Second)
+			is.Equal([]int{states, reports, lists}, []int{40, 10, 20})
+		}
+		total := func() int { return w.engine("e0").reports + w.engine("e1").reports + w.engine("spare").reports }
+		before := total()
+		w.edit(2, map[string]int{"a": 2})
+		time.Sleep(2 * time.Second)
+		is.Equal(total()-before, 3) // at once after an edit
+		w.change("e1", func(e *fakeEngine) { e.draining = true })
+		time.Sleep(9 * time.Second)
+		is.Equal(w.engine("spare").state.Goal.Models, []string{"a"}) // noticed within 4 intervals
+		states, reports, _ := reads("e1", 20*time.Second)
+		is.Equal([]int{states, reports}, []int{10, 10}) // each round while it drains
+		stop()
+		is.NoErr(w.broken)
+	})
+}
--- a/internal/version/order/world_test.go
+++ b/internal/version/order/world_test.go
@@ -23,6 +23,7 @@
 	mu        sync.Mutex
 	hosts     []platform.Host
 	hostsDown bool
+	listed    int
 	engines   map[string]*fakeEngine
 	snapshot  *catalogue.Snapshot
 	// adapters are those of model a from the next edit on.
@@ -42,6 +43,8 @@
 	loseAnswer bool
 	refused    int
 	orders     int
+	// states and reports count the reads.
+	states, reports int
 }
 
 // permit is held while its number is not 0.
@@ -113,6 +116,13 @@
 	return e
 }
 
+// lists returns the number of reads of the host list.
+func (w *world) lists() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.listed
+}
+
 func (w *world) hostListDown() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -144,6 +154,7 @@
 func (w *world) Hosts(context.Context) ([]platform.Host, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.listed++
 	if w.hostsDown {
 		return nil, errors.New("host list is out")
 	}
@@ -170,6 +181,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	e.states++
 	return e.copy(), nil
 }
 
@@ -180,6 +192,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	e.reports++
 	return api.LoadReport{Name: name, Models: e.state.Loaded, Draining: e.draining || e.state.Goal.Drain}, nil
 }
 
