Omit the User-Agent header in calls of engines

Cause: an order state takes 285 bytes of which 32 are the default User-Agent; the controller of 75 engines is 1% over its 17 KB/s.

The gateways' polls of engines shrink by the same 32 bytes.

--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -111,6 +111,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// An empty value omits the header: it is a ninth of the bytes of a poll.
+	req.Header.Set("User-Agent", "")
 	if c.body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
