Let standby controllers read the catalogue head each minute

Cause: a standby controller reads the head every second, 400 reads/s at 400 hosts, though it uses the catalogue only once it has a lease.

A controller without a lease polls the head each minute, to be ready; with one it polls every second. A new holder orders only after a poll that began in its term, so that it never orders by the older catalogue it had as a standby.

Ruled out: no catalogue at all at a standby (it would not become ready, and an object store outage at a take-over would stop all orders); polls when the lease is about to become free (the wait is about 1 s).

Figures: TestStandbyPollsRarely: 11 polls at most in 10 min.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -27,6 +27,7 @@
 	logger       log.Logger
 	metrics      *telemetry.Metrics
 	catalogue    order.Catalogue
+	since        func(time.Time) bool
 	table        order.Table
 	engines      order.Engines
 	sites        *sites
@@ -44,6 +45,7 @@
 		logger:       logging.Part(logger, "controller"),
 		metrics:      telemetry.New(),
 		catalogue:    d.Catalogue,
+		since:        d.CatalogueSince,
 		table:        d.Table,
 		engines:      d.Engines,
 		sites:        &sites{list: d.Hosts},
@@ -54,7 +56,9 @@
 
 // Main runs a whole controller until ctx ends, then stops it gracefully.
 func Main(ctx context.Context, o *Options, logger log.Logger) error {
-	deps, syncer := connect(o, logger)
+	var c *Controller
+	deps, syncer := connect(o, func() bool { return c.active() }, logger)
+	c = New(o, deps, logger)
 	listener, err := net.Listen("tcp", o.AdminListen)
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
@@ -64,7 +68,7 @@
 	syncCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	wait.Go(func() { _ = syncer.Run(syncCtx) })
-	return New(o, deps, logger).Run(ctx, listener)
+	return c.Run(ctx, listener)
 }
 
 // Bounds of the admin server.
--- a/internal/process/controller/unit.go
+++ b/internal/process/controller/unit.go
@@ -37,6 +37,7 @@
 	u.reconciler = order.NewReconciler(order.Options{
 		Permit:         u.lease,
 		Catalogue:      c.catalogue,
+		CatalogueSince: c.since,
 		Hosts:          site{c.sites, dataCentre},
 		Engines:        c.engines,
 		Interval:       o.Reconcile.Interval,
@@ -121,6 +122,11 @@
 	return all
 }
 
+// active tells whether this controller may send orders in any data centre.
+func (c *Controller) active() bool {
+	return slices.ContainsFunc(c.leases(), func(l order.LeaseStatus) bool { return l.Held })
+}
+
 // release lets successors act at once. Without it they wait until the leases
 // have run out, so a failure does no harm.
 func (c *Controller) release(ctx context.Context) {
--- a/internal/process/loadgen/capacity/controller.go
+++ b/internal/process/loadgen/capacity/controller.go
@@ -149,6 +149,13 @@
 	r.add(line{name: "controller read CPU", size: size, unit: "% core", points: wireCPU, target: target, note: cpuOfPoll + "; multiples of one engine's reads"})
 	r.add(line{name: "controller read bytes", size: size, unit: "B/s", points: wire, target: target,
 		note: fmt.Sprintf("a load report takes %.0f bytes, an order state %.0f", calls.load.bytes, calls.state.bytes)})
+	standby := standbyReads()
+	var standbys []point
+	for _, hosts := range []float64{7, 100, targetGateways} {
+		standbys = append(standbys, point{hosts, hosts * standby})
+	}
+	r.add(line{name: "platform reads of standby controllers", size: "hosts", unit: "reads/s", points: standbys, target: targetGateways, budget: budgetReads,
+		note: "counted from the periods, which TestStandby and TestStandbyPollsRarely check"})
 	platformCalls := []part{
 		{"lease renewal every 3 s", calls.renew.bytes / 3},
 		{"catalogue head every second", calls.head.bytes},
@@ -165,6 +172,13 @@
 	return nil
 }
 
+// standbyReads returns the reads of the platform by one controller without a
+// lease: the lease rows, and each minute the catalogue's head and the host list.
+func standbyReads() float64 {
+	o := order.DefaultLeaseOptions("c", "centre-4")
+	return 1/o.Poll.Seconds() + (targetCentres-1)/o.ForeignPoll.Seconds() + 2/time.Minute.Seconds()
+}
+
 // reconcile is the cost of one data centre's rounds; reads are for one round.
 type reconcile struct {
 	loads, states, lists, memory, core float64
--- a/internal/version/order/lease_test.go
+++ b/internal/version/order/lease_test.go
@@ -196,6 +196,14 @@
 	wait.Go(func() { f.sendOrders(ctx, p) })
 }
 
+// grow starts one more process.
+func (f *fleet) grow(home string) {
+	f.mu.Lock()
+	f.homes, f.processes = append(f.homes, home), append(f.processes, f.processes[0])
+	f.mu.Unlock()
+	f.start(len(f.homes) - 1)
+}
+
 // sendOrders sends orders while allowed. An order is under way for 0 or just
 // under twice the flight time: a pause between check and send, and the flight.
 func (f *fleet) sendOrders(ctx context.Context, p *process) {
@@ -383,10 +391,10 @@
 		opt := f.processes[0].opt
 		time.Sleep(opt.Duration + opt.ForeignWait)
 		is.Equal(f.holder(), -1) // left to dc0's own controllers
-		time.Sleep(opt.Flight + opt.ForeignPoll)
+		time.Sleep(opt.Flight + opt.ForeignPoll + time.Millisecond)
 		is.Equal(f.holder(), 1)
 		f.start(0)
-		time.Sleep(opt.Duration + opt.Flight + opt.Poll)
+		time.Sleep(opt.Duration + opt.Flight + opt.Poll + time.Millisecond)
 		is.Equal(f.holder(), 0)
 		is.Equal(f.processes[0].Status().Fencing, int64(3))
 		time.Sleep(5 * time.Minute)
@@ -411,7 +419,7 @@
 		is.True(reads(2)-foreign <= 21)
 		f.processes[0].stop()
 		opt := f.processes[0].opt
-		time.Sleep(opt.Duration + opt.Flight + opt.Poll)
+		time.Sleep(opt.Duration + opt.Flight + opt.Poll + time.Millisecond)
 		is.Equal(f.holder(), 1)
 		f.processes[1].stop()
 		f.processes[2].stop()
@@ -429,8 +437,7 @@
 		f.processes[0].stop()
 		f.start(0) // takes the row again, with number 2
 		time.Sleep(time.Minute)
-		f.homes, f.processes = append(f.homes, "dc0"), append(f.processes, nil)
-		f.start(1)
+		f.grow("dc0")
 		time.Sleep(time.Minute)
 		is.Equal(f.holder(), 0)
 		f.processes[0].stop()
--- a/internal/version/order/reconciler.go
+++ b/internal/version/order/reconciler.go
@@ -26,8 +26,12 @@
 type Options struct {
 	Permit    Permit
 	Catalogue Catalogue
-	Hosts     HostList
-	Engines   Engines
+	// CatalogueSince reports whether the catalogue was compared with the head
+	// after a time. A new holder waits for it, because a standby's revision may
+	// be old. It may be nil if the catalogue is always current.
+	CatalogueSince func(time.Time) bool
+	Hosts          HostList
+	Engines        Engines
 	// Interval is the time between two rounds.
 	Interval time.Duration
 	// CallTimeout bounds one call of the host list or of an engine. Three of them
@@ -87,6 +91,10 @@
 	honours map[string]bool
 	// active tells whether the permit was held in the last round.
 	active bool
+	// since is the time at which active was set, and current tells whether the
+	// catalogue was compared with the head since.
+	since   time.Time
+	current bool
 	// round counts the rounds, and revision is the catalogue's in the last one.
 	round    int
 	revision int64
@@ -102,6 +110,9 @@
 	if opt.Share == nil {
 		opt.Share = func() float64 { return 1 }
 	}
+	if opt.CatalogueSince == nil {
+		opt.CatalogueSince = func(time.Time) bool { return true }
+	}
 	if opt.Raise == nil {
 		opt.Raise = func(int64) {}
 	}
@@ -131,20 +142,25 @@
 	tick := time.NewTicker(r.opt.Interval)
 	defer tick.Stop()
 	for {
-		r.Round(ctx)
+		var again <-chan time.Time
+		if !r.Round(ctx) {
+			again = time.After(r.opt.CallTimeout)
+		}
 		select {
 		case <-tick.C:
+		case <-again:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// Round reads everything, plans and orders once, if the permit is held.
-func (r *Reconciler) Round(ctx context.Context) {
+// Round reads everything, plans and orders once, if the permit is held. It
+// returns false if it waits for the catalogue.
+func (r *Reconciler) Round(ctx context.Context) bool {
 	_, _, ok := r.opt.Permit.Allow()
 	if ok != r.active {
-		r.active = ok
+		r.active, r.since, r.current = ok, time.Now(), false
 		// The former holder may have started a load just now.
 		r.limiter.Allow()
 		level.Info(r.opt.Logger).Log("msg", "permit for orders changed", "held", ok)
@@ -154,7 +170,11 @@
 		clear(r.engines)
 		r.listDue = true
 		r.setProgress(Progress{})
-		return
+		return true
+	}
+	r.current = r.current || r.opt.CatalogueSince(r.since)
+	if !r.current {
+		return false
 	}
 	start := time.Now()
 	snapshot := r.opt.Catalogue.Current()
@@ -167,13 +187,13 @@
 		r.readHosts(ctx)
 	}
 	if snapshot == nil {
-		return
+		return true
 	}
 	r.readEngines(ctx)
-	if ctx.Err() != nil {
-		return
+	if ctx.Err() == nil {
+		r.act(ctx, snapshot, start)
 	}
-	r.act(ctx, snapshot, start)
+	return true
 }
 
 func (r *Reconciler) setProgress(p Progress) {
--- a/internal/version/order/reconciler_test.go
+++ b/internal/version/order/reconciler_test.go
@@ -268,7 +268,7 @@
 		time.Sleep(2 * time.Second)
 		is.Equal(total()-before, 3) // at once after an edit
 		w.change("e1", func(e *fakeEngine) { e.draining = true })
-		time.Sleep(9 * time.Second)
+		time.Sleep(8 * time.Second)
 		is.Equal(w.engine("spare").state.Goal.Models, []string{"a"}) // noticed within 4 intervals
 		states, reports, _ := reads("e1", 20*time.Second)
 		is.Equal([]int{states, reports}, []int{10, 10}) // each round while it drains
@@ -276,3 +276,23 @@
 		is.NoErr(w.broken)
 	})
 }
+
+// Guards against a new holder that orders by the old catalogue that it had as a
+// standby, and one that waits a whole interval after the catalogue has come.
+func TestTakeOverWaitsForTheCatalogue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(map[string]int{"a": 1})
+		w.add("e0", "a")
+		w.polled = time.Now()
+		time.Sleep(time.Second)
+		_, stop := w.reconcile(&permit{fencing: 1})
+		time.Sleep(10*time.Second - 1)
+		is.Equal(w.engine("e0").states, 0)
+		w.edit(2, map[string]int{"b": 1})
+		w.change("e0", func(*fakeEngine) { w.polled = time.Now() })
+		time.Sleep(501 * time.Millisecond)
+		is.Equal(w.engine("e0").state.Goal.Models, []string{"a", "b"})
+		stop()
+	})
+}
--- a/internal/version/order/world_test.go
+++ b/internal/version/order/world_test.go
@@ -24,8 +24,10 @@
 	hosts     []platform.Host
 	hostsDown bool
 	listed    int
-	engines   map[string]*fakeEngine
-	snapshot  *catalogue.Snapshot
+	// polled is the time of the last poll of the catalogue; zero is always now.
+	polled   time.Time
+	engines  map[string]*fakeEngine
+	snapshot *catalogue.Snapshot
 	// adapters are those of model a from the next edit on.
 	adapters []string
 	loads    []time.Time
@@ -116,6 +118,12 @@
 	return e
 }
 
+func (w *world) polledSince(t time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.polled.IsZero() || w.polled.After(t)
+}
+
 // lists returns the number of reads of the host list.
 func (w *world) lists() int {
 	w.mu.Lock()
@@ -286,7 +294,7 @@
 
 func (w *world) reconcileWith(p Permit, raise func(int64), honour ...string) (r *Reconciler, stop func()) {
 	r = NewReconciler(Options{
-		Permit: p, Catalogue: w, Hosts: w, Engines: w,
+		Permit: p, Catalogue: w, CatalogueSince: w.polledSince, Hosts: w, Engines: w,
 		Interval: 2 * time.Second, CallTimeout: 500 * time.Millisecond, LostAfter: 10 * time.Second,
 		Concurrency: 8, MaxLoads: 2, LoadsPerSecond: 2, HonourFencing: honour, Raise: raise,
 		Logger: log.NewNopLogger(), Metrics: telemetry.New(),
--- a/internal/version/revision/freshness.go
+++ b/internal/version/revision/freshness.go
@@ -32,6 +32,14 @@
 	return time.Since(f.at)
 }
 
+// PolledSince reports whether a poll that began after t brought the head's
+// revision into force, as far as its body is valid.
+func (s *Syncer) PolledSince(t time.Time) bool {
+	s.settled.mu.Lock()
+	defer s.settled.mu.Unlock()
+	return s.settled.known && s.settled.at.After(t)
+}
+
 // Confirmed returns how long ago the revision in force was confirmed to be at
 // least the platform's head; false if never. Gossip carries it to other
 // gateways together with the revision.
--- a/internal/version/revision/syncer.go
+++ b/internal/version/revision/syncer.go
@@ -55,9 +55,13 @@
 	Source Source
 	// Peers lists the other gateways that are reachable as far as is known.
 	Peers func() []Peer
-	// Poller tells whether this gateway is one of the elected pollers now.
+	// Poller tells whether this process polls in each interval now: an elected
+	// gateway, or a controller that orders engines.
 	Poller func() bool
-	Logger log.Logger
+	// MaxUnconfirmed replaces the age of the last confirmation from which any
+	// other process polls itself; 0 is the default of gateways.
+	MaxUnconfirmed time.Duration
+	Logger         log.Logger
 	// Rand jitters the polls. Only the Syncer may use it.
 	Rand *rand.Rand
 }
@@ -68,8 +72,11 @@
 	SyncerConfig
 	ready atomic.Bool
 	fresh freshness
-	hints chan hint
-	wg    sync.WaitGroup
+	// settled is the latest poll after which the head's revision was in force, or
+	// can't be because its body is invalid.
+	settled freshness
+	hints   chan hint
+	wg      sync.WaitGroup
 	// failing is set while polls fail, so that a long outage logs two lines.
 	failing bool
 	// lastHead is the last head seen, so that a lower one is logged once.
@@ -84,6 +91,9 @@
 
 // NewSyncer returns a syncer that does nothing until Run.
 func NewSyncer(c SyncerConfig) *Syncer {
+	if c.MaxUnconfirmed == 0 {
+		c.MaxUnconfirmed = maxUnconfirmed
+	}
 	return &Syncer{SyncerConfig: c, hints: make(chan hint, hintQueue)}
 }
 
@@ -102,7 +112,7 @@
 		if !sleep(ctx, s.interval()) {
 			return ctx.Err()
 		}
-		if s.Poller() || s.fresh.age() >= maxUnconfirmed {
+		if s.Poller() || s.fresh.age() >= s.MaxUnconfirmed {
 			s.poll(ctx)
 		}
 	}
@@ -127,9 +137,13 @@
 		return
 	}
 	s.install(ctx, head)
-	if held := s.Holder.Number(); held >= head.Number {
+	current := s.Holder.Number() >= head.Number
+	if current {
 		s.fresh.confirm(asked)
 	}
+	if current || s.Holder.isRejected(head.Digest) {
+		s.settled.confirm(asked)
+	}
 	s.logLower(head)
 }
 
--- a/internal/version/revision/syncer_test.go
+++ b/internal/version/revision/syncer_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -186,3 +189,43 @@
 		}
 	})
 }
+
+// countedSource counts the reads of the head.
+type countedSource struct {
+	Source
+	reads atomic.Int64
+}
+
+func (s *countedSource) Head(ctx context.Context) (Revision, error) {
+	s.reads.Add(1)
+	return s.Source.Head(ctx)
+}
+
+// Guards against a standby controller that polls like a gateway, and against one
+// that doesn't poll soon after it became active or takes a failed poll for one.
+func TestStandbyPollsRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFake()
+		source := &countedSource{Source: f.editor().Store}
+		_, err := f.editor().Apply(t.Context(), 0, body(0), "ann", "m")
+		is.NoErr(err)
+		var active atomic.Bool
+		s := NewSyncer(SyncerConfig{Holder: &Holder{}, Source: source, Peers: func() []Peer { return nil }, Poller: active.Load,
+			MaxUnconfirmed: time.Minute, Logger: log.NewNopLogger(), Rand: rand.New(rand.NewPCG(1, 1))})
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		time.Sleep(10 * time.Minute)
+		is.True(s.Ready())
+		is.True(source.reads.Load() <= 11)
+		f.set(true)
+		active.Store(true)
+		since := time.Now()
+		time.Sleep(3 * time.Second)
+		is.True(!s.PolledSince(since))
+		f.set(false)
+		time.Sleep(1200 * time.Millisecond)
+		is.True(s.PolledSince(since))
+		cancel()
+	})
+}
