Carry confirmations of the catalogue head in gossip answers

An answer to a gossip request carries a revision and the age of the sender's latest confirmation, 8 bytes in gob. The receiver counts the age from the sending of its request on its own monotonic clock and passes the instant to HearConfirmation, which took an age before: a pause between taking the age and the clock would have made the confirmation fresher than it was. Confirmed reads the revision after the age, because gossip's own host entry lags behind the revision in force. A revision above the receiver's own doesn't count, as before.

Ruled out: confirmations in requests too (spread faster, but a request can lie in a socket for longer than any bound while its receiver stands still); the revision of the host entry (can be older than the confirmed one).

--- /dev/null
+++ b/internal/process/gateway/confirm_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/version/catalogue"
+	"persimmonwing/internal/version/revision"
+)
+
+// centre is a data centre of gateways in memory that follow one head.
+type centre struct {
+	head    atomic.Int64
+	reads   atomic.Int64
+	gossip  map[string]*membership.Service
+	syncers []*revision.Syncer
+	// noRelay keeps confirmations out of gossip, and peersCut ends all gossip.
+	noRelay  bool
+	peersCut atomic.Bool
+}
+
+func bodyOf(number int64) []byte {
+	return fmt.Appendf(nil, "workspaces:\n  - name: one\n    weight: %d\n    key_digests: [sha256:%s]\n", number, strings.Repeat("0", 64))
+}
+
+func revisionOf(number int64) revision.Revision {
+	return revision.Revision{Number: number, Digest: catalogue.Digest(bodyOf(number))}
+}
+
+func (c *centre) Head(context.Context) (revision.Revision, error) {
+	c.reads.Add(1)
+	return revisionOf(c.head.Load()), nil
+}
+
+func (c *centre) Body(_ context.Context, digest string) ([]byte, error) {
+	for n := c.head.Load(); n > 0; n-- {
+		if revisionOf(n).Digest == digest {
+			return bodyOf(n), nil
+		}
+	}
+	return nil, errors.New("no such body")
+}
+
+// Call implements membership.Caller.
+func (c *centre) Call(_ context.Context, address, _ string, args, reply any) error {
+	if c.peersCut.Load() {
+		return errors.New("cut")
+	}
+	time.Sleep(time.Millisecond)
+	return c.gossip[address].Exchange(args.(*membership.Message), reply.(*membership.Message))
+}
+
+func (c *centre) run(ctx context.Context, gateways int) {
+	c.head.Store(1)
+	c.gossip = map[string]*membership.Service{}
+	for i := range gateways {
+		name := fmt.Sprint("gateway-", i)
+		holder := new(revision.Holder)
+		var syncer *revision.Syncer
+		o := membership.Options{
+			Self:  membership.Host{Name: name, DataCentre: "dc0", PeerAddress: name, Incarnation: 1},
+			Seeds: []string{"gateway-0"}, Caller: c, Logger: log.NewNopLogger(), Rand: rand.New(rand.NewPCG(1, uint64(i))),
+			Revision: holder.Number, Draining: func() []string { return nil },
+			Confirmed: func() (int64, time.Duration, bool) { return syncer.Confirmed() },
+			Confirm:   func(number int64, at time.Time) { syncer.HearConfirmation(number, at) },
+		}
+		if c.noRelay {
+			o.Confirmed, o.Confirm = nil, nil
+		}
+		g := membership.NewGossiper(o)
+		syncer = revision.NewSyncer(revision.SyncerConfig{
+			Holder: holder, Source: c, Peers: func() []revision.Peer { return nil }, Logger: log.NewNopLogger(),
+			Poller: func() bool { return g.Polls(purposeCatalogue) }, Rand: rand.New(rand.NewPCG(2, uint64(i))),
+		})
+		c.gossip[name] = g.Service()
+		c.syncers = append(c.syncers, syncer)
+		go func() {
+			time.Sleep(time.Duration(i) * 13 * time.Millisecond)
+			go func() { _ = syncer.Run(ctx) }()
+			_ = g.Run(ctx)
+		}()
+	}
+}
+
+// lowest returns the lowest revision in force.
+func (c *centre) lowest() int64 {
+	return slices.MinFunc(c.syncers, func(a, b *revision.Syncer) int { return int(a.Holder.Number() - b.Holder.Number()) }).Holder.Number()
+}
+
+// Guards against gateways that poll the head although a peer has just done so,
+// and against an edit that is not in force everywhere within 5 s because a
+// relayed confirmation kept a gateway from polling. No gateway can fetch from a
+// peer here, so that only its own polls bring an edit.
+func TestRelayedConfirmations(t *testing.T) {
+	const gateways, window = 50, 15
+	reads := map[bool]float64{}
+	for _, noRelay := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			c := &centre{noRelay: noRelay}
+			c.run(ctx, gateways)
+			time.Sleep(8 * time.Second)
+			before := c.reads.Load()
+			time.Sleep(window * time.Second)
+			reads[noRelay] = float64(c.reads.Load()-before) / window
+			for number := int64(2); number < 6; number++ {
+				c.head.Store(number)
+				time.Sleep(5*time.Second + time.Duration(number)*77*time.Millisecond)
+				is.Equal(c.lowest(), number)
+			}
+			c.peersCut.Store(true)
+			c.head.Store(6)
+			time.Sleep(5 * time.Second)
+			is.Equal(c.lowest(), int64(6))
+			cancel()
+			time.Sleep(10 * time.Second)
+		})
+	}
+	t.Logf("head reads/s of %d gateways: %.1f, with relayed confirmations %.1f", gateways, reads[true], reads[false])
+	if reads[false] > reads[true]/2 {
+		t.Errorf("relayed confirmations leave %.1f of %.1f reads/s", reads[false], reads[true])
+	}
+}
--- a/internal/process/gateway/fetch_test.go
+++ b/internal/process/gateway/fetch_test.go
@@ -2,12 +2,55 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
+	"net"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"persimmonwing/internal/process/settings"
 )
 
+// Guards against gateways that don't pass confirmations of the catalogue on, so
+// that each polls the platform itself.
+func TestConfirmationsGoWithGossip(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	make := func(i int, listen string) *process {
+		o := DefaultOptions()
+		is.NoErr(settings.Parse([]byte(with(fmt.Sprint("name: gateway-", i))), "test.yaml", o))
+		o.PeerListen, o.Peers = listen, []string{listener.Addr().String()}
+		p, err := newProcess(o, log.NewNopLogger())
+		is.NoErr(err)
+		t.Cleanup(p.pool.Close)
+		return p
+	}
+	polled, other := make(1, listener.Addr().String()), make(2, "127.0.0.1:1")
+	go func() { _ = polled.server.Serve(listener) }()
+	t.Cleanup(polled.server.Close)
+	at := time.Now()
+	polled.syncer.HearConfirmation(0, at)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	go func() { _ = other.gossiper.Run(ctx) }()
+	for {
+		least := time.Since(at)
+		if _, age, ok := other.syncer.Confirmed(); ok {
+			is.True(age >= least)
+			return
+		}
+		if ctx.Err() != nil {
+			t.Fatal("the confirmation did not arrive")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Guards against a catalogue body that peers receive changed, and so refuse by
 // its digest.
 func TestFetchedBodyIsWhole(t *testing.T) {
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -28,7 +28,7 @@
 // status completes the answer of /status.
 func (p *process) status(s *Status) {
 	s.LivePeers = len(p.gossiper.Live())
-	age, confirmed := p.syncer.Confirmed()
+	_, age, confirmed := p.syncer.Confirmed()
 	s.PlatformReachable = confirmed && age < platformStale
 	for _, g := range p.gossiper.Summaries() {
 		if g.Owner == p.opts.Name {
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -149,6 +149,9 @@
 		Logger:   logging.Part(p.logger, "membership"),
 		Rand:     sharedRand,
 		Revision: p.holder.Number,
+		// The syncer is made after the gossiper, but before either runs.
+		Confirmed: func() (int64, time.Duration, bool) { return p.syncer.Confirmed() },
+		Confirm:   func(revision int64, at time.Time) { p.syncer.HearConfirmation(revision, at) },
 		Draining: func() []string {
 			if s := p.holder.Current(); s != nil {
 				return s.Draining
--- a/internal/process/loadgen/capacity/gossip.go
+++ b/internal/process/loadgen/capacity/gossip.go
@@ -53,6 +53,7 @@
 		g := membership.NewGossiper(membership.Options{
 			Self: h, Caller: n, Logger: log.NewNopLogger(), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 			Revision: func() int64 { return 7 }, Draining: func() []string { return nil },
+			Confirmed: func() (int64, time.Duration, bool) { return 7, time.Second, true },
 		})
 		all = append(all, g)
 		n.services[h.PeerAddress], n.wires[h.PeerAddress] = g.Service(), peertest.NewWire()
--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -46,6 +46,12 @@
 	Rand *rand.Rand
 	// Revision returns the catalogue revision in force.
 	Revision func() int64
+	// Confirmed returns how long ago the platform's head was known to be at most
+	// revision; false if never. It may be nil.
+	Confirmed func() (revision int64, age time.Duration, ok bool)
+	// Confirm takes what a peer's Confirmed returned; at is the earliest instant
+	// that it can mean on this gateway's clock. It may be nil.
+	Confirm func(revision int64, at time.Time)
 	// Draining returns the catalogue's list of draining backend servers.
 	Draining func() []string
 	// Changed is called, without locks held, after hosts, facts or summaries
@@ -82,6 +88,9 @@
 	*out = s.g.state.answer(time.Now(), in)
 	s.g.mu.Unlock()
 	s.g.heard()
+	if !in.NamesOnly {
+		s.g.putConfirmation(out)
+	}
 	s.g.changed()
 	return nil
 }
@@ -184,11 +193,13 @@
 	g.mu.Lock()
 	request := g.state.compose(time.Now(), g.state.table.local(address))
 	g.mu.Unlock()
+	sent := time.Now()
 	answer, ok := g.call(ctx, address, request)
 	if !ok {
 		return
 	}
 	g.heard()
+	g.takeConfirmation(sent, &answer)
 	g.mu.Lock()
 	follow, needed := g.state.follow(time.Now(), &answer)
 	g.mu.Unlock()
--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -51,6 +51,11 @@
 	Groups []schedule.GroupKey
 	// Want lists ids whose names the sender does not know.
 	Want []uint32
+	// ConfirmedRevision and ConfirmedAgeMS are set in answers: so many milliseconds
+	// ago, at most, the catalogue's head was at most this revision. An age of 0
+	// means that nothing is confirmed.
+	ConfirmedRevision int64
+	ConfirmedAgeMS    uint32
 	// NamesOnly marks a follow-up that only asks for names or sends them.
 	NamesOnly bool
 }
--- a/internal/version/revision/freshness.go
+++ b/internal/version/revision/freshness.go
@@ -40,20 +40,23 @@
 	return s.settled.known && s.settled.at.After(t)
 }
 
-// Confirmed returns how long ago the revision in force was confirmed to be at
-// least the platform's head; false if never. Gossip carries it to other
-// gateways together with the revision.
-func (s *Syncer) Confirmed() (age time.Duration, ok bool) {
+// Confirmed returns how long ago the platform's head was known to be at most
+// revision; false if never. Gossip carries both to other gateways.
+func (s *Syncer) Confirmed() (revision int64, age time.Duration, ok bool) {
 	age = s.fresh.age()
-	return age, age != math.MaxInt64
+	// The revision in force only grows, so read afterwards it is no lower than the
+	// one that was confirmed.
+	return s.Holder.Number(), age, age != math.MaxInt64
 }
 
-// HearConfirmation takes a confirmation from gossip: the given age ago the
-// platform's head was at most revision. It doesn't count while a lower revision
-// is in force here, so a gateway that can't fetch from its peers polls.
-func (s *Syncer) HearConfirmation(revision int64, age time.Duration) {
-	if age < 0 || s.Holder.Number() < revision {
+// HearConfirmation takes a confirmation from gossip: at the given instant, or
+// after it, the platform's head was at most revision. The instant is a reading of
+// this process's monotonic clock, so a pause on the way can't make it later. It
+// doesn't count while a lower revision is in force here, so a gateway that can't
+// fetch from its peers polls.
+func (s *Syncer) HearConfirmation(revision int64, at time.Time) {
+	if s.Holder.Number() < revision {
 		return
 	}
-	s.fresh.confirm(time.Now().Add(-age))
+	s.fresh.confirm(at)
 }
