--- a/internal/version/order/reconciler_test.go
+++ b/internal/version/order/reconciler_test.go
@@ -222,7 +222,8 @@
 }
 
 // Guards against an engine that came from another data centre and refuses all
-// orders, because it has accepted a higher number there.
+// orders, because it has accepted a higher number there, and against a successor
+// that starts from the number before it was raised.
 func TestEngineFromAnotherDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -237,6 +238,10 @@
 		is.Equal(w.engine("e0").refused, 0)
 		stop()
 		f.processes[0].stop()
+		f.start(0)
+		time.Sleep(20 * time.Second)
+		is.Equal(f.processes[0].Status().Fencing, int64(59))
+		f.processes[0].stop()
 	})
 }
 
