Poll the head as soon as the last confirmation is 3 s old

With confirmations relayed, own polls come late for most gateways, so this limit matters more than before.

It now wakes when the confirmation gets 3 s old: 4.5 s with a poll that takes its whole timeout.

Ruled out: a lower age with the same looks (more reads for the same bound).

--- a/internal/version/revision/syncer.go
+++ b/internal/version/revision/syncer.go
@@ -15,7 +15,7 @@
 )
 
 // Times of the syncer. In the worst case a gateway misses an edit for
-// maxUnconfirmed, then for one jittered interval and one poll: under 5 s.
+// maxUnconfirmed and then for one poll: under 5 s.
 const (
 	pollInterval = time.Second
 	// pollJitter is the fraction by which an interval varies either way, so
@@ -109,7 +109,7 @@
 		return err
 	}
 	for {
-		if !sleep(ctx, s.interval()) {
+		if !sleep(ctx, s.untilPoll()) {
 			return ctx.Err()
 		}
 		if s.Poller() || s.fresh.age() >= s.MaxUnconfirmed {
@@ -118,6 +118,16 @@
 	}
 }
 
+// untilPoll returns the time until the next look: an interval, or less if the
+// last confirmation gets too old before.
+func (s *Syncer) untilPoll() time.Duration {
+	interval := s.interval()
+	if left := s.MaxUnconfirmed - s.fresh.age(); left > 0 {
+		return min(interval, left)
+	}
+	return interval
+}
+
 func (s *Syncer) interval() time.Duration {
 	factor := 1 + pollJitter*(2*s.Rand.Float64()-1)
 	return time.Duration(float64(pollInterval) * factor)
