Fetch a new revision from one peer first

A revision that is being fetched for less than 0.3 s is not fetched from another peer as well. A fetch that fails ends the wait, gossip repeats the hints, and a search after a failed read of the platform still asks all.

Ruled out: a longer wait (a stalled peer would delay the edit).

--- a/internal/process/gateway/confirm_test.go
+++ b/internal/process/gateway/confirm_test.go
@@ -31,6 +31,8 @@
 	peersCut atomic.Bool
 	// fetch lets gateways fetch from peers.
 	fetch bool
+	// moved counts the bodies that moved between gateways.
+	moved atomic.Int64
 }
 
 // transfer is the time to move and parse a body.
@@ -40,6 +42,7 @@
 type otherGateway struct {
 	name   string
 	holder *revision.Holder
+	moved  *atomic.Int64
 }
 
 func (p otherGateway) Name() string { return p.name }
@@ -47,6 +50,9 @@
 func (p otherGateway) FetchNewer(_ context.Context, known int64) (revision.Revision, []byte, bool, error) {
 	r, body, newer := p.holder.Newer(known)
 	time.Sleep(transfer)
+	if newer {
+		p.moved.Add(1)
+	}
 	return r, body, newer, nil
 }
 
@@ -89,7 +95,7 @@
 	for i := range gateways {
 		name := fmt.Sprint("gateway-", i)
 		holder := new(revision.Holder)
-		peers = append(peers, otherGateway{name, holder})
+		peers = append(peers, otherGateway{name, holder, &c.moved})
 		var syncer *revision.Syncer
 		var g *membership.Gossiper
 		o := membership.Options{
@@ -167,14 +173,15 @@
 }
 
 // Guards against an edit that spreads from gateway to gateway only with the
-// rounds of gossip, so that most gateways have it from their own late poll.
+// rounds of gossip, so that most gateways have it from their own late poll, and
+// against gateways that fetch its body from several peers at once.
 func TestEditSpreadsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		c := &centre{fetch: true}
 		c.run(ctx, 30)
 		time.Sleep(8 * time.Second)
-		longest := time.Duration(0)
+		before, longest := c.moved.Load(), time.Duration(0)
 		for number := int64(2); number < 10; number++ {
 			c.head.Store(number)
 			accepted := time.Now()
@@ -187,6 +194,11 @@
 		if longest > 2500*time.Millisecond {
 			t.Errorf("an edit took %v", longest)
 		}
+		each := float64(c.moved.Load()-before) / (8 * 30)
+		t.Logf("an edit took %v at most; %.2f bodies for each gateway", longest, each)
+		if each > 1 {
+			t.Errorf("%.2f bodies of an edit moved for each gateway", each)
+		}
 		cancel()
 		time.Sleep(10 * time.Second)
 	})
--- a/internal/version/revision/syncer.go
+++ b/internal/version/revision/syncer.go
@@ -87,6 +87,8 @@
 type hint struct {
 	peer     string
 	revision int64
+	// search tells that the peer may not have it, so that all are asked.
+	search bool
 }
 
 // NewSyncer returns a syncer that does nothing until Run.
