Test that a started group owner grants at once

A delay of starting gateways until they know their engines was considered for the refusals that TestRollingRestart shows at high load and left out, since this shows no wait that it would remove.

--- a/internal/process/owner/manager_test.go
+++ b/internal/process/owner/manager_test.go
@@ -320,3 +320,28 @@
 		is.True(polls <= (seconds*ticksPerSecond+1)*4)
 	})
 }
+
+// Guards against requests that wait or are refused because a gateway that starts
+// owns a group before it knows and has polled the group's engines.
+func TestStartedOwnerGrantsAtOnce(t *testing.T) {
+	withFleet(t, 50, []string{"e"}, func(is *is.I, f *fleet) {
+		g := f.byRank()
+		asks, owner := g[1], g[0].name
+		g[0].view.Leave(context.Background())
+		g[0].stop()
+		time.Sleep(10 * time.Second)
+		f.start(owner)
+		longest, last := time.Duration(0), ""
+		for i := range 50 {
+			begin := time.Now()
+			grant, err := asks.acquire(fmt.Sprint("request", i), uint64(i+1), time.Second)
+			is.NoErr(err)
+			longest = max(longest, time.Since(begin))
+			last = grant.Owner
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(last, owner)
+		t.Log("longest wait", longest)
+		is.True(longest < 100*time.Millisecond)
+	})
+}
