--- a/internal/process/operator/gateways.go
+++ b/internal/process/operator/gateways.go
@@ -44,8 +44,9 @@
 func (c *command) statusCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("status", flag.ContinueOnError)
 	backends := fs.Bool("backends", false, "show the backend servers as the gateways see them")
+	leases := fs.Bool("leases", false, "show which controllers hold the leases of the gateways' data centres")
 	return &ffcli.Command{
-		Name: "status", ShortUsage: "persimmonctl status [-backends]", ShortHelp: "show the state of the gateways or backend servers",
+		Name: "status", ShortUsage: "persimmonctl status [-backends | -leases]", ShortHelp: "show the state of the gateways, backend servers or controllers",
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if err := noArguments("status", args); err != nil {
@@ -55,8 +56,13 @@
 			if err != nil {
 				return err
 			}
-			if *backends {
+			switch {
+			case *backends && *leases:
+				return usagef("status: -backends and -leases exclude each other")
+			case *backends:
 				return c.showBackends(ctx, addresses)
+			case *leases:
+				return c.showLeases(ctx, addresses)
 			}
 			var list []gatewayStatus
 			for _, a := range askAll[Status](ctx, c, addresses, "/status") {
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -229,6 +229,8 @@
 		{"-gateways " + address + " status", "", 0, "gw1      hobart       7         true   5           2       true"},
 		{"status -gateways " + address + " -output json", "", 0, `"groups_owned": 2`},
 		{"-gateways 127.0.0.1:1," + address + " status", "", 1, "1 of 2 gateways didn't answer; check -gateways"},
+		{"status -leases -gateways " + address, "", 0, "hobart       -       -                     0        0"},
+		{"status -backends -leases -gateways " + address, "", 2, "exclude each other"},
 		{"status -backends -gateways " + address, "", 0, "engine-1  engine  hobart       guide   resting  4        16     900 of 20000"},
 		{"status -backends -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer; check -gateways"},
 		{"workspaces -gateways " + address + "," + address, "", 0, "hobart-shop      1       1     9.1 of 10   0 of unlimited  4 of 40     requests_per_second  "},
