--- a/internal/process/loadgen/cli/faults.go
+++ b/internal/process/loadgen/cli/faults.go
@@ -20,7 +20,7 @@
 	gateways := fs.Int("gateways", 7, "number of gateways")
 	engines := fs.Int("engines", 14, "number of engines")
 	dataCentres := fs.Int("data-centres", 4, "number of data centres; gateways and controllers are dealt out to them in turn")
-	controllers := fs.Int("controllers", 2, "number of controllers")
+	controllers := fs.Int("controllers", 8, "number of controllers")
 	return &ffcli.Command{
 		Name:       "faults",
 		ShortUsage: "loadgen faults [-seed N] [-gateways N] [-engines N] [-data-centres N] [-controllers N]",
--- a/internal/process/loadgen/faults/cuts.go
+++ b/internal/process/loadgen/faults/cuts.go
@@ -86,12 +86,11 @@
 	return cutValue(partition.Cut{Kind: kind, A: side, B: p.others(side)})
 }
 
-// island cuts a data centre without a controller off from everything. A cut with a
-// controller could keep the lease of the frozen holder from being taken over.
+// island cuts a data centre off from everything. It is not the first one, whose
+// holder is frozen: the cut could keep that lease from being taken over.
 func (p *plan) island(kind partition.Kind) string {
-	dc := p.fleet.Controllers + p.random.IntN(p.fleet.DataCentres-p.fleet.Controllers)
-	side := p.gatewaysOf(dc)
-	return cutValue(partition.Cut{Kind: kind, A: side, B: append(p.others(side), platformName)})
+	dc := 1 + p.random.IntN(p.fleet.DataCentres-1)
+	return cutValue(partition.Cut{Kind: kind, A: p.members(dc), B: append(p.others(p.gatewaysOf(dc)), platformName)})
 }
 
 // fromPlatform cuts a data centre off from the platform.
--- a/internal/process/loadgen/faults/schedule.go
+++ b/internal/process/loadgen/faults/schedule.go
@@ -95,6 +95,8 @@
 	minEngines  = 13
 	// One or two data centres are cut off from the others.
 	minDataCentres = 3
+	// controllersPerCentre gives a frozen holder of a lease a successor.
+	controllersPerCentre = 2
 )
 
 // plan collects the steps of a schedule.
@@ -110,8 +112,8 @@
 	if f.Gateways < minGateways || f.Engines < minEngines {
 		return nil, fmt.Errorf("fleet: %d gateways and %d engines are not enough; use %d and %d or more", f.Gateways, f.Engines, minGateways, minEngines)
 	}
-	if f.DataCentres < minDataCentres || f.Controllers < 1 || f.Controllers >= f.DataCentres {
-		return nil, fmt.Errorf("fleet: use %d or more data centres and 1 to %d controllers", minDataCentres, f.DataCentres-1)
+	if f.DataCentres < minDataCentres || f.Controllers < controllersPerCentre*f.DataCentres {
+		return nil, fmt.Errorf("fleet: use %d or more data centres and %d or more controllers in each", minDataCentres, controllersPerCentre)
 	}
 	p := &plan{random: rand.New(rand.NewPCG(seed, 0)), fleet: f}
 	leaving := p.names("engine", f.Engines)
--- a/internal/process/loadgen/faults/schedule_test.go
+++ b/internal/process/loadgen/faults/schedule_test.go
@@ -14,7 +14,7 @@
 	"persimmonwing/internal/process/loadgen/partition"
 )
 
-var today = Fleet{Gateways: 7, Engines: 14, DataCentres: 4, Controllers: 2}
+var today = Fleet{Gateways: 7, Engines: 14, DataCentres: 4, Controllers: 8}
 
 // Guards against a schedule that a seed does not repeat, that leaves a process
 // broken at the end, or that gives a process two faults at once.
@@ -51,7 +51,7 @@
 		}
 		is.Equal(len(open), 0) // each fault ends
 	})
-	for _, f := range []Fleet{{3, 14, 4, 2}, {7, 14, 2, 1}, {7, 14, 4, 4}} {
+	for _, f := range []Fleet{{3, 14, 4, 8}, {7, 14, 2, 8}, {7, 14, 4, 7}} {
 		_, err := Schedule(1, f)
 		is.New(t).True(err != nil)
 	}
--- a/internal/process/standin/app/server_test.go
+++ b/internal/process/standin/app/server_test.go
@@ -48,9 +48,13 @@
 	is := is.New(t)
 	srv := New(DefaultSettings())
 	srv.SetFaults(Faults{Freeze: true})
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	h := &http.Server{Handler: srv}
+	// The caller leaves 20 ms after its call has arrived, however slow the machine.
+	h := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.AfterFunc(20*time.Millisecond, cancel)
+		srv.ServeHTTP(w, r)
+	})}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	go func() { _ = h.Serve(ln) }()
