--- /dev/null
+++ b/internal/process/gateway/wiring.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"persimmonwing/internal/process/logging"
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/owner"
+	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/claim"
+	"persimmonwing/internal/version/catalogue"
+	"persimmonwing/internal/version/revision"
+)
+
+// sharedSource draws from the runtime's generator, which is safe for concurrent use.
+type sharedSource struct{}
+
+// Uint64 implements rand.Source.
+func (sharedSource) Uint64() uint64 { return rand.Uint64() }
+
+// sharedRand may be used by all parts at once, because a rand.Rand has no state
+// besides its source.
+var sharedRand = rand.New(sharedSource{})
+
+func (p *process) newGossiper() *membership.Gossiper {
+	return membership.NewGossiper(membership.Options{
+		Self: membership.Host{
+			Name:        p.opts.Name,
+			DataCentre:  p.opts.DataCentre,
+			PeerAddress: p.opts.peerAddress(),
+			Incarnation: time.Now().UnixMilli(),
+		},
+		Seeds:    p.opts.Peers,
+		Caller:   p.pool,
+		Logger:   logging.Part(p.logger, "membership"),
+		Rand:     sharedRand,
+		Revision: p.holder.Number,
+		// The syncer is made after the gossiper, but before either runs.
+		Confirmed: func() (int64, time.Duration, bool) { return p.syncer.Confirmed() },
+		Confirm:   func(revision int64, at time.Time) { p.syncer.HearConfirmation(revision, at) },
+		Draining: func() []string {
+			if s := p.holder.Current(); s != nil {
+				return s.Draining
+			}
+			return nil
+		},
+		Changed: func() {
+			p.hearRevision()
+			p.manager.OwnersChanged()
+		},
+	})
+}
+
+// hearRevision fetches a newer catalogue revision as soon as gossip tells of it.
+func (p *process) hearRevision() {
+	if number, address := p.gossiper.NewestRevision(); number > p.holder.Number() {
+		p.syncer.HearRevision(address, number)
+	}
+}
+
+// purposeClaims elects the collectors of claim writes.
+const purposeClaims = "claims"
+
+// claimCollectors lists the collectors of this data centre, the first one first.
+func (p *process) claimCollectors() []claim.Collector {
+	var out []claim.Collector
+	for _, g := range p.gossiper.Ranked(purposeClaims, claim.MaxCollectors) {
+		out = append(out, claim.Collector{Address: g.PeerAddress, Self: g.Name == p.opts.Name})
+	}
+	return out
+}
+
+// purposeRetention elects the gateway of a data centre that deletes expired claims.
+const purposeRetention = "retention"
+
+func (p *process) sweeps() bool {
+	first := p.gossiper.Ranked(purposeRetention, 1)
+	return len(first) > 0 && first[0].Name == p.opts.Name
+}
+
+// anyWorkspace draws a workspace, at whose claims a pass of the sweeper begins.
+func (p *process) anyWorkspace() string {
+	s := p.holder.Current()
+	if s == nil || len(s.Workspaces) == 0 {
+		return ""
+	}
+	return s.Workspaces[sharedRand.IntN(len(s.Workspaces))].Name
+}
+
+// purposeCatalogue elects the pollers of the catalogue's head.
+const purposeCatalogue = "catalogue"
+
+func (p *process) newSyncer(store revision.Store) *revision.Syncer {
+	return revision.NewSyncer(revision.SyncerConfig{
+		Holder: p.holder,
+		Source: store,
+		Peers:  p.cataloguePeers,
+		Poller: func() bool { return p.gossiper.Polls(purposeCatalogue) },
+		Logger: logging.Part(p.logger, "catalogue"),
+		Rand:   sharedRand,
+	})
+}
+
+// cataloguePeers lists the live gateways, and the seeds until any is known.
+func (p *process) cataloguePeers() []revision.Peer {
+	var peers []revision.Peer
+	for _, g := range p.gossiper.Live() {
+		if g.Name != p.opts.Name {
+			peers = append(peers, cataloguePeer{address: g.PeerAddress, caller: p.pool})
+		}
+	}
+	if len(peers) > 0 {
+		return peers
+	}
+	for _, a := range p.opts.Peers {
+		if a != p.opts.peerAddress() {
+			peers = append(peers, cataloguePeer{address: a, caller: p.pool})
+		}
+	}
+	return peers
+}
+
+func (p *process) newManager(loads owner.LoadSource) *owner.Manager {
+	return owner.New(owner.Options{
+		Policy:     owner.Policy(p.opts.Policy),
+		View:       p.gossiper,
+		Caller:     p.pool,
+		Loads:      loads,
+		Logger:     logging.Part(p.logger, "scheduler"),
+		NewGroup:   func(k schedule.GroupKey) owner.Group { return schedule.NewGroup(k, p.groupOptions()) },
+		PickGroup:  pickGroup,
+		ShardCount: schedule.ShardCount,
+		ShardOf:    schedule.ShardOf,
+		Floors: func() (backgroundFloor, urgentReserve float64) {
+			s := p.holder.Current()
+			if s == nil {
+				s = &catalogue.Snapshot{Catalogue: &catalogue.Catalogue{}}
+			}
+			return s.BackgroundFloor, s.UrgentReserve
+		},
+	})
+}
+
+// pickGroup chooses a group; requests choose concurrently.
+func pickGroup(candidates []schedule.Summary, r schedule.Request, localDataCentre string) (schedule.GroupKey, bool) {
+	return schedule.PickGroup(candidates, r, localDataCentre, sharedRand)
+}
+
+func (p *process) groupOptions() schedule.Options {
+	return schedule.Options{
+		Owner:             p.opts.Name,
+		Policy:            schedule.Policy(p.opts.Policy),
+		NoMemoryAdmission: p.opts.disabled("memory"),
+		NoClasses:         p.opts.disabled("classes"),
+		NoFairness:        p.opts.disabled("fairness"),
+		NoBatchBound:      p.opts.disabled("batch_bound"),
+		NoAffinity:        p.opts.disabled("affinity"),
+		QueueBound:        p.opts.Queue.MaxWaiting,
+	}
+}
