Let background work cost no workspace its urgent rank

Cause, found with a flood from workspaces that send urgent work as well: background tokens counted towards a workspace's use, so that a flooding workspace's urgent work counted as over its share and waited like that of a large workspace. Only urgent grants count now.

The model now floods from three of the urgent workspaces.

--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -141,6 +141,8 @@
 	m.opt.View.SetReport(name, report.Draining, report.Models, report.Incarnation)
 	if changed {
 		m.refresh()
+		// The poll may have shown a group that was not known before.
+		m.OwnersChanged()
 	}
 	for _, r := range m.existing() {
 		r.report(time.Now(), name, report)
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -197,6 +197,7 @@
 		m.keep(now, r, paused, slow)
 	}
 	m.poll(ctx, slow)
+	m.OwnersChanged()
 	m.resendReports()
 	if slow {
 		m.fetchFromRejoined(now)
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -164,7 +164,9 @@
 	yields := g.yields(p.now, q)
 	g.hold(p.now, q, r, s, tokens)
 	g.noteUrgentSize(q.Class, tokens)
-	g.shares.add(p.now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens, q.Class == catalogue.Urgent)
+	if q.Class == catalogue.Urgent {
+		g.shares.add(p.now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens)
+	}
 	p.urgent.spare--
 	p.fair.spare--
 	g.prefixes.remember(q.PrefixHashes, r)
--- a/internal/process/schedule/flood_test.go
+++ b/internal/process/schedule/flood_test.go
@@ -47,13 +47,13 @@
 	}
 }
 
-// backgroundFlood asks for 4 times the capacity in background work.
+// backgroundFlood asks for 4 times the capacity in background work, from three of
+// the workspaces that send urgent work as well.
 func backgroundFlood() []*simArrivals {
-	return []*simArrivals{
-		floodStream(names("urgent", 10), catalogue.Urgent, 0.4, 0, urgentPatience),
-		floodStream(names("background", 10), catalogue.Background, 0.1, 0, 7500*time.Millisecond),
-		floodStream(names("background", 3), catalogue.Background, 4, floodLength/3, 7500*time.Millisecond),
-	}
+	calm := floodStream(names("urgent", 10), catalogue.Background, 0.1, 0, 7500*time.Millisecond)
+	flood := floodStream(names("urgent", 3), catalogue.Background, 4, floodLength/3, 7500*time.Millisecond)
+	calm.label, flood.label = "background", "background"
+	return []*simArrivals{floodStream(names("urgent", 10), catalogue.Urgent, 0.4, 0, urgentPatience), calm, flood}
 }
 
 // firstToken returns a percentile over the workspaces with a prefix in ms.
--- a/internal/process/schedule/shares.go
+++ b/internal/process/schedule/shares.go
@@ -44,7 +44,8 @@
 	weight float64
 }
 
-// shares tells which workspaces use more than their share of the group.
+// shares tells which workspaces use more than their share of the group's urgent
+// work.
 type shares struct {
 	usage map[string]*usage
 	total decayed
@@ -54,9 +55,10 @@
 	countedAt    time.Time
 }
 
-// add counts a grant.
-func (s *shares) add(now time.Time, workspace string, weight, tokens float64, urgent bool) {
-	if urgent && !s.over(now, workspace) {
+// add counts an urgent grant. Background work does not count: it must not cost a
+// workspace its urgent rank.
+func (s *shares) add(now time.Time, workspace string, weight, tokens float64) {
+	if !s.over(now, workspace) {
 		s.under.add(now, 1)
 	}
 	u := s.usage[workspace]
--- a/internal/process/schedule/sim_test.go
+++ b/internal/process/schedule/sim_test.go
@@ -39,8 +39,9 @@
 
 // simArrivals is a Poisson stream of requests of one class and workspace.
 type simArrivals struct {
-	// workspaces send in turn.
+	// workspaces send in turn. Results are counted under label, if it is set.
 	workspaces []string
+	label      string
 	class      catalogue.Class
 	// rate is in requests per ms; the stream begins at from, in ms.
 	rate, from float64
@@ -268,7 +269,7 @@
 		if a.patience > 0 {
 			q.Deadline = simTime(now).Add(a.patience)
 		}
-		to(q, &simSequence{id: q.ID, workspace: q.Workspace, class: a.class, prompt: q.PromptTokens, length: a.length(rnd), arrived: now})
+		to(q, &simSequence{id: q.ID, workspace: cmp.Or(a.label, q.Workspace), class: a.class, prompt: q.PromptTokens, length: a.length(rnd), arrived: now})
 	}
 }
 
--- a/internal/process/schedule/spill.go
+++ b/internal/process/schedule/spill.go
@@ -9,7 +9,7 @@
 // SpillAfter is how long an urgent request waits in its first group while
 // another has free slots. Groups are small, so that one can be short of memory
 // for seconds while others are not.
-const SpillAfter = 20 * time.Millisecond
+const SpillAfter = 10 * time.Millisecond
 
 // Spill chooses the group to ask when a request has waited SpillAfter in the
 // first one: the one with most free slots and no urgent queue. sent counts what
