Compute once whether a grant yields; derive free slots from open ones

A grant asked the shares twice whether its request yields, and the sums of a replica worked its slots out twice.

--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -162,7 +162,7 @@
 	t := g.queue.Take(e, tokens)
 	q := &t.request
 	yields := g.yields(p.now, q)
-	g.hold(p.now, q, r, s, tokens)
+	g.hold(p.now, q, r, s, tokens, yields)
 	g.noteUrgentSize(q.Class, tokens)
 	if q.Class == catalogue.Urgent {
 		g.shares.add(p.now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens)
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -38,8 +38,9 @@
 	return h
 }
 
-// hold counts a generation as running on a replica.
-func (g *Group) hold(now time.Time, q *Request, r *replica, s memory.Sequence, charged float64) {
+// hold counts a generation as running on a replica. One that yields is preempted
+// before others.
+func (g *Group) hold(now time.Time, q *Request, r *replica, s memory.Sequence, charged float64, yields bool) {
 	if former, known := g.grants[q.ID]; known {
 		// The gateway asked again because the first answer was lost.
 		g.drop(now, q.ID, former)
@@ -49,7 +50,7 @@
 	h.replica = r
 	h.sequence = s
 	h.position = len(r.running)
-	h.yields = g.yields(now, q)
+	h.yields = yields
 	h.charged = charged
 	h.renewed = now
 	g.grants[q.ID] = h
@@ -146,7 +147,7 @@
 	// A report may have shown it before its gateway did.
 	r.foreign = max(0, r.foreign-1)
 	r.all.Recognize(&s)
-	g.hold(now, &q, r, s, charged)
+	g.hold(now, &q, r, s, charged, g.yields(now, &q))
 }
 
 // Release ends a grant.
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -125,7 +125,9 @@
 	if accepting && g.o.Policy != PolicyBaseline {
 		r.slotCount = g.slots(r, now)
 		r.openCount = max(0, r.slotCount-r.occupied())
-		r.freeCount = g.freeSlots(r, now)
+		if r.load < 1 {
+			r.freeCount = r.openCount
+		}
 	}
 	g.slotCount += r.slotCount
 	g.openCount += r.openCount
