Revert retries of registrations; count gateways without listing them

Two tries that did not mend TestStartedOwnerGrantsAtOnce had stayed: a look at all owners at every tick, which the tick does itself, and a repeated registration, although peer.Pool.Call already sends a call again when the connection was closed before.

A runner keeps the id of its group, which was hashed for every runner at each renewal and release. Gateways are counted in one pass in place of a sorted list with their states.

--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -27,7 +27,7 @@
 
 // status completes the answer of /status.
 func (p *process) status(s *Status) {
-	s.LivePeers = len(p.gossiper.Live())
+	s.LivePeers = p.gossiper.Gateways()
 	_, age, confirmed := p.syncer.Confirmed()
 	s.PlatformReachable = confirmed && age < platformStale
 	for _, g := range p.gossiper.Summaries() {
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -152,7 +152,7 @@
 		if s := p.holder.Current(); s != nil {
 			p.limits.Retain(s.Catalogue)
 		}
-		p.limits.SetShare(1 / float64(max(1, len(p.gossiper.Live()))))
+		p.limits.SetShare(1 / float64(max(1, p.gossiper.Gateways())))
 		p.metrics.Gauge("catalogue_revision").Update(p.holder.Number())
 		p.metrics.Gauge("peer_bytes_in").Update(p.pool.Traffic().In() + p.server.Traffic().In())
 		p.metrics.Gauge("peer_bytes_out").Update(p.pool.Traffic().Out() + p.server.Traffic().Out())
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -102,7 +102,21 @@
 }
 
 // Gateways returns the number of live gateways, this one included.
-func (g *Gossiper) Gateways() int { return len(g.Live()) }
+func (g *Gossiper) Gateways() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now, t := time.Now(), g.state.table
+	n := 0
+	if !t.self.Left {
+		n++
+	}
+	for _, k := range t.hosts {
+		if t.alive(now, k) && !k.Left {
+			n++
+		}
+	}
+	return n
+}
 
 // Homes returns the choice of the live gateway, of any data centre, that is
 // responsible for a key. The choice is for a short time of use.
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -197,7 +197,6 @@
 		m.keep(now, r, paused, slow)
 	}
 	m.poll(ctx, slow)
-	m.OwnersChanged()
 	m.resendReports()
 	if slow {
 		m.fetchFromRejoined(now)
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -54,6 +54,7 @@
 // runner serialises the calls to one Group.
 type runner struct {
 	key   schedule.GroupKey
+	id    GroupID // of key
 	self  string
 	check func(fingerprint uint64) crashguard.Verdict
 	wake  chan struct{}
@@ -82,7 +83,7 @@
 func newRunner(key schedule.GroupKey, self string, g Group, check func(uint64) crashguard.Verdict) *runner {
 	ended, _ := simplelru.NewLRU[string, int](endedIDs, nil) // fails for sizes under 1 only
 	return &runner{
-		key: key, self: self, check: check, group: g, ended: ended, usedAt: time.Now(),
+		key: key, id: groupID(key), self: self, check: check, group: g, ended: ended, usedAt: time.Now(),
 		wake: make(chan struct{}, 1), stop: make(chan struct{}),
 		waiting: map[string]*ticket{}, granted: map[string]given{}, byHash: map[uint32]string{},
 	}
--- a/internal/process/owner/service.go
+++ b/internal/process/owner/service.go
@@ -258,7 +258,7 @@
 // known returns the runner of a group without starting one.
 func (m *Manager) known(id GroupID) *runner {
 	for _, r := range m.existing() {
-		if groupID(r.key) == id {
+		if r.id == id {
 			return r
 		}
 	}
--- a/internal/process/owner/takeover.go
+++ b/internal/process/owner/takeover.go
@@ -16,8 +16,6 @@
 	takeover = 600 * time.Millisecond
 	// registerTimeout bounds one registration.
 	registerTimeout = 500 * time.Millisecond
-	// registerTries bounds the calls of one registration.
-	registerTries = 2
 )
 
 // RegisterArgs tells a new owner all grants that a gateway holds in some groups.
@@ -110,34 +108,17 @@
 	return out
 }
 
-// register tells a new owner of this gateway's grants. The first call after a
-// restart of the owner can fail on a connection to its former process, so that a
-// failed one is repeated, and again at the next look at the owners.
+// register tells a new owner of this gateway's grants. If it fails, renewals do.
 func (m *Manager) register(ctx context.Context, owner string, args RegisterArgs) {
-	for range registerTries {
-		if m.registerOnce(ctx, owner, args) {
-			return
-		}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, k := range args.Groups {
-		delete(m.owners, k)
-	}
-}
-
-func (m *Manager) registerOnce(ctx context.Context, owner string, args RegisterArgs) bool {
 	address, ok := m.opt.View.Peer(owner)
 	if !ok {
-		return false
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	if err := m.opt.Caller.Call(ctx, address, ServiceName+".Register", &args, &Empty{}); err != nil {
 		level.Debug(m.opt.Logger).Log("msg", "grants not registered", "owner", owner, "grants", len(args.Held), "err", err)
-		return false
 	}
-	return true
 }
 
 // serveRegister adopts grants. Once every live gateway of the data centre has
