--- a/internal/connection/platform/platformtest/table.go
+++ b/internal/connection/platform/platformtest/table.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/request/pause"
 )
 
 // Fault is what happens to one call.
@@ -115,7 +116,7 @@
 		time.AfterFunc(p.Delay, func() { t.apply(ops) })
 		return nil, fail(step, platform.ErrUnknownOutcome, errFault)
 	}
-	if err := wait(ctx, p.Delay); err != nil {
+	if err := pause.For(ctx, p.Delay); err != nil {
 		return nil, fail(step, platform.ErrUnknownOutcome, err)
 	}
 	switch p.Fault {
@@ -139,7 +140,7 @@
 
 func (t *Table) read(ctx context.Context, step string) error {
 	p := t.plan(false)
-	if err := wait(ctx, p.Delay); err != nil {
+	if err := pause.For(ctx, p.Delay); err != nil {
 		return fail(step, platform.ErrNotApplied, err)
 	}
 	if p.Fault != None {
@@ -183,17 +184,3 @@
 func fail(step string, outcome, cause error) error {
 	return platform.NewError(step, "platformtest", outcome, cause)
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/process/loadgen/capacity/capacity.go
+++ b/internal/process/loadgen/capacity/capacity.go
@@ -251,13 +251,3 @@
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc + m.StackInuse)
 }
-
-// pause returns when d has passed or ctx has ended.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/process/loadgen/capacity/claims.go
+++ b/internal/process/loadgen/capacity/claims.go
@@ -19,6 +19,7 @@
 	"persimmonwing/internal/connection/platform"
 	standinplatform "persimmonwing/internal/process/standin/platform"
 	"persimmonwing/internal/request/claim"
+	"persimmonwing/internal/request/pause"
 )
 
 const (
@@ -223,7 +224,7 @@
 			defer mu.Unlock()
 			waits = append(waits, float64(took.Microseconds())/1e3)
 		})
-		pause(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
+		_ = pause.For(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
 	}
 	calls.Wait()
 	seconds := time.Since(start).Seconds()
@@ -248,7 +249,7 @@
 		return 0, err
 	}
 	claimed := time.Since(start)
-	pause(ctx, claimCallTime)
+	_ = pause.For(ctx, claimCallTime)
 	start = time.Now()
 	err = c.Finish(ctx, claim.Answer{Status: http.StatusOK, Body: []byte(strings.Repeat("a", claimAnswer))})
 	return claimed + time.Since(start), err
--- a/internal/process/loadgen/capacity/datapath.go
+++ b/internal/process/loadgen/capacity/datapath.go
@@ -16,6 +16,7 @@
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/process/telemetry"
 	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/pause"
 	"persimmonwing/internal/request/relay"
 	"persimmonwing/internal/request/responseid"
 	"persimmonwing/internal/version/catalogue"
@@ -161,7 +162,7 @@
 		for range n {
 			wait.Go(func() { request(ctx, h) })
 		}
-		pause(ctx, 500*time.Millisecond)
+		_ = pause.For(ctx, 500*time.Millisecond)
 		points = append(points, point{float64(n), heap() - before})
 		close(hold)
 		wait.Wait()
--- a/internal/process/loadgen/capacity/fleets.go
+++ b/internal/process/loadgen/capacity/fleets.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"persimmonwing/internal/process/fleet"
+	"persimmonwing/internal/request/pause"
 	"persimmonwing/internal/version/catalogue"
 )
 
@@ -91,13 +92,13 @@
 
 func idleFleet(ctx context.Context, f *fleet.Fleet, n int, body []byte) (idle, error) {
 	var m idle
-	pause(ctx, settle)
+	_ = pause.For(ctx, settle)
 	reads := f.PlatformCounters().Reads
 	peers, err := f.PeerBytes(ctx)
 	if err != nil {
 		return m, err
 	}
-	pause(ctx, window)
+	_ = pause.For(ctx, window)
 	m.reads = float64(f.PlatformCounters().Reads-reads) / window.Seconds()
 	after, err := f.PeerBytes(ctx)
 	if err != nil {
@@ -113,7 +114,7 @@
 		}
 		m.inForce = max(m.inForce, float64(took.Milliseconds()))
 	}
-	pause(ctx, 1500*time.Millisecond) // the counters lag by a second
+	_ = pause.For(ctx, 1500*time.Millisecond) // the counters lag by a second
 	last, err := f.PeerBytes(ctx)
 	edits := float64(last-after) - idleRate*time.Since(began).Seconds()
 	m.fetched = edits / float64(n*editsMeasured*len(body))
@@ -136,7 +137,7 @@
 		if time.Since(accepted) > 30*time.Second {
 			return 0, fmt.Errorf("revision %d is not in force everywhere after 30 s", base+1)
 		}
-		pause(ctx, 50*time.Millisecond)
+		_ = pause.For(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -153,20 +154,20 @@
 		return err
 	}
 	defer f.Stop()
-	pause(ctx, settle)
+	_ = pause.For(ctx, settle)
 	var control, core []point
 	note := ""
 	for _, rate := range []float64{0, 4, targetRequests} {
 		load := startLoad(ctx, f.Targets(), rate)
 		if rate > 0 {
-			pause(ctx, generationTime)
+			_ = pause.For(ctx, generationTime)
 		}
 		before, err := f.PeerBytes(ctx)
 		if err != nil {
 			return err
 		}
 		used := cpu()
-		pause(ctx, window)
+		_ = pause.For(ctx, window)
 		busy := cpu() - used
 		after, err := f.PeerBytes(ctx)
 		if err != nil {
--- a/internal/process/loadgen/capacity/gossip.go
+++ b/internal/process/loadgen/capacity/gossip.go
@@ -14,6 +14,7 @@
 	"persimmonwing/internal/connection/peer/peertest"
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/pause"
 )
 
 const (
@@ -66,14 +67,14 @@
 	for i, g := range all {
 		wait.Go(func() {
 			// Starts are spread over a period, as in a fleet.
-			pause(ctx, time.Duration(i)*time.Second/time.Duration(len(all)))
+			_ = pause.For(ctx, time.Duration(i)*time.Second/time.Duration(len(all)))
 			wait.Go(func() { publishSummaries(ctx, g, i%perCentre) })
 			_ = g.Run(ctx)
 		})
 	}
-	pause(ctx, gossipWarm)
+	_ = pause.For(ctx, gossipWarm)
 	bytes, used, began := n.bytes.Load(), cpu(), time.Now()
-	pause(ctx, gossipMeasure)
+	_ = pause.For(ctx, gossipMeasure)
 	took := time.Since(began).Seconds() * float64(len(all))
 	c := gossipCost{
 		// Each byte is sent by one gateway and received by another.
@@ -136,7 +137,7 @@
 			Owner: g.Self().Name, Replicas: 8, FreeSlots: rand.IntN(200),
 			QueuedUrgent: rand.IntN(9), WaitUrgentMS: rand.Int64N(900), WaitBackgroundMS: rand.Int64N(9000),
 		})
-		pause(ctx, time.Second)
+		_ = pause.For(ctx, time.Second)
 	}
 }
 
--- a/internal/process/loadgen/generation.go
+++ b/internal/process/loadgen/generation.go
@@ -12,6 +12,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/pause"
 )
 
 // resumePause is the time between two attempts to resume a stream.
@@ -146,7 +147,7 @@
 		g.result.outcome = g.read(resp, err)
 		g.result.link(g.sender, from, err == nil, linkCode(ctx, g.result.outcome))
 		if g.final == "" {
-			pause(ctx, resumePause)
+			_ = pause.For(ctx, resumePause)
 		}
 	}
 }
@@ -172,12 +173,3 @@
 	now := g.run.now()
 	g.run.recorder.openGap(g.stream, min(now, g.run.duration-1), now-g.last, g.result)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/process/loadgen/run.go
+++ b/internal/process/loadgen/run.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/pause"
 )
 
 // DefaultResumeFor is the time for which a caller tries to resume a broken stream.
@@ -106,7 +107,7 @@
 			return
 		}
 		if wait := a.at - r.now(); wait > 0 {
-			pause(sending, wait)
+			_ = pause.For(sending, wait)
 		}
 		if sending.Err() != nil {
 			return
@@ -127,7 +128,7 @@
 	var overlapping sync.WaitGroup
 	if a.resend && spec.ResendAfter > 0 {
 		overlapping.Go(func() {
-			pause(ctx, spec.ResendAfter)
+			_ = pause.For(ctx, spec.ResendAfter)
 			again = r.sendAgain(ctx, stream, a, id)
 		})
 	}
--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -9,6 +9,7 @@
 
 	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/pause"
 )
 
 const (
@@ -72,7 +73,7 @@
 	}
 	k, ok := m.choose(s)
 	if !ok && len(s.unreachable) > 0 {
-		pause(ctx)
+		_ = pause.For(ctx, askAgainAfter)
 		s.retryUnreachable()
 		return schedule.Grant{}, nil, false
 	}
@@ -200,16 +201,6 @@
 	s.unreachable = nil
 }
 
-// pause waits before the gateways of unreachable groups are asked again.
-func pause(ctx context.Context) {
-	t := time.NewTimer(askAgainAfter)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // ask asks one gateway for a grant and waits.
 func (m *Manager) ask(ctx context.Context, gateway string, args AcquireArgs) (AcquireReply, error) {
 	if gateway == m.self() {
--- a/internal/process/standin/engine/orders.go
+++ b/internal/process/standin/engine/orders.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/pause"
 )
 
 // orders holds the goal in force and the models loaded for it. The loop
@@ -76,7 +77,7 @@
 func (e *Engine) load(model string) {
 	err := e.fetchWeights(model)
 	if err == nil {
-		err = sleep(e.stopped, e.settings.scaled(e.settings.LoadTime))
+		err = pause.For(e.stopped, e.settings.scaled(e.settings.LoadTime))
 	}
 	if err != nil {
 		level.Warn(e.logger).Log("msg", "model was not loaded", "model", model, "err", err)
@@ -129,12 +130,3 @@
 		return 0, eris.Errorf("weight store answered %s", resp.Status)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/process/standin/platform/control.go
+++ b/internal/process/standin/platform/control.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"persimmonwing/internal/process/standin/serve"
+	"persimmonwing/internal/request/pause"
 )
 
 // Faults is the body of PUT /control/faults; each put replaces all faults.
@@ -99,7 +100,7 @@
 			return
 		}
 		delay := g.delays[k] + time.Duration(f.DelayMS)*time.Millisecond
-		if !serve.Sleep(r.Context(), delay) {
+		if pause.For(r.Context(), delay) != nil {
 			serve.Abort()
 		}
 		if k == writeCall && g.takeLostAnswer() {
--- a/internal/process/standin/serve/serve.go
+++ b/internal/process/standin/serve/serve.go
@@ -82,18 +82,3 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	<-r.Context().Done()
 }
-
-// Sleep waits for d and returns false if ctx ends earlier.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/request/claim/begin.go
+++ b/internal/request/claim/begin.go
@@ -11,6 +11,7 @@
 	"persimmonwing/internal/connection/platform"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/request/pause"
 )
 
 const (
@@ -102,7 +103,7 @@
 // ends first.
 func (a *attempt) readBack(ctx context.Context, cause error) (platform.Row, error) {
 	for {
-		if !pause(ctx, a.backoff.NextBackOff()) {
+		if pause.For(ctx, a.backoff.NextBackOff()) != nil {
 			return platform.Row{}, cause
 		}
 		row, err := a.store.table.Get(ctx, a.key)
@@ -112,17 +113,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // judge decides by the row after a write. It returns false without an error if
 // the write shall be tried again.
 func (a *attempt) judge(row platform.Row) (claimed bool, answer *Answer, err error) {
--- a/internal/request/claim/settle.go
+++ b/internal/request/claim/settle.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/request/pause"
 )
 
 // settleWorkers is the number of rows that are settled at once; their writes
@@ -87,7 +88,7 @@
 		if left == 0 {
 			return nil
 		}
-		if !pause(ctx, drainPoll) {
+		if pause.For(ctx, drainPoll) != nil {
 			return fmt.Errorf("claim: %d rows are not settled: %w", left, ctx.Err())
 		}
 	}
--- a/internal/request/claim/sweep.go
+++ b/internal/request/claim/sweep.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/request/pause"
 )
 
 const (
@@ -72,7 +73,7 @@
 
 // Run sweeps until ctx ends: at most one page and one transaction a second.
 func (s *Sweeper) Run(ctx context.Context) error {
-	for pause(ctx, s.delay()) {
+	for pause.For(ctx, s.delay()) == nil {
 		if !s.options.Elected() {
 			s.pass = pass{}
 			s.cutoff = 0
--- a/internal/request/relay/reopen.go
+++ b/internal/request/relay/reopen.go
@@ -10,6 +10,7 @@
 
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/request/pause"
 )
 
 // Delays between attempts to reach the engine again.
@@ -72,7 +73,7 @@
 	if time.Since(r.brokenAt) >= limit {
 		return r.lost(cause)
 	}
-	if sleep(ctx, r.delay.NextBackOff()) != nil {
+	if pause.For(ctx, r.delay.NextBackOff()) != nil {
 		return r.contextFault(ctx)
 	}
 	return nil
@@ -120,14 +121,3 @@
 	defer c.cancel()
 	return c.Source.Close()
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/version/revision/cluster_test.go
+++ b/internal/version/revision/cluster_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"persimmonwing/internal/request/pause"
 	"persimmonwing/internal/version/catalogue"
 )
 
@@ -98,7 +99,7 @@
 }
 
 func (g *fakeGateway) gossip(ctx context.Context) {
-	for sleep(ctx, time.Second) {
+	for pause.For(ctx, time.Second) == nil {
 		for _, o := range g.c.all() {
 			if o == nil || o == g || !g.c.linked(g, o) {
 				continue
--- a/internal/version/revision/start.go
+++ b/internal/version/revision/start.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/go-kit/log/level"
+
+	"persimmonwing/internal/request/pause"
 )
 
 // start asks the platform and all peers until one of them gives a revision.
@@ -17,7 +19,7 @@
 			level.Info(s.Logger).Log("msg", "The catalogue is ready.", "revision", s.Holder.Number())
 			return nil
 		}
-		if !sleep(ctx, s.interval()) {
+		if pause.For(ctx, s.interval()) != nil {
 			return ctx.Err()
 		}
 	}
--- a/internal/version/revision/swap.go
+++ b/internal/version/revision/swap.go
@@ -5,9 +5,8 @@
 	"errors"
 	"fmt"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/request/pause"
 )
 
 // errLost marks an outcome that is not known yet.
@@ -37,7 +36,7 @@
 		if !errors.Is(outcome.err, errLost) {
 			return outcome.err
 		}
-		if !pause(ctx, pauses) {
+		if pause.For(ctx, pauses.NextBackOff()) != nil {
 			return &UnresolvedError{Revision: next, Cause: outcome.err, row: row}
 		}
 	}
@@ -101,8 +100,3 @@
 	}
 	return e.conflict(ctx, next.Number-1, head)
 }
-
-// pause waits for the next attempt; it returns false when the context ended.
-func pause(ctx context.Context, b backoff.BackOff) bool {
-	return sleep(ctx, b.NextBackOff())
-}
--- a/internal/version/revision/syncer.go
+++ b/internal/version/revision/syncer.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/request/pause"
 )
 
 // Times of the syncer. In the worst case a gateway misses an edit for
@@ -111,7 +112,7 @@
 		return err
 	}
 	for {
-		if !sleep(ctx, s.untilPoll()) {
+		if pause.For(ctx, s.untilPoll()) != nil {
 			return ctx.Err()
 		}
 		if s.Poller() || s.fresh.age() >= s.MaxUnconfirmed {
@@ -202,15 +203,3 @@
 		level.Warn(s.Logger).Log("msg", "The platform's catalogue head changed reachability.", "reachable", !failing, "err", err)
 	}
 }
-
-// sleep returns false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
