--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -111,6 +111,35 @@
 	}
 }
 
+// Load is the projection of several sequences of one replica, as one gateway tells
+// it to another. The fields are in tokens at each horizon; variances in tokens².
+type Load struct {
+	Mean, Variance, Most [horizons]int64
+}
+
+// Add counts a sequence.
+func (l *Load) Add(s *Sequence) {
+	for i := range horizons {
+		l.Mean[i] += s.mean[i]
+		l.Variance[i] += s.variance[i]
+		l.Most[i] += s.most[i]
+	}
+}
+
+// AddLoad counts the sequences of another gateway.
+func (p *Projection) AddLoad(l *Load) { p.shiftLoad(l, 1) }
+
+// RemoveLoad stops counting them.
+func (p *Projection) RemoveLoad(l *Load) { p.shiftLoad(l, -1) }
+
+func (p *Projection) shiftLoad(l *Load, sign int64) {
+	for i := range horizons {
+		p.mean[i] += sign * l.Mean[i]
+		p.variance[i] += sign * l.Variance[i]
+		p.most[i] += sign * l.Most[i]
+	}
+}
+
 // Report reconciles with the KV tokens that the engine reports as used. The
 // report lags, so it is compared with the largest own view of the last reports.
 func (p *Projection) Report(usedTokens int) {
--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -189,3 +189,7 @@
 		m.refresh()
 	}
 }
+
+// BackendsChanged passes changed replicas to the groups without waiting for the
+// next tick.
+func (m *Manager) BackendsChanged() { m.refresh() }
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -45,6 +45,9 @@
 func (f *fifo) NextWake(now time.Time) time.Time                   { return now.Add(100 * time.Millisecond) }
 func (f *fifo) Release(_ time.Time, id string, _ schedule.Outcome) { delete(f.running, id) }
 
+func (f *fifo) Loads() []schedule.ReplicaLoad                          { return nil }
+func (f *fifo) SetPeerLoads(time.Time, string, []schedule.ReplicaLoad) {}
+
 func (f *fifo) State(time.Time) map[string]schedule.ReplicaState {
 	out := map[string]schedule.ReplicaState{}
 	for _, p := range f.replicas {
--- a/internal/process/owner/grants.go
+++ b/internal/process/owner/grants.go
@@ -15,6 +15,7 @@
 func (m *Manager) hold(r schedule.Request, reply AcquireReply, owner string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.loads.dirty = true
 	m.held[reply.Grant.ID] = &held{
 		Held:        schedule.Held{Request: r, Grant: reply.Grant},
 		incarnation: reply.Incarnation,
@@ -46,6 +47,7 @@
 	}
 	m.mu.Lock()
 	delete(m.held, grantID)
+	m.loads.dirty = true
 	owner := h.owner
 	m.mu.Unlock()
 	args := ReleaseArgs{Group: groupID(h.Grant.Group), ID: grantID, Outcome: o}
--- a/internal/process/owner/groups.go
+++ b/internal/process/owner/groups.go
@@ -17,6 +17,16 @@
 	return m.opt.View.Self().DataCentre
 }
 
+// groupDataCentre is the data centre in the key of the group that a replica
+// belongs to. Under the shared policy the replicas of all data centres are one
+// group, because each gateway sees all of them.
+func (m *Manager) groupDataCentre(b membership.Backend) string {
+	if m.opt.Policy == PolicyShared {
+		return ""
+	}
+	return b.DataCentre
+}
+
 // ownGroups returns the groups that this gateway owns, as far as it knows the
 // models of engines.
 func (m *Manager) ownGroups() []schedule.GroupKey {
@@ -37,7 +47,7 @@
 	for _, b := range m.opt.View.Engines(m.scope()) {
 		models, _ := m.opt.View.Reported(b.Name)
 		for _, model := range models {
-			s := serving{b.DataCentre, model}
+			s := serving{m.groupDataCentre(b), model}
 			names[s] = append(names[s], b.Name)
 		}
 	}
@@ -81,7 +91,7 @@
 func (m *Manager) replica(b membership.Backend) schedule.Replica {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := schedule.Replica{Name: b.Name, Address: b.Address}
+	r := schedule.Replica{Name: b.Name, Address: b.Address, DataCentre: b.DataCentre}
 	if e := m.engines[b.Name]; e != nil {
 		r.MaxBatch = e.report.MaxBatch
 		r.KVCapacityTokens = e.report.KVCapacityTokens
@@ -109,7 +119,7 @@
 			add(s)
 		}
 	}
-	local := m.opt.View.Self().DataCentre
+	local := m.groupDataCentre(membership.Backend{DataCentre: m.opt.View.Self().DataCentre})
 	if !slices.ContainsFunc(out, func(s schedule.Summary) bool { return s.Group.DataCentre == local }) {
 		for _, k := range m.knownGroups() {
 			add(schedule.Summary{Group: k, Owner: m.opt.View.Owner(k)})
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -52,6 +52,7 @@
 	// owners are the last known owners of the groups of this data centre.
 	owners  map[schedule.GroupKey]string
 	changed chan struct{}
+	loads   loadShare
 	unsent  map[string]*unsent
 	// knownNames holds the gateways known at the last look for rejoined ones.
 	knownNames map[string]bool
@@ -83,6 +84,9 @@
 	wait.Go(func() { every(ctx, tickPeriod, func() { m.tick(ctx, time.Now()) }) })
 	wait.Go(func() { every(ctx, renewPeriod, func() { m.renewAll(ctx) }) })
 	wait.Go(func() { m.watchOwners(ctx) })
+	if m.opt.Policy == PolicyShared {
+		wait.Go(func() { m.shareLoads(ctx) })
+	}
 	wait.Wait()
 	m.close()
 	return nil
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -26,6 +26,8 @@
 	Release(now time.Time, id string, o schedule.Outcome)
 	Expire(now time.Time, notRenewedFor time.Duration) []string
 	Running(replica string) []schedule.Request
+	Loads() []schedule.ReplicaLoad
+	SetPeerLoads(now time.Time, gateway string, loads []schedule.ReplicaLoad)
 	Summary(now time.Time) schedule.Summary
 	State(now time.Time) map[string]schedule.ReplicaState
 	NextWake(now time.Time) time.Time
@@ -42,6 +44,9 @@
 	PolicyOwner Policy = "owner"
 	// PolicyShares lets each gateway schedule its share of every replica.
 	PolicyShares Policy = "shares"
+	// PolicyShared lets each gateway schedule every replica, counting the grants
+	// that the others tell it of.
+	PolicyShared Policy = "shared"
 	// PolicyBaseline lets each gateway schedule every replica on its own.
 	PolicyBaseline Policy = "baseline"
 )
--- a/internal/process/schedule/bound.go
+++ b/internal/process/schedule/bound.go
@@ -26,9 +26,9 @@
 	smallBatch = 16
 	// defaultBatch is assumed until the engine states its limit.
 	defaultBatch = 64
-	// slowStart is the time in which a returning replica's bound grows to full.
-	slowStart     = 10 * time.Second
-	slowStartFrom = 0.25
+	// defaultSlowStart is the time in which a returning replica's bound grows to full.
+	defaultSlowStart = 10 * time.Second
+	slowStartFrom    = 0.25
 )
 
 // boundWithin returns a batch bound within the engine's limit. An unset bound
@@ -50,12 +50,12 @@
 	if g.o.NoBatchBound {
 		slots = r.maxBatch()
 	}
-	fraction := g.share * r.warmth(now)
+	fraction := g.share * r.warmth(now, g.o.SlowStart)
 	return max(1, int(float64(slots)*fraction))
 }
 
 // warmth is the fraction of its bound that a returning replica may use.
-func (r *replica) warmth(now time.Time) float64 {
+func (r *replica) warmth(now time.Time, slowStart time.Duration) float64 {
 	if r.returnedAt.IsZero() {
 		return 1
 	}
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -49,7 +49,7 @@
 func (g *Group) warmUp(now time.Time) {
 	for i := len(g.warming) - 1; i >= 0; i-- {
 		r := g.warming[i]
-		if now.Sub(r.returnedAt) >= slowStart {
+		if now.Sub(r.returnedAt) >= g.o.SlowStart {
 			r.returnedAt = time.Time{}
 			g.warming = slices.Delete(g.warming, i, i+1)
 		}
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -18,6 +18,9 @@
 	PolicyOwner Policy = "owner"
 	// PolicyShares gives each gateway a fraction of each replica; see SetShare.
 	PolicyShares Policy = "shares"
+	// PolicyShared lets each gateway decide for every replica, from what all
+	// gateways tell each other of their grants; see SetPeerLoads.
+	PolicyShared Policy = "shared"
 	// PolicyBaseline is least in flight, first come first served, at once.
 	PolicyBaseline Policy = "baseline"
 )
@@ -49,6 +52,9 @@
 	// BackgroundFloor and UrgentReserve are fractions as in the catalogue.
 	BackgroundFloor float64
 	UrgentReserve   float64
+	// SlowStart is the time in which a returning replica's bound grows to full;
+	// 0 means the default.
+	SlowStart time.Duration
 }
 
 // withDefaults fills in the queue bounds and what the baseline switches off.
@@ -59,6 +65,9 @@
 	if o.WorkspaceQueueBound <= 0 {
 		o.WorkspaceQueueBound = defaultWorkspaceQueueBound
 	}
+	if o.SlowStart <= 0 {
+		o.SlowStart = defaultSlowStart
+	}
 	if o.Policy == PolicyBaseline {
 		o.NoMemoryAdmission = true
 		o.NoClasses = true
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -72,7 +72,7 @@
 		if misses == memoryTries && !q.Suspect {
 			break
 		}
-		if best != nil && best.load <= r.load {
+		if best != nil && g.placementLoad(best, q) <= g.placementLoad(r, q) {
 			continue
 		}
 		switch {
@@ -87,7 +87,7 @@
 		default:
 			best = r
 		}
-		if best == g.available[0] && best != nil {
+		if best == g.available[0] && best != nil && !g.remote(best, q) {
 			break
 		}
 	}
@@ -97,6 +97,25 @@
 	return nil, "", why
 }
 
+// remotePenalty is added to the load of a replica of another data centre, so that
+// one of the own data centre is preferred while it is a few grants fuller: the
+// answer then crosses no data centre, and the memory of a generation that moves
+// within one is copied in half the time.
+const remotePenalty = 0.02
+
+// placementLoad is the load by which replicas are compared for a request.
+func (g *Group) placementLoad(r *replica, q *Request) float64 {
+	if g.remote(r, q) {
+		return r.load + remotePenalty
+	}
+	return r.load
+}
+
+// remote reports whether a replica is known to be in another data centre.
+func (g *Group) remote(r *replica, q *Request) bool {
+	return r.DataCentre != "" && q.DataCentre != "" && r.DataCentre != q.DataCentre
+}
+
 // usable reports whether a replica may run the request, room aside.
 func (g *Group) usable(r *replica, q *Request) bool {
 	if !r.accepting() || slices.Contains(q.Exclude, r.Name) {
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -27,7 +27,9 @@
 	// all projects every sequence.
 	all memory.Projection
 	// foreign counts running sequences that this group did not grant.
-	foreign     int
+	foreign int
+	// peers holds what other gateways tell of their grants, by gateway.
+	peers       map[string]ReplicaLoad
 	views       [foreignReports]int
 	reports     int
 	reported    bool
@@ -239,6 +241,10 @@
 // restarted drops what the former incarnation reported.
 func (r *replica) restarted() {
 	r.all.Forget()
+	for gateway, l := range r.peers {
+		r.all.RemoveLoad(&l.Memory)
+		delete(r.peers, gateway)
+	}
 	r.foreign = 0
 	r.views = [foreignReports]int{}
 }
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -33,6 +33,8 @@
 	Entry  string
 	Class  catalogue.Class
 	Model  string
+	// DataCentre is the gateway's; replicas there are preferred at equal load.
+	DataCentre string
 	// PromptTokens and MaxOutputTokens are in tokens.
 	PromptTokens         int
 	MaxOutputTokens      int
@@ -107,6 +109,7 @@
 type Replica struct {
 	Name             string
 	Address          string
+	DataCentre       string
 	MaxBatch         int
 	KVCapacityTokens int
 	// Accepting is false while it is draining, leaving, ejected or unreachable.
