Go on from the first copy of a moved generation, without stopping the source

Also: a generation that ended by itself while it was being stopped was broken off (LOST, mix); no source is stopped any more.

--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -20,28 +20,42 @@
 	// movePatience bounds the wait for a destination. An engine ends about 1.5 s
 	// after its notice, and the copy takes up to 0.4 s.
 	movePatience = 300 * time.Millisecond
-	// moveTimeout bounds all copying of a move. Copies queue behind each other.
+	// moveTimeout bounds the copying. Copies queue behind each other on the links.
 	moveTimeout = 3 * time.Second
+	// switchTimeout bounds the wait for the destination to go on. Meanwhile the
+	// source runs, which it must not for longer than 400 ms.
+	switchTimeout = 300 * time.Millisecond
 	// freeTimeout bounds the call that gives up a copy.
 	freeTimeout = time.Second
 )
 
-// move is a generation's move to another engine. A nil move is none.
+// move is a generation's move to another engine. Its memory is copied while the
+// source runs; the destination then reads only what was generated since. The
+// source is not asked to stop and copy the rest: that copy would queue on the
+// link behind the first copies of the other generations, and pause the stream.
 type move struct {
-	r      *run
-	cancel context.CancelFunc
-	done   chan struct{}
-
-	// The rest is valid once done is closed.
+	r       *run
+	from    registry.Server
+	started time.Time
+	cancel  context.CancelFunc
 
+	// copied is closed when the copying has ended. The fields behind it are valid
+	// then.
+	copied chan struct{}
+	ok     bool
 	grant  schedule.Grant
-	server registry.Server
-	// handle names the copy; stopped is set when the source was told to stop.
-	handle  string
-	stopped bool
-	ok      bool
-	used    bool
-	started time.Time
+	to     registry.Server
+	handle string
+
+	// opened gets the destination's stream once it was asked for.
+	opened chan opening
+	used   bool
+}
+
+// opening is the result of asking a destination to go on.
+type opening struct {
+	src *source
+	err *fault.Error
 }
 
 // attemptID names one wait for an engine.
@@ -49,166 +63,131 @@
 	return id + "-" + strconv.Itoa(runs) + "-" + strconv.Itoa(try)
 }
 
-// result is closed when the move is prepared or has failed.
-func (m *move) result() <-chan struct{} {
-	if m == nil {
+// copiedC is closed when the copying has ended and the destination was not asked
+// yet. That of no move blocks.
+func (m *move) copiedC() <-chan struct{} {
+	if m == nil || m.opened != nil {
 		return nil
 	}
-	select {
-	case <-m.done:
-		if m.ok {
-			// The source's end is awaited instead.
-			return nil
-		}
-	default:
-	}
-	return m.done
+	return m.copied
 }
 
-func (m *move) failed() bool { return !m.ok }
-
-// stopping reports whether the source was told to stop, or may have been.
-func (m *move) stopping() bool {
+// openedC gets the destination's stream. That of no move blocks.
+func (m *move) openedC() <-chan opening {
 	if m == nil {
-		return false
-	}
-	select {
-	case <-m.done:
-	case <-time.After(moveTimeout):
-		return false
+		return nil
 	}
-	return m.stopped
+	return m.opened
 }
 
 // abandon gives up a move whose copy was not used.
 func (m *move) abandon() {
-	if m == nil {
+	if m == nil || m.used {
 		return
 	}
 	m.cancel()
 	go func() {
-		<-m.done
-		m.release()
+		<-m.copied
+		if m.opened != nil {
+			if o := <-m.opened; o.src != nil {
+				o.src.close()
+			}
+		}
+		if m.grant.ID != "" {
+			m.r.f.o.Scheduler.Release(m.grant.ID, schedule.Outcome{NotRun: true})
+		}
+		if m.handle != "" {
+			ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+			defer cancel()
+			m.r.f.o.Client.Free(ctx, m.from, m.handle)
+		}
 	}()
 }
 
-func (m *move) release() {
-	if m.used {
-		return
-	}
-	if m.grant.ID != "" {
-		m.r.f.o.Scheduler.Release(m.grant.ID, schedule.Outcome{NotRun: true})
-	}
-	if m.handle != "" {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		defer cancel()
-		m.r.f.o.Client.Free(ctx, m.r.server, m.handle)
-	}
-}
-
-// startMove copies the generation's memory to another engine while it runs, and
-// then stops it.
+// startMove copies the generation's memory to another engine while it runs.
 func (r *run) startMove(ctx context.Context) *move {
 	// The relay may end before the move has.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveTimeout)
-	m := &move{r: r, cancel: cancel, done: make(chan struct{}), started: time.Now()}
-	from := r.server
+	m := &move{r: r, from: r.server, cancel: cancel, copied: make(chan struct{}), started: time.Now()}
 	request := r.f.schedulingRequest(r.q)
 	request.Class = catalogue.Urgent
 	request.PromptTokens += r.tokens()
 	request.Fingerprint = 0
-	request.Exclude = []string{from.Name}
+	request.Exclude = []string{r.server.Name}
 	go func() {
-		defer close(m.done)
+		defer close(m.copied)
 		defer cancel()
-		m.prepare(ctx, from, request)
+		m.copy(ctx, request)
 	}()
 	return m
 }
 
-// prepare finds a destination and copies.
-func (m *move) prepare(ctx context.Context, from registry.Server, request schedule.Request) {
-	r := m.r
+// copy finds a destination and copies.
+func (m *move) copy(ctx context.Context, request schedule.Request) {
+	f, q := m.r.f, m.r.q
 	for try := range moveTries {
-		request.ID = attemptID(r.q.ID, r.runs, try) + "-m" + strconv.FormatInt(m.started.UnixMilli(), 36)
+		request.ID = attemptID(q.ID, m.r.runs, try) + "-m" + strconv.FormatInt(m.started.UnixMilli(), 36)
 		request.Deadline = time.Now().Add(movePatience)
-		grant, err := r.f.o.Scheduler.Acquire(ctx, request)
+		grant, err := f.o.Scheduler.Acquire(ctx, request)
 		if err != nil {
-			_ = level.Warn(r.f.logger(r.q)).Log("msg", "not moved", "from", from.Name, "reason", "no destination", "err", err)
+			_ = level.Warn(f.logger(q)).Log("msg", "not moved", "from", m.from.Name, "reason", "no destination", "err", err)
 			return
 		}
-		server, ok := r.f.o.Servers.Get(grant.Backend)
-		if !ok || r.f.o.Servers.Leaving(grant.Backend) {
-			r.f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
-			request.Exclude = append(request.Exclude, grant.Backend)
+		request.Exclude = append(request.Exclude, grant.Backend)
+		to, ok := f.o.Servers.Get(grant.Backend)
+		if !ok || f.o.Servers.Leaving(grant.Backend) {
+			f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
 			continue
 		}
-		outcome := m.copyTo(ctx, from, server)
-		if outcome == Copied {
-			m.grant, m.server, m.ok = grant, server, true
-			return
-		}
-		r.f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
-		_ = level.Info(r.f.logger(r.q)).Log("msg", "copy failed", "from", from.Name, "to", server.Name, "outcome", outcome, "stopped", m.stopped, "took_ms", time.Since(m.started).Milliseconds())
-		request.Exclude = append(request.Exclude, grant.Backend)
-		if m.stopped {
-			// The source keeps the memory and can go on with it.
-			m.server, m.ok = from, true
+		c := f.o.Client.Copy(ctx, m.from, to, q.ID, false)
+		if c.Outcome == Copied {
+			m.grant, m.to, m.handle, m.ok = grant, to, c.Handle, true
 			return
 		}
-		if outcome != NoRoom {
+		f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
+		_ = level.Info(f.logger(q)).Log("msg", "copy failed", "from", m.from.Name, "to", to.Name, "outcome", c.Outcome, "took_ms", time.Since(m.started).Milliseconds())
+		if c.Outcome != NoRoom {
 			return
 		}
 	}
 }
 
-// copyTo copies ahead, then stops the source and copies the rest.
-func (m *move) copyTo(ctx context.Context, from, to registry.Server) MoveOutcome {
-	ahead := m.r.f.o.Client.Copy(ctx, from, to, m.r.q.ID, false)
-	if ahead.Outcome != Copied {
-		return ahead.Outcome
-	}
-	m.handle = ahead.Handle
-	rest := m.r.f.o.Client.Copy(ctx, from, to, m.r.q.ID, true)
-	if rest.Handle != "" {
-		m.handle = rest.Handle
-	}
-	m.stopped = rest.Outcome != NoRun
-	return rest.Outcome
-}
-
-// resume goes on with a moved generation at its destination after the source has
-// ended.
-func (r *run) resume(ctx context.Context, m *move, old *source) (*source, *fault.Error) {
-	<-m.done
-	if !m.ok || m.handle == "" {
-		return nil, fault.New(fault.BackendLost, stepMove, r.server.Name, api.Ran, "engine ended before the generation was copied")
-	}
-	if err := r.f.checkSend(r.q); err != nil {
-		err.Execution = api.Ran
-		return nil, err
-	}
-	memory := &Memory{Address: r.server.Address, Handle: m.handle}
+// open asks the destination to go on behind the newest event.
+func (m *move) open(ctx context.Context) {
+	m.opened = make(chan opening, 1)
+	r := m.r
+	memory := &Memory{Address: m.from.Address, Handle: m.handle}
+	after, resumes := r.last, r.any
 	// A move is an arrival beyond the first, whether or not the budget has room.
 	r.f.o.Budget.Allow(time.Now(), r.q.Service, 0)
-	next, err := r.open(ctx, m.server, memory)
-	if err != nil {
-		_ = level.Warn(r.f.logger(r.q)).Log("msg", "not resumed", "from", r.server.Name, "to", m.server.Name, "events", r.events, "err", err)
-		err.Execution = api.Ran
-		return nil, err
-	}
-	old.close()
-	_ = level.Info(r.f.logger(r.q)).Log("msg", "moved", "from", r.server.Name, "to", m.server.Name, "events", r.events, "took_ms", time.Since(m.started).Milliseconds(), "pause_ms", time.Since(r.lastEventAt).Milliseconds())
+	go func() {
+		src, err := r.open(ctx, m.to, memory, after, resumes, switchTimeout)
+		m.opened <- opening{src, err}
+	}()
+}
+
+// takeOver makes the destination the run's engine.
+func (r *run) takeOver(m *move) {
+	_ = level.Info(r.f.logger(r.q)).Log("msg", "moved", "from", m.from.Name, "to", m.to.Name, "events", r.events, "took_ms", time.Since(m.started).Milliseconds(), "since_event_ms", time.Since(r.lastEventAt).Milliseconds())
 	r.f.o.Metrics.Counter("moves", r.q.Route.Name).Inc(1)
 	m.used = true
 	r.f.untrack(r.server.Name, r)
-	if m.grant.ID != "" {
-		r.f.o.Scheduler.Release(r.grant.ID, schedule.Outcome{Generated: r.tokens()})
-		r.grant = m.grant
-		r.f.o.Scheduler.Progress(r.grant.ID, 0)
-	}
-	r.server = m.server
+	r.f.o.Scheduler.Release(r.grant.ID, schedule.Outcome{Generated: r.tokens()})
+	r.grant, r.server = m.grant, m.to
 	r.arm()
 	r.f.track(r.server.Name, r)
-	return next, nil
+}
+
+// rescue goes on at the destination after the source has ended before the switch.
+func (r *run) rescue(ctx context.Context, m *move) (*source, *fault.Error) {
+	<-m.copied
+	if !m.ok {
+		return nil, fault.New(fault.BackendLost, stepMove, m.from.Name, api.Ran, "engine ended before the generation was copied")
+	}
+	if m.opened == nil {
+		m.open(ctx)
+	}
+	o := <-m.opened
+	m.opened <- o
+	return o.src, o.err
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -144,7 +144,7 @@
 	if err := r.f.checkSend(r.q); err != nil {
 		return err
 	}
-	src, err := r.open(ctx, r.server, nil)
+	src, err := r.open(ctx, r.server, nil, r.last, r.any, 0)
 	if err != nil {
 		outcome = schedule.Outcome{NotRun: err.Execution == api.NotRun, Refused: err.Code == fault.BackendRefused}
 		if err.Execution != api.NotRun {
@@ -197,10 +197,14 @@
 }
 
 // open sends the request and starts to read its stream. Memory is that of a moved
-// generation, or nil.
-func (r *run) open(ctx context.Context, server registry.Server, memory *Memory) (*source, *fault.Error) {
+// generation, or nil. The answer must begin within a time, if it is not 0.
+func (r *run) open(ctx context.Context, server registry.Server, memory *Memory, after int64, resumes bool, within time.Duration) (*source, *fault.Error) {
 	ctx, stop := context.WithCancel(ctx)
-	a := Attempt{Request: r.q, Server: server, Remaining: time.Until(r.q.Deadline), After: r.last, Resumes: r.any, Memory: memory}
+	a := Attempt{Request: r.q, Server: server, Remaining: time.Until(r.q.Deadline), After: after, Resumes: resumes, Memory: memory}
+	if within > 0 {
+		late := time.AfterFunc(within, stop)
+		defer late.Stop()
+	}
 	answer, err := r.f.o.Client.Send(ctx, a)
 	if err != nil {
 		failed := r.f.sendFailed(ctx, server, fault.From(err))
@@ -290,25 +294,18 @@
 				}
 				continue
 			}
-			if moving.stopping() {
-				// The source was asked to stop, so its end is not the generation's.
-				next, err := r.resume(ctx, moving, src)
-				if err != nil {
-					return err
-				}
-				src, moving, notice = next, nil, r.noticed
-				continue
-			}
 			if src.ended == nil {
 				return r.finish(src)
 			}
 			if moving != nil {
-				// The copy made so far may be all that is left of the generation.
-				next, err := r.resume(ctx, moving, src)
-				if err == nil {
-					src, moving, notice = next, nil, r.noticed
-					continue
+				next, err := r.rescue(ctx, moving)
+				if err != nil {
+					return err
 				}
+				r.takeOver(moving)
+				src.close()
+				src, moving, notice = next, nil, r.noticed
+				continue
 			}
 			return fault.Wrap(src.ended, lossCode(ctx), stepStream, r.server.Name, api.Ran)
 		case <-notice:
@@ -316,12 +313,24 @@
 			if r.movable() {
 				moving = r.startMove(ctx)
 			}
-		case <-moving.result():
-			// Prepared and stopped, or failed; a stopped source closes its stream.
-			if moving.failed() {
+		case <-moving.copiedC():
+			if !moving.ok {
+				moving.abandon()
+				moving = nil
+				continue
+			}
+			moving.open(ctx)
+		case o := <-moving.openedC():
+			if o.err != nil {
+				_ = level.Warn(r.f.logger(r.q)).Log("msg", "not resumed", "from", r.server.Name, "to", moving.to.Name, "events", r.events, "err", o.err)
+				moving.opened <- o
 				moving.abandon()
 				moving = nil
+				continue
 			}
+			r.takeOver(moving)
+			src.close()
+			src, moving, notice = o.src, nil, r.noticed
 		case <-silence.C:
 			return fault.New(fault.BackendLost, stepStream, r.server.Name, api.Ran, "no event for %v", silenceLimit)
 		case <-ctx.Done():
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -95,6 +95,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1.
 	Length int64
+	// Framed is false for a body that ends with its connection, so that its end
+	// cannot be told from a break.
+	Framed bool
 	// NotRun is set when the server states that it did not run the request.
 	NotRun bool
 	// Replaced is set when another server has the address.
