--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -44,7 +44,9 @@
 // when ctx ends first. r.ID must be unique for each attempt to run the request.
 func (m *Manager) Acquire(ctx context.Context, r schedule.Request) (schedule.Grant, error) {
 	r.Gateway = m.self()
-	r.DataCentre = m.opt.View.Self().DataCentre
+	if r.DataCentre == "" {
+		r.DataCentre = m.opt.View.Self().DataCentre
+	}
 	r.PrefixHashes = shortHashes(r.PrefixHashes)
 	if !r.Deadline.IsZero() {
 		var cancel context.CancelFunc
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -33,7 +33,8 @@
 	Entry  string
 	Class  catalogue.Class
 	Model  string
-	// DataCentre is the gateway's; replicas there are preferred at equal load.
+	// DataCentre is the preferred one: the gateway's, or that of the engine from
+	// which a generation moves.
 	DataCentre string
 	// PromptTokens and MaxOutputTokens are in tokens.
 	PromptTokens         int
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -113,6 +113,7 @@
 	request.Class = catalogue.Urgent
 	request.PromptTokens += r.tokens()
 	request.Fingerprint = 0
+	request.DataCentre = r.server.DataCentre
 	request.Exclude = []string{r.server.Name}
 	go func() {
 		defer close(m.copied)
