Spread the destinations of moved generations by hash

Cause: at a notice every gateway chose the least loaded engine, often the newest one; the copies of all generations then queued on its link.

--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"persimmonwing/internal/process/memory"
 )
 
@@ -12,6 +14,7 @@
 	ReasonPrefix      = "prefix"
 	ReasonLeastLoad   = "least_load"
 	ReasonFingerprint = "same_fingerprint"
+	ReasonSpread      = "spread"
 )
 
 const (
@@ -46,6 +49,9 @@
 	if g.o.Policy == PolicyBaseline {
 		return g.leastLoaded(now, q, s)
 	}
+	if q.Spread {
+		return g.spread(now, q, s)
+	}
 	if p, pinned := g.pinned[q.Fingerprint]; pinned && q.Fingerprint != 0 {
 		if g.usable(p.replica, q) && g.hasRoom(now, p.replica, s) {
 			return p.replica, ReasonFingerprint, placed
@@ -116,6 +122,32 @@
 	return r.DataCentre != "" && q.DataCentre != "" && r.DataCentre != q.DataCentre
 }
 
+// spread chooses one of the replicas with room by a hash of the request, so that
+// requests placed at the same moment by several gateways go to different ones.
+func (g *Group) spread(now time.Time, q *Request, s *memory.Sequence) (*replica, string, placement) {
+	var best *replica
+	var bestRemote bool
+	var highest uint64
+	why := noneAccepts
+	for _, r := range g.available {
+		if !g.usable(r, q) {
+			continue
+		}
+		if !g.hasRoom(now, r, s) {
+			why = noRoom
+			continue
+		}
+		remote, hash := g.remote(r, q), xxhash.Sum64String(q.ID+"/"+r.Name)
+		if best == nil || bestRemote && !remote || bestRemote == remote && hash > highest {
+			best, bestRemote, highest = r, remote, hash
+		}
+	}
+	if best == nil {
+		return nil, "", why
+	}
+	return best, ReasonSpread, placed
+}
+
 // usable reports whether a replica may run the request, room aside.
 func (g *Group) usable(r *replica, q *Request) bool {
 	if !r.accepting() || slices.Contains(q.Exclude, r.Name) {
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -48,6 +48,11 @@
 	Suspect bool
 	// PrefixHashes identifies the input's leading blocks, shortest prefix first.
 	PrefixHashes []uint64
+	// Spread chooses at random among the replicas with room, those of the preferred
+	// data centre first, instead of the least loaded one: generations that leave an
+	// engine together are copied over the links of their destinations, and all
+	// gateways would choose the same one.
+	Spread bool
 	// Exclude names replicas that already failed this request.
 	Exclude  []string
 	Deadline time.Time
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -114,6 +114,7 @@
 	request.PromptTokens += r.tokens()
 	request.Fingerprint = 0
 	request.DataCentre = r.server.DataCentre
+	request.Spread = true
 	request.Exclude = []string{r.server.Name}
 	go func() {
 		defer close(m.copied)
@@ -146,7 +147,7 @@
 			return
 		}
 		f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
-		_ = level.Info(f.logger(q)).Log("msg", "copy failed", "from", m.from.Name, "to", to.Name, "outcome", c.Outcome, "took_ms", time.Since(m.started).Milliseconds())
+		_ = level.Info(f.logger(q)).Log("msg", "copy failed", "from", m.from.Name, "to", to.Name, "outcome", c.Outcome, "took_ms", time.Since(m.started).Milliseconds(), "err", c.Err)
 		if c.Outcome != NoRoom {
 			return
 		}
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -111,6 +111,11 @@
 // MoveOutcome is the result of copying a generation's memory.
 type MoveOutcome int
 
+// String names the outcome in log lines.
+func (o MoveOutcome) String() string {
+	return [...]string{"copied", "no_room", "no_run", "failed"}[o]
+}
+
 // The values of MoveOutcome.
 const (
 	// Copied means that the copy is complete as of the call.
@@ -127,6 +132,8 @@
 type Copy struct {
 	Outcome MoveOutcome
 	Handle  string
+	// Err is the cause of an outcome other than Copied.
+	Err error
 	// Created is the number of events generated so far.
 	Created int
 }
