--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -24,6 +24,9 @@
 	polled   bool // report is set
 	failures int
 	inFlight bool
+	// askedAt and readAt are the times of the last question and answer of this
+	// gateway, and heardAt that of the last report from another one.
+	askedAt, readAt, heardAt time.Time
 	// doubted is set while somebody says that the engine is lost and no later
 	// poll has succeeded.
 	doubted bool
@@ -48,9 +51,17 @@
 		}
 	}
 	listed := make(map[string]bool, len(engines))
+	shared := m.opt.Policy == PolicyShared
+	if shared {
+		m.assume(engines)
+	}
+	reader := m.readers()
 	for _, b := range engines {
 		listed[b.Name] = true
-		if due[b.Name] && m.startPoll(b.Name) {
+		if shared && !m.readDue(time.Now(), b.Name, reader(b.Name) == m.self()) {
+			continue
+		}
+		if (due[b.Name] || shared) && m.startPoll(b.Name) {
 			m.later(func() { m.pollOne(ctx, b) })
 		}
 	}
@@ -83,6 +94,7 @@
 		return false
 	}
 	e.inFlight = true
+	e.askedAt = time.Now()
 	return true
 }
 
@@ -125,13 +137,22 @@
 }
 
 func (m *Manager) pollDone(name string, report api.LoadReport) {
+	m.mu.Lock()
+	e := m.engines[name]
+	e.readAt, e.inFlight = time.Now(), false
+	m.mu.Unlock()
+	m.takeReport(name, report)
+}
+
+// takeReport takes over a report that this gateway or another one has read.
+func (m *Manager) takeReport(name string, report api.LoadReport) {
 	m.mu.Lock()
 	e := m.engines[name]
 	old := e.report
 	restarted := e.polled && old.Incarnation != report.Incarnation
 	changed := !e.polled || restarted || e.doubted || e.failures >= lostAfter || old.Draining != report.Draining ||
 		!slices.Equal(old.Models, report.Models)
-	e.report, e.polled, e.failures, e.inFlight, e.doubted = report, true, 0, false, false
+	e.report, e.polled, e.failures, e.doubted = report, true, 0, false
 	m.mu.Unlock()
 	if restarted {
 		level.Warn(m.opt.Logger).Log("msg", "engine restarted", "engine", name)
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -81,7 +81,10 @@
 	View   View
 	Caller membership.Caller
 	Loads  LoadSource
-	Logger log.Logger
+	// Assumed returns the report of an engine that nobody has asked yet, under the
+	// shared policy. It may be nil.
+	Assumed func(engine string) api.LoadReport
+	Logger  log.Logger
 
 	// NewGroup makes an empty group.
 	NewGroup func(schedule.GroupKey) Group
--- a/internal/process/owner/peerload.go
+++ b/internal/process/owner/peerload.go
@@ -9,6 +9,7 @@
 
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/api"
 )
 
 const (
@@ -49,6 +50,8 @@
 	// Number grows with each message, so that a late one is ignored.
 	Number uint64
 	Groups []GroupLoads
+	// Reports are those that the gateway has read since its last message.
+	Reports []api.LoadReport
 }
 
 // GroupLoads are the loads of one group.
@@ -68,6 +71,7 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	number := uint64(0)
+	var toldAt time.Time
 	every(ctx, sharePeriod, func() {
 		now := time.Now()
 		m.forgetLoads(now)
@@ -76,6 +80,8 @@
 		}
 		number++
 		args := m.ownLoads(number)
+		args.Reports = m.readReports(toldAt)
+		toldAt = now
 		for _, g := range m.opt.View.Live() {
 			if g.Name != m.self() && m.startSharing(g.Name) {
 				wait.Go(func() { m.shareWith(ctx, g, args) })
@@ -146,6 +152,7 @@
 	}
 	m.loads.heard[in.Gateway] = heardLoads{at: now, incarnation: in.Incarnation, number: in.Number}
 	m.mu.Unlock()
+	m.hearReports(now, in.Reports)
 	by := map[schedule.GroupKey][]schedule.ReplicaLoad{}
 	for _, g := range in.Groups {
 		by[g.Group] = g.Loads
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -224,8 +224,12 @@
 		g.returned(now, r)
 	}
 	r.draining = report.Draining
-	if g.o.Policy == PolicyOwner || g.o.Policy == "" {
+	switch g.o.Policy {
+	case PolicyOwner, "":
 		r.reconcile(report)
+	case PolicyShared:
+		// Slots are known from the gateways; memory also holds copies.
+		r.all.Report(report.KVUsedTokens)
 	}
 	r.bound = boundWithin(r.bound, r.maxBatch())
 	if !r.reported {
