--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -77,6 +77,13 @@
 	return &Gossiper{opt: opt, state: newState(opt.Self), failed: map[string]bool{}, steady: map[string]time.Time{}, push: make(chan struct{}, 1)}
 }
 
+// SetSeeds replaces the peer addresses to start from.
+func (g *Gossiper) SetSeeds(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.opt.Seeds = append([]string(nil), addresses...)
+}
+
 // Service returns the receiver to register under ServiceName.
 func (g *Gossiper) Service() *Service { return &Service{g} }
 
--- a/internal/process/retrybudget/budget.go
+++ b/internal/process/retrybudget/budget.go
@@ -10,22 +10,21 @@
 // slices is the number of parts of a window that are counted separately.
 const slices = 20
 
-// Options describe the allowance of one service in a sliding window.
-type Options struct {
+// Allowance bounds the repeats of one service at this gateway in a window.
+type Allowance struct {
 	// Ratio is the number of repeats allowed for each request.
 	Ratio float64
-	// Slack is the number of repeats allowed to all gateways beyond that.
+	// Slack is the number allowed beyond that: this gateway's part of the slack of
+	// all gateways.
 	Slack float64
-	// Window is the length of the window.
-	Window time.Duration
-	// Gateways returns the number of gateways that share Slack.
-	Gateways func() int
 }
 
 // Budget counts requests and repeats of each service at this gateway. It is
 // safe for concurrent use.
 type Budget struct {
-	o  Options
+	window    time.Duration
+	allowance func() Allowance
+
 	mu sync.Mutex
 	by map[string]*counts
 }
@@ -36,8 +35,11 @@
 	head              int64
 }
 
-// New returns an empty budget.
-func New(o Options) *Budget { return &Budget{o: o, by: map[string]*counts{}} }
+// New returns an empty budget for a sliding window of this length. Allowance is
+// asked for each repeat, because settings and the number of gateways change.
+func New(window time.Duration, allowance func() Allowance) *Budget {
+	return &Budget{window: window, allowance: allowance, by: map[string]*counts{}}
+}
 
 // Request counts a request for a service.
 func (b *Budget) Request(now time.Time, service string) {
@@ -50,6 +52,7 @@
 // Allow takes a repeat from the allowance and reports whether there was one.
 // Reserve is the part of the slack, from 0 to 1, that this use leaves to others.
 func (b *Budget) Allow(now time.Time, service string, reserve float64) bool {
+	a := b.allowance()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.advance(now, service)
@@ -58,8 +61,7 @@
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
-	slack := b.o.Slack / float64(max(1, b.o.Gateways())) * (1 - reserve)
-	if float64(repeats+1) > b.o.Ratio*float64(requests)+slack {
+	if float64(repeats+1) > a.Ratio*float64(requests)+a.Slack*(1-reserve) {
 		return false
 	}
 	c.repeats[c.head%slices]++
@@ -73,7 +75,7 @@
 		c = &counts{}
 		b.by[service] = c
 	}
-	head := now.UnixNano() / int64(b.o.Window/(slices-1))
+	head := now.UnixNano() / int64(b.window/(slices-1))
 	for i := max(c.head+1, head-slices+1); i <= head; i++ {
 		c.requests[i%slices], c.repeats[i%slices] = 0, 0
 	}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -107,7 +107,7 @@
 // one of the own data centre is preferred while it is a few grants fuller: the
 // answer then crosses no data centre, and the memory of a generation that moves
 // within one is copied in half the time.
-const remotePenalty = 0.06
+const remotePenalty = 0.15
 
 // placementLoad is the load by which replicas are compared for a request.
 func (g *Group) placementLoad(r *replica, q *Request) float64 {
