--- /dev/null
+++ b/internal/request/forward/call_test.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/version/routing"
+)
+
+// Guards against requests that run twice, that are not repeated although they may
+// be, and against answers that say "not run" of one that may have run.
+func TestCallsAreRepeatedOnlyWhereAllowed(t *testing.T) {
+	cut := func() *Answer {
+		a := ok("")
+		a.Body = iotest.ErrReader(errBroken)
+		return a
+	}
+	unsealed := ok("x")
+	unsealed.Sealed = false
+	refused := status(http.StatusServiceUnavailable)
+	refused.NotRun = true
+	for _, c := range []struct {
+		name   string
+		kind   routing.Kind
+		tries  int
+		first  fakeServer
+		budget int
+		// sends is the number of sends, and status the answer's, or 0 for an error of
+		// this execution.
+		sends, status int
+		execution     api.Execution
+	}{
+		{"idempotent, link lost", routing.Idempotent, 2, fakeServer{fail: errUnknown}, 9, 2, 200, ""},
+		{"idempotent, one attempt", routing.Idempotent, 1, fakeServer{fail: errUnknown}, 9, 1, 0, api.Unknown},
+		{"idempotent, error", routing.Idempotent, 2, fakeServer{answer: status(500)}, 9, 2, 200, ""},
+		{"idempotent, error, one attempt", routing.Idempotent, 1, fakeServer{answer: status(500)}, 9, 1, 500, ""},
+		{"idempotent, cut answer", routing.Idempotent, 2, fakeServer{answer: cut()}, 9, 2, 200, ""},
+		{"idempotent, no budget", routing.Idempotent, 2, fakeServer{fail: errUnknown}, 0, 1, 0, api.Unknown},
+		{"idempotent, no seal", routing.Idempotent, 2, fakeServer{answer: unsealed}, 9, 2, 200, ""},
+		{"once, link lost", routing.NonIdempotent, 1, fakeServer{fail: errUnknown}, 9, 1, 0, api.Unknown},
+		{"once, never sent", routing.NonIdempotent, 1, fakeServer{fail: errNotRun}, 9, 2, 200, ""},
+		{"once, refused by the server", routing.NonIdempotent, 1, fakeServer{answer: refused}, 9, 2, 200, ""},
+		{"once, error", routing.NonIdempotent, 1, fakeServer{answer: status(500)}, 9, 1, 500, ""},
+		{"once, cut answer", routing.NonIdempotent, 1, fakeServer{answer: cut()}, 9, 1, 0, api.Ran},
+		{"once, promise of the server", routing.NonIdempotent, 1, fakeServer{answer: status(503)}, 9, 1, 0, api.Ran},
+		{"once, no seal", routing.NonIdempotent, 1, fakeServer{answer: unsealed}, 9, 1, 0, api.Ran},
+		{"once, never sent, no budget", routing.NonIdempotent, 1, fakeServer{fail: errNotRun}, 0, 1, 0, api.NotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld("a", "b")
+				w.budget = c.budget
+				w.servers["a"].fail, w.servers["a"].answer = c.first.fail, c.first.answer
+				if a := c.first.answer; a != nil && a.Status != 0 && a.Body != nil {
+					if _, ok := a.Body.(*strings.Reader); ok {
+						a.Body = strings.NewReader("error")
+					}
+				}
+				w.servers["b"].answer = ok("good")
+				r := &reader{}
+				begun, err := w.f.Serve(context.Background(), call(c.kind, c.tries), r)
+				is.Equal(len(w.sent), c.sends)
+				is.Equal(r.status, c.status)
+				is.Equal(begun, c.status != 0)
+				if c.status == 0 {
+					is.True(err != nil)
+					is.Equal(err.Execution, c.execution)
+				}
+				if c.status == 200 {
+					is.Equal(r.body.String(), "good")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that is sent with a key that was taken away while it
+// waited.
+func TestRevokedKeyIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, q := range []*Request{call(routing.Idempotent, 2), plan()} {
+			w := newWorld("a")
+			w.mayRun = false
+			_, err := w.f.Serve(context.Background(), q, &reader{})
+			is.True(err != nil)
+			is.Equal(err.Execution, api.NotRun)
+			is.Equal(len(w.sent), 0)
+		}
+	})
+}
+
+// Guards against a service without servers that answers anything but "not run".
+func TestNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a")
+		w.leave("a")
+		_, err := w.f.Serve(context.Background(), call(routing.Idempotent, 2), &reader{})
+		is.Equal(err.Code, fault.NoBackend)
+		is.Equal(err.Execution, api.NotRun)
+		is.True(err.RetryAfter > 0)
+	})
+}
--- /dev/null
+++ b/internal/request/forward/stream_test.go
@@ -0,0 +1,223 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+)
+
+// Guards against lost, doubled or joined events and against long pauses when the
+// engine of a running generation leaves, in every way that a move can go.
+func TestMoves(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		setup func(w *world)
+		// ends is the server that the generation ends on; "" if it is broken off.
+		ends string
+		// twice is set where the source may run on for as long as it takes to see that
+		// the destination does not answer.
+		freed int
+	}{
+		{"copied in time", func(w *world) { w.servers["a"].copyTime = 30 * time.Millisecond }, "b", 0},
+		{"the source dies after the copy", func(w *world) {
+			w.servers["a"].diesAfter = 9
+			w.servers["a"].copyTime = 20 * time.Millisecond
+			w.servers["b"].openTime = 100 * time.Millisecond
+		}, "b", 0},
+		{"the source dies before the copy", func(w *world) {
+			w.servers["a"].diesAfter = 9
+			w.servers["a"].copyTime = time.Second
+		}, "", 0},
+		{"the generation ends before the copy", func(w *world) { w.servers["a"].copyTime = time.Second }, "a", 0},
+		{"the generation ends while the destination is asked", func(w *world) {
+			w.servers["a"].copyTime = 20 * time.Millisecond
+			w.servers["b"].openTime = 250 * time.Millisecond
+		}, "a", 1},
+		{"the destination has no copy", func(w *world) { w.servers["b"].refuses = true }, "a", 1},
+		{"the destination does not answer", func(w *world) {
+			w.servers["a"].total = 100
+			w.servers["b"].openTime = time.Hour
+		}, "a", 1},
+		{"no room anywhere", func(w *world) { w.servers["a"].copyFails = NoRoom }, "a", 0},
+		{"the copy fails", func(w *world) { w.servers["a"].copyFails = MoveFailed }, "a", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld("a", "b")
+				c.setup(w)
+				total := w.servers["a"].total
+				w.servers["b"].total = total
+				r := &reader{after: func(n int) {
+					if n == 5 {
+						w.leave("a")
+					}
+				}}
+				begun, err := w.f.Serve(context.Background(), plan(), r)
+				is.True(begun)
+				if c.ends == "" {
+					is.True(err != nil)
+					is.Equal(err.Execution, api.Ran)
+				} else {
+					is.True(err == nil)
+					is.Equal(r.body.String(), events(0, total))
+					is.Equal(r.header.Get("Seal"), "a")
+				}
+				synctest.Wait()
+				is.Equal(w.running(), 0)
+				is.Equal(w.freed, c.freed)
+				if c.ends == "b" {
+					is.True(r.gap <= 130*time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a source that still works 400 ms after the destination went on.
+func TestSourceStopsWhenTheDestinationGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b")
+		w.servers["a"].total, w.servers["b"].total = 200, 200
+		w.servers["b"].openTime = 50 * time.Millisecond
+		var left time.Time
+		r := &reader{after: func(n int) {
+			switch {
+			case n == 5:
+				w.leave("a")
+				left = time.Now()
+			case time.Since(left) > 100*time.Millisecond && !left.IsZero():
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				is.Equal(len(w.servers["a"].running), 0)
+				is.Equal(len(w.servers["b"].running), 1)
+			}
+		}}
+		_, err := w.f.Serve(context.Background(), plan(), r)
+		is.True(err == nil)
+		is.Equal(r.body.String(), events(0, 200))
+	})
+}
+
+// Guards against a second notice that is missed after a move.
+func TestMovesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b", "c")
+		for _, s := range w.servers {
+			s.total = 60
+		}
+		r := &reader{after: func(n int) {
+			switch n {
+			case 5:
+				w.leave("a")
+			case 30:
+				w.leave("b")
+			}
+		}}
+		_, err := w.f.Serve(context.Background(), plan(), r)
+		is.True(err == nil)
+		is.Equal(r.body.String(), events(0, 60))
+		is.Equal(w.sent, []string{"a", "b", "c"})
+	})
+}
+
+// Guards against a second run of a generation that may have begun, against a check
+// that is not taken up elsewhere, and against more runs than the route allows.
+func TestBrokenStreams(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		q     func() *Request
+		setup func(w *world)
+		sends int
+		whole bool
+	}{
+		{"plan, link lost before the answer", plan, func(w *world) { w.servers["a"].fail = errUnknown }, 1, false},
+		{"plan, never sent", plan, func(w *world) { w.servers["a"].fail = errNotRun }, 2, true},
+		{"plan, dies midway", plan, func(w *world) { w.servers["a"].diesAfter = 5 }, 1, false},
+		{"check, link lost before the answer", check, func(w *world) { w.servers["a"].fail = errUnknown }, 2, true},
+		{"check, dies midway", check, func(w *world) { w.servers["a"].diesAfter = 5 }, 2, true},
+		{"check, dies twice", check, func(w *world) { w.servers["a"].diesAfter, w.servers["b"].diesAfter = 5, 5 }, 2, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld("a", "b", "c")
+				c.setup(w)
+				r := &reader{}
+				_, err := w.f.Serve(context.Background(), c.q(), r)
+				is.Equal(len(w.sent), c.sends)
+				is.Equal(err == nil, c.whole)
+				if c.whole {
+					is.Equal(r.body.String(), events(0, 20))
+				}
+				synctest.Wait()
+				is.Equal(w.running(), 0)
+			})
+		})
+	}
+}
+
+// Guards against an engine that works on for a caller that has left, and against
+// an unfinished move that keeps a copy.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b")
+		w.servers["a"].total, w.servers["b"].total = 1000, 1000
+		w.servers["b"].openTime = time.Second
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &reader{after: func(n int) {
+			switch n {
+			case 5:
+				w.leave("a")
+			case 8:
+				cancel()
+			}
+		}}
+		_, err := w.f.Serve(ctx, plan(), r)
+		is.Equal(err.Code, fault.Cancelled)
+		synctest.Wait()
+		is.Equal(w.running(), 0)
+		is.Equal(w.freed, 1)
+	})
+}
+
+// Guards against a request that has no final answer at its route's timeout.
+func TestTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a")
+		w.servers["a"].total = 1 << 20
+		q := plan()
+		q.Deadline = time.Now().Add(time.Second)
+		started := time.Now()
+		_, err := w.f.Serve(context.Background(), q, &reader{})
+		is.Equal(err.Code, fault.DeadlineExceeded)
+		is.Equal(time.Since(started), time.Second)
+	})
+}
+
+// Guards against events that come again or out of order being passed on.
+func TestEventsOutOfOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a")
+		q := check()
+		q.Route.Attempts = 1
+		// The engine goes on behind event 9 although the caller has only 4.
+		q.After, q.Resumes = 4, true
+		w.servers["a"].total = 12
+		r := &reader{}
+		_, err := w.f.Serve(context.Background(), q, r)
+		is.True(err == nil)
+		is.Equal(r.body.String(), events(5, 12))
+	})
+}
--- /dev/null
+++ b/internal/request/forward/world_test.go
@@ -0,0 +1,342 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"persimmonwing/internal/process/health"
+	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/registry"
+	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/process/telemetry"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/version/catalogue"
+	"persimmonwing/internal/version/routing"
+)
+
+// eventGap is the time between two events of a fake engine.
+const eventGap = 10 * time.Millisecond
+
+// world is a set of fake backend servers, all in one data centre.
+type world struct {
+	mu      sync.Mutex
+	servers map[string]*fakeServer
+	leaving map[string]bool
+	// sent lists the servers to which requests went, in order.
+	sent  []string
+	freed int
+	// budget is the number of repeats left; mayRun is the answer to MayRun.
+	budget int
+	mayRun bool
+
+	f *Forwarder
+}
+
+// fakeServer is one backend server.
+type fakeServer struct {
+	name string
+	// fail is the error of a send, and answer the answer of a call.
+	fail   error
+	answer *Answer
+	// total is the number of events of a generation here; diesAfter cuts a stream
+	// off after so many events of this server.
+	total, diesAfter int
+	// copyTime is the time that copying from here takes; copyFails refuses copies.
+	copyTime  time.Duration
+	copyFails MoveOutcome
+	// openTime is the time before a resumed stream begins; refuses makes it fail.
+	openTime time.Duration
+	refuses  bool
+	// running holds the streams in progress by request; after is what they began behind.
+	running map[string]*stream
+	begun   []int64
+}
+
+// stream is a running generation.
+type stream struct {
+	cancel context.CancelFunc
+	ended  time.Time
+}
+
+func newWorld(names ...string) *world {
+	w := &world{servers: map[string]*fakeServer{}, leaving: map[string]bool{}, budget: 10, mayRun: true}
+	for _, n := range names {
+		w.servers[n] = &fakeServer{name: n, total: 20, running: map[string]*stream{}}
+	}
+	set := health.NewSet(health.DefaultOptions())
+	w.f = New(Options{
+		Self: "gateway-1", Client: w, Scheduler: w, Servers: w, Budget: w, Metrics: telemetry.New(), Logger: log.NewNopLogger(),
+		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun },
+	})
+	return w
+}
+
+// leave gives a server's notice.
+func (w *world) leave(name string) {
+	w.mu.Lock()
+	w.leaving[name] = true
+	w.mu.Unlock()
+	w.f.ServerLeaving(name)
+}
+
+// Scheduler.
+
+func (w *world) Acquire(ctx context.Context, r schedule.Request) (schedule.Grant, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.names() {
+		if !w.leaving[n] && !slices.Contains(r.Exclude, n) {
+			return schedule.Grant{ID: r.ID, Backend: n}, nil
+		}
+	}
+	return schedule.Grant{}, &schedule.Refusal{Reason: schedule.ReasonDeadline}
+}
+
+func (w *world) names() []string {
+	var out []string
+	for n := range w.servers {
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (w *world) Progress(string, int)             {}
+func (w *world) Release(string, schedule.Outcome) {}
+
+// Servers.
+
+func (w *world) Get(name string) (registry.Server, bool) {
+	return registry.Server{Name: name, Address: name}, true
+}
+
+func (w *world) Leaving(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving[name]
+}
+
+func (w *world) Service(time.Time, string, string) []membership.Backend {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []membership.Backend
+	for _, n := range w.names() {
+		out = append(out, membership.Backend{Name: n, Accepting: !w.leaving[n]})
+	}
+	return out
+}
+
+func (w *world) NoteReplaced(string)               {}
+func (w *world) NoteUnreachable(time.Time, string) {}
+
+// Budget.
+
+func (w *world) Request(time.Time, string) {}
+
+func (w *world) Allow(time.Time, string, float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.budget--
+	return w.budget >= 0
+}
+
+// Client.
+
+var errNotRun = fault.New(fault.BackendLost, "send", "x", api.NotRun, "connection refused")
+var errUnknown = fault.New(fault.BackendLost, "send", "x", api.Unknown, "connection reset")
+
+func (w *world) Send(ctx context.Context, a Attempt) (*Answer, error) {
+	w.mu.Lock()
+	s := w.servers[a.Server.Name]
+	w.sent = append(w.sent, s.name)
+	w.mu.Unlock()
+	switch {
+	case s.fail != nil:
+		return nil, s.fail
+	case a.Request.Route.Kind != routing.Streaming:
+		answer := *s.answer
+		answer.Close = func() {}
+		return &answer, nil
+	case a.Memory != nil && s.refuses:
+		return nil, fault.New(fault.BackendRefused, "send", s.name, api.NotRun, "no copy")
+	}
+	if a.Memory != nil {
+		select {
+		case <-time.After(s.openTime):
+		case <-ctx.Done():
+			return nil, fault.Wrap(ctx.Err(), fault.BackendLost, "send", s.name, api.Unknown)
+		}
+	}
+	return w.stream(ctx, s, a), nil
+}
+
+// stream starts a generation behind an event.
+func (w *world) stream(ctx context.Context, s *fakeServer, a Attempt) *Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	r, pipe := io.Pipe()
+	run := &stream{cancel: cancel}
+	next := int64(0)
+	if a.Resumes {
+		next = a.After + 1
+	}
+	w.mu.Lock()
+	s.running[a.Request.ID] = run
+	s.begun = append(s.begun, next)
+	w.mu.Unlock()
+	go func() {
+		err := s.write(ctx, pipe, next)
+		w.mu.Lock()
+		delete(s.running, a.Request.ID)
+		run.ended = time.Now()
+		w.mu.Unlock()
+		_ = pipe.CloseWithError(err)
+	}()
+	return &Answer{Status: http.StatusOK, Header: http.Header{"Seal": {s.name}}, Length: -1, Framed: true, Sealed: true, Body: r, Close: func() { cancel(); _ = r.Close() }}
+}
+
+var errBroken = errors.New("connection reset by peer")
+
+// write produces events until the generation, the server or the link ends.
+func (s *fakeServer) write(ctx context.Context, w io.Writer, next int64) error {
+	for n := 0; next < int64(s.total); n++ {
+		if s.diesAfter > 0 && n >= s.diesAfter {
+			return errBroken
+		}
+		select {
+		case <-time.After(eventGap):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", next, next); err != nil {
+			return err
+		}
+		next++
+	}
+	return io.EOF
+}
+
+func (w *world) Copy(ctx context.Context, from, to registry.Server, id string, _ bool) Copy {
+	w.mu.Lock()
+	s := w.servers[from.Name]
+	_, runs := s.running[id]
+	w.mu.Unlock()
+	switch {
+	case s.copyFails != Copied:
+		return Copy{Outcome: s.copyFails}
+	case !runs:
+		return Copy{Outcome: NoRun}
+	}
+	select {
+	case <-time.After(s.copyTime):
+	case <-ctx.Done():
+		return Copy{Outcome: MoveFailed}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, runs := s.running[id]; !runs {
+		return Copy{Outcome: MoveFailed}
+	}
+	return Copy{Outcome: Copied, Handle: "h-" + to.Name}
+}
+
+func (w *world) Free(context.Context, registry.Server, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.freed++
+}
+
+func (w *world) Alive(context.Context, registry.Server) bool { return true }
+
+// running counts the streams in progress on all servers.
+func (w *world) running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, s := range w.servers {
+		n += len(s.running)
+	}
+	return n
+}
+
+// reader is a caller that keeps what it gets.
+type reader struct {
+	status int
+	header http.Header
+	body   strings.Builder
+	// after is called after each write with the number of writes.
+	after  func(int)
+	writes int
+	last   time.Time
+	gap    time.Duration
+}
+
+func (r *reader) Begin(status int, header http.Header, _ int64) error {
+	r.status, r.header = status, header
+	return nil
+}
+
+func (r *reader) Write(b []byte) error {
+	if now := time.Now(); !r.last.IsZero() {
+		r.gap = max(r.gap, now.Sub(r.last))
+	}
+	r.last = time.Now()
+	r.body.Write(b)
+	r.writes++
+	if r.after != nil {
+		r.after(r.writes)
+	}
+	return nil
+}
+
+// events returns the stream of a whole generation.
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func newRequest(route routing.Route) *Request {
+	now := time.Now()
+	return &Request{
+		ID: "r", Route: &route, Service: "s", Engine: &routing.EngineSpec{Moves: true, Stride: 4}, Class: catalogue.Background,
+		Arrived: now, Deadline: now.Add(30 * time.Second), CallerDeadline: now.Add(30 * time.Second),
+	}
+}
+
+// plan is a long stream that only its own run may go on with.
+func plan() *Request {
+	return newRequest(routing.Route{Name: "plan", Kind: routing.Streaming, Attempts: 1, Target: 4 * time.Second, GapTarget: 180 * time.Millisecond})
+}
+
+// check is a short stream that another run may go on with.
+func check() *Request {
+	q := newRequest(routing.Route{Name: "check", Kind: routing.Streaming, Attempts: 2, Resumable: true, Target: time.Second})
+	q.Class = catalogue.Urgent
+	return q
+}
+
+func call(kind routing.Kind, attempts int) *Request {
+	return newRequest(routing.Route{Name: "call", Kind: kind, Attempts: attempts, Target: 300 * time.Millisecond})
+}
+
+func ok(body string) *Answer {
+	return &Answer{Status: http.StatusOK, Header: http.Header{}, Length: int64(len(body)), Framed: true, Sealed: true, Body: strings.NewReader(body)}
+}
+
+func status(code int) *Answer {
+	a := ok("error")
+	a.Status = code
+	return a
+}
--- /dev/null
+++ b/internal/version/routing/routing_test.go
@@ -0,0 +1,90 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func table(version int64) *Table {
+	return NewTable(Parts{
+		Version: version,
+		Routes: []Route{
+			{Name: "root", Host: "a.example", Prefix: "/", Kind: Idempotent, Split: []Share{{"s", 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Kind: Streaming, Priority: 2, Split: []Share{{"e", 9}, {"f", 1}}},
+			{Name: "short", Host: "a.example", Prefix: "/x/", Kind: Streaming, Priority: 1, Split: []Share{{"e", 1}}},
+			{Name: "other", Host: "b.example", Prefix: "/only/", Kind: NonIdempotent, Split: []Share{{"s", 1}}},
+		},
+		Services: []Service{{Name: "s"}, {Name: "e", Engine: &EngineSpec{Slots: 24}}},
+		Keys:     map[string]*Workspace{"k": {Name: "w"}},
+	})
+}
+
+// Guards against a shorter prefix that wins, a prefix that matches a part of a
+// path element, and hosts that mix.
+func TestMatch(t *testing.T) {
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "deep"},
+		{"A.Example", "/x/y/", "deep"},
+		{"a.example", "/x/yz", "short"},
+		{"a.example", "/x", "root"},
+		{"a.example", "//x/y/", "root"},
+		{"b.example", "/only/1", "other"},
+		{"b.example", "/only", ""},
+		{"c.example", "/", ""},
+	} {
+		got := ""
+		if r := table(1).Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s goes to %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against weights that are not followed, and a draw that finds no service.
+func TestChoose(t *testing.T) {
+	is := is.New(t)
+	r := table(1).Match("a.example", "/x/y/z")
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[r.Choose(float64(i)/1000)]++
+	}
+	is.Equal(counts["e"], 900)
+	is.Equal(counts["f"], 100)
+	is.Equal((&Route{Split: []Share{{"z", 0}}}).Choose(0.5), "z")
+	is.Equal(table(1).MostUrgent("e"), 1)
+}
+
+// Guards against a version that comes back, and against a confirmation of an old
+// version, or an old one that arrives late, which would make keys look fresh.
+func TestHolderNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h Holder
+		highest, confirmed := int64(0), time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			v := int64(rapid.IntRange(1, 9).Draw(t, "version"))
+			at := time.Duration(rapid.IntRange(1, 1000).Draw(t, "at"))
+			if rapid.Bool().Draw(t, "install") {
+				if h.Install(table(v)) != (v > highest) {
+					t.Fatalf("version %d over %d", v, highest)
+				}
+				highest = max(highest, v)
+			} else {
+				h.Confirm(v, at)
+				if highest > 0 && v >= highest {
+					confirmed = max(confirmed, at)
+				}
+			}
+			if highest > 0 && h.Current().Version != highest {
+				t.Fatalf("version %d in force, want %d", h.Current().Version, highest)
+			}
+			if age, ok := h.Age(2000); ok != (confirmed > 0) || ok && age != 2000-confirmed {
+				t.Fatalf("age %v %v, confirmed at %v", age, ok, confirmed)
+			}
+		}
+	})
+}
