Count reported memory of engines without grants; test the shared policy

Cause, found by TestReportedMemoryCounts: an engine whose memory holds only copies of moved generations counted as empty and got every request. Also: a report read at the instant of an exchange was not told.

--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -201,6 +201,10 @@
 	away     map[string]bool
 	pick     func([]schedule.Summary, schedule.Request, string) (schedule.GroupKey, bool)
 	gateways []*gateway
+	// shared changes the options of a gateway under the shared policy, and assign
+	// gets it before its Manager is made.
+	shared func(owner.Options) owner.Options
+	assign func(*gateway)
 }
 
 func newFleet(t *testing.T, slots int, engineNames ...string) *fleet {
@@ -239,7 +243,7 @@
 		Revision: func() int64 { return 1 }, Draining: func() []string { return nil },
 		Changed: func() { g.OwnersChanged() },
 	})
-	g.Manager = owner.New(owner.Options{
+	options := owner.Options{
 		Policy: f.policy, View: g.view, Caller: p, Loads: f.engines, Logger: log.NewNopLogger(),
 		NewGroup: newFIFO, PickGroup: f.pick,
 		ShardCount: func(n int) int { return (n + 15) / 16 },
@@ -249,7 +253,12 @@
 			return int(h.Sum32()) % max(1, shards)
 		},
 		Floors: func() (float64, float64) { return 0, 0 },
-	})
+	}
+	if f.shared != nil {
+		f.assign(g)
+		options = f.shared(options)
+	}
+	g.Manager = owner.New(options)
 	for n, r := range map[string]any{
 		membership.ServiceName: g.view.Service(), owner.ServiceName: g.Service(), owner.SuspectsServiceName: g.Suspects(),
 	} {
--- a/internal/process/owner/reader.go
+++ b/internal/process/owner/reader.go
@@ -67,13 +67,14 @@
 	}
 }
 
-// readReports returns the reports that this gateway has read since a time.
+// readReports returns the reports that this gateway has read since a time, some of
+// them for the second time.
 func (m *Manager) readReports(since time.Time) []api.LoadReport {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []api.LoadReport
 	for name, e := range m.engines {
-		if e.polled && e.readAt.After(since) {
+		if e.polled && !e.readAt.IsZero() && !e.readAt.Before(since) {
 			r := e.report
 			r.Name = name
 			out = append(out, r)
--- /dev/null
+++ b/internal/process/owner/shared_test.go
@@ -0,0 +1,107 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/process/owner"
+	"persimmonwing/internal/process/registry"
+	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/api"
+)
+
+// startShared starts a gateway that schedules the engines of all data centres.
+func (f *fleet) startShared(name string) (*gateway, *registry.Registry) {
+	var g *gateway
+	reg := registry.New(func() { g.BackendsChanged() }, func(string) {})
+	f.policy = owner.PolicyShared
+	f.shared = func(o owner.Options) owner.Options {
+		o.View = registry.View{Gossiper: g.view, Registry: reg}
+		o.Assumed = func(engine string) api.LoadReport {
+			return api.LoadReport{Name: engine, Models: []string{"m"}, MaxBatch: f.engines.slots, KVCapacityTokens: 1000, Incarnation: "0"}
+		}
+		o.NewGroup = func(k schedule.GroupKey) owner.Group {
+			return schedule.NewGroup(k, schedule.Options{Owner: name, Policy: schedule.PolicyShared, NoBatchBound: true, NoMemoryAdmission: true})
+		}
+		o.ShardCount = func(int) int { return 1 }
+		return o
+	}
+	f.assign = func(n *gateway) { g = n }
+	g = f.start(name)
+	f.shared = nil
+	return g, reg
+}
+
+func engineList(names ...string) []registry.Server {
+	var out []registry.Server
+	for i, n := range names {
+		out = append(out, registry.Server{Name: n, Address: n, Service: "m", DataCentre: fmt.Sprint("dc", i), Models: []string{"m"}})
+	}
+	return out
+}
+
+// Guards against gateways that give the same slots away, and against slots of an
+// ended gateway that stay taken.
+func TestSharedGatewaysCountEachOthersGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		a, ra := f.startShared("a")
+		b, rb := f.startShared("b")
+		defer f.stop()
+		ra.Sync(time.Now(), engineList("e1", "e2"))
+		rb.Sync(time.Now(), engineList("e1", "e2"))
+		time.Sleep(15 * time.Second) // past the slow start of the engines
+		granted := 0
+		for i := range 12 {
+			g := a
+			if i%2 == 1 {
+				g = b
+			}
+			if _, err := g.acquire(fmt.Sprint("r", i), 0, 10*time.Millisecond); err == nil {
+				granted++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.Equal(granted, 8)
+		a.stop()
+		time.Sleep(5 * time.Second)
+		_, err := b.acquire("later", 0, 10*time.Millisecond)
+		is.NoErr(err)
+	})
+}
+
+// Guards against every gateway asking every engine, and against engines that
+// nobody asks when their reader has ended.
+func TestOneGatewayReadsEachEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		a, ra := f.startShared("a")
+		b, rb := f.startShared("b")
+		defer f.stop()
+		ra.Sync(time.Now(), engineList("e1", "e2", "e3", "e4"))
+		rb.Sync(time.Now(), engineList("e1", "e2", "e3", "e4"))
+		time.Sleep(5 * time.Second)
+		before := f.engines.polled()
+		time.Sleep(10 * time.Second)
+		perSecond := float64(f.engines.polled()-before) / 10
+		is.True(perSecond >= 7)
+		is.True(perSecond <= 9) // 4 engines twice a second
+		a.stop()
+		time.Sleep(5 * time.Second)
+		f.engines.crash("e1", false)
+		f.engines.crash("e2", false)
+		f.engines.crash("e3", false)
+		time.Sleep(5 * time.Second)
+		for i := range 3 {
+			grant, err := b.acquire(fmt.Sprint("r", i), 0, time.Second)
+			is.NoErr(err)
+			is.Equal(grant.Backend, "e4")
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/schedule/peerload_test.go
@@ -0,0 +1,135 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/version/catalogue"
+)
+
+// sharedGroup returns a group of one of several gateways.
+func sharedGroup(replicas int) *Group {
+	g := NewGroup(GroupKey{Model: "m"}, Options{Policy: PolicyShared, NoBatchBound: true})
+	g.SetReplicas(start, testReplicas(replicas, 8, 10_000))
+	return g
+}
+
+// Guards against sums that drift when gateways tell changed loads, fall silent or
+// start anew: the group must be as if it had only ever heard the last ones.
+func TestPeerLoadsLeaveNoResidue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g, peers := sharedGroup(3), []*Group{sharedGroup(3), sharedGroup(3)}
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			p := rapid.IntRange(0, 1).Draw(t, "peer")
+			name := fmt.Sprint("peer", p)
+			switch rapid.SampledFrom([]string{"grant", "release", "silent", "relist"}).Draw(t, "step") {
+			case "grant":
+				peers[p].Enqueue(start, testRequest(fmt.Sprint(p, "-", i), "w", catalogue.Background))
+				peers[p].Dispatch(start)
+			case "release":
+				for id := range peers[p].grants {
+					peers[p].Release(start, id, Outcome{})
+					break
+				}
+			case "silent":
+				g.SetPeerLoads(start, name, nil)
+				continue
+			case "relist":
+				g.SetReplicas(start, testReplicas(2, 8, 10_000))
+				g.SetReplicas(start, testReplicas(3, 8, 10_000))
+			}
+			g.SetPeerLoads(start, name, peers[p].Loads())
+		}
+		for p := range peers {
+			g.SetPeerLoads(start, fmt.Sprint("peer", p), nil)
+		}
+		for name, r := range g.replicas {
+			if r.foreign != 0 || r.all.Used() != 0 || len(r.peers) != 0 {
+				t.Fatalf("%s keeps %d sequences and %d tokens", name, r.foreign, r.all.Used())
+			}
+		}
+	})
+}
+
+// Guards against two gateways that together give an engine more than its memory
+// when each hears the other's grants.
+func TestPeersShareMemory(t *testing.T) {
+	is := is.New(t)
+	a, b := sharedGroup(1), sharedGroup(1)
+	alone := sharedGroup(1)
+	for i := range 100 {
+		for _, g := range []*Group{a, b, alone} {
+			g.Enqueue(start, testRequest(fmt.Sprintf("%p-%d", g, i), "w", catalogue.Background))
+		}
+		a.SetPeerLoads(start, "b", b.Loads())
+		a.Dispatch(start)
+		b.SetPeerLoads(start, "a", a.Loads())
+		b.Dispatch(start)
+		alone.Dispatch(start)
+	}
+	is.Equal(len(a.grants)+len(b.grants), len(alone.grants))
+}
+
+// Guards against grants to an engine whose memory holds what no gateway told, such
+// as copies of moved generations.
+func TestReportedMemoryCounts(t *testing.T) {
+	is := is.New(t)
+	g := sharedGroup(2)
+	g.Report(start, "r000", api.LoadReport{KVUsedTokens: 9_900, ReportedAtMS: 1})
+	for i := range 4 {
+		g.Enqueue(start, testRequest(fmt.Sprint(i), "w", catalogue.Background))
+	}
+	for _, d := range g.Dispatch(start) {
+		is.True(d.Refusal == nil)
+		is.Equal(d.Grant.Backend, "r001")
+	}
+}
+
+// Guards against moved generations that all go to the least loaded engine, and
+// against ones that leave the data centre without need.
+func TestMovedGenerationsSpread(t *testing.T) {
+	is := is.New(t)
+	counts := map[string]int{}
+	for i := range 60 {
+		// Each gateway decides from the same view.
+		g := sharedGroup(4)
+		list := testReplicas(4, 8, 10_000)
+		list[0].DataCentre, list[1].DataCentre, list[2].DataCentre, list[3].DataCentre = "near", "near", "near", "far"
+		g.SetReplicas(start, list)
+		r := testRequest(fmt.Sprint("move", i), "w", catalogue.Urgent)
+		r.DataCentre, r.Spread, r.Exclude = "near", true, []string{"r000"}
+		g.Enqueue(start, r)
+		d := g.Dispatch(start)
+		is.Equal(len(d), 1)
+		counts[d[0].Grant.Backend]++
+	}
+	is.Equal(counts["r003"], 0)
+	is.True(counts["r001"] >= 15)
+	is.True(counts["r002"] >= 15)
+}
+
+// Guards against a far engine that is preferred at equal load, and against a near
+// one that is preferred when it is full.
+func TestOwnDataCentreIsPreferred(t *testing.T) {
+	is := is.New(t)
+	g := sharedGroup(2)
+	list := testReplicas(2, 8, 10_000)
+	list[0].DataCentre, list[1].DataCentre = "far", "near"
+	g.SetReplicas(start, list)
+	g.Enqueue(start.Add(time.Second), func() Request {
+		r := testRequest("a", "w", catalogue.Background)
+		r.DataCentre = "near"
+		return r
+	}())
+	is.Equal(g.Dispatch(start.Add(time.Second))[0].Grant.Backend, "r001")
+	g.Report(start, "r001", api.LoadReport{KVUsedTokens: 9_990, ReportedAtMS: 2})
+	r := testRequest("b", "w", catalogue.Background)
+	r.DataCentre = "near"
+	g.Enqueue(start.Add(time.Second), r)
+	is.Equal(g.Dispatch(start.Add(time.Second))[0].Grant.Backend, "r000")
+}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -167,7 +167,7 @@
 
 func (g *Group) hasMemory(r *replica, s *memory.Sequence) bool {
 	// A request that fits nowhere else runs on an empty replica.
-	if !g.limitsMemory(r) || r.occupied() == 0 {
+	if !g.limitsMemory(r) || g.empty(r) {
 		return true
 	}
 	if g.entitled && r.yielding > 0 {
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -77,6 +77,12 @@
 	return int(float64(r.capacity()) * g.share)
 }
 
+// empty reports whether nothing is known to run on a replica. Under the shared
+// policy its memory may still hold copies of generations that run elsewhere.
+func (g *Group) empty(r *replica) bool {
+	return r.occupied() == 0 && (g.o.Policy != PolicyShared || r.all.Used() == 0)
+}
+
 // limitsMemory reports whether memory bounds admission to the replica.
 func (g *Group) limitsMemory(r *replica) bool {
 	return !g.o.NoMemoryAdmission && r.capacity() > 0
@@ -89,7 +95,7 @@
 		return float64(len(r.running))
 	}
 	slots := float64(r.occupied()) / float64(g.slots(r, now))
-	if !g.limitsMemory(r) || r.occupied() == 0 {
+	if !g.limitsMemory(r) || g.empty(r) {
 		return slots
 	}
 	memory := r.all.Peak() / float64(g.capacityFor(r))
