--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -213,4 +213,9 @@
 
 // BackendsChanged passes changed replicas to the groups without waiting for the
 // next tick.
-func (m *Manager) BackendsChanged() { m.refresh() }
+func (m *Manager) BackendsChanged() {
+	if m.opt.Policy == PolicyShared {
+		m.assume(m.opt.View.Engines(m.scope()))
+	}
+	m.refresh()
+}
