--- a/internal/process/owner/grants.go
+++ b/internal/process/owner/grants.go
@@ -27,9 +27,21 @@
 // learns it with the next renewal.
 func (m *Manager) Progress(grantID string, generated int) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if h := m.held[grantID]; h != nil {
-		h.Generated = max(h.Generated, generated)
+	h := m.held[grantID]
+	if h == nil {
+		m.mu.Unlock()
+		return
+	}
+	first := h.Generated == 0 && generated > 0
+	h.Generated = max(h.Generated, generated)
+	group := groupID(h.Grant.Group)
+	m.loads.dirty = m.loads.dirty || first
+	m.mu.Unlock()
+	if first && m.opt.Policy == PolicyShared {
+		// The prompt has been read, which the next placements take into account.
+		if r := m.known(group); r != nil {
+			r.renew(time.Now(), grantHash(grantID), generated)
+		}
 	}
 }
 
--- a/internal/process/schedule/peerload.go
+++ b/internal/process/schedule/peerload.go
@@ -12,6 +12,8 @@
 	Replica string
 	Running int
 	Memory  memory.Load
+	// Unread counts the prompt tokens of generations without a first token.
+	Unread int
 }
 
 // Loads returns the load of this group's own grants, sorted by replica.
@@ -24,6 +26,7 @@
 		l := ReplicaLoad{Replica: name, Running: len(r.running)}
 		for _, h := range r.running {
 			l.Memory.Add(&h.sequence)
+			l.Unread += h.unread()
 		}
 		out = append(out, l)
 	}
@@ -60,3 +63,24 @@
 		g.update(r, now)
 	}
 }
+
+// unread returns the prompt tokens of a grant whose first token has not come.
+func (h *grant) unread() int {
+	if h.sequence.Generated() > 0 {
+		return 0
+	}
+	return h.request.PromptTokens
+}
+
+// unread returns the prompt tokens that the replica has yet to read, as far as the
+// gateways know.
+func (r *replica) unread() int {
+	n := 0
+	for _, h := range r.running {
+		n += h.unread()
+	}
+	for _, l := range r.peers {
+		n += l.Unread
+	}
+	return n
+}
--- a/internal/process/schedule/peerload_test.go
+++ b/internal/process/schedule/peerload_test.go
@@ -133,3 +133,39 @@
 	g.Enqueue(start.Add(time.Second), r)
 	is.Equal(g.Dispatch(start.Add(time.Second))[0].Grant.Backend, "r000")
 }
+
+// Guards against short requests that queue behind the prompts of others while
+// another engine reads none: a burst of long prompts places three of them, at this
+// gateway and at another one, on engines with as many generations as the rest.
+func TestUnreadPromptsCount(t *testing.T) {
+	is := is.New(t)
+	long := func(id string) Request {
+		r := testRequest(id, "w", catalogue.Background)
+		r.PromptTokens = 3000
+		return r
+	}
+	list := testReplicas(3, 24, 34_000)
+	g, peer := sharedGroup(3), sharedGroup(3)
+	g.SetReplicas(start, list)
+	peer.SetReplicas(start, list)
+	for i, name := range []string{"r000", "r001", "r002"} {
+		r := long(fmt.Sprint("old", i))
+		for _, other := range list {
+			if other.Name != name {
+				r.Exclude = append(r.Exclude, other.Name)
+			}
+		}
+		g.Enqueue(start, r)
+		is.Equal(g.Dispatch(start)[0].Grant.Backend, name)
+	}
+	g.Progress(start, "old2", 1)
+	read := testRequest("peer", "w", catalogue.Background)
+	read.PromptTokens = 10
+	read.Exclude = []string{"r001", "r000"}
+	peer.Enqueue(start, read)
+	peer.Dispatch(start)
+	g.SetPeerLoads(start, "peer", peer.Loads())
+	// r002 has more generations than the others, but has read its long prompt.
+	g.Enqueue(start, testRequest("check", "w", catalogue.Urgent))
+	is.Equal(g.Dispatch(start)[0].Grant.Backend, "r002")
+}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -93,7 +93,7 @@
 		default:
 			best = r
 		}
-		if best == g.available[0] && best != nil && !g.remote(best, q) {
+		if best == g.available[0] && best != nil && g.o.Policy != PolicyShared {
 			break
 		}
 	}
@@ -109,12 +109,21 @@
 // within one is copied in half the time.
 const remotePenalty = 0.15
 
+// unreadPenalty is added to the load for each prompt token that a replica has yet
+// to read: prompts are read one after the other, at 14 tokens a millisecond, so that
+// a few of them ahead cost a short generation its target.
+const unreadPenalty = 0.5 / 14_000
+
 // placementLoad is the load by which replicas are compared for a request.
 func (g *Group) placementLoad(r *replica, q *Request) float64 {
+	load := r.load
 	if g.remote(r, q) {
-		return r.load + remotePenalty
+		load += remotePenalty
+	}
+	if g.o.Policy == PolicyShared {
+		load += unreadPenalty * float64(r.unread())
 	}
-	return r.load
+	return load
 }
 
 // remote reports whether a replica is known to be in another data centre.
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -387,7 +387,7 @@
 	if e.HasID {
 		r.last, r.any = e.ID, true
 	}
-	if r.events%progressEvery == 0 {
+	if r.events == 1 || r.events%progressEvery == 0 {
 		r.f.o.Scheduler.Progress(r.grant.ID, r.tokens())
 	}
 }
