--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -52,6 +52,9 @@
 	// BackgroundFloor and UrgentReserve are fractions as in the catalogue.
 	BackgroundFloor float64
 	UrgentReserve   float64
+	// MoveReserve is the fraction of each replica's memory that work which is not
+	// entitled leaves free, so that generations of an engine that leaves find room.
+	MoveReserve float64
 	// SlowStart is the time in which a returning replica's bound grows to full;
 	// 0 means the default.
 	SlowStart time.Duration
--- a/internal/process/schedule/peerload_test.go
+++ b/internal/process/schedule/peerload_test.go
@@ -169,3 +169,27 @@
 	g.Enqueue(start, testRequest("check", "w", catalogue.Urgent))
 	is.Equal(g.Dispatch(start)[0].Grant.Backend, "r002")
 }
+
+// Guards against engines that are filled so far that generations of a leaving
+// engine find no room: background work leaves a part free, moved work takes it.
+func TestMoveReserve(t *testing.T) {
+	is := is.New(t)
+	g := NewGroup(GroupKey{Model: "m"}, Options{Policy: PolicyShared, NoBatchBound: true, MoveReserve: 0.2})
+	g.SetReplicas(start, testReplicas(1, 24, 10_000))
+	fixed := func(id string, class catalogue.Class) Request {
+		r := testRequest(id, "w", class)
+		r.PromptTokens, r.MaxOutputTokens = 1_000, 1
+		return r
+	}
+	for i := range 12 {
+		g.Enqueue(start, fixed(fmt.Sprint("plan", i), catalogue.Background))
+	}
+	g.Dispatch(start)
+	is.Equal(len(g.grants), 8) // 8,000 of 10,000 tokens
+	move := fixed("move", catalogue.Urgent)
+	move.Spread = true
+	g.Enqueue(start, move)
+	d := g.Dispatch(start)
+	is.Equal(len(d), 1)
+	is.Equal(d[0].Grant.ID, "move")
+}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -182,7 +182,8 @@
 	if g.entitled && r.yielding > 0 {
 		return r.all.FitsEntitled(s, g.capacityFor(r))
 	}
-	return r.all.Fits(s, g.capacityFor(r), g.reserved)
+	kept := int(g.o.MoveReserve * float64(g.capacityFor(r)))
+	return r.all.Fits(s, g.capacityFor(r), g.reserved+kept)
 }
 
 // affine returns the replica that holds the longest known prefix, if its load
