--- a/internal/process/logging/async.go
+++ b/internal/process/logging/async.go
@@ -13,6 +13,8 @@
 	// asyncBytesPerSecond bounds the volume; asyncBurst may be written at once.
 	asyncBytesPerSecond = 20 << 10
 	asyncBurst          = 64 << 10
+	// notePeriod is the time between two notes of dropped lines.
+	notePeriod = time.Second
 	// flushWait bounds the wait for the reader at the end of the process.
 	flushWait = 200 * time.Millisecond
 )
@@ -30,6 +32,7 @@
 	dropped int
 	tokens  float64
 	filled  time.Time
+	notedAt time.Time
 }
 
 // NewAsync starts a writer to w, whose Write gets one line at a time.
@@ -78,23 +81,30 @@
 	defer close(a.done)
 	for line := range a.lines {
 		a.write(line)
-		if n := a.takeDropped(); n > 0 {
-			a.write(fmt.Appendf(nil, "part=log level=warn msg=\"lines dropped\" lines=%d\n", n))
-		}
+		a.noteDropped(time.Now())
 	}
+	a.noteDropped(time.Time{})
 }
 
-// write ignores errors: a log that cannot be written has nowhere to say so.
-func (a *Async) write(line []byte) { _, _ = a.w.Write(line) }
-
-func (a *Async) takeDropped() int {
+// noteDropped says how many lines were dropped, at most once a second; the zero
+// time is that of the end.
+func (a *Async) noteDropped(now time.Time) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	n := a.dropped
-	a.dropped = 0
-	return n
+	if n == 0 || !now.IsZero() && now.Sub(a.notedAt) < notePeriod {
+		a.mu.Unlock()
+		return
+	}
+	note := fmt.Appendf(nil, "part=log level=warn msg=\"lines dropped\" lines=%d\n", n)
+	a.dropped, a.notedAt = 0, now
+	a.tokens -= float64(len(note))
+	a.mu.Unlock()
+	a.write(note)
 }
 
+// write ignores errors: a log that cannot be written has nowhere to say so.
+func (a *Async) write(line []byte) { _, _ = a.w.Write(line) }
+
 // Close writes what is queued, for a bounded time.
 func (a *Async) Close() {
 	a.mu.Lock()
