--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -107,7 +107,7 @@
 // one of the own data centre is preferred while it is a few grants fuller: the
 // answer then crosses no data centre, and the memory of a generation that moves
 // within one is copied in half the time.
-const remotePenalty = 0.15
+const remotePenalty = 0.3
 
 // unreadPenalty is added to the load for each prompt token that a replica has yet
 // to read: prompts are read one after the other, at 14 tokens a millisecond, so that
