--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -27,6 +27,10 @@
 	// Log returns the settings of the logger and the name of the process, after
 	// the settings have been read.
 	Log func() (logging.Options, string)
+	// LogTo returns the writer of the log and what ends it; nil means standard error.
+	LogTo func(stdout io.Writer) (w io.Writer, end func())
+	// Path is set to that of the settings file before Run.
+	Path string
 	// Run works until ctx ends at SIGTERM or SIGINT.
 	Run func(ctx context.Context, logger log.Logger) error
 }
@@ -50,7 +54,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	options, process := c.Log()
-	logger := logging.New(stderr, options, process)
+	out := stderr
+	if c.LogTo != nil {
+		var end func()
+		out, end = c.LogTo(stdout)
+		defer end()
+	}
+	c.Path = *config
+	logger := logging.New(out, options, process)
 	if err := c.Run(ctx, logger); err != nil {
 		_ = level.Error(logging.Part(logger, c.Name)).Log("msg", "stopped with an error", "err", err)
 		return settings.ExitFailure
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -141,7 +141,7 @@
 			f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
 			continue
 		}
-		c := f.o.Client.Copy(ctx, m.from, to, q.ID, false)
+		c := f.o.Client.Copy(ctx, m.from, to, q.ID)
 		if c.Outcome == Copied {
 			m.grant, m.to, m.handle, m.ok = grant, to, c.Handle, true
 			return
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -44,10 +44,8 @@
 	Version  int64
 
 	Arrived time.Time
-	// Deadline is the earlier of the caller's and the route's; after
-	// CallerDeadline nobody waits.
-	Deadline       time.Time
-	CallerDeadline time.Time
+	// Deadline is the earlier of the caller's and the route's.
+	Deadline time.Time
 
 	// The rest describes generations.
 
@@ -134,8 +132,6 @@
 	Handle  string
 	// Err is the cause of an outcome other than Copied.
 	Err error
-	// Created is the number of events generated so far.
-	Created int
 }
 
 // Client talks to backend servers. The error of Send is a *fault.Error whose
@@ -143,8 +139,7 @@
 type Client interface {
 	Send(ctx context.Context, a Attempt) (*Answer, error)
 	// Copy copies the memory of a running generation from one engine to another.
-	// With last, the generation stops first.
-	Copy(ctx context.Context, from, to registry.Server, id string, last bool) Copy
+	Copy(ctx context.Context, from, to registry.Server, id string) Copy
 	// Free gives up a copy.
 	Free(ctx context.Context, from registry.Server, handle string)
 	// Alive reports whether the server still runs in the same incarnation.
@@ -175,7 +170,6 @@
 
 // Options configure a Forwarder.
 type Options struct {
-	Self       string
 	DataCentre string
 	Client     Client
 	Scheduler  Scheduler
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -75,7 +75,7 @@
 	}
 	set := health.NewSet(health.DefaultOptions())
 	w.f = New(Options{
-		Self: "gateway-1", Client: w, Scheduler: w, Servers: w, Budget: w, Metrics: telemetry.New(), Logger: log.NewNopLogger(),
+		Client: w, Scheduler: w, Servers: w, Budget: w, Metrics: telemetry.New(), Logger: log.NewNopLogger(),
 		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun },
 	})
 	return w
@@ -225,7 +225,7 @@
 	return io.EOF
 }
 
-func (w *world) Copy(ctx context.Context, from, to registry.Server, id string, _ bool) Copy {
+func (w *world) Copy(ctx context.Context, from, to registry.Server, id string) Copy {
 	w.mu.Lock()
 	s := w.servers[from.Name]
 	_, runs := s.running[id]
@@ -311,7 +311,7 @@
 	now := time.Now()
 	return &Request{
 		ID: "r", Route: &route, Service: "s", Engine: &routing.EngineSpec{Moves: true, Stride: 4}, Class: catalogue.Background,
-		Arrived: now, Deadline: now.Add(30 * time.Second), CallerDeadline: now.Add(30 * time.Second),
+		Arrived: now, Deadline: now.Add(30 * time.Second),
 	}
 }
 
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -77,10 +77,7 @@
 
 // Service describes the backend servers of one name.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections bounds the connections of all gateways to one server.
-	MaxConnections int
+	Name string
 	// Engine is set where the servers are inference engines.
 	Engine *EngineSpec
 }
@@ -89,15 +86,10 @@
 type EngineSpec struct {
 	Slots            int
 	KVCapacityTokens int
-	KVTokenBytes     int
-	LinkMbps         float64
 	// Moves is set where a running generation can be moved to another engine.
 	Moves bool
-	// Backups is set where engines copy a running generation's memory as it grows.
-	Backups bool
 	// Stride is the number of tokens of one event.
 	Stride int
-	Models []string
 }
 
 // Workspace is a customer with its keys.
