--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -159,7 +159,7 @@
 // arrives.
 func (f *Forwarder) deliver(q *Request, w Caller, s registry.Server, a *Answer, body []byte, whole bool) *fault.Error {
 	length := a.Length
-	if whole {
+	if whole && q.Method != http.MethodHead {
 		length = int64(len(body))
 	}
 	if err := w.Begin(a.Status, a.Header, length); err != nil {
