Split the relay of a stream and its moves into short functions

The check of running streams in TestSourceStopsWhenTheDestinationGoesOn failed in one of 3 runs at the last event: the destination ends with it, which is allowed.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -40,20 +40,24 @@
 
 	grant  schedule.Grant
 	server registry.Server
-	// last is the newest event that the caller has got, if any is set.
-	last int64
-	any  bool
-	// events counts the events passed on, and created those of this generation at
-	// the engine, earlier engines included.
+	// last is the newest event that the caller has got, if hasLast is set.
+	last    int64
+	hasLast bool
+	// events counts the events passed on.
 	events int
 	// runs counts the engines that may have run the request.
 	runs  int
 	begun bool
 
-	noticed     chan struct{}
-	noticeOnce  *sync.Once
+	// noticed is closed when the current server begins to leave.
+	noticed    chan struct{}
+	noticeOnce *sync.Once
+	// moving is the move in progress, or nil.
+	moving *move
+
 	lastEventAt time.Time
-	stalled     time.Duration
+	// stalled sums up the pauses beyond the route's target.
+	stalled time.Duration
 }
 
 // notice says that the run's server has begun to leave.
@@ -61,7 +65,7 @@
 
 // stream forwards a request that is answered with events.
 func (f *Forwarder) stream(ctx context.Context, q *Request, w Caller) *fault.Error {
-	r := &run{f: f, q: q, w: w, last: q.After, any: q.Resumes}
+	r := &run{f: f, q: q, w: w, last: q.After, hasLast: q.Resumes}
 	request := f.schedulingRequest(q)
 	var last *fault.Error
 	for sends := 0; sends < maxSends; sends++ {
@@ -144,7 +148,7 @@
 	if err := r.f.checkSend(r.q); err != nil {
 		return err
 	}
-	src, err := r.open(ctx, r.server, nil, r.last, r.any, 0)
+	src, err := r.open(ctx, r.server, nil, r.last, r.hasLast, 0)
 	if err != nil {
 		outcome = schedule.Outcome{NotRun: err.Execution == api.NotRun, Refused: err.Code == fault.BackendRefused}
 		if err.Execution != api.NotRun {
@@ -276,65 +280,48 @@
 func (r *run) relay(ctx context.Context, src *source) *fault.Error {
 	// src changes when the generation moves.
 	defer func() { src.close() }()
+	defer func() { r.moving.abandon() }()
 	r.arm()
 	defer func() { r.f.untrack(r.server.Name, r) }()
 	r.f.track(r.server.Name, r)
 	silence := time.NewTimer(silenceLimit)
 	defer silence.Stop()
-	var moving *move
-	defer func() { moving.abandon() }()
 	notice := r.noticed
 	for {
+		var next *source
+		var err *fault.Error
 		select {
 		case e, open := <-src.events:
+			silence.Reset(silenceLimit)
 			if open {
-				silence.Reset(silenceLimit)
-				if err := r.pass(src, e); err != nil {
-					return err
-				}
-				continue
+				err = r.pass(src, e)
+				break
 			}
 			if src.ended == nil {
 				return r.finish(src)
 			}
-			if moving != nil {
-				next, err := r.rescue(ctx, moving)
-				if err != nil {
-					return err
-				}
-				r.takeOver(moving)
-				src.close()
-				src, moving, notice = next, nil, r.noticed
-				continue
-			}
-			return fault.Wrap(src.ended, lossCode(ctx), stepStream, r.server.Name, api.Ran)
+			next, err = r.rescue(ctx, src)
 		case <-notice:
 			notice = nil
 			if r.movable() {
-				moving = r.startMove(ctx)
-			}
-		case <-moving.copiedC():
-			if !moving.ok {
-				moving.abandon()
-				moving = nil
-				continue
+				r.moving = r.startMove(ctx)
 			}
-			moving.open(ctx)
-		case o := <-moving.openedC():
-			if o.err != nil {
-				_ = level.Warn(r.f.logger(r.q)).Log("msg", "not resumed", "from", r.server.Name, "to", moving.to.Name, "events", r.events, "err", o.err)
-				moving.opened <- o
-				moving.abandon()
-				moving = nil
-				continue
-			}
-			r.takeOver(moving)
-			src.close()
-			src, moving, notice = o.src, nil, r.noticed
+		case <-r.moving.copiedC():
+			r.copied(ctx)
+		case o := <-r.moving.openedC():
+			next = r.opened(o)
 		case <-silence.C:
-			return fault.New(fault.BackendLost, stepStream, r.server.Name, api.Ran, "no event for %v", silenceLimit)
+			err = fault.New(fault.BackendLost, stepStream, r.server.Name, api.Ran, "no event for %v", silenceLimit)
 		case <-ctx.Done():
-			return fault.Wrap(ctx.Err(), lossCode(ctx), stepStream, r.server.Name, api.Ran)
+			err = fault.Wrap(ctx.Err(), lossCode(ctx), stepStream, r.server.Name, api.Ran)
+		}
+		if err != nil {
+			return err
+		}
+		if next != nil {
+			r.takeOver(r.moving)
+			src.close()
+			src, r.moving, notice = next, nil, r.noticed
 		}
 	}
 }
@@ -350,7 +337,7 @@
 
 // pass hands one event to the caller. Events that the caller has are left out.
 func (r *run) pass(src *source, e eventstream.Event) *fault.Error {
-	if e.HasID && r.any {
+	if e.HasID && r.hasLast {
 		if e.ID <= r.last {
 			return nil
 		}
@@ -385,7 +372,7 @@
 	r.lastEventAt = now
 	r.events++
 	if e.HasID {
-		r.last, r.any = e.ID, true
+		r.last, r.hasLast = e.ID, true
 	}
 	if r.events == 1 || r.events%progressEvery == 0 {
 		r.f.o.Scheduler.Progress(r.grant.ID, r.tokens())
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -93,6 +93,8 @@
 			case n == 5:
 				w.leave("a")
 				left = time.Now()
+			case n == 200:
+				// The destination has ended, too, once it has sent the last event.
 			case time.Since(left) > 100*time.Millisecond && !left.IsZero():
 				w.mu.Lock()
 				defer w.mu.Unlock()
