--- a/internal/process/gateway/generate.go
+++ b/internal/process/gateway/generate.go
@@ -131,10 +131,6 @@
 	return d.Sum64()
 }
 
-// patiencePart is the part of the first token target that a request may wait for
-// a replica; the rest is left for the step in progress and the prefill.
-const patiencePart = 0.75
-
 // queueDeadline is the time until which the request may wait for a replica. A
 // request that would miss its first token target is refused instead of served
 // late: with a queue of 5 s, an urgent flood of twice the capacity left 7% of the
@@ -145,7 +141,7 @@
 		patience = g.opts.Queue.UrgentTimeout
 	}
 	if target := e.Targets.FirstToken; target > 0 && !g.opts.disabled("early_refusal") {
-		patience = min(patience, time.Duration(patiencePart*float64(target)))
+		patience = min(patience, schedule.Patience(target))
 	}
 	if limit := time.Now().Add(patience); limit.Before(deadline) {
 		return limit
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -153,3 +153,13 @@
 	Grant   Grant
 	Refusal *Refusal
 }
+
+// patiencePart is the part of the first token target that a request may wait for
+// a replica; the rest is left for the step in progress and the prefill.
+const patiencePart = 0.75
+
+// Patience returns how long a request with a first token target may wait for a
+// replica before it is refused.
+func Patience(target time.Duration) time.Duration {
+	return time.Duration(patiencePart * float64(target))
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// patiencePart is the part of the target that a request may wait for an engine;
-	// the rest is for reading the prompt.
-	patiencePart = 0.75
 	// silenceLimit is the longest pause in a stream after which its link counts as
 	// lost. It is far above the pause of a preempted generation.
 	silenceLimit = 6 * time.Second
@@ -106,7 +103,7 @@
 }
 
 func (f *Forwarder) schedulingRequest(q *Request) schedule.Request {
-	deadline := time.Now().Add(time.Duration(patiencePart * float64(q.Route.Target)))
+	deadline := time.Now().Add(schedule.Patience(q.Route.Target))
 	if q.Deadline.Before(deadline) {
 		deadline = q.Deadline
 	}
