--- a/internal/process/gateway/wiring.go
+++ b/internal/process/gateway/wiring.go
@@ -1,28 +1,18 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/process/owner"
+	"persimmonwing/internal/process/random"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/claim"
 	"persimmonwing/internal/version/catalogue"
 	"persimmonwing/internal/version/revision"
 )
 
-// sharedSource draws from the runtime's generator, which is safe for concurrent use.
-type sharedSource struct{}
-
-// Uint64 implements rand.Source.
-func (sharedSource) Uint64() uint64 { return rand.Uint64() }
-
-// sharedRand may be used by all parts at once, because a rand.Rand has no state
-// besides its source.
-var sharedRand = rand.New(sharedSource{})
-
 func (p *process) newGossiper() *membership.Gossiper {
 	return membership.NewGossiper(membership.Options{
 		Self: membership.Host{
@@ -34,7 +24,7 @@
 		Seeds:    p.opts.Peers,
 		Caller:   p.pool,
 		Logger:   logging.Part(p.logger, "membership"),
-		Rand:     sharedRand,
+		Rand:     random.Shared,
 		Revision: p.holder.Number,
 		// The syncer is made after the gossiper, but before either runs.
 		Confirmed: func() (int64, time.Duration, bool) { return p.syncer.Confirmed() },
@@ -85,7 +75,7 @@
 	if s == nil || len(s.Workspaces) == 0 {
 		return ""
 	}
-	return s.Workspaces[sharedRand.IntN(len(s.Workspaces))].Name
+	return s.Workspaces[random.Shared.IntN(len(s.Workspaces))].Name
 }
 
 // purposeCatalogue elects the pollers of the catalogue's head.
@@ -98,7 +88,7 @@
 		Peers:  p.cataloguePeers,
 		Poller: func() bool { return p.gossiper.Polls(purposeCatalogue) },
 		Logger: logging.Part(p.logger, "catalogue"),
-		Rand:   sharedRand,
+		Rand:   random.Shared,
 	})
 }
 
@@ -144,7 +134,7 @@
 
 // pickGroup chooses a group; requests choose concurrently.
 func pickGroup(candidates []schedule.Summary, r schedule.Request, localDataCentre string) (schedule.GroupKey, bool) {
-	return schedule.PickGroup(candidates, r, localDataCentre, sharedRand)
+	return schedule.PickGroup(candidates, r, localDataCentre, random.Shared)
 }
 
 func (p *process) groupOptions() schedule.Options {
--- a/internal/process/membership/rank.go
+++ b/internal/process/membership/rank.go
@@ -32,8 +32,8 @@
 	return out
 }
 
-// first returns the name with the highest rendezvous hash, or "".
-func first(names []string, key string) string {
+// First returns the name with the highest rendezvous hash, or "".
+func First(names []string, key string) string {
 	best, high := "", uint64(0)
 	for _, n := range names {
 		if s := score(n, key); best == "" || s > high || (s == high && n < best) {
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -90,7 +90,7 @@
 func (g *Gossiper) Owner(k schedule.GroupKey) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return first(g.names(k.DataCentre), k.String())
+	return First(g.names(k.DataCentre), k.String())
 }
 
 // Rank returns the live gateways of a group's data centre, the owner first and
@@ -127,7 +127,7 @@
 		addresses[gateway.Name] = gateway.PeerAddress
 	}
 	return func(key string) (name, address string) {
-		name = first(names, "home/"+key)
+		name = First(names, "home/"+key)
 		return name, addresses[name]
 	}
 }
@@ -142,7 +142,7 @@
 	names := g.names(self.DataCentre)
 	var out []Backend
 	for _, b := range backends {
-		if b.DataCentre == self.DataCentre && first(names, "backend/"+b.Name) == self.Name {
+		if b.DataCentre == self.DataCentre && First(names, "backend/"+b.Name) == self.Name {
 			out = append(out, b)
 		}
 	}
--- a/internal/process/owner/reader.go
+++ b/internal/process/owner/reader.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/request/api"
 )
@@ -36,16 +34,11 @@
 
 // readers returns the choice of the live gateway that reads an engine.
 func (m *Manager) readers() func(engine string) string {
-	live := m.opt.View.Live()
-	return func(engine string) string {
-		best, highest := "", uint64(0)
-		for _, g := range live {
-			if h := xxhash.Sum64String(g.Name + "\x00read/" + engine); best == "" || h > highest {
-				best, highest = g.Name, h
-			}
-		}
-		return best
+	var names []string
+	for _, g := range m.opt.View.Live() {
+		names = append(names, g.Name)
 	}
+	return func(engine string) string { return membership.First(names, "read/"+engine) }
 }
 
 // assume gives an engine that nobody has asked yet the report that its entry and
