Keep a destination's error from the caller; one rule for repeats

The test fails without the change. Also: whether a request may be repeated stood in three forms; the readers of engines were listed under policies without them; the loads of a silent gateway were dropped every 50 ms instead of once.

--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -52,10 +52,11 @@
 	}
 	listed := make(map[string]bool, len(engines))
 	shared := m.opt.Policy == PolicyShared
+	var reader func(engine string) string
 	if shared {
 		m.assume(engines)
+		reader = m.readers()
 	}
-	reader := m.readers()
 	for _, b := range engines {
 		listed[b.Name] = true
 		if shared && !m.readDue(time.Now(), b.Name, reader(b.Name) == m.self()) {
--- a/internal/process/owner/peerload.go
+++ b/internal/process/owner/peerload.go
@@ -41,6 +41,8 @@
 	at          time.Time
 	incarnation int64
 	number      uint64
+	// forgotten is set once the loads were dropped.
+	forgotten bool
 }
 
 // LoadsArgs tells the loads of a gateway's grants, by group.
@@ -167,12 +169,14 @@
 	var silent []string
 	m.mu.Lock()
 	for name, h := range m.loads.heard {
-		if now.Sub(h.at) > loadLife {
+		switch {
+		case now.Sub(h.at) > 10*loadLife:
+			delete(m.loads.heard, name)
+		case now.Sub(h.at) > loadLife && !h.forgotten:
 			silent = append(silent, name)
 			// The number is kept in case that a delayed message still comes.
-			if now.Sub(h.at) > 10*loadLife {
-				delete(m.loads.heard, name)
-			}
+			h.forgotten = true
+			m.loads.heard[name] = h
 		}
 	}
 	m.mu.Unlock()
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -44,7 +44,7 @@
 			}
 			return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "service %s has no server that takes work", q.Service).WithRetryAfter(defaultRetryAfter)
 		}
-		more := sends+1 < maxSends && runs+1 < q.Route.Attempts && q.Route.Repeatable()
+		more := sends+1 < maxSends && q.mayRepeat(runs+1)
 		final, err := f.callOnce(ctx, q, w, b.Name, done, more)
 		if final {
 			return err
@@ -57,7 +57,7 @@
 		if err.Execution != api.NotRun {
 			runs++
 		}
-		if ctx.Err() != nil || runs > 0 && (!q.Route.Repeatable() || runs >= q.Route.Attempts) {
+		if ctx.Err() != nil || !q.mayRepeat(runs) {
 			return last
 		}
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -86,7 +86,7 @@
 		if err.Execution != api.NotRun {
 			r.runs++
 		}
-		if ctx.Err() != nil || !r.mayRepeat() {
+		if ctx.Err() != nil || !q.mayRepeat(r.runs) {
 			return last
 		}
 		_ = level.Info(f.logger(q)).Log("msg", "sent again", "backend", r.grant.Backend, "code", err.Code, "execution", err.Execution, "events", r.events, "err", err)
@@ -94,14 +94,6 @@
 	return last
 }
 
-// mayRepeat reports whether the request may be sent to another engine.
-func (r *run) mayRepeat() bool {
-	if r.runs == 0 {
-		return true
-	}
-	return r.q.Route.Repeatable() && r.runs < r.q.Route.Attempts
-}
-
 func (f *Forwarder) schedulingRequest(q *Request) schedule.Request {
 	deadline := time.Now().Add(schedule.Patience(q.Route.Target))
 	if q.Deadline.Before(deadline) {
@@ -219,6 +211,11 @@
 	}
 	if answer.Status != http.StatusOK || !answer.Sealed {
 		defer stop()
+		if memory != nil {
+			// The source may still be passing events on.
+			answer.Close()
+			return nil, fault.New(fault.BackendRefused, stepMove, server.Name, api.Ran, "status %d instead of a stream", answer.Status)
+		}
 		return nil, r.notStream(ctx, server, answer)
 	}
 	s := &source{answer: answer, events: make(chan eventstream.Event), stop: stop}
@@ -236,7 +233,7 @@
 	if r.begun || unusable(r.q, a) || a.Status < http.StatusMultipleChoices {
 		return fault.New(fault.BackendRefused, stepAnswer, server.Name, api.Ran, "status %d instead of a stream", a.Status)
 	}
-	if a.Status >= http.StatusInternalServerError && r.q.Route.Repeatable() && r.runs+1 < r.q.Route.Attempts {
+	if a.Status >= http.StatusInternalServerError && r.q.mayRepeat(r.runs+1) {
 		return fault.New(fault.BackendRefused, stepAnswer, server.Name, api.Ran, "status %d", a.Status)
 	}
 	r.begun = true
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// Guards against an error of a destination that reaches the caller while the source
+// still reads the prompt and has sent no event.
+func TestDestinationFailsBeforeTheFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b")
+		w.servers["b"].fails = true
+		time.AfterFunc(eventGap/2, func() { w.leave("a") })
+		r := &reader{}
+		_, err := w.f.Serve(context.Background(), plan(), r)
+		is.True(err == nil)
+		is.Equal(r.status, 200)
+		is.Equal(r.body.String(), events(0, 20))
+	})
+}
+
 // Guards against a source that still works 400 ms after the destination went on.
 func TestSourceStopsWhenTheDestinationGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -59,6 +59,12 @@
 	Resumes bool
 }
 
+// mayRepeat reports whether the request may be sent to another server after so
+// many have run it or may have.
+func (q *Request) mayRepeat(runs int) bool {
+	return runs == 0 || q.Route.Repeatable() && runs < q.Route.Attempts
+}
+
 // Caller receives the answer.
 type Caller interface {
 	// Begin sends status and header; length is that of the body, or -1.
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -57,6 +57,8 @@
 	// openTime is the time before a resumed stream begins; refuses makes it fail.
 	openTime time.Duration
 	refuses  bool
+	// fails makes a resumed stream answer with an error of the server.
+	fails bool
 	// running holds the streams in progress by request; after is what they began behind.
 	running map[string]*stream
 	begun   []int64
@@ -170,6 +172,11 @@
 	case a.Memory != nil && s.refuses:
 		return nil, fault.New(fault.BackendRefused, "send", s.name, api.NotRun, "no copy")
 	}
+	if a.Memory != nil && s.fails {
+		answer := status(http.StatusInternalServerError)
+		answer.Close = func() {}
+		return answer, nil
+	}
 	if a.Memory != nil {
 		select {
 		case <-time.After(s.openTime):
