Reserve the ports of gateways under test

The test picked a port of the range of outgoing connections, closed it and let the gateway open it again; a connection of another test had taken it meanwhile.

Change: the gateway on the platform gets listeners that are open already, as the product's own gateway does; the fleet, whose gateways open their own, takes ports below that range, in blocks that one reservation holds. One Listen in daemon replaces the two copies.

Ruled out: load (the address was refused at once).

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	platformclient "persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/process/ports"
 	"persimmonwing/internal/process/standin/app"
 	"persimmonwing/internal/process/standin/engine"
 	"persimmonwing/internal/process/standin/platform"
@@ -36,6 +37,7 @@
 	platform       *platform.Server
 	platformServer *server
 	gateways       []*gatewayHost
+	ports          *ports.Reservation
 	http           *http.Client
 	background     sync.WaitGroup
 	stopBackground context.CancelFunc
@@ -213,6 +215,9 @@
 	if f.platformServer != nil {
 		f.platformServer.close()
 	}
+	if f.ports != nil {
+		_ = f.ports.Release() // closing a listener that accepts nothing cannot lose anything
+	}
 	f.stopBackground()
 	f.background.Wait()
 	f.http.CloseIdleConnections()
--- a/internal/process/fleet/gateways.go
+++ b/internal/process/fleet/gateways.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/process/gateway"
+	"persimmonwing/internal/process/ports"
 	"persimmonwing/internal/request/responseid"
 )
 
@@ -35,10 +36,11 @@
 )
 
 func (f *Fleet) startGateways() error {
-	addresses, err := freeAddresses(f.opts.Gateways * addressesPerGateway)
-	if err != nil {
+	var err error
+	if f.ports, err = ports.Reserve(f.opts.Gateways * addressesPerGateway); err != nil {
 		return err
 	}
+	addresses := f.ports.Addresses
 	var peers []string
 	for i := range f.opts.Gateways {
 		peers = append(peers, addresses[i*addressesPerGateway+2])
--- a/internal/process/fleet/server.go
+++ b/internal/process/fleet/server.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -40,24 +38,3 @@
 	_ = s.http.Close()
 	s.done.Wait()
 }
-
-// freeAddresses returns loopback addresses whose ports were free a moment ago.
-// All of them are held open until the last one is found, so that they differ.
-func freeAddresses(n int) ([]string, error) {
-	var open []net.Listener
-	var addresses []string
-	var errs []error
-	for range n {
-		l, err := net.Listen("tcp", loopback)
-		if err != nil {
-			errs = append(errs, fmt.Errorf("find a free port: %w", err))
-			break
-		}
-		open = append(open, l)
-		addresses = append(addresses, l.Addr().String())
-	}
-	for _, l := range open {
-		errs = append(errs, l.Close())
-	}
-	return addresses, errors.Join(errs...)
-}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -16,6 +16,7 @@
 	"persimmonwing/internal/connection/peer"
 	"persimmonwing/internal/connection/platform"
 	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/membership"
@@ -33,29 +34,13 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := listen(o.Listen, o.AdminListen, o.PeerListen)
+	listeners, err := daemon.Listen(o.Listen, o.AdminListen, o.PeerListen)
 	if err != nil {
 		return err
 	}
 	return p.run(ctx, listeners[0], listeners[1], listeners[2])
 }
 
-// listen opens all listeners or none.
-func listen(addresses ...string) ([]net.Listener, error) {
-	var open []net.Listener
-	for _, a := range addresses {
-		l, err := net.Listen("tcp", a)
-		if err != nil {
-			for _, o := range open {
-				_ = o.Close()
-			}
-			return nil, err
-		}
-		open = append(open, l)
-	}
-	return open, nil
-}
-
 // process is a gateway with the parts that live as long as it.
 type process struct {
 	opts     *Options
--- a/internal/process/gateway/world_test.go
+++ b/internal/process/gateway/world_test.go
@@ -18,6 +18,7 @@
 	"persimmonwing/internal/connection/engine"
 	"persimmonwing/internal/connection/platform/platformtest"
 	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/membership"
@@ -133,7 +134,7 @@
 		Logger:    logger,
 	})
 	w.noErr(err)
-	listeners, err := listen("127.0.0.1:0", "127.0.0.1:0")
+	listeners, err := daemon.Listen("127.0.0.1:0", "127.0.0.1:0")
 	w.noErr(err)
 	w.gateway = g
 	w.address = listeners[0].Addr().String()
