Let gateways follow the store through a reader of their data centre

Change: one gateway in 32 of a data centre with three or more reads the store, the others follow its copies (storefeed). Confirmations count from the follower's own question.

Ruled out: longer holds at the store (keys get too old), following between two gateways (saves little).

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -80,12 +80,13 @@
 	return g.synced
 }
 
-// ListReturned says that the list could be read again after an outage.
-func (g *Registry) ListReturned(now time.Time) {
+// ListReturned says that the list could be read again, since an instant, after an
+// outage. It may be told of an outage again, and late.
+func (g *Registry) ListReturned(at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.synced {
-		g.graceUntil = now.Add(returnGrace)
+	if until := at.Add(returnGrace); g.synced && until.After(g.graceUntil) {
+		g.graceUntil = until
 	}
 }
 
--- /dev/null
+++ b/internal/process/storefeed/copies_test.go
@@ -0,0 +1,386 @@
+package storefeed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/process/boottime"
+	"persimmonwing/internal/process/membership"
+)
+
+const testTable = "servers"
+
+// fakeStore is a store with one table.
+type fakeStore struct {
+	mu       sync.Mutex
+	rows     map[string]Row
+	revision int64
+	down     bool
+	oldest   int64          // history before it is gone
+	calls    map[string]int // by gateway
+}
+
+func (s *fakeStore) put(key string, tombstone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.rows[key] = Row{Key: key, Revision: s.revision, Tombstone: tombstone}
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// fakeSource is one gateway's way to the store.
+type fakeSource struct {
+	store   *fakeStore
+	gateway string
+	cut     atomic.Bool
+}
+
+var errCut = errors.New("cut off")
+
+func (s *fakeSource) answer(since int64) (Rows, error) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	if s.store.down || s.cut.Load() {
+		return Rows{}, errCut
+	}
+	out := Rows{Revision: s.store.revision}
+	for _, r := range s.store.rows {
+		if r.Revision > since && (since >= 0 || !r.Tombstone) {
+			out.Rows = append(out.Rows, r)
+		}
+	}
+	return out, nil
+}
+
+func (s *fakeSource) List(context.Context, string) (Rows, error) {
+	s.store.set(func() { s.store.calls[s.gateway]++ })
+	return s.answer(needsList)
+}
+
+func (s *fakeSource) Feed(ctx context.Context, _ string, since int64, wait time.Duration) (Rows, error) {
+	s.store.set(func() { s.store.calls[s.gateway]++ })
+	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		gone := false
+		s.store.set(func() { gone = since < s.store.oldest })
+		if gone {
+			return Rows{}, ErrHistoryGone
+		}
+		out, err := s.answer(since)
+		if err != nil || len(out.Rows) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil {
+			return out, err
+		}
+	}
+}
+
+// member is one gateway of the data centre under test.
+type member struct {
+	name    string
+	dc      *dataCentre
+	source  fakeSource
+	copies  *Copies
+	frozen  atomic.Bool
+	mu      sync.Mutex
+	rows    map[string]bool
+	syncs   int
+	confirm time.Duration
+	returns int
+}
+
+// dataCentre is a set of gateways that call each other in this process. The first
+// in order is the reader.
+type dataCentre struct {
+	store   *fakeStore
+	members []*member
+}
+
+func (m *member) Self() membership.Host { return membership.Host{Name: m.name} }
+
+func (m *member) Ranked(string, int) []membership.Gateway {
+	var out []membership.Gateway
+	for _, o := range m.dc.members {
+		out = append(out, membership.Gateway{Name: o.name, PeerAddress: o.name})
+	}
+	return out
+}
+
+func (m *member) Call(ctx context.Context, address, _ string, args, reply any) error {
+	i := slices.IndexFunc(m.dc.members, func(o *member) bool { return o.name == address })
+	if to := m.dc.members[i]; !to.frozen.Load() && !m.frozen.Load() {
+		return to.copies.Service().Feed(args.(*Args), reply.(*Reply))
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (m *member) has(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rows[key]
+}
+
+func (m *member) age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return boottime.Now() - m.confirm
+}
+
+func newDataCentre(t *testing.T, n int) *dataCentre {
+	t.Parallel()
+	dc := &dataCentre{store: &fakeStore{rows: map[string]Row{}, calls: map[string]int{}}}
+	dc.store.put("first", false)
+	for i := range n {
+		m := &member{name: fmt.Sprintf("g%d", i+1), dc: dc, rows: map[string]bool{}}
+		m.source.store, m.source.gateway = dc.store, m.name
+		m.copies = NewCopies(m, m, log.NewNopLogger())
+		dc.members = append(dc.members, m)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	for _, m := range dc.members {
+		w := &Watcher{
+			Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(atomic.Int64),
+			Sync: func(_ time.Time, rows []Row) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.rows = map[string]bool{}
+				m.syncs++
+				for _, r := range rows {
+					m.rows[r.Key] = true
+				}
+			},
+			Change: func(_ time.Time, r Row) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.rows[r.Key] = !r.Tombstone
+			},
+			Confirmed: func(at time.Duration) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.confirm = max(m.confirm, at)
+			},
+			Returned: func(time.Time) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.returns++
+			},
+		}
+		wait.Go(func() { _ = w.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); wait.Wait() })
+	dc.eventually(t, "all have read the table", func(m *member) bool { return m.has("first") }, 2*time.Second)
+	return dc
+}
+
+func (dc *dataCentre) eventually(t *testing.T, what string, condition func(*member) bool, within time.Duration) {
+	t.Helper()
+	for deadline := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
+		missing := slices.IndexFunc(dc.members, func(m *member) bool { return !condition(m) })
+		if missing < 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s (%s)", within, what, dc.members[missing].name)
+		}
+	}
+}
+
+// callsDuring returns the calls of each gateway to the store in a time.
+func (dc *dataCentre) callsDuring(d time.Duration) map[string]int {
+	dc.store.set(func() { clear(dc.store.calls) })
+	time.Sleep(d)
+	out := map[string]int{}
+	dc.store.set(func() {
+		for k, v := range dc.store.calls {
+			out[k] = v
+		}
+	})
+	return out
+}
+
+// Guards against a price that grows with the number of gateways, and against
+// confirmations through a reader that get too old for keys that must be confirmed
+// within 3 s.
+func TestFollowersAskTheReaderOnly(t *testing.T) {
+	is := is.New(t)
+	dc := newDataCentre(t, 6)
+	time.Sleep(2 * feedWait)
+	oldest := atomic.Int64{}
+	go func() {
+		for range 500 {
+			for _, m := range dc.members {
+				oldest.Store(max(oldest.Load(), int64(m.age())))
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	calls := dc.callsDuring(2500 * time.Millisecond)
+	is.Equal(len(calls), 1)
+	is.True(calls["g1"] <= 4) // one each second
+	is.True(time.Duration(oldest.Load()) < 3*time.Second)
+	dc.store.put("second", false)
+	dc.eventually(t, "all know the new row", func(m *member) bool { return m.has("second") }, 200*time.Millisecond)
+	dc.store.put("first", true)
+	dc.eventually(t, "all know the dropped row", func(m *member) bool { return !m.has("first") }, 200*time.Millisecond)
+}
+
+// Guards against two gateways of a data centre that save nothing by following.
+func TestTwoGatewaysReadTheStore(t *testing.T) {
+	is := is.New(t)
+	dc := newDataCentre(t, 2)
+	is.Equal(len(dc.callsDuring(2*feedWait)), 2)
+}
+
+// Guards against followers that stay behind a frozen reader: a configuration has to
+// be in force everywhere within 3 s.
+func TestFrozenReader(t *testing.T) {
+	dc := newDataCentre(t, 4)
+	time.Sleep(feedWait)
+	dc.members[0].frozen.Store(true)
+	dc.members[0].source.cut.Store(true)
+	dc.store.put("second", false)
+	rest := &dataCentre{store: dc.store, members: dc.members[1:]}
+	rest.eventually(t, "the followers know the new row", func(m *member) bool { return m.has("second") }, 2*time.Second)
+	rest.eventually(t, "the followers are confirmed", func(m *member) bool { return m.age() < time.Second }, 2*time.Second)
+	dc.members[0].frozen.Store(false)
+	dc.members[0].source.cut.Store(false)
+}
+
+// Guards against followers that a reader without a store keeps from it.
+func TestReaderCutOffFromTheStore(t *testing.T) {
+	dc := newDataCentre(t, 4)
+	time.Sleep(feedWait)
+	dc.members[0].source.cut.Store(true)
+	dc.store.put("second", false)
+	rest := &dataCentre{store: dc.store, members: dc.members[1:]}
+	rest.eventually(t, "the followers know the new row", func(m *member) bool { return m.has("second") }, 2*time.Second)
+}
+
+// Guards against a follower cut off from the store that does not profit from the
+// reader.
+func TestFollowerCutOffFromTheStore(t *testing.T) {
+	dc := newDataCentre(t, 4)
+	time.Sleep(2 * feedWait)
+	dc.members[3].source.cut.Store(true)
+	dc.store.put("second", false)
+	dc.eventually(t, "all know the new row", func(m *member) bool { return m.has("second") }, 500*time.Millisecond)
+}
+
+// Guards against all gateways that ask a lost store often, and against followers
+// that notice its return late or not at all: entries that lapsed meanwhile are kept
+// for a while after the return.
+func TestStoreLostAndRegained(t *testing.T) {
+	is := is.New(t)
+	dc := newDataCentre(t, 6)
+	time.Sleep(feedWait)
+	dc.store.set(func() { dc.store.down = true })
+	time.Sleep(2 * feedWait)
+	calls := dc.callsDuring(2 * probePeriod)
+	for _, m := range dc.members[1:] {
+		is.True(calls[m.name] <= 3) // one each probePeriod
+	}
+	dc.store.set(func() { dc.store.down = false })
+	dc.store.put("first", true)
+	dc.eventually(t, "all know of the return", func(m *member) bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.returns > 0 && !m.rows["first"]
+	}, 2*ReturnBound)
+}
+
+// Guards against rows that a follower keeps although they were dropped while the
+// history was gone.
+func TestHistoryGone(t *testing.T) {
+	dc := newDataCentre(t, 4)
+	time.Sleep(feedWait)
+	dc.store.put("second", false)
+	dc.eventually(t, "all know the new row", func(m *member) bool { return m.has("second") }, time.Second)
+	dc.store.set(func() {
+		delete(dc.store.rows, "second")
+		dc.store.revision += 2
+		dc.store.oldest = dc.store.revision
+		dc.store.rows["third"] = Row{Key: "third", Revision: dc.store.revision}
+	})
+	dc.eventually(t, "all have dropped the row", func(m *member) bool { return !m.has("second") && m.has("third") }, 3*time.Second)
+}
+
+// Guards against a confirmation that is newer than what the store has confirmed,
+// and against rows of a copy that is behind.
+func TestAnswerOfAReader(t *testing.T) {
+	const askedAt = 100 * time.Second
+	tests := []struct {
+		name          string
+		reply         Reply
+		since, least  int64
+		outcome       copyOutcome
+		confirmedSecs float64
+	}{
+		{"fresh", Reply{Revision: 7, Age: 2 * time.Second}, 5, 5, copyFresh, 98},
+		{"same revision", Reply{Revision: 5, Age: time.Second}, 5, 5, copyFresh, 99},
+		{"behind, confirms nothing", Reply{Revision: 4, Age: time.Second}, 5, 5, copyFresh, 0},
+		{"too old", Reply{Revision: 7, Age: 2500 * time.Millisecond}, 5, 5, copyNone, 0},
+		{"lost", Reply{Revision: 7, Lost: true}, 5, 5, copyLost, 0},
+		{"whole", Reply{Revision: 7, Whole: true, Age: time.Second}, needsList, 7, copyFresh, 99},
+		{"whole but behind this process", Reply{Revision: 6, Whole: true, Age: time.Second}, needsList, 7, copyNone, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a, outcome := tt.reply.answer(tt.since, tt.least, askedAt)
+			is.Equal(outcome, tt.outcome)
+			is.Equal(a.confirmedAt.Seconds(), tt.confirmedSecs)
+		})
+	}
+}
+
+// Guards against a copy that grows with every server that has ever been, and
+// against a follower that misses a row dropped before the copy's memory.
+func TestTombstonesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := NewCopies(nil, nil, log.NewNopLogger())
+	c.take(testTable, answer{Rows: Rows{Rows: []Row{{Key: "kept", Revision: 1}}, Revision: 1}, whole: true})
+	for i := range int64(3 * maxTombstones) {
+		c.take(testTable, answer{Rows: Rows{Rows: []Row{{Key: fmt.Sprint(i), Revision: i + 2, Tombstone: true}}, Revision: i + 2}})
+	}
+	is.True(len(c.tables[testTable].rows) <= maxTombstones+1)
+	var r Reply
+	is.NoErr(c.Service().Feed(&Args{Table: testTable, Since: 5}, &r))
+	is.True(r.Whole)
+	is.Equal(len(r.Rows), 1)
+}
+
+// Guards against gateways that follow each other where their views differ.
+func TestFollowsOnlyWhoRanksBefore(t *testing.T) {
+	is := is.New(t)
+	all := &dataCentre{}
+	for i := range 3 * gatewaysPerReader {
+		all.members = append(all.members, &member{name: fmt.Sprintf("g%03d", i)})
+	}
+	for drop := range 10 {
+		for i, m := range all.members {
+			view := &dataCentre{}
+			for j, o := range all.members {
+				if j == i || (i*7+j*3)%11 != drop { // another part is missing in each view
+					view.members = append(view.members, o)
+				}
+			}
+			m.dc = view
+			if chosen, ok := NewCopies(m, m, log.NewNopLogger()).choose(time.Now()); ok {
+				is.True(chosen.Name < m.name)
+			}
+		}
+	}
+}
