Follow a spare reader before asking the store

Change: a follower asks a second reader before the store; a watcher waits 100 ms after an answer with changes, so that the next one holds the rest of the group.

Ruled out: the registration of gateways (500 calls at start, 250 later).

--- a/internal/process/storefeed/copies.go
+++ b/internal/process/storefeed/copies.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -36,6 +38,9 @@
 	// gatewaysPerReader bounds the questions that a reader answers: 32 gateways ask
 	// some 200 times a second.
 	gatewaysPerReader = 32
+	// spareReaders are asked where the first reader has lost the store or does not
+	// answer.
+	spareReaders = 1
 	// followedFor is the time after a follower's question for which a gateway
 	// counts as followed.
 	followedFor = 3 * time.Second
@@ -67,7 +72,7 @@
 	mu         sync.Mutex
 	tables     map[string]*tableCopy
 	followedAt time.Time
-	avoidUntil time.Time
+	avoidUntil map[string]time.Time
 	reader     string
 }
 
@@ -86,7 +91,7 @@
 
 // NewCopies returns empty copies.
 func NewCopies(view View, caller Caller, logger log.Logger) *Copies {
-	return &Copies{view: view, caller: caller, logger: logger, tables: map[string]*tableCopy{}}
+	return &Copies{view: view, caller: caller, logger: logger, tables: map[string]*tableCopy{}, avoidUntil: map[string]time.Time{}}
 }
 
 // Service serves the copies to peers.
@@ -248,13 +253,23 @@
 	copyLost
 )
 
-// ask asks the reader that this gateway follows for what changed behind since. A
-// whole table must not be older than the revision least.
+// ask asks the readers that this gateway may follow, until one can answer, for what
+// changed behind since. A whole table must not be older than the revision least.
 func (c *Copies) ask(ctx context.Context, table string, since, least int64) (answer, copyOutcome) {
-	reader, ok := c.choose(time.Now())
-	if !ok {
-		return answer{}, copyNone
+	outcome := copyNone
+	for _, reader := range c.choose(time.Now()) {
+		a, o := c.askReader(ctx, reader, table, since, least)
+		if o == copyFresh {
+			c.note(reader.Name)
+			return a, o
+		}
+		outcome = max(outcome, o)
 	}
+	c.note("")
+	return answer{}, outcome
+}
+
+func (c *Copies) askReader(ctx context.Context, reader membership.Gateway, table string, since, least int64) (answer, copyOutcome) {
 	callCtx, cancel := context.WithTimeout(ctx, copyWait+copyTimeout)
 	defer cancel()
 	askedAt := boottime.Now()
@@ -262,7 +277,7 @@
 	if err := c.caller.Call(callCtx, reader.PeerAddress, ServiceName+".Feed", &Args{Table: table, Since: since}, &r); err != nil {
 		if ctx.Err() == nil {
 			_ = level.Info(c.logger).Log("msg", "reader of the store lost", "reader", reader.Name, "table", table, "err", err)
-			c.avoid(time.Now().Add(avoidFor))
+			c.avoid(reader.Name, time.Now().Add(avoidFor))
 		}
 		return answer{}, copyNone
 	}
@@ -288,42 +303,56 @@
 	return a, copyFresh
 }
 
-func (c *Copies) avoid(until time.Time) {
+func (c *Copies) avoid(reader string, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoidUntil = until
+	c.avoidUntil[reader] = until
+	maps.DeleteFunc(c.avoidUntil, func(_ string, until time.Time) bool { return time.Now().After(until) })
 }
 
-// choose returns the reader that this gateway follows, if it is not one itself. A
-// gateway follows only such as rank before it everywhere, so that no two follow each
-// other even where views differ.
-func (c *Copies) choose(now time.Time) (membership.Gateway, bool) {
+// choose returns the readers that this gateway may follow, in the order to ask, or
+// none if it is the first reader itself. A gateway follows only such as rank before
+// it everywhere, so that no two follow each other even where views differ.
+func (c *Copies) choose(now time.Time) []membership.Gateway {
 	if c == nil {
-		return membership.Gateway{}, false
+		return nil
 	}
-	self := c.view.Self().Name
 	ranked := c.view.Ranked("store", maxRanked)
-	readers := ranked[:min(len(ranked), 1+(len(ranked)-1)/gatewaysPerReader)]
+	if len(ranked) < leastGateways {
+		return nil
+	}
+	self := c.view.Self().Name
+	readers := 1 + (len(ranked)-1)/gatewaysPerReader
+	before := slices.IndexFunc(ranked, func(g membership.Gateway) bool { return g.Name == self })
+	if before < readers {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var names []string
-	for _, g := range readers {
-		names = append(names, g.Name)
-	}
-	if len(ranked) < leastGateways || slices.Contains(names, self) || now.Before(c.avoidUntil) {
-		c.note("")
-		return membership.Gateway{}, false
+	first := int(xxhash.Sum64String(self) % uint64(readers))
+	var out []membership.Gateway
+	for i := range min(readers+spareReaders, before) {
+		g := ranked[i]
+		if i < readers {
+			g = ranked[(first+i)%readers]
+		}
+		if len(out) < 1+spareReaders && !now.Before(c.avoidUntil[g.Name]) {
+			out = append(out, g)
+		}
 	}
-	chosen := readers[slices.Index(names, membership.First(names, "follow/"+self))]
-	c.note(chosen.Name)
-	return chosen, true
+	return out
 }
 
 // maxRanked is above the gateways of a data centre at the target size.
 const maxRanked = 1000
 
-// note logs a change of the reader. The caller holds the lock.
+// note logs a change of the reader that answers.
 func (c *Copies) note(reader string) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if reader != c.reader {
 		_ = level.Info(c.logger).Log("msg", "way to the store changed", "reader", reader, "before", c.reader)
 		c.reader = reader
--- a/internal/process/storefeed/copies_test.go
+++ b/internal/process/storefeed/copies_test.go
@@ -269,6 +269,20 @@
 	rest.eventually(t, "the followers know the new row", func(m *member) bool { return m.has("second") }, 2*time.Second)
 }
 
+// Guards against followers that all ask the store while one reader has lost it.
+func TestSpareReader(t *testing.T) {
+	is := is.New(t)
+	dc := newDataCentre(t, 6)
+	time.Sleep(feedWait)
+	dc.members[0].source.cut.Store(true)
+	time.Sleep(2 * feedWait)
+	calls := dc.callsDuring(2 * feedWait)
+	is.True(calls["g2"] > 0)
+	for _, m := range dc.members[2:] {
+		is.Equal(calls[m.name], 0)
+	}
+}
+
 // Guards against a follower cut off from the store that does not profit from the
 // reader.
 func TestFollowerCutOffFromTheStore(t *testing.T) {
@@ -378,7 +392,7 @@
 				}
 			}
 			m.dc = view
-			if chosen, ok := NewCopies(m, m, log.NewNopLogger()).choose(time.Now()); ok {
+			for _, chosen := range NewCopies(m, m, log.NewNopLogger()).choose(time.Now()) {
 				is.True(chosen.Name < m.name)
 			}
 		}
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -34,6 +34,9 @@
 	// ReturnBound is the time within which a gateway that reads the store notices
 	// its return.
 	ReturnBound = probeTimeout + retryFirst + retryMost
+	// newsPause is the wait after an answer with changes. Servers come and go in
+	// groups, and each answer has a price. Engines state their leaving themselves.
+	newsPause = 100 * time.Millisecond
 	// probePeriod is the time between two questions to the store of a gateway whose
 	// reader has lost it. The gateway's own way to the store may still be open.
 	probePeriod = 2 * time.Second
@@ -124,6 +127,9 @@
 			w.Confirmed(a.confirmedAt)
 		}
 		w.Copies.take(w.Table, a)
+		if len(a.Rows.Rows) > 0 {
+			_ = pause.For(ctx, newsPause)
+		}
 	}
 	return nil
 }
