Grant at once in a group that a restarted gateway takes back

Cause, two of them, from a trace of failing runs of TestStartedOwnerGrantsAtOnce: another gateway's registration started the group before its owner knew the group's engines, and nothing equipped it before the next tick (a wait of 200 ms); and the registration of a gateway that had lately dialled the owner in vain failed within the back-off of its pool, so that the takeover lasted its full 600 ms (550 ms).

Change: the owner equips its groups when it learns that it owns them, before it polls; gossip tells of gateways that have started, and the pool dials these at once.

Ruled out: repeating the registration (stays within the back-off).

--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -157,3 +157,22 @@
 		is.NoErr(c.Close())
 	}
 }
+
+// Guards against calls that fail for up to half a second after a peer has started
+// again, because the last dial met it while it was down.
+func TestRetryEndsTheBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := peertest.NewNetwork()
+		p := peer.NewPool([]byte("x"), n.Dialer("a"))
+		defer p.Close()
+		in, out := "hello", ""
+		is.True(p.Call(t.Context(), "b", "Echo.Echo", &in, &out) != nil)
+		s, _ := start(t, n.Listen("b"), "x")
+		defer s.Close()
+		is.True(p.Call(t.Context(), "b", "Echo.Echo", &in, &out) != nil) // backs off
+		p.Retry("unknown")
+		p.Retry("b")
+		is.NoErr(p.Call(t.Context(), "b", "Echo.Echo", &in, &out))
+	})
+}
--- a/internal/connection/peer/pool.go
+++ b/internal/connection/peer/pool.go
@@ -100,6 +100,17 @@
 	return unavailable(err, address, method)
 }
 
+// Retry lets the next call dial the peer at once although the last dial failed,
+// because somebody has heard from the peer since.
+func (p *Pool) Retry(address string) {
+	p.mu.Lock()
+	r := p.peers[address]
+	p.mu.Unlock()
+	if r != nil {
+		r.retry()
+	}
+}
+
 func unavailable(cause error, address, method string) error {
 	return eris.Wrapf(errors.Join(ErrUnavailable, cause), "call %s at %s", method, address)
 }
--- a/internal/connection/peer/remote.go
+++ b/internal/connection/peer/remote.go
@@ -127,6 +127,14 @@
 	r.pool.forget(r)
 }
 
+// retry ends the back-off after a failed dial.
+func (r *remote) retry() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryAt = time.Time{}
+	r.wait.Reset()
+}
+
 // unused reports whether the remote holds nothing worth keeping.
 func (r *remote) unused() bool {
 	r.mu.Lock()
--- a/internal/process/gateway/wiring.go
+++ b/internal/process/gateway/wiring.go
@@ -35,6 +35,7 @@
 			}
 			return nil
 		},
+		Started: p.pool.Retry,
 		Changed: func() {
 			p.hearRevision()
 			p.manager.OwnersChanged()
--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -54,6 +54,9 @@
 	Confirm func(revision int64, at time.Time)
 	// Draining returns the catalogue's list of draining backend servers.
 	Draining func() []string
+	// Started is called, without locks held and before Changed, with the peer address
+	// of a gateway that is new or has started again. It may be nil.
+	Started func(address string)
 	// Changed is called, without locks held, after hosts, facts or summaries
 	// may have changed; it must not block. It may be nil.
 	Changed func()
@@ -104,6 +107,14 @@
 }
 
 func (g *Gossiper) changed() {
+	g.mu.Lock()
+	started := g.state.table.takeStarted()
+	g.mu.Unlock()
+	if g.opt.Started != nil {
+		for _, address := range started {
+			g.opt.Started(address)
+		}
+	}
 	if g.opt.Changed != nil {
 		g.opt.Changed()
 	}
--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -33,6 +33,9 @@
 	hosts map[string]known
 	// index is nil after a change of names, addresses or incarnations.
 	index *index
+	// started holds the addresses of hosts that are new or have started again since
+	// the last call of takeStarted.
+	started []string
 }
 
 // NewTable returns a table that knows only this gateway.
@@ -64,6 +67,7 @@
 	if !ok {
 		t.index = nil
 		t.hosts[h.Name] = known{h, h.ID(), now}
+		t.started = append(t.started, h.PeerAddress)
 		return true
 	}
 	next := known{join(old.Host, h), old.id, old.seen}
@@ -73,6 +77,7 @@
 	if next.Incarnation != old.Incarnation || next.PeerAddress != old.PeerAddress || next.DataCentre != old.DataCentre {
 		t.index = nil
 		next.id = next.ID()
+		t.started = append(t.started, next.PeerAddress)
 	}
 	t.hosts[h.Name] = next
 	return next.Host != old.Host
@@ -91,6 +96,13 @@
 	return outbid
 }
 
+// takeStarted returns the addresses of hosts that have started since the last call.
+func (t *Table) takeStarted() []string {
+	out := t.started
+	t.started = nil
+	return out
+}
+
 // Forget drops hosts without news for 5 minutes.
 func (t *Table) Forget(now time.Time) {
 	for name, k := range t.hosts {
--- a/internal/process/membership/table_test.go
+++ b/internal/process/membership/table_test.go
@@ -161,3 +161,22 @@
 	is.Equal(s.list(epoch)[0].Owner, "b")
 	is.Equal(len(s.list(epoch.Add(summaryLife+time.Millisecond))), 0)
 }
+
+// Guards against a gateway that is not told as started when it comes back, and
+// against one that is told again with each heartbeat.
+func TestStartedHosts(t *testing.T) {
+	is := is.New(t)
+	table := merged(nil)
+	h := Host{Name: "b", DataCentre: "x", PeerAddress: "1", Incarnation: 1}
+	table.Merge(epoch, h)
+	is.Equal(table.takeStarted(), []string{"1"})
+	h.Heartbeat++
+	table.Merge(epoch, h)
+	is.Equal(len(table.takeStarted()), 0)
+	h.Incarnation, h.Heartbeat = 2, 0
+	table.Merge(epoch, h)
+	is.Equal(table.takeStarted(), []string{"1"})
+	h.Incarnation = 1
+	table.Merge(epoch, h)
+	is.Equal(len(table.takeStarted()), 0)
+}
--- a/internal/process/owner/takeover.go
+++ b/internal/process/owner/takeover.go
@@ -68,6 +68,11 @@
 			continue
 		}
 		m.serveRegister(args)
+		// An earlier registration of another gateway may have started a group before
+		// this gateway knew the group's engines.
+		for _, r := range m.existing() {
+			m.equip(time.Now(), r)
+		}
 		m.poll(ctx, false)
 	}
 }
