--- a/internal/process/loadgen/partition/forwarder.go
+++ b/internal/process/loadgen/partition/forwarder.go
@@ -17,6 +17,8 @@
 	bufferBytes = 32 << 10
 	// dialTimeout bounds a connection to the target, which is on the same machine.
 	dialTimeout = 2 * time.Second
+	// linkDelay is that of a congested path between distant data centres.
+	linkDelay = 150 * time.Millisecond
 )
 
 // errReset ends a connection whose link was reset.
@@ -81,9 +83,9 @@
 	return kind
 }
 
-// pass waits until the link is not dropped. It fails when the link is reset or
-// the forwarder closes.
-func (f *Forwarder) pass(p *pair) error {
+// pass waits until the link passes what one side has sent. It fails when the link
+// is reset or the forwarder closes.
+func (f *Forwarder) pass(p *pair, fromTarget bool) error {
 	for {
 		f.mu.Lock()
 		kind, changed, closed := f.kind(p.from, p.to), f.changed, f.closed
@@ -93,7 +95,10 @@
 			return net.ErrClosed
 		case kind == Reset:
 			return errReset
-		case kind == "":
+		case kind == Delay:
+			time.Sleep(linkDelay)
+			return nil
+		case kind == "", kind == Answers && !fromTarget:
 			return nil
 		}
 		<-changed
@@ -146,7 +151,7 @@
 		defer f.mu.Unlock()
 		delete(f.pairs, p)
 	}()
-	if f.pass(p) != nil {
+	if f.pass(p, false) != nil {
 		p.reset()
 		return
 	}
@@ -159,18 +164,18 @@
 	}
 	var wait sync.WaitGroup
 	in := p.ends[0]
-	wait.Go(func() { f.copy(p, out, in) })
-	f.copy(p, in, out)
+	wait.Go(func() { f.copy(p, out, in, false) })
+	f.copy(p, in, out, true)
 	wait.Wait()
 }
 
 // copy forwards one direction. An end of the stream is forwarded as well, and any
 // error resets both sides.
-func (f *Forwarder) copy(p *pair, to, from net.Conn) {
+func (f *Forwarder) copy(p *pair, to, from net.Conn, fromTarget bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if f.pass(p) != nil {
+		if f.pass(p, fromTarget) != nil {
 			p.reset()
 			return
 		}
--- a/internal/process/loadgen/partition/forwarder_test.go
+++ b/internal/process/loadgen/partition/forwarder_test.go
@@ -147,3 +147,36 @@
 		is.Equal(w.Code, want)
 	}
 }
+
+// Guards against a cut in one direction that also holds requests back, or that
+// loses what was answered meanwhile.
+func TestAnswersAreHeldBack(t *testing.T) {
+	is := is.New(t)
+	f, address := start(t, map[string]string{"127.0.0.1": "a"})
+	c := dial(t, "127.0.0.1", address)
+	f.Set("cut", Cut{Kind: Answers, A: []string{"a"}, B: []string{"b"}})
+	_, err := c.Write([]byte("x"))
+	is.NoErr(err)
+	_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	_, err = c.Read(make([]byte, 1))
+	is.True(err != nil)
+	f.Set("cut", Cut{})
+	_ = c.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err)
+}
+
+// Guards against a delay that breaks the connection or is not applied.
+func TestDelay(t *testing.T) {
+	is := is.New(t)
+	f, address := start(t, map[string]string{"127.0.0.1": "a"})
+	c := dial(t, "127.0.0.1", address)
+	f.Set("slow", Cut{Kind: Delay, A: []string{"a"}, B: []string{"b"}})
+	began := time.Now()
+	_, err := c.Write([]byte("x"))
+	is.NoErr(err)
+	_ = c.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.True(time.Since(began) >= 2*linkDelay) // there and back
+}
--- a/internal/process/loadgen/partition/run.go
+++ b/internal/process/loadgen/partition/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 
 	"github.com/go-kit/log"
 	"github.com/gorilla/mux"
@@ -38,8 +39,8 @@
 		if !serve.ReadJSON(w, r, &c) {
 			return
 		}
-		if c.Kind != "" && c.Kind != Drop && c.Kind != Reset {
-			http.Error(w, "kind: use drop or reset, or nothing to heal the cut", http.StatusBadRequest)
+		if c.Kind != "" && !slices.Contains(kinds, c.Kind) {
+			http.Error(w, "kind: use drop, reset, answers or delay, or nothing to heal the cut", http.StatusBadRequest)
 			return
 		}
 		f.Set(mux.Vars(r)["name"], c)
--- a/internal/process/loadgen/partition/settings.go
+++ b/internal/process/loadgen/partition/settings.go
@@ -61,8 +61,14 @@
 	Drop Kind = "drop"
 	// Reset resets open and new connections.
 	Reset Kind = "reset"
+	// Answers drops what the target of a connection sends, and nothing else.
+	Answers Kind = "answers"
+	// Delay forwards everything linkDelay later.
+	Delay Kind = "delay"
 )
 
+var kinds = []Kind{Drop, Reset, Answers, Delay}
+
 // Cut separates the processes of A from those of B, in both directions.
 type Cut struct {
 	Kind Kind     `json:"kind"`
