Run gateway processes under random faults between stand-ins

The soak that the users ask for: TestSoak runs four processes of platform/ with forwarders on their links and checks what callers and servers see.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# Targets: build, test, race, lint, overhead, demo, faults, capacity, docs-check, bench-calm.
+# Targets: build, test, race, lint, overhead, demo, faults, capacity, docs-check, bench-calm, soak.
 GO ?= go
 
-.PHONY: build test race lint overhead demo docs-check capacity faults bench-calm
+.PHONY: build test race lint overhead demo docs-check capacity faults bench-calm soak
 # Tests that fail because of a known fault; they are printed and passed over.
 KNOWN_RED := ^($(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd '|' -))$$
 
@@ -38,6 +38,13 @@
 faults: build
 	timeout 150 scripts/faults.sh
 
+# Gateway processes of platform/ under random faults. SEEDS is a number or a range; KEEP is
+# a directory for the logs of runs that fail.
+SEEDS ?= 1-50
+KEEP ?=
+soak:
+	SOAK_SEEDS=$(SEEDS) SOAK_KEEP=$(KEEP) $(GO) test -count=1 -timeout 20m -run TestSoak ./platform
+
 # Latency that a gateway adds to 200 streams, judged by the goals of the design page.
 overhead:
 	PERSIMMONWING_OVERHEAD=1 $(GO) test -count=1 -timeout 60s -v -run TestGatewayOverhead ./internal/process/gateway
