Send nothing again when a request's time is over

Change: one rule for calls and streams, which asks for 5 ms of time before it asks the budget; the line is written when the request is sent again.

TestNothingIsSentAgainAtTheDeadline fails without the 5 ms.

--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -30,10 +30,10 @@
 // allowed.
 func (f *Forwarder) call(ctx context.Context, q *Request, w Caller) *fault.Error {
 	var tried []string
-	var last *fault.Error
+	var last, failed *fault.Error
 	runs := 0
 	for sends := 0; sends < maxSends; sends++ {
-		if sends > 0 && !f.o.Budget.Allow(time.Now(), q.Service, retryReserve) {
+		if sends > 0 && !f.repeats(q, failed, 0) {
 			return last
 		}
 		set := f.o.Health(q.Service)
@@ -49,7 +49,7 @@
 		if final {
 			return err
 		}
-		_ = level.Info(f.logger(q)).Log("msg", "sent again", "backend", b.Name, "code", err.Code, "execution", err.Execution, "err", err)
+		failed = err
 		tried = append(tried, b.Name)
 		if last == nil || err.Execution != api.NotRun {
 			last = err
--- a/internal/request/forward/call_test.go
+++ b/internal/request/forward/call_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -111,3 +112,31 @@
 		is.True(err.RetryAfter > 0)
 	})
 }
+
+// Guards against a repeat, its part of the retry budget and its log line, for a
+// request whose time is over.
+func TestNothingIsSentAgainAtTheDeadline(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		left  time.Duration
+		sends int
+	}{
+		{"time is over", time.Millisecond, 1},
+		{"time is left", 100 * time.Millisecond, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld("a", "b")
+				w.budget = 9
+				w.servers["b"].answer = ok("x")
+				q := call(routing.Idempotent, 2)
+				w.servers["a"].fail, w.servers["a"].failsAfter = errUnknown, time.Until(q.Deadline)-c.left
+				_, _ = w.f.Serve(t.Context(), q, &reader{})
+				is.Equal(w.sent[0], "a")
+				is.Equal(len(w.sent), c.sends)
+				is.Equal(w.budget, 9-(c.sends-1))
+			})
+		})
+	}
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
@@ -64,6 +65,20 @@
 	begun bool
 }
 
+// leastTime is the time before the deadline in which a request is not sent again: a
+// send and its answer take some 5 ms between data centres.
+const leastTime = 5 * time.Millisecond
+
+// repeats reports whether a request is sent again after a failure. Events counts
+// those that the caller has got.
+func (f *Forwarder) repeats(q *Request, failed *fault.Error, events int) bool {
+	if time.Until(q.Deadline) < leastTime || !f.o.Budget.Allow(time.Now(), q.Service, retryReserve) {
+		return false
+	}
+	_ = level.Info(f.logger(q)).Log("msg", "sent again", "backend", failed.Peer, "code", failed.Code, "execution", failed.Execution, "events", events, "err", failed)
+	return true
+}
+
 func (f *Forwarder) logger(q *Request) log.Logger {
 	return log.With(f.o.Logger, "id", q.ID, "route", q.Route.Name, "service", q.Service)
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -64,9 +64,9 @@
 func (f *Forwarder) stream(ctx context.Context, q *Request, w Caller) *fault.Error {
 	r := &run{f: f, q: q, w: w, last: q.After, hasLast: q.Resumes}
 	request := f.schedulingRequest(q)
-	var last *fault.Error
+	var last, failed *fault.Error
 	for sends := 0; sends < maxSends; sends++ {
-		if sends > 0 && !f.o.Budget.Allow(time.Now(), q.Service, retryReserve) {
+		if sends > 0 && !f.repeats(q, failed, r.events) {
 			return last
 		}
 		if err := r.place(ctx, request); err != nil {
@@ -89,7 +89,7 @@
 		if ctx.Err() != nil || !q.mayRepeat(r.runs) {
 			return last
 		}
-		_ = level.Info(f.logger(q)).Log("msg", "sent again", "backend", r.grant.Backend, "code", err.Code, "execution", err.Execution, "events", r.events, "err", err)
+		failed = err
 	}
 	return last
 }
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -48,6 +48,8 @@
 	// fail is the error of a send, and answer the answer of a call.
 	fail   error
 	answer *Answer
+	// failsAfter is the time before fail.
+	failsAfter time.Duration
 	// total is the number of events of a generation here; diesAfter cuts a stream
 	// off after so many events of this server.
 	total, diesAfter int
@@ -164,6 +166,7 @@
 	w.mu.Unlock()
 	switch {
 	case s.fail != nil:
+		time.Sleep(s.failsAfter)
 		return nil, s.fail
 	case a.Request.Route.Kind != routing.Streaming:
 		answer := *s.answer
