Explain a request from the logs of gateways

persimmonctl explain -logs collects a request's lines and those of the same process that may explain it, for hosts whose records can only be reached as logs.

Tests: merging, context, bad lines, both formats; FuzzParseLine.

--- a/internal/process/operator/gateways.go
+++ b/internal/process/operator/gateways.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -100,30 +102,79 @@
 }
 
 func (c *command) explainCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("explain", flag.ContinueOnError)
+	logs := fs.String("logs", "", "log files of gateways, separated by commas, instead of -gateways; - is standard input")
 	return &ffcli.Command{
-		Name: "explain", ShortUsage: "persimmonctl explain ID", ShortHelp: "show how a request was handled",
+		Name: "explain", ShortUsage: "persimmonctl explain [-logs FILES] ID", ShortHelp: "show how a request was handled",
+		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
 				return usagef("explain: one request id is needed")
 			}
-			addresses, err := c.addresses()
-			if err != nil {
-				return err
+			if *logs != "" {
+				return c.explainFromLogs(args[0], strings.Split(*logs, ","))
 			}
-			var failures []error
-			for _, a := range addresses {
-				body, err := c.ask(ctx, a, "/explain/"+url.PathEscape(args[0]))
-				if err == nil {
-					_, err = c.Stdout.Write(body)
-					return err
-				}
-				failures = append(failures, fmt.Errorf("%s: %w", a, err))
-			}
-			return fmt.Errorf("no gateway gave a record of request %s; each keeps its latest %d, so name the gateway that took the request in -gateways:\n%w", args[0], explain.DefaultRecords, errors.Join(failures...))
+			return c.explainFromGateways(ctx, args[0])
 		},
 	}
 }
 
+func (c *command) explainFromGateways(ctx context.Context, id string) error {
+	addresses, err := c.addresses()
+	if err != nil {
+		return err
+	}
+	var failures []error
+	for _, a := range addresses {
+		body, err := c.ask(ctx, a, "/explain/"+url.PathEscape(id))
+		if err == nil {
+			_, err = c.Stdout.Write(body)
+			return err
+		}
+		failures = append(failures, fmt.Errorf("%s: %w", a, err))
+	}
+	return fmt.Errorf("no gateway gave a record of request %s; each keeps its latest %d, so name the gateway that took the request in -gateways:\n%w", id, explain.DefaultRecords, errors.Join(failures...))
+}
+
+// explainFromLogs shows the lines of a request and, indented, those that may
+// explain it, with the time since the request's first line.
+func (c *command) explainFromLogs(id string, files []string) error {
+	var logs []io.Reader
+	for _, name := range files {
+		if name == "-" {
+			logs = append(logs, c.Stdin)
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("-logs: %w", err)
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	lines, unread, err := explain.FromLogs(id, logs...)
+	if err != nil {
+		return fmt.Errorf("-logs: %w", err)
+	}
+	if unread > 0 {
+		fmt.Fprintf(c.Stderr, "persimmonctl: %d lines are not of a gateway and were left out\n", unread)
+	}
+	first := slices.IndexFunc(lines, func(l explain.Line) bool { return !l.Context })
+	if first < 0 {
+		return fmt.Errorf("no line of request %s in %s; log lines may have been dropped (\"lines dropped\") or are of another gateway", id, strings.Join(files, ", "))
+	}
+	for _, l := range lines {
+		indent := ""
+		if l.Context {
+			indent = "    "
+		}
+		if _, err := fmt.Fprintf(c.Stdout, "%s%+.3fs %s %s: %s %s\n", indent, l.At.Sub(lines[first].At).Seconds(), l.Process, l.Part, l.Message, strings.Join(l.Rest, " ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // addresses returns the admin addresses of -gateways.
 func (c *command) addresses() ([]string, error) {
 	var list []string
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -172,6 +172,13 @@
 		t.Fatal(err)
 	}
 	b := newBench()
+	const gatewayLog = "level=info part=request ts=2026-12-04T10:00:00Z process=g1 id=r1 msg=placed backend=i-1\n" +
+		"level=warn part=store ts=2026-12-04T10:00:02Z process=g1 msg=\"store lost\" table=op\n" +
+		"level=info part=request ts=2026-12-04T10:00:03.5Z process=g1 msg=refused id=r1 status=503\n"
+	logFile := filepath.Join(t.TempDir(), "gateway.log")
+	if err := os.WriteFile(logFile, []byte(gatewayLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	steps := []struct {
 		line  string
 		input string
@@ -239,6 +246,12 @@
 		{"workspaces -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer"},
 		{"-gateways 127.0.0.1:1," + address + " explain abc", "", 0, "granted e1"},
 		{"-gateways " + address + " explain xyz", "", 1, "each keeps its latest 2000"},
+		{"explain -logs " + logFile + " r1", "", 0, "\n    +2.000s g1 store: store lost table=op\n"},
+		{"explain -logs " + logFile + " r1", "", 0, "+3.500s g1 request: refused status=503"},
+		{"explain -logs - r1", gatewayLog, 0, "+3.500s g1 request: refused status=503"},
+		{"explain -logs " + logFile + " r9", "", 1, "no line of request r9"},
+		{"explain -logs " + logFile + ".none r1", "", 1, "no such file"},
+		{"explain -logs " + logFile, "", 2, "one request id is needed"},
 		{"catalogue get -revision -3", "", 2, "-revision: -3 is not allowed"},
 		{"catalogue diff " + example + " -revision -3", "", 2, "-revision: -3 is not allowed"},
 		{"completion bash", "", 0, "\" catalogue\") words=\"validate diff apply get history rollback\""},
--- /dev/null
+++ b/internal/request/explain/logs.go
@@ -0,0 +1,164 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// contextBefore and contextAfter bound the lines around a request that may
+	// explain it: a notice of an engine's end comes some 2 s before it, and a host
+	// leaves the rotation 3 s after its last word from the store.
+	contextBefore = 5 * time.Second
+	contextAfter  = 2 * time.Second
+	// maxLogLine bounds a line in bytes; longer ones fail the reading.
+	maxLogLine = 1 << 20
+)
+
+// Line is one line of a gateway's log.
+type Line struct {
+	At      time.Time
+	Process string
+	Part    string
+	Message string
+	// Rest holds the other values in their order, as key=value.
+	Rest []string
+	// Context is set for a line that is not about the request itself.
+	Context bool
+
+	id      string
+	servers []string
+}
+
+// serverKeys are the keys whose values name backend servers.
+var serverKeys = []string{"backend", "from", "to", "server", "engine"}
+
+// hostParts are the parts whose lines concern all requests of a process.
+var hostParts = []string{"gateway", "config", "store", "log"}
+
+// FromLogs returns the lines about a request, and those of the same processes and
+// about the same backend servers that may explain it, by time. The input are logs
+// of any number of processes, in logfmt or JSON. Lines that are neither are counted.
+func FromLogs(id string, logs ...io.Reader) (lines []Line, unread int, err error) {
+	var all []Line
+	for _, log := range logs {
+		scanner := bufio.NewScanner(log)
+		scanner.Buffer(nil, maxLogLine)
+		for scanner.Scan() {
+			l, ok := parseLine(scanner.Bytes())
+			if !ok {
+				unread++
+				continue
+			}
+			all = append(all, l)
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, unread, eris.Wrap(err, "read log")
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Line) int { return a.At.Compare(b.At) })
+	return around(id, all), unread, nil
+}
+
+// around chooses the lines that concern a request.
+func around(id string, all []Line) []Line {
+	processes, servers := map[string]bool{}, map[string]bool{}
+	var first, last time.Time
+	for _, l := range all {
+		if l.id != id {
+			continue
+		}
+		if first.IsZero() {
+			first = l.At
+		}
+		last = l.At
+		processes[l.Process] = true
+		for _, s := range l.servers {
+			servers[s] = true
+		}
+	}
+	var out []Line
+	for _, l := range all {
+		if l.id == id {
+			out = append(out, l)
+			continue
+		}
+		near := !first.IsZero() && !l.At.Before(first.Add(-contextBefore)) && !l.At.After(last.Add(contextAfter))
+		about := slices.Contains(hostParts, l.Part) || slices.ContainsFunc(l.servers, func(s string) bool { return servers[s] })
+		if near && l.id == "" && processes[l.Process] && about {
+			l.Context = true
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func parseLine(raw []byte) (Line, bool) {
+	var l Line
+	set := func(key, value string) bool {
+		switch key {
+		case "ts":
+			at, err := time.Parse(time.RFC3339Nano, value)
+			l.At = at
+			return err == nil
+		case "process":
+			l.Process = value
+		case "part":
+			l.Part = value
+		case "msg":
+			l.Message = value
+		case "id":
+			l.id = value
+		case "level":
+		default:
+			if slices.Contains(serverKeys, key) && value != "" {
+				l.servers = append(l.servers, value)
+			}
+			l.Rest = append(l.Rest, key+"="+quote(value))
+		}
+		return true
+	}
+	raw = bytes.TrimSpace(raw)
+	if bytes.HasPrefix(raw, []byte("{")) {
+		var values map[string]any
+		if json.Unmarshal(raw, &values) != nil {
+			return l, false
+		}
+		keys := make([]string, 0, len(values))
+		for k := range values {
+			keys = append(keys, k)
+		}
+		slices.Sort(keys)
+		for _, k := range keys {
+			if !set(k, fmt.Sprint(values[k])) {
+				return l, false
+			}
+		}
+		return l, !l.At.IsZero()
+	}
+	d := logfmt.NewDecoder(bytes.NewReader(raw))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			if !set(string(d.Key()), string(d.Value())) {
+				return l, false
+			}
+		}
+	}
+	return l, d.Err() == nil && !l.At.IsZero()
+}
+
+func quote(value string) string {
+	if value == "" || strings.ContainsAny(value, " \"=") {
+		return fmt.Sprintf("%q", value)
+	}
+	return value
+}
--- /dev/null
+++ b/internal/request/explain/logs_test.go
@@ -0,0 +1,76 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const testLog = `level=info part=servers ts=2026-12-04T10:00:00Z process=g1 msg="server changed" server=i-old service=m leaving=true
+level=info part=servers ts=2026-12-04T10:00:08Z process=g1 msg="server changed" server=i-1 service=m leaving=true
+level=info part=servers ts=2026-12-04T10:00:08Z process=g1 msg="server changed" server=i-2 service=m leaving=false
+level=info part=servers ts=2026-12-04T10:00:08Z process=g2 msg="server changed" server=i-1 service=m leaving=true
+level=info part=request ts=2026-12-04T10:00:05.5Z process=g1 id=r1 route=plan msg=placed backend=i-1 reason=least_load
+level=info part=request ts=2026-12-04T10:00:06Z process=g1 id=r2 route=plan msg=placed backend=i-1 reason=least_load
+level=warn part=store ts=2026-12-04T10:00:08.5Z process=g1 msg="store lost" table=op err="store feed: store answers 503"
+level=warn part=request ts=2026-12-04T10:00:09.25Z process=g1 msg="answer broken off" id=r1 code=backend_lost backend=i-1 err="unexpected EOF"
+panic: something else
+level=info part=gateway ts=2026-12-04T10:00:30Z process=g1 msg=stopped err=null
+`
+
+// Guards against an explanation that leaves out the line with the cause, or hides it
+// among the lines of other requests, servers, hosts and times.
+func TestFromLogs(t *testing.T) {
+	is := is.New(t)
+	lines, unread, err := FromLogs("r1", strings.NewReader(testLog))
+	is.NoErr(err)
+	is.Equal(unread, 1)
+	var got []string
+	for _, l := range lines {
+		mark := ""
+		if l.Context {
+			mark = "(context) "
+		}
+		got = append(got, mark+l.Part+" "+l.Message)
+	}
+	is.Equal(got, []string{"request placed", "(context) servers server changed", "(context) store store lost", "request answer broken off"})
+	is.Equal(lines[3].Rest, []string{"code=backend_lost", "backend=i-1", `err="unexpected EOF"`})
+}
+
+// Guards against logs of several processes that are not merged by time, and against
+// a format that the settings allow but the reading does not.
+func TestFromLogsOfTwoProcesses(t *testing.T) {
+	is := is.New(t)
+	a := `{"level":"info","part":"request","ts":"2026-12-04T10:00:02Z","process":"g2","id":"r1","msg":"answered","events":3}`
+	b := `level=info part=request ts=2026-12-04T10:00:01Z process=g1 id=r1 msg=refused status=503`
+	lines, unread, err := FromLogs("r1", strings.NewReader(a), strings.NewReader(b))
+	is.NoErr(err)
+	is.Equal(unread, 0)
+	is.Equal(len(lines), 2)
+	is.Equal(lines[0].Process, "g1")
+	is.Equal(lines[1].Rest, []string{"events=3"})
+}
+
+// Guards against context without a request.
+func TestFromLogsWithoutTheRequest(t *testing.T) {
+	is := is.New(t)
+	lines, _, err := FromLogs("r9", strings.NewReader(testLog))
+	is.NoErr(err)
+	is.Equal(len(lines), 0)
+	_, _, err = FromLogs("r9", strings.NewReader(strings.Repeat("x", 2*maxLogLine)))
+	is.True(err != nil)
+}
+
+// Guards against input that makes the reading of a log panic.
+func FuzzParseLine(f *testing.F) {
+	for _, l := range strings.Split(testLog, "\n") {
+		f.Add([]byte(l))
+	}
+	f.Add([]byte(`{"ts":1,"id":{}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if l, ok := parseLine(raw); ok && l.At.IsZero() {
+			t.Fatal("a line without a time is taken")
+		}
+	})
+}
