--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -69,6 +69,9 @@
 		if sends > 0 && !f.repeats(q, failed, r.events) {
 			return last
 		}
+		// The wait of an earlier attempt must not count: its engine may have been lost
+		// after the patience for a place, but long before the request's deadline.
+		request.Deadline = placeBy(q)
 		if err := r.place(ctx, request); err != nil {
 			if last != nil {
 				return last
@@ -94,15 +97,20 @@
 	return last
 }
 
-func (f *Forwarder) schedulingRequest(q *Request) schedule.Request {
+// placeBy returns the time until which a request that asks now waits for an engine.
+func placeBy(q *Request) time.Time {
 	deadline := time.Now().Add(schedule.Patience(q.Route.Target))
 	if q.Deadline.Before(deadline) {
-		deadline = q.Deadline
+		return q.Deadline
 	}
+	return deadline
+}
+
+func (f *Forwarder) schedulingRequest(q *Request) schedule.Request {
 	return schedule.Request{
 		Workspace: q.Workspace, Weight: 1, Entry: q.Route.Name, Class: q.Class, Model: q.Service,
 		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, ExpectedOutputTokens: q.HintTokens,
-		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PrefixHashes: q.PrefixHashes, Deadline: deadline,
+		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PrefixHashes: q.PrefixHashes, Deadline: placeBy(q),
 	}
 }
 
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -239,3 +239,18 @@
 		is.Equal(r.body.String(), events(5, 12))
 	})
 }
+
+// Guards against a request that is given up although it has time and may be sent
+// again, because its first engine was lost after the patience for a place.
+func TestEngineLostAfterThePatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b")
+		w.servers["a"].fail, w.servers["a"].failsAfter = errUnknown, 1700*time.Millisecond
+		r := &reader{}
+		_, err := w.f.Serve(t.Context(), check(), r)
+		is.True(err == nil)
+		is.Equal(w.sent, []string{"a", "b"})
+		is.Equal(r.body.String(), events(0, 20))
+	})
+}
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -99,7 +99,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, n := range w.names() {
-		if !w.leaving[n] && !slices.Contains(r.Exclude, n) {
+		if !w.leaving[n] && !slices.Contains(r.Exclude, n) && time.Now().Before(r.Deadline) {
 			return schedule.Grant{ID: r.ID, Backend: n}, nil
 		}
 	}
