--- a/internal/process/storefeed/copies.go
+++ b/internal/process/storefeed/copies.go
@@ -132,6 +132,8 @@
 		select {
 		case <-changed:
 		case <-deadline.C:
+			// The copy may have been confirmed meanwhile.
+			s.c.read(in, out)
 			return nil
 		}
 	}
