--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -20,6 +20,7 @@
 	"persimmonwing/internal/process/standin/engine"
 	"persimmonwing/internal/process/standin/platform"
 	"persimmonwing/internal/version/catalogue"
+	usersplatform "persimmonwing/platform"
 )
 
 // row is one key of a page or of a struct. Allowed is empty for a key of a
@@ -36,6 +37,7 @@
 	for section, v := range map[string]settings.Validator{
 		"Gateway":                     gateway.DefaultOptions(),
 		"Controller":                  controller.DefaultOptions(),
+		"Gateway on the platform":     usersplatform.DefaultSettings(),
 		"Stand-in engine":             &engineDefaults,
 		"Stand-in application server": app.DefaultSettings(),
 		"Stand-in platform":           platform.DefaultSettings(),
