Count the work of other gateways that yields in admission

Cause: work that is entitled, moved generations among it, may use the memory kept for moves and a smaller margin where the engine runs work that it preempts first. Under the shared policy only a gateway's own grants counted as such.

Change: loads of peers and claims tell how many generations yield. Requests that are spread ask for room only, and their claims do not depend on the load seen.

Test: TestEntitledWorkUsesTheReserveBesidePeers, 0 decisions before.

--- a/internal/process/owner/confirm.go
+++ b/internal/process/owner/confirm.go
@@ -70,7 +70,7 @@
 	m.mu.Lock()
 	p.claim.After = m.loads.number
 	m.mu.Unlock()
-	p.claim.Insists = p.ticket.refusals >= insistAfter
+	p.claim.Insists = p.claim.Insists || p.ticket.refusals >= insistAfter
 	m.later(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 		defer cancel()
--- a/internal/process/schedule/claim.go
+++ b/internal/process/schedule/claim.go
@@ -67,8 +67,12 @@
 	if !known {
 		return Claim{}, false
 	}
-	c := Claim{ID: id, Gateway: g.o.Owner, Entitled: !h.yields, Seen: g.pressure(h.replica)}
+	// A request that is spread asks for room and not for the least load.
+	c := Claim{ID: id, Gateway: g.o.Owner, Entitled: !h.yields, Seen: g.pressure(h.replica), Insists: h.request.Spread}
 	c.Load = ReplicaLoad{Replica: h.replica.Name, Running: 1, Unread: h.unread()}
+	if h.yields {
+		c.Load.Yielding = 1
+	}
 	c.Load.Memory.Add(&h.sequence)
 	return c, true
 }
@@ -204,7 +208,7 @@
 	if !g.limitsMemory(r) || g.empty(r) {
 		return true
 	}
-	if entitled && r.yielding > 0 {
+	if entitled && r.runsYielding() {
 		return r.all.FitsEntitledLoad(l, g.capacityFor(r))
 	}
 	kept := int(g.o.MoveReserve * float64(g.capacityFor(r)))
--- a/internal/process/schedule/peerload.go
+++ b/internal/process/schedule/peerload.go
@@ -14,6 +14,8 @@
 	Memory  memory.Load
 	// Unread counts the prompt tokens of generations without a first token.
 	Unread int
+	// Yielding counts the generations that engines preempt first.
+	Yielding int
 }
 
 // Loads returns the load of this group's own grants, sorted by replica.
@@ -31,7 +33,7 @@
 
 // ownLoad returns the load of this group's own grants.
 func (r *replica) ownLoad() ReplicaLoad {
-	l := ReplicaLoad{Replica: r.Name, Running: len(r.running)}
+	l := ReplicaLoad{Replica: r.Name, Running: len(r.running), Yielding: r.yielding}
 	for _, h := range r.running {
 		l.Memory.Add(&h.sequence)
 		l.Unread += h.unread()
@@ -44,6 +46,7 @@
 	l.Running += o.Running
 	l.Memory.AddLoad(&o.Memory)
 	l.Unread += o.Unread
+	l.Yielding += o.Yielding
 }
 
 // SetPeerLoads replaces what another gateway tells of its grants; none forgets it.
@@ -90,6 +93,25 @@
 	return h.request.PromptTokens
 }
 
+// runsYielding reports whether the replica runs work of any gateway that engines
+// preempt first.
+func (r *replica) runsYielding() bool {
+	if r.yielding > 0 {
+		return true
+	}
+	for _, l := range r.peers {
+		if l.Yielding > 0 {
+			return true
+		}
+	}
+	for _, c := range r.claims {
+		if c.Load.Yielding > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // unread returns the prompt tokens that the replica has yet to read, as far as the
 // gateways know.
 func (r *replica) unread() int {
--- a/internal/process/schedule/peerload_test.go
+++ b/internal/process/schedule/peerload_test.go
@@ -193,3 +193,33 @@
 	is.Equal(len(d), 1)
 	is.Equal(d[0].Grant.ID, "move")
 }
+
+// Guards against moved generations that find no room although the memory for them is
+// free: the work that yields to them may be another gateway's alone.
+func TestEntitledWorkUsesTheReserveBesidePeers(t *testing.T) {
+	is := is.New(t)
+	group := func() *Group {
+		g := NewGroup(GroupKey{Model: "m"}, Options{Policy: PolicyShared, NoBatchBound: true, MoveReserve: 0.2})
+		g.SetReplicas(start, testReplicas(1, 8, 10_000))
+		return g
+	}
+	fill := func(id string, class catalogue.Class) Request {
+		q := testRequest(id, "w", class)
+		q.PromptTokens, q.MaxOutputTokens = 3500, 100
+		return q
+	}
+	peer, g := group(), group()
+	for i := range 3 {
+		peer.Enqueue(start, fill(fmt.Sprint("r", i), catalogue.Background))
+	}
+	is.Equal(len(peer.Dispatch(start)), 2) // the reserve stays free
+	g.SetPeerLoads(start, "peer", peer.Loads())
+	g.Enqueue(start, fill("background", catalogue.Background))
+	is.Equal(len(g.Dispatch(start)), 0)
+	q := fill("moved", catalogue.Urgent)
+	q.PromptTokens = 2500
+	g.Enqueue(start, q)
+	decisions := g.Dispatch(start)
+	is.Equal(len(decisions), 1)
+	is.Equal(decisions[0].Request.ID, "moved")
+}
