Let the load tool keep away from gateways that say that they stop

The gateway had answered /readyz with 503 since the signal; the load tool did not look at it, as every balancer does.

Change: `loadgen run -readiness` takes a URL for each target and puts targets that answer other than 200 behind the others. Targets that do not answer stay in use, so that killed and frozen gateways are met as before. The check is unchanged.

--- a/internal/process/loadgen/cli/run.go
+++ b/internal/process/loadgen/cli/run.go
@@ -52,6 +52,7 @@
 	report.add(fs)
 	workload := fs.String("workload", "", "YAML `file` with the workload (required)")
 	targets := fs.String("targets", "", "base `URLs` of gateways, separated by commas (required)")
+	readiness := fs.String("readiness", "", "`URLs` at which the targets say whether they are ready, in the same order")
 	duration := fs.Duration("duration", 30*time.Second, "time in which requests are sent")
 	grace := fs.Duration("grace", 10*time.Second, "time for requests in progress to end after that")
 	seed := fs.Uint64("seed", 1, "seed of arrivals, lengths and balancing")
@@ -67,6 +68,7 @@
 			if err := complete(&c, *workload, *targets, report.output); err != nil {
 				return err
 			}
+			c.Readiness = strings.FieldsFunc(*readiness, func(r rune) bool { return r == ',' })
 			return recorded(*record, &c, func() error { return runLoad(ctx, c, report, stdout, stderr) })
 		}),
 	}
--- a/internal/process/loadgen/run.go
+++ b/internal/process/loadgen/run.go
@@ -23,6 +23,9 @@
 	Workload *Workload
 	// Targets are base URLs of gateways.
 	Targets []string
+	// Readiness, if set, are the URLs at which the targets say whether they take new
+	// connections, in the order of Targets.
+	Readiness []string
 	// Duration is the time in which requests arrive; Grace is the time for those
 	// in progress to end. Requests that then still run count as unfinished.
 	Duration time.Duration
@@ -41,6 +44,7 @@
 type run struct {
 	workload  *Workload
 	targets   []string
+	readiness *readiness
 	http      *http.Client
 	recorder  *recorder
 	records   *recordWriter
@@ -65,7 +69,13 @@
 	if len(c.Windows) == 0 {
 		c.Windows = []Window{{Name: "run", To: c.Duration + c.Grace}}
 	}
+	ready, stopLooking, err := newReadiness(ctx, targets, c.Readiness)
+	if err != nil {
+		return nil, err
+	}
+	defer stopLooking()
 	r := &run{
+		readiness: ready,
 		workload:  c.Workload,
 		targets:   targets,
 		http:      newHTTPClient(),
@@ -147,7 +157,7 @@
 }
 
 func (r *run) newSender(name string) *sender {
-	return &sender{http: r.http, targets: r.targets, random: rand.New(rand.NewPCG(r.seed, xxhash.Sum64String(name)))}
+	return &sender{http: r.http, targets: r.targets, readiness: r.readiness, random: rand.New(rand.NewPCG(r.seed, xxhash.Sum64String(name)))}
 }
 
 // sendAgain sends a request a second time with the same id.
--- a/internal/process/loadgen/targets.go
+++ b/internal/process/loadgen/targets.go
@@ -49,9 +49,10 @@
 
 // sender sends one request to a random target, like a plain balancer.
 type sender struct {
-	http    *http.Client
-	targets []string
-	random  *rand.Rand
+	http      *http.Client
+	targets   []string
+	readiness *readiness
+	random    *rand.Rand
 	// skipped counts targets that refused the connection.
 	skipped int
 	// target is the one that was tried last.
@@ -62,7 +63,7 @@
 // request was not sent to those that refused.
 func (s *sender) send(build func(target string) (*http.Request, error)) (*http.Response, error) {
 	var last error
-	for _, i := range s.random.Perm(len(s.targets)) {
+	for _, i := range s.readiness.order(s.random.Perm(len(s.targets))) {
 		req, err := build(s.targets[i])
 		if err != nil {
 			return nil, err
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -280,7 +280,8 @@
 touch "$FLEET_DIR/polling"
 poll_gateways &
 for i in $(seq "$CONTROLLERS"); do poll_controller "$i" & done
-timeout 100 "$BIN/loadgen" run -workload scripts/faults-workload.yaml -targets "$(targets)" -duration "$LOAD_FOR" \
+timeout 100 "$BIN/loadgen" run -workload scripts/faults-workload.yaml -targets "$(targets)" \
+	-readiness "$(admins | sed 's#\([^,]*\)#\1/readyz#g')" -duration "$LOAD_FOR" \
 	-grace "$GRACE" -seed "$SEED" -record "$FLEET_DIR/records.jsonl" >"$FLEET_DIR/load.txt" 2>"$FLEET_DIR/load.err" &
 load=$!
 run_schedule
