--- a/internal/process/owner/cost_test.go
+++ b/internal/process/owner/cost_test.go
@@ -66,3 +66,28 @@
 		t.Errorf("%d bytes/s", perSecond)
 	}
 }
+
+// Guards against reservations whose calls alone exceed the 17 KB/s for a gateway, in
+// and out, at the target of 8 requests/s, one in four of them refused by an arbiter
+// that knows of ten gateways on the engine.
+func TestBytesOfReservations(t *testing.T) {
+	const requests, refused, budget = 8, 2, 17000
+	load := schedule.ReplicaLoad{Replica: "engine-123", Running: 1, Unread: 3000, Yielding: 1}
+	for i := range load.Memory.Mean {
+		load.Memory.Mean[i], load.Memory.Variance[i], load.Memory.Most[i] = 4000, 1_000_000, 5000
+	}
+	args := ConfirmArgs{
+		Group: schedule.GroupKey{Model: "guide-writer-large"},
+		Reservation: schedule.Reservation{
+			ID: ulid.Make().String(), Gateway: "gateway-123", After: 100_000, Load: load, MaxBatch: 64, KVCapacityTokens: 1 << 19, Seen: 0.123,
+		},
+	}
+	confirmed := size(t, "Scheduler.Confirm", args, ConfirmReply{})
+	reply := ConfirmReply{Refused: true, Loads: slices.Repeat([]schedule.GatewayLoad{{Gateway: "gateway-123", Load: load}}, 10)}
+	refusal := size(t, "Scheduler.Confirm", args, reply)
+	perSecond := 2 * (requests*confirmed + refused*refusal)
+	t.Logf("confirmed %d, refused %d bytes: %.1f KB/s in and out", confirmed, refusal, float64(perSecond)/1e3)
+	if perSecond > budget {
+		t.Errorf("%d bytes/s", perSecond)
+	}
+}
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -16,10 +16,10 @@
 
 const (
 	// moveTries bounds the destinations tried for one generation.
-	moveTries = 3
+	moveTries = 5
 	// movePatience bounds the wait for a destination. An engine ends about 1.5 s
 	// after its notice, and the copy takes up to 0.4 s.
-	movePatience = 300 * time.Millisecond
+	movePatience = 800 * time.Millisecond
 	// moveTimeout bounds the copying. Copies queue behind each other on the links.
 	moveTimeout = 3 * time.Second
 	// switchTimeout bounds the wait for the destination to go on. Meanwhile the
