--- a/internal/request/explain/logs.go
+++ b/internal/request/explain/logs.go
@@ -42,6 +42,9 @@
 // serverKeys are the keys whose values name backend servers.
 var serverKeys = []string{"backend", "from", "to", "server", "engine"}
 
+// schedulerPart is the part of a process that grants engines.
+const schedulerPart = "scheduler"
+
 // hostParts are the parts whose lines concern all requests of a process.
 var hostParts = []string{"gateway", "config", "store", "log"}
 
@@ -69,12 +72,18 @@
 	return around(id, all), unread, nil
 }
 
+// concerns reports whether a line is about a request. The scheduler's lines name one
+// of its waits for an engine, whose id begins with that of the request.
+func (l *Line) concerns(id string) bool {
+	return l.id == id || l.Part == schedulerPart && strings.HasPrefix(l.id, id+"-")
+}
+
 // around chooses the lines that concern a request.
 func around(id string, all []Line) []Line {
 	processes, servers := map[string]bool{}, map[string]bool{}
 	var first, last time.Time
 	for _, l := range all {
-		if l.id != id {
+		if !l.concerns(id) {
 			continue
 		}
 		if first.IsZero() {
@@ -88,7 +97,7 @@
 	}
 	var out []Line
 	for _, l := range all {
-		if l.id == id {
+		if l.concerns(id) {
 			out = append(out, l)
 			continue
 		}
--- a/internal/request/explain/logs_test.go
+++ b/internal/request/explain/logs_test.go
@@ -74,3 +74,19 @@
 		}
 	})
 }
+
+// Guards against an explanation without the grants that an arbiter refused, which
+// explain a long wait.
+func TestFromLogsOfTheScheduler(t *testing.T) {
+	is := is.New(t)
+	log := `level=info part=scheduler ts=2026-12-04T10:00:01Z process=g1 msg="grant refused by arbiter" id=r1-0-0 engine=i-1 arbiter=g2
+level=info part=scheduler ts=2026-12-04T10:00:01Z process=g1 msg="grant refused by arbiter" id=r11-0-0 engine=i-3 arbiter=g2
+level=info part=other ts=2026-12-04T10:00:01Z process=g1 msg=unrelated id=r1-0-0
+level=info part=request ts=2026-12-04T10:00:02Z process=g1 id=r1 msg=placed backend=i-2
+`
+	lines, _, err := FromLogs("r1", strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(len(lines), 2)
+	is.Equal(lines[0].Message, "grant refused by arbiter")
+	is.True(!lines[0].Context)
+}
