Bound the heads of responses and separate control calls from requests

Cause: http.ReadResponse reads a status line, header or interim responses without a limit, so one server that sends a head without end ended its gateway. A late second response to a control call has no attempt id and was taken as the response to a request, or the handle of another generation's copy as that of this one. Change: 16 KiB for all heads before one body. Ruled out: a second pool, which would need its own pruning; an id on control calls, which engines do not echo.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,8 +20,9 @@
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
 	net.Conn
-	address string
-	reader  *bufio.Reader
+	key    connKey
+	limit  *limitedReader
+	reader *bufio.Reader
 	// reused is true if the connection has carried an earlier request.
 	reused    bool
 	idleSince time.Time
@@ -29,8 +31,41 @@
 	idleTimeout time.Duration
 }
 
-func newConn(n net.Conn, address string) *conn {
-	return &conn{Conn: n, address: address, reader: bufio.NewReaderSize(n, readBufferSize), idleTimeout: maxIdleAge}
+// connKey identifies the connections that may carry a request.
+type connKey struct {
+	address string
+	control bool
+}
+
+func newConn(n net.Conn, key connKey) *conn {
+	limit := &limitedReader{r: n}
+	return &conn{Conn: n, key: key, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: maxIdleAge}
+}
+
+// limitedReader limits the bytes that are read from a connection between begin and end.
+type limitedReader struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+func (l *limitedReader) begin(limit int) { l.limited, l.left = true, limit }
+func (l *limitedReader) end()            { l.limited = false }
+
+// add changes the number of bytes that may still be read.
+func (l *limitedReader) add(n int) { l.left += n }
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
 }
 
 func (c *conn) close() { _ = c.Close() }
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -34,10 +34,10 @@
 	maxIdlePerAddress = 8
 )
 
-// Pool holds the idle connections to each address. It is safe for concurrent use.
+// Pool holds the idle connections to each address, those for control calls separately. It is safe for concurrent use.
 type Pool struct {
 	mu         sync.Mutex
-	idle       map[string][]*conn
+	idle       map[connKey][]*conn
 	closed     bool
 	notifyDial func()
 }
@@ -48,12 +48,12 @@
 	if onDial == nil {
 		onDial = func() {}
 	}
-	return &Pool{idle: map[string][]*conn{}, notifyDial: onDial}
+	return &Pool{idle: map[connKey][]*conn{}, notifyDial: onDial}
 }
 
 // get returns a connection that has been idle for at most maxAge, or dials a new one.
-func (p *Pool) get(ctx context.Context, address string, maxAge time.Duration) (*conn, error) {
-	for c := p.popIdle(address); c != nil; c = p.popIdle(address) {
+func (p *Pool) get(ctx context.Context, key connKey, maxAge time.Duration) (*conn, error) {
+	for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
 		if time.Since(c.idleSince) <= min(maxAge, c.idleTimeout) && c.reusable() {
 			c.reused = true
 			return c, nil
@@ -62,11 +62,11 @@
 	}
 	p.notifyDial()
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
-	n, err := d.DialContext(ctx, "tcp", address)
+	n, err := d.DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial")
 	}
-	return newConn(n, address), nil
+	return newConn(n, key), nil
 }
 
 func keepAlive() net.KeepAliveConfig {
@@ -84,16 +84,16 @@
 	return sockoptErr
 }
 
-func (p *Pool) popIdle(address string) *conn {
+func (p *Pool) popIdle(key connKey) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list := p.idle[key]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
 	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
+	p.idle[key] = list[:len(list)-1]
 	return c
 }
 
@@ -103,11 +103,11 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.address]) >= maxIdlePerAddress {
+	if p.closed || len(p.idle[c.key]) >= maxIdlePerAddress {
 		c.close()
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
 // Prune closes the connections that have been idle for too long, and all idle connections to
@@ -115,10 +115,10 @@
 func (p *Pool) Prune(now time.Time, keep func(address string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, list := range p.idle {
+	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if keep(address) && now.Sub(c.idleSince) <= min(maxIdleAge, c.idleTimeout) {
+			if keep(key.address) && now.Sub(c.idleSince) <= min(maxIdleAge, c.idleTimeout) {
 				kept = append(kept, c)
 				continue
 			}
@@ -126,10 +126,10 @@
 		}
 		clear(list[len(kept):])
 		if len(kept) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, key)
 			continue
 		}
-		p.idle[address] = kept
+		p.idle[key] = kept
 	}
 }
 
@@ -138,10 +138,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for address, list := range p.idle {
+	for key, list := range p.idle {
 		for _, c := range list {
 			c.close()
 		}
-		delete(p.idle, address)
+		delete(p.idle, key)
 	}
 }
--- a/internal/connection/backend/send.go
+++ b/internal/connection/backend/send.go
@@ -18,6 +18,10 @@
 	maxStrayResponses = 3
 	// maxStrayBytes is the limit for the body of a skipped response.
 	maxStrayBytes = 64 << 10
+	// maxHeadBytes is the limit for the status lines and headers that are read before the body
+	// of one response, those of interim and skipped responses included. A faulty server may
+	// send a head without end: without a limit, one such server filled 300 to 540 MB in 3 s.
+	maxHeadBytes = 16 << 10
 )
 
 // Request is an HTTP request in the form in which it is sent.
@@ -34,6 +38,10 @@
 	// Accept reports whether a response with this header belongs to the request. If it is nil,
 	// every response is accepted.
 	Accept func(http.Header) bool
+	// Control selects connections that carry only control calls. A late copy of a response to
+	// a control call has no id, so that a request on the same connection could take it as its
+	// own.
+	Control bool
 }
 
 // SendError is the error of a request for which no response was received.
@@ -79,7 +87,7 @@
 // Send sends a request once and returns the response after its header was received. If ctx ends
 // before Response.Close, the connection is closed. The error is a *SendError.
 func (p *Pool) Send(ctx context.Context, address string, r Request) (*Response, error) {
-	c, err := p.get(ctx, address, r.MaxIdle)
+	c, err := p.get(ctx, connKey{address, r.Control}, r.MaxIdle)
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
@@ -141,6 +149,9 @@
 	return append(b, "\r\n"...)
 }
 
+// errHeadTooLarge is returned for a response whose head exceeds maxHeadBytes.
+var errHeadTooLarge = eris.New("head of the response is too large")
+
 // errStrayResponses is returned if too many responses to other requests arrive, or one that is too
 // long to skip.
 var errStrayResponses = eris.New("responses on this connection belong to other requests")
@@ -148,6 +159,8 @@
 // readResponse reads the first final response that belongs to the request. It skips late
 // responses to earlier requests.
 func readResponse(c *conn, r Request) (*http.Response, error) {
+	c.limit.begin(maxHeadBytes)
+	defer c.limit.end()
 	for stray := 0; stray <= maxStrayResponses; {
 		if err := awaitResponse(c.reader); err != nil {
 			return nil, err
@@ -165,7 +178,9 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errStrayResponses
 		}
+		c.limit.add(maxStrayBytes)
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
+		c.limit.add(-maxStrayBytes)
 		if err != nil || n == maxStrayBytes {
 			return nil, errStrayResponses
 		}
