End streams by missing progress and after their caller's patience

Cause: any event, comments and empty ones included, reset the timer of 6 s that ends a stalled stream, so that a server which sends a byte now and then kept it until the route's time limit. The timer also ran while an event was written to a slow caller, and 6 s is shorter than callers wait: 16 s for the long generations of the site files. Change: only events with an id or data count, the timer starts after the write, and the patience comes from the route's targets. Events are limited to 32 KiB instead of 1 MiB, for lines without end. Before: TestStalledStreamsEnd fails in all six cases (6 s and 60 s instead of 12 s), TestSlowStreamsAreNotCut in all three. After: both pass.

--- a/internal/request/eventstream/reader.go
+++ b/internal/request/eventstream/reader.go
@@ -10,8 +10,9 @@
 	"strconv"
 )
 
-// MaxEventBytes is the maximum size of one event in bytes. A larger event is an error.
-const MaxEventBytes = 1 << 20
+// MaxEventBytes is the maximum size of one event in bytes. A larger event is an error. The
+// events of 200 streams that send a line without end take less than 8 MB.
+const MaxEventBytes = 32 << 10
 
 // ErrTooLarge is returned for an event larger than MaxEventBytes.
 var ErrTooLarge = errors.New("event is too large")
@@ -26,6 +27,9 @@
 	// ID is the event's numeric id. HasID is false for events without one.
 	ID    int64
 	HasID bool
+	// Progress is set for an event with an id or data. Comments and empty events, which a
+	// stalled server may send now and then, are no progress.
+	Progress bool
 }
 
 // Reader reads events from a stream. It is not safe for concurrent use.
@@ -67,16 +71,20 @@
 	return before == 0 || raw[before-1] == '\n'
 }
 
-// parse sets ID and HasID from the event's id field.
+// parse sets the fields that describe the event.
 func (e *Event) parse() {
 	for line := range bytes.Lines(e.Raw) {
+		if content, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			e.Progress = e.Progress || len(bytes.TrimSpace(content)) > 0
+			continue
+		}
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
 		}
 		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 		if err == nil {
-			e.ID, e.HasID = id, true
+			e.ID, e.HasID, e.Progress = id, true, true
 		}
 	}
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -20,9 +20,14 @@
 )
 
 const (
-	// eventTimeout is the time without an event after which a stream counts as lost.
-	// It is far longer than the pause of a preempted generation.
-	eventTimeout = 6 * time.Second
+	// minSilence is the shortest time without progress after which a stream counts as lost.
+	// silenceTargets and silenceGaps, multiplied by the route's targets for the first token
+	// and for the gap between tokens, are the longer times of slower routes. Callers wait as
+	// long, and a preempted generation may pause for several seconds at peak load. A broken
+	// connection is detected earlier, by TCP keep-alive.
+	minSilence     = 2 * time.Second
+	silenceTargets = 4
+	silenceGaps    = 8
 	// aliveTimeout bounds the check whether an engine is still running.
 	aliveTimeout = 300 * time.Millisecond
 	// progressEvery is the number of events between progress reports to the scheduler.
@@ -299,7 +304,8 @@
 	r.resetLeaving()
 	defer func() { r.f.untrack(r.server.Name, r) }()
 	r.f.track(r.server.Name, r)
-	silence := time.NewTimer(eventTimeout)
+	patience := maxSilence(r.q)
+	silence := time.NewTimer(patience)
 	defer silence.Stop()
 	leavingC := r.leaving
 	for {
@@ -307,9 +313,12 @@
 		var err *fault.Error
 		select {
 		case e, open := <-src.events:
-			silence.Reset(eventTimeout)
 			if open {
 				err = r.forwardEvent(src, e)
+				if e.Progress {
+					// The caller may have taken long to receive the event.
+					silence.Reset(patience)
+				}
 				break
 			}
 			if src.readErr == nil {
@@ -326,7 +335,7 @@
 		case o := <-r.moving.openedC():
 			next = r.opened(o)
 		case <-silence.C:
-			err = fault.New(fault.BackendLost, stepStream, r.server.Name, api.Ran, "no event for %v", eventTimeout)
+			err = fault.New(fault.BackendLost, stepStream, r.server.Name, api.Ran, "no progress for %v", patience)
 		case <-ctx.Done():
 			err = fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepStream, r.server.Name, api.Ran)
 		}
@@ -334,6 +343,7 @@
 			return err
 		}
 		if next != nil {
+			silence.Reset(patience)
 			r.switchTo(r.moving)
 			src.close()
 			src, r.moving, leavingC = next, nil, r.leaving
@@ -341,6 +351,12 @@
 	}
 }
 
+// maxSilence returns the time without progress after which the stream of a request counts
+// as lost.
+func maxSilence(q *Request) time.Duration {
+	return max(minSilence, silenceTargets*q.Route.Target, silenceGaps*q.Route.GapTarget)
+}
+
 // resetLeaving creates the signal that the current server is leaving.
 func (r *run) resetLeaving() {
 	r.leaving = make(chan struct{})
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -279,3 +279,60 @@
 		})
 	}
 }
+
+// Guards against a stream of a stalled server that never ends, because the server still
+// sends bytes without any progress now and then.
+func TestStalledStreamsEnd(t *testing.T) {
+	for name, filler := range map[string]string{
+		"silent":               "",
+		"comments":             ": still here\n\n",
+		"empty events":         "\n",
+		"events without data":  "event: ping\ndata:\n\n",
+		"a byte now and then":  "d",
+		"half lines of events": "data: x\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newFakeFleet("a")
+				w.servers["a"].gap, w.servers["a"].filler = time.Hour, filler
+				q := plan()
+				q.Route.Target = 3 * time.Second
+				q.Deadline = time.Now().Add(time.Minute)
+				started := time.Now()
+				_, err := w.f.Serve(context.Background(), q, &recordingCaller{})
+				is.True(err != nil)
+				is.Equal(time.Since(started).Round(time.Second), 12*time.Second) // as long as its caller waits
+				synctest.Wait()
+				is.Equal(w.running(), 0)
+			})
+		})
+	}
+}
+
+// Guards against cutting a slow but sound stream: one with pauses shorter than its caller
+// waits, and one whose caller takes long to receive an event.
+func TestSlowStreamsAreNotCut(t *testing.T) {
+	for name, c := range map[string]struct{ gap, reading time.Duration }{
+		"slow engine":                 {gap: 11 * time.Second},
+		"slow caller":                 {reading: 20 * time.Second},
+		"slow caller and slow engine": {gap: 11 * time.Second, reading: 20 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				for range 20 { // the outcome may depend on which of two events is handled first
+					w := newFakeFleet("a")
+					w.servers["a"].gap, w.servers["a"].total = c.gap, 6
+					q := plan()
+					q.Route.Target = 3 * time.Second
+					q.Deadline = time.Now().Add(time.Hour)
+					r := &recordingCaller{after: func(int) { time.Sleep(c.reading) }}
+					_, err := w.f.Serve(context.Background(), q, r)
+					is.True(err == nil)
+					is.Equal(r.body.String(), events(0, 6))
+				}
+			})
+		})
+	}
+}
