Exchange loads through a relay in each data centre, and keep an arbiter's corrections

Cause 1: each gateway sent its loads to each other one. Change: above 16 gateways one gateway of each data centre, chosen by rendezvous hash, collects the loads of its data centre, fetches those of the others and answers its followers as soon as something is new. A relay that does not answer is avoided for 3 s and the next in rank works as one. Cause 2: loads that were sent before a grant replaced what the engine's arbiter had reported about it, so the engine looked free again: 22,000 refused reservations in 22 s, up to 27 in a row for one request. Change: corrections carry the number of the loads that they include, and older loads are ignored for up to 1 s. TestOlderLoadsDoNotReplaceACorrection fails without the check of the number. The signature of SetPeerLoads in tests has the number now; TestReservationsLeaveNoResidue draws it.

--- a/internal/process/owner/confirm.go
+++ b/internal/process/owner/confirm.go
@@ -52,17 +52,22 @@
 	if err != nil {
 		return err
 	}
-	*out = r.serveConfirm(time.Now(), in.Reservation)
+	s.m.mu.Lock()
+	number := s.m.loads.number
+	s.m.mu.Unlock()
+	*out = r.serveConfirm(time.Now(), in.Reservation, number)
 	return nil
 }
 
-func (r *runner) serveConfirm(now time.Time, c schedule.Reservation) ConfirmReply {
+// serveConfirm decides a reservation. ownNumber is the number of the newest loads that this
+// gateway has sent.
+func (r *runner) serveConfirm(now time.Time, c schedule.Reservation, ownNumber uint64) ConfirmReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.group.Confirm(now, c) {
 		return ConfirmReply{}
 	}
-	return ConfirmReply{Refused: true, Loads: r.group.LoadsByGateway(c.Load.Replica)}
+	return ConfirmReply{Refused: true, Loads: r.group.LoadsByGateway(c.Load.Replica, ownNumber)}
 }
 
 // confirm requests confirmation of a grant from the engine's arbiter, under the shared
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -45,13 +45,13 @@
 func (f *fifo) NextWake(now time.Time) time.Time                   { return now.Add(100 * time.Millisecond) }
 func (f *fifo) Release(_ time.Time, id string, _ schedule.Outcome) { delete(f.running, id) }
 
-func (f *fifo) Loads() []schedule.ReplicaLoad                          { return nil }
-func (f *fifo) SetPeerLoads(time.Time, string, []schedule.ReplicaLoad) {}
+func (f *fifo) Loads() []schedule.ReplicaLoad                                  { return nil }
+func (f *fifo) SetPeerLoads(time.Time, string, uint64, []schedule.ReplicaLoad) {}
 
 func (f *fifo) Reservation(string) (schedule.Reservation, bool)            { return schedule.Reservation{}, false }
 func (f *fifo) Confirm(time.Time, schedule.Reservation) bool               { return true }
 func (f *fifo) DropReservations(time.Time, string, uint64)                 {}
-func (f *fifo) LoadsByGateway(string) []schedule.GatewayLoad               { return nil }
+func (f *fifo) LoadsByGateway(string, uint64) []schedule.GatewayLoad       { return nil }
 func (f *fifo) CorrectPeerLoads(time.Time, string, []schedule.GatewayLoad) {}
 func (f *fifo) Postpone(time.Time, string)                                 {}
 
@@ -215,6 +215,9 @@
 	// default.
 	slowStart time.Duration
 	created   func(*gateway)
+	// wrapCaller, if set, wraps the caller with which the Manager of the next gateway calls
+	// its peers.
+	wrapCaller func(membership.Caller) membership.Caller
 }
 
 func newFleet(t *testing.T, slots int, engineNames ...string) *fleet {
@@ -265,6 +268,9 @@
 		},
 		Floors: func() (float64, float64) { return 0, 0 },
 	}
+	if f.wrapCaller != nil {
+		options.Caller = f.wrapCaller(p)
+	}
 	if f.sharedOptions != nil {
 		f.created(g)
 		options = f.sharedOptions(options)
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -27,14 +27,14 @@
 	Expire(now time.Time, notRenewedFor time.Duration) []string
 	Running(replica string) []schedule.Request
 	Loads() []schedule.ReplicaLoad
-	SetPeerLoads(now time.Time, gateway string, loads []schedule.ReplicaLoad)
+	SetPeerLoads(now time.Time, gateway string, number uint64, loads []schedule.ReplicaLoad)
 	// Reservation returns the reservation of a grant that the replica's arbiter has to
 	// confirm. Confirm, DropReservations, LoadsByGateway, CorrectPeerLoads and Postpone
 	// also deal with reservations; see schedule.Reservation.
 	Reservation(grantID string) (schedule.Reservation, bool)
 	Confirm(now time.Time, c schedule.Reservation) bool
 	DropReservations(now time.Time, gateway string, number uint64)
-	LoadsByGateway(replica string) []schedule.GatewayLoad
+	LoadsByGateway(replica string, ownNumber uint64) []schedule.GatewayLoad
 	CorrectPeerLoads(now time.Time, replica string, loads []schedule.GatewayLoad)
 	Postpone(now time.Time, replica string)
 	Summary(now time.Time) schedule.Summary
--- a/internal/process/owner/peerload.go
+++ b/internal/process/owner/peerload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -31,8 +30,10 @@
 // policy.
 type loadExchange struct {
 	// dirty is set when grants have changed since the last message.
-	dirty  bool
-	sentAt time.Time
+	dirty bool
+	// sentAt is the time of the last message to all gateways, and reportsSentAt the time up
+	// to which reports of engines have been passed on.
+	sentAt, reportsSentAt time.Time
 	// number is that of the newest message. Messages with a higher number include all
 	// current grants.
 	number uint64
@@ -40,6 +41,7 @@
 	received map[string]receivedLoads
 	// inProgress holds the gateways to which a message is being sent.
 	inProgress map[string]bool
+	relay      relayState
 }
 
 // receivedLoads describes the last message with loads from one gateway.
@@ -77,32 +79,67 @@
 	return nil
 }
 
-// exchangeLoads sends the loads of this gateway's grants to the others and drops the
-// loads of silent gateways until ctx ends.
+// newerThan reports whether the message is newer than the one with this incarnation and
+// number of the same gateway.
+func (a *LoadsArgs) newerThan(incarnation int64, number uint64) bool {
+	return a.Incarnation > incarnation || a.Incarnation == incarnation && a.Number > number
+}
+
+// exchangeLoads sends the loads of this gateway's grants to the others, directly or through
+// relays, and drops the loads of silent gateways until ctx ends.
 func (m *Manager) exchangeLoads(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	var lastSent time.Time
 	every(ctx, loadsPeriod, func() {
 		now := time.Now()
 		m.expireLoads(now)
-		if !m.loadsDue(now) {
-			return
-		}
-		args := m.ownLoads(m.nextNumber())
-		args.Reports = m.reportsSince(lastSent)
-		if m.opt.Broken != nil {
-			args.Broken = m.opt.Broken(now)
-		}
-		lastSent = now
-		for _, g := range m.opt.View.Live() {
-			if g.Name != m.self() && m.startSendingLoads(g.Name) {
-				wait.Go(func() { m.sendLoads(ctx, g, args) })
-			}
+		if live := m.opt.View.Live(); len(live) > maxMeshGateways {
+			m.relayLoads(ctx, &wait, now, live)
+		} else {
+			m.broadcastLoads(ctx, &wait, now, live)
 		}
 	})
 }
 
+// broadcastLoads sends the loads of this gateway to each of the others if they are due.
+func (m *Manager) broadcastLoads(ctx context.Context, wait *sync.WaitGroup, now time.Time, live []membership.Gateway) {
+	if !m.loadsDue(now) {
+		return
+	}
+	m.mu.Lock()
+	lastSent := m.loads.reportsSentAt
+	m.loads.reportsSentAt = now
+	m.mu.Unlock()
+	args := m.loadsMessage(now, lastSent)
+	for _, g := range live {
+		switch {
+		case g.Name == m.self():
+		case m.startSendingLoads(g.Name):
+			wait.Go(func() { m.sendLoads(ctx, g, args) })
+		default:
+			// The change is sent with the next message.
+			m.markDirty()
+		}
+	}
+}
+
+func (m *Manager) markDirty() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loads.dirty = true
+}
+
+// loadsMessage returns a new message with the loads of this gateway, the reports that it
+// has polled since a time and the engines that broke its connections.
+func (m *Manager) loadsMessage(now, reportsSince time.Time) *LoadsArgs {
+	args := m.ownLoads(m.nextNumber())
+	args.Reports = m.reportsSince(reportsSince)
+	if m.opt.Broken != nil {
+		args.Broken = m.opt.Broken(now)
+	}
+	return args
+}
+
 // loadsDue reports whether the loads are to be sent, and if so marks them as sent.
 func (m *Manager) loadsDue(now time.Time) bool {
 	m.mu.Lock()
@@ -123,12 +160,11 @@
 }
 
 // startSendingLoads marks a message to a gateway as in progress. It returns false if
-// one already is; the change is then sent with the next message.
+// one already is.
 func (m *Manager) startSendingLoads(gateway string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.loads.inProgress[gateway] {
-		m.loads.dirty = true
 		return false
 	}
 	if m.loads.inProgress == nil {
@@ -154,9 +190,13 @@
 	if err := m.opt.Caller.Call(ctx, g.PeerAddress, ServiceName+".Loads", args, new(Empty)); err != nil {
 		level.Debug(m.opt.Logger).Log("msg", "sending loads failed", "peer", g.Name, "err", err)
 	}
+	m.doneSendingLoads(g.Name)
+}
+
+func (m *Manager) doneSendingLoads(gateway string) {
 	m.mu.Lock()
-	delete(m.loads.inProgress, g.Name)
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	delete(m.loads.inProgress, gateway)
 }
 
 // receiveLoads passes a peer's loads to the groups, unless a newer message arrived
@@ -164,7 +204,7 @@
 func (m *Manager) receiveLoads(now time.Time, in *LoadsArgs) {
 	m.mu.Lock()
 	last := m.loads.received[in.Gateway]
-	if in.Incarnation < last.incarnation || in.Incarnation == last.incarnation && in.Number <= last.number {
+	if !in.newerThan(last.incarnation, last.number) {
 		m.mu.Unlock()
 		return
 	}
@@ -204,7 +244,7 @@
 	m.mu.Unlock()
 	for _, name := range silent {
 		for _, r := range m.allRunners() {
-			r.setPeerLoads(now, name, math.MaxUint64, nil)
+			r.setPeerLoads(now, name, schedule.NoMoreLoads, nil)
 		}
 	}
 }
@@ -218,7 +258,7 @@
 func (r *runner) setPeerLoads(now time.Time, gateway string, number uint64, loads []schedule.ReplicaLoad) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.group.SetPeerLoads(now, gateway, loads)
+	r.group.SetPeerLoads(now, gateway, number, loads)
 	r.group.DropReservations(now, gateway, number)
 	r.requestDispatch()
 }
--- /dev/null
+++ b/internal/process/owner/relaybuffer.go
@@ -0,0 +1,114 @@
+package owner
+
+import (
+	"time"
+
+	"persimmonwing/internal/request/api"
+)
+
+// relayBuffer holds the newest loads of each gateway and the newest report of each engine
+// for the gateways that fetch them from this one. Each change gets a sequence number, so
+// that a caller receives only what is new since its last call.
+//
+// Load pattern: with n gateways that send their loads to each other, each of them handles
+// n messages per interval. Through relays it handles one.
+type relayBuffer struct {
+	sequence uint64
+	loads    map[string]bufferedLoads
+	reports  map[string]bufferedReport
+}
+
+// bufferedLoads are the newest loads of a gateway.
+type bufferedLoads struct {
+	args       LoadsArgs
+	sequence   uint64
+	receivedAt time.Time
+	// local is set for the gateways of this data centre. Only their loads are passed on to
+	// relays of other data centres.
+	local bool
+}
+
+// bufferedReport is the newest report of an engine.
+type bufferedReport struct {
+	report     api.LoadReport
+	from       string
+	sequence   uint64
+	receivedAt time.Time
+	local      bool
+}
+
+// add replaces the loads of a gateway, unless the buffer holds newer ones.
+func (b *relayBuffer) add(now time.Time, in *LoadsArgs, local bool) {
+	if old, known := b.loads[in.Gateway]; known && !in.newerThan(old.args.Incarnation, old.args.Number) {
+		return
+	}
+	if b.loads == nil {
+		b.loads = map[string]bufferedLoads{}
+	}
+	b.sequence++
+	args := *in
+	args.Reports = nil
+	b.loads[in.Gateway] = bufferedLoads{args, b.sequence, now, local}
+	b.addReports(now, in.Reports, in.Gateway, local)
+}
+
+// addReports replaces the reports of engines. from is the gateway that has polled them, or
+// "" if a relay has passed them on.
+func (b *relayBuffer) addReports(now time.Time, reports []api.LoadReport, from string, local bool) {
+	if b.reports == nil {
+		b.reports = map[string]bufferedReport{}
+	}
+	b.sequence++
+	for _, r := range reports {
+		b.reports[r.Name] = bufferedReport{r, from, b.sequence, now, local}
+	}
+}
+
+// since returns the loads and reports that were added after a sequence number, without
+// those of the caller itself. A caller of another data centre receives only those of this
+// data centre.
+func (b *relayBuffer) since(now time.Time, sequence uint64, caller string, onlyLocal bool) (loads []LoadsArgs, reports []api.LoadReport) {
+	for gateway, l := range b.loads {
+		if l.sequence > sequence && gateway != caller && (l.local || !onlyLocal) {
+			args := l.args
+			args.Broken = remaining(l.args.Broken, now.Sub(l.receivedAt))
+			loads = append(loads, args)
+		}
+	}
+	for _, r := range b.reports {
+		if r.sequence > sequence && r.from != caller && (r.local || !onlyLocal) {
+			reports = append(reports, r.report)
+		}
+	}
+	return loads, reports
+}
+
+// expire removes what is older than loadsTTL, so that a gateway that calls for the first
+// time does not receive the loads of gateways that have ended.
+func (b *relayBuffer) expire(now time.Time) {
+	for gateway, l := range b.loads {
+		if now.Sub(l.receivedAt) > loadsTTL {
+			delete(b.loads, gateway)
+		}
+	}
+	for engine, r := range b.reports {
+		if now.Sub(r.receivedAt) > loadsTTL {
+			delete(b.reports, engine)
+		}
+	}
+}
+
+// remaining returns the times in broken that are left after elapsed.
+func remaining(broken map[string]time.Duration, elapsed time.Duration) map[string]time.Duration {
+	var out map[string]time.Duration
+	for engine, d := range broken {
+		if d <= elapsed {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]time.Duration, len(broken))
+		}
+		out[engine] = d - elapsed
+	}
+	return out
+}
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -130,7 +130,9 @@
 	// entitled is set while the request being placed is entitled.
 	entitled bool
 	shares   shares
-	pass     pass
+	// numbers holds the sequence number of the newest loads of each other gateway.
+	numbers map[string]uint64
+	pass    pass
 	// displaced are the requests that the next Dispatch refuses, because other requests
 	// have displaced them from the full queue.
 	displaced []queuedRequest
@@ -161,6 +163,7 @@
 		pinned:   make(map[uint64]pin),
 		lengths:  make(map[string]*survival.Estimator),
 		shares:   shares{usage: make(map[string]*usage)},
+		numbers:  make(map[string]uint64),
 	}
 }
 
--- a/internal/process/schedule/peerload.go
+++ b/internal/process/schedule/peerload.go
@@ -1,12 +1,16 @@
 package schedule
 
 import (
+	"math"
 	"sort"
 	"time"
 
 	"persimmonwing/internal/process/memory"
 )
 
+// NoMoreLoads replaces the sequence number when the loads of a silent gateway are removed.
+const NoMoreLoads = math.MaxUint64
+
 // ReplicaLoad is the load on a replica from the grants of one gateway.
 type ReplicaLoad struct {
 	Replica string
@@ -52,8 +56,14 @@
 
 // SetPeerLoads replaces the loads of another gateway's grants. Replicas that are
 // missing in loads have no load from that gateway; an empty list removes all its
-// loads. Loads of replicas that are unknown to this group are ignored.
-func (g *Group) SetPeerLoads(now time.Time, gateway string, loads []ReplicaLoad) {
+// loads. Loads of replicas that are unknown to this group are ignored. number is the
+// sequence number of the loads, or NoMoreLoads.
+func (g *Group) SetPeerLoads(now time.Time, gateway string, number uint64, loads []ReplicaLoad) {
+	if number == NoMoreLoads {
+		delete(g.numbers, gateway)
+	} else {
+		g.numbers[gateway] = number
+	}
 	next := make(map[string]ReplicaLoad, len(loads))
 	for _, l := range loads {
 		next[l.Replica] = l
@@ -61,7 +71,7 @@
 	for name, r := range g.replicas {
 		l, loaded := next[name]
 		old, known := r.peers[gateway]
-		if !loaded && !known || loaded && known && l == old {
+		if !loaded && !known || loaded && known && l == old || r.outdated(now, gateway, number) {
 			continue
 		}
 		g.setPeerLoad(r, gateway, l, loaded)
--- a/internal/process/schedule/peerload_test.go
+++ b/internal/process/schedule/peerload_test.go
@@ -37,16 +37,16 @@
 					break
 				}
 			case "silent":
-				g.SetPeerLoads(start, name, nil)
+				g.SetPeerLoads(start, name, 1, nil)
 				continue
 			case "relist":
 				g.SetReplicas(start, testReplicas(2, 8, 10_000))
 				g.SetReplicas(start, testReplicas(3, 8, 10_000))
 			}
-			g.SetPeerLoads(start, name, peers[p].Loads())
+			g.SetPeerLoads(start, name, 1, peers[p].Loads())
 		}
 		for p := range peers {
-			g.SetPeerLoads(start, fmt.Sprint("peer", p), nil)
+			g.SetPeerLoads(start, fmt.Sprint("peer", p), 1, nil)
 		}
 		for name, r := range g.replicas {
 			if r.external != 0 || r.projection.Used() != 0 || len(r.peers) != 0 {
@@ -66,9 +66,9 @@
 		for _, g := range []*Group{a, b, alone} {
 			g.Enqueue(start, testRequest(fmt.Sprintf("%p-%d", g, i), "w", catalogue.Background))
 		}
-		a.SetPeerLoads(start, "b", b.Loads())
+		a.SetPeerLoads(start, "b", 1, b.Loads())
 		a.Dispatch(start)
-		b.SetPeerLoads(start, "a", a.Loads())
+		b.SetPeerLoads(start, "a", 1, a.Loads())
 		b.Dispatch(start)
 		alone.Dispatch(start)
 	}
@@ -165,7 +165,7 @@
 	read.Exclude = []string{"r001", "r000"}
 	peer.Enqueue(start, read)
 	peer.Dispatch(start)
-	g.SetPeerLoads(start, "peer", peer.Loads())
+	g.SetPeerLoads(start, "peer", 1, peer.Loads())
 	// r002 has more generations than the others, but has prefilled its long prompt.
 	g.Enqueue(start, testRequest("check", "w", catalogue.Urgent))
 	is.Equal(g.Dispatch(start)[0].Grant.Backend, "r002")
@@ -214,7 +214,7 @@
 		peer.Enqueue(start, fill(fmt.Sprint("r", i), catalogue.Background))
 	}
 	is.Equal(len(peer.Dispatch(start)), 2) // the reserve stays free
-	g.SetPeerLoads(start, "peer", peer.Loads())
+	g.SetPeerLoads(start, "peer", 1, peer.Loads())
 	g.Enqueue(start, fill("background", catalogue.Background))
 	is.Equal(len(g.Dispatch(start)), 0)
 	q := fill("moved", catalogue.Urgent)
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -33,7 +33,9 @@
 	external int
 	// peers holds the loads of other gateways' grants by gateway name. reservations
 	// holds the confirmed grants that these loads do not include yet, by grant ID.
+	// corrections holds the loads that an arbiter has corrected, by gateway name.
 	peers         map[string]ReplicaLoad
+	corrections   map[string]correction
 	reservations  map[string]reservation
 	recentRunning [reportWindow]int
 	reports       int
@@ -276,6 +278,7 @@
 		r.projection.RemoveLoad(&c.Load.Memory)
 		delete(r.reservations, id)
 	}
+	clear(r.corrections)
 	r.external = 0
 	r.recentRunning = [reportWindow]int{}
 }
--- a/internal/process/schedule/reservation.go
+++ b/internal/process/schedule/reservation.go
@@ -57,7 +57,37 @@
 // GatewayLoad is the load on a replica from the grants of one gateway.
 type GatewayLoad struct {
 	Gateway string
-	Load    ReplicaLoad
+	// Number is the sequence number of the gateway's newest loads that Load includes. Loads
+	// with this number or a lower one are older than Load.
+	Number uint64
+	Load   ReplicaLoad
+}
+
+// correctionTTL is the time for which older loads of a gateway do not replace a correction
+// by an arbiter. Loads arrive within 0.3 s, also through two relays. A gateway that has
+// restarted begins with low numbers again.
+const correctionTTL = time.Second
+
+// correction states that the load of a gateway on a replica was corrected by its arbiter.
+type correction struct {
+	number uint64
+	until  time.Time
+}
+
+// outdated reports whether loads of a gateway are older than what the replica's arbiter
+// has reported. Without this check, loads that were sent before a grant make its engine
+// look free again: requests were refused up to 27 times in a row, by arbiters of engines that
+// their gateway took for idle.
+func (r *replica) outdated(now time.Time, gateway string, number uint64) bool {
+	c, known := r.corrections[gateway]
+	if !known {
+		return false
+	}
+	if number > c.number || !now.Before(c.until) {
+		delete(r.corrections, gateway)
+		return false
+	}
+	return true
 }
 
 // pressure returns the load of a replica. Under the shared policy it includes the
@@ -152,20 +182,23 @@
 }
 
 // LoadsByGateway returns the known loads of all gateways on a replica, including
-// reservations.
-func (g *Group) LoadsByGateway(name string) []GatewayLoad {
+// reservations. ownNumber is the number of the newest loads that this gateway has sent.
+func (g *Group) LoadsByGateway(name string, ownNumber uint64) []GatewayLoad {
 	r, known := g.replicas[name]
 	if !known {
 		return nil
 	}
 	byGateway := make(map[string]ReplicaLoad, len(r.peers)+1)
+	numbers := map[string]uint64{g.o.Owner: ownNumber}
 	for gateway, l := range r.peers {
 		byGateway[gateway] = l
+		numbers[gateway] = g.numbers[gateway]
 	}
 	for _, c := range r.reservations {
 		l := byGateway[c.Gateway]
 		l.add(&c.Load)
 		byGateway[c.Gateway] = l
+		numbers[c.Gateway] = max(numbers[c.Gateway], c.After)
 	}
 	if len(r.running) > 0 {
 		byGateway[g.o.Owner] = r.ownLoad()
@@ -173,7 +206,7 @@
 	out := make([]GatewayLoad, 0, len(byGateway))
 	for gateway, l := range byGateway {
 		l.Replica = name
-		out = append(out, GatewayLoad{gateway, l})
+		out = append(out, GatewayLoad{gateway, numbers[gateway], l})
 	}
 	return out
 }
@@ -189,7 +222,15 @@
 	for _, l := range loads {
 		if l.Gateway != g.o.Owner {
 			present[l.Gateway] = true
+			if l.Number < g.numbers[l.Gateway] {
+				// This gateway has newer loads than the arbiter.
+				continue
+			}
 			g.setPeerLoad(r, l.Gateway, l.Load, true)
+			if r.corrections == nil {
+				r.corrections = map[string]correction{}
+			}
+			r.corrections[l.Gateway] = correction{l.Number, now.Add(correctionTTL)}
 		}
 	}
 	for gateway := range r.peers {
--- a/internal/process/schedule/reservation_test.go
+++ b/internal/process/schedule/reservation_test.go
@@ -74,7 +74,7 @@
 	c := reservationOf(t, late, "late", 4000)
 	is.True(!arbiter.Confirm(start, c))
 	late.Release(start, "late", Outcome{NotRun: true})
-	late.CorrectPeerLoads(start, "r000", arbiter.LoadsByGateway("r000"))
+	late.CorrectPeerLoads(start, "r000", arbiter.LoadsByGateway("r000", 0))
 	late.Postpone(start, "r000")
 	q := testRequest("again", "w", catalogue.Background)
 	q.PromptTokens = 4000
@@ -86,6 +86,43 @@
 	is.Equal(len(late.Dispatch(start.Add(postponePeriod))), 1)
 }
 
+// Guards against loads that were sent before a grant and arrive after the arbiter has
+// reported the grant: the full replica would look free again, and be requested without end.
+func TestOlderLoadsDoNotReplaceACorrection(t *testing.T) {
+	is := is.New(t)
+	arbiter, late := sharedGroup(1), sharedGroup(1)
+	for i := range 2 {
+		c := reservationOf(t, sharedGroup(1), fmt.Sprint("r", i), 4000)
+		c.Gateway, c.After, c.Insists = "other", 7, true
+		is.True(arbiter.Confirm(start, c))
+	}
+	full := func(now time.Time, id string) bool {
+		q := testRequest(id, "w", catalogue.Background)
+		q.PromptTokens = 4000
+		late.Enqueue(now, q)
+		granted := len(late.Dispatch(now)) > 0
+		late.Cancel(id)
+		late.Release(now, id, Outcome{NotRun: true})
+		return !granted
+	}
+	is.True(!full(start, "a"))
+	late.CorrectPeerLoads(start, "r000", arbiter.LoadsByGateway("r000", 0))
+	is.True(full(start, "b"))
+	late.SetPeerLoads(start, "other", 6, nil) // sent before the grants
+	late.SetPeerLoads(start, "other", 7, nil)
+	is.True(full(start, "c"))
+	late.SetPeerLoads(start, "other", 8, nil) // the grants have ended
+	is.True(!full(start, "d"))
+	late.CorrectPeerLoads(start, "r000", arbiter.LoadsByGateway("r000", 0)) // older than the loads
+	is.True(!full(start, "e"))
+	// A gateway that has restarted begins with low numbers.
+	late.SetPeerLoads(start, "other", 1, nil)
+	late.CorrectPeerLoads(start, "r000", arbiter.LoadsByGateway("r000", 0))
+	is.True(full(start, "f"))
+	late.SetPeerLoads(start.Add(correctionTTL), "other", 2, nil)
+	is.True(!full(start.Add(correctionTTL), "g"))
+}
+
 // Guards against confirming reservations on a replica that does not accept work according
 // to its arbiter.
 func TestLeavingReplicaRefusesReservations(t *testing.T) {
@@ -160,7 +197,7 @@
 		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			gateway := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "gateway")
 			replica := rapid.SampledFrom([]string{"r000", "r001", "unlisted"}).Draw(t, "replica")
-			switch rapid.SampledFrom([]string{"reservation", "told", "correct", "postpone", "time"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"reservation", "told", "loads", "correct", "postpone", "time"}).Draw(t, "step") {
 			case "reservation":
 				c := Reservation{ID: fmt.Sprint(i), Gateway: gateway, After: uint64(i), Insists: true, Load: ReplicaLoad{Replica: replica, Running: 1, Unread: 10}}
 				c.Load.Memory.Mean[0] = 100
@@ -168,7 +205,9 @@
 			case "told":
 				g.DropReservations(now, gateway, uint64(i))
 			case "correct":
-				g.CorrectPeerLoads(now, replica, []GatewayLoad{{gateway, ReplicaLoad{Replica: replica, Running: 2, Unread: 20}}})
+				g.CorrectPeerLoads(now, replica, []GatewayLoad{{gateway, uint64(rapid.IntRange(0, 3).Draw(t, "number")), ReplicaLoad{Replica: replica, Running: 2, Unread: 20}}})
+			case "loads":
+				g.SetPeerLoads(now, gateway, uint64(rapid.IntRange(0, 3).Draw(t, "number")), []ReplicaLoad{{Replica: replica, Running: 1}})
 			case "postpone":
 				g.Postpone(now, replica)
 			case "time":
@@ -177,7 +216,7 @@
 			}
 		}
 		for _, gateway := range []string{"a", "b"} {
-			g.SetPeerLoads(now, gateway, nil)
+			g.SetPeerLoads(now, gateway, NoMoreLoads, nil)
 			g.DropReservations(now, gateway, 1_000)
 		}
 		g.SetReplicas(now.Add(reservationTTL), testReplicas(2, 8, 10_000))
