Read the store with one gateway for all data centres

Change: the readers of the data centres follow the first in rank of all of them, one total order keeps any cycle out. A reader that has not read yet holds its followers' calls. After a lost reader the first call does not wait for changes. The feed of a followed reader is held for 0.7 s instead of 1 s, since two levels of followers add 1.2 s to a confirmation's age. Also: an outage that only the reader had is none for its followers.

--- a/internal/process/membership/rank.go
+++ b/internal/process/membership/rank.go
@@ -32,6 +32,12 @@
 	return out
 }
 
+// RanksBefore reports whether gateway a has a higher rendezvous hash for key than b.
+func RanksBefore(a, b, key string) bool {
+	x, y := score(a, key), score(b, key)
+	return x > y || (x == y && a < b)
+}
+
 // HighestRanked returns the name with the highest rendezvous hash for key, or "" if
 // there are no names.
 func HighestRanked(names []string, key string) string {
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -188,6 +188,25 @@
 	return out
 }
 
+// FirstRanked returns the live gateway of each data centre with the highest rendezvous
+// hash for purpose, sorted by this hash, highest first.
+func (g *Gossiper) FirstRanked(purpose string) []Gateway {
+	byDataCentre, gateways := map[string][]string{}, map[string]Gateway{}
+	for _, l := range g.Live() {
+		byDataCentre[l.DataCentre] = append(byDataCentre[l.DataCentre], l.Name)
+		gateways[l.Name] = l
+	}
+	var first []string
+	for _, names := range byDataCentre {
+		first = append(first, HighestRanked(names, purpose))
+	}
+	out := make([]Gateway, 0, len(first))
+	for _, name := range rank(first, purpose) {
+		out = append(out, gateways[name])
+	}
+	return out
+}
+
 func pollerKey(purpose, gateway string) FactKey {
 	return FactKey{FactPoller, purpose + "/" + gateway}
 }
--- a/internal/process/storefeed/copies.go
+++ b/internal/process/storefeed/copies.go
@@ -34,9 +34,9 @@
 	maxCopyAge = 2400 * time.Millisecond
 	// avoidFor is how long a gateway does not call a reader that did not respond.
 	avoidFor = time.Second
-	// minGateways is the minimum number of gateways in a data centre in which gateways
-	// follow readers. With two gateways, following saves few calls to the store.
-	minGateways = 3
+	// maxReadersAbove is the number of readers of other data centres that a reader may follow:
+	// the first in rank and a spare one.
+	maxReadersAbove = 2
 	// gatewaysPerReader is the number of gateways for which a data centre has one reader;
 	// the number of readers is rounded up. It limits the calls that a reader serves: 32
 	// gateways send about 200 calls/s.
@@ -63,6 +63,9 @@
 	// Ranked returns at most n live gateways of this data centre for a purpose, in an
 	// order that is the same on all gateways.
 	Ranked(purpose string, n int) []membership.Gateway
+	// FirstRanked returns the gateway of each data centre that Ranked puts first, in rank
+	// order.
+	FirstRanked(purpose string) []membership.Gateway
 }
 
 // Copies holds this gateway's copies of the store's tables. A reader is a gateway that
@@ -89,7 +92,9 @@
 	// historyStart is the oldest revision after which all changes are known.
 	historyStart int64
 	confirmedAt  time.Duration
-	lost         bool
+	// lost is set while the watcher cannot read the table. unread is set until it has read
+	// it for the first time.
+	lost, unread bool
 	recoveredAt  time.Time
 	// changed is closed and replaced at the next change.
 	changed chan struct{}
@@ -159,14 +164,14 @@
 	if !t.recoveredAt.IsZero() {
 		out.SinceReturn = max(1, time.Since(t.recoveredAt))
 	}
-	out.Whole = in.Since < t.historyStart
+	out.Whole = in.Since < t.historyStart && !t.unread
 	for _, r := range t.rows {
 		if out.Whole && !r.Tombstone || !out.Whole && r.Revision > in.Since {
 			out.Rows = append(out.Rows, r)
 		}
 	}
 	slices.SortFunc(out.Rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
-	return t.changed, t.lost || out.Whole || len(out.Rows) > 0
+	return t.changed, t.lost && !t.unread || out.Whole || len(out.Rows) > 0
 }
 
 // table returns the copy of a table, creating it if needed. A new copy is marked as lost
@@ -174,7 +179,7 @@
 func (c *Copies) table(name string) *tableCopy {
 	t := c.tables[name]
 	if t == nil {
-		t = &tableCopy{rows: map[string]Row{}, lost: true, changed: make(chan struct{})}
+		t = &tableCopy{rows: map[string]Row{}, lost: true, unread: true, changed: make(chan struct{})}
 		c.tables[name] = t
 	}
 	return t
@@ -199,7 +204,7 @@
 	}
 	t.revision = max(t.revision, res.Revision)
 	t.confirmedAt = max(t.confirmedAt, res.confirmedAt)
-	t.lost = false
+	t.lost, t.unread = false, false
 	if !res.recoveredAt.IsZero() {
 		t.recoveredAt = res.recoveredAt
 	}
@@ -217,7 +222,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(name)
-	t.lost = true
+	t.lost, t.unread = true, false
 	t.wake()
 }
 
@@ -326,25 +331,27 @@
 }
 
 // candidateReaders returns the readers that this gateway may follow, in the order in which
-// to call them. It returns none if this gateway is a reader itself. A gateway only follows
-// gateways that rank before it, in an order that is the same on all gateways, so that no
-// two gateways follow each other even if their views differ.
+// to call them. A reader may follow the first readers of all data centres, so that usually
+// one gateway of all reads the store: each call costs money, and with a reader in each of six
+// data centres the calls were the largest cost of all. A gateway only follows gateways that
+// rank before it, in an order that is the same on all gateways, so that there is no cycle
+// even if their views differ.
 func (c *Copies) candidateReaders(now time.Time) []membership.Gateway {
 	if c == nil {
 		return nil
 	}
-	ranked := c.view.Ranked("store", maxRanked)
-	if len(ranked) < minGateways {
-		return nil
-	}
+	ranked := c.view.Ranked(purpose, maxRanked)
 	self := c.view.Self().Name
 	readers := 1 + (len(ranked)-1)/gatewaysPerReader
 	before := slices.IndexFunc(ranked, func(g membership.Gateway) bool { return g.Name == self })
-	if before < readers {
+	if before < 0 {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if before < readers {
+		return c.readersAbove(now, self)
+	}
 	first := int(xxhash.Sum64String(self) % uint64(readers))
 	var out []membership.Gateway
 	for i := range min(readers+spareReaders, before) {
@@ -359,6 +366,21 @@
 	return out
 }
 
+// readersAbove returns the readers that a reader may follow. The caller holds the lock.
+func (c *Copies) readersAbove(now time.Time, self string) []membership.Gateway {
+	var out []membership.Gateway
+	first := c.view.FirstRanked(purpose)
+	for _, g := range first[:min(maxReadersAbove, len(first))] {
+		if membership.RanksBefore(g.Name, self, purpose) && !now.Before(c.avoidUntil[g.Name]) {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// purpose is the purpose for which gateways are ranked.
+const purpose = "store"
+
 // maxRanked is larger than the number of gateways of a data centre at the target size.
 const maxRanked = 1000
 
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -21,9 +21,10 @@
 	// time at which the call was sent, so the age of the last confirmation grows to twice
 	// feedWait: with 1.8 s, gateways became unready on days without faults.
 	feedWait = 1200 * time.Millisecond
-	// followedFeedWait replaces feedWait on a reader with followers. The followers'
-	// confirmations are up to twice copyWait older than the reader's own.
-	followedFeedWait = time.Second
+	// followedFeedWait replaces feedWait on a reader with followers. Each of the two levels
+	// of followers adds up to twice copyWait to the age of a confirmation, which must stay
+	// below 3 s.
+	followedFeedWait = 700 * time.Millisecond
 	// probeTimeout bounds a call after a failed call. A slow store takes a third of a
 	// second to respond.
 	probeTimeout = 800 * time.Millisecond
@@ -65,8 +66,10 @@
 	// failure. It may be called more than once for the same recovery.
 	Recovered func(at time.Time)
 
-	// probedAt is the time of the last call to the store after a failure.
-	probedAt time.Time
+	// probedAt is the time of the last call to the store after a failure. following is set
+	// if the last response came from a reader.
+	probedAt  time.Time
+	following bool
 }
 
 // needsList is used as the revision of a table that has not been read yet, because 0 is
@@ -95,6 +98,7 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	since := int64(needsList)
 	failures := 0
+	confirmedAt := time.Duration(0)
 	for ctx.Err() == nil {
 		res, err := w.fetch(ctx, since, failures > 0)
 		if err == nil && res.Revision < w.Newest.Load() && since == needsList {
@@ -118,6 +122,11 @@
 			continue
 		}
 		now := time.Now()
+		if failures == 0 && since != needsList && boottime.Now()-confirmedAt < maxCopyAge {
+			// Only the reader had lost the store: this gateway has read it all the time, so
+			// no entry can have expired during an outage.
+			res.recoveredAt = time.Time{}
+		}
 		if failures > 0 {
 			_ = level.Info(w.Logger).Log("msg", "store regained", "table", w.Table, "failures", failures)
 			failures = 0
@@ -130,6 +139,7 @@
 		since = max(since, res.Revision)
 		raise(w.Newest, res.Revision)
 		if res.confirmedAt > 0 {
+			confirmedAt = max(confirmedAt, res.confirmedAt)
 			w.Confirmed(res.confirmedAt)
 		}
 		w.Copies.update(w.Table, res)
@@ -148,6 +158,8 @@
 		minRevision = w.Newest.Load()
 	}
 	res, outcome := w.Copies.fetch(ctx, w.Table, since, minRevision)
+	lostReader := w.following && outcome != copyFresh
+	w.following = outcome == copyFresh
 	switch {
 	case outcome == copyFresh:
 		return res, nil
@@ -157,13 +169,14 @@
 	if failed {
 		w.probedAt = time.Now()
 	}
-	return w.fetchFromStore(ctx, since, failed)
+	// The last copy may be old, so the first call after it does not wait for changes.
+	return w.fetchFromStore(ctx, since, failed, lostReader)
 }
 
 // fetchFromStore is like fetch but always calls the store. After a failure it requests an
 // immediate response and uses the shorter probeTimeout, so that a lost call does not delay
-// the recovery.
-func (w *Watcher) fetchFromStore(ctx context.Context, since int64, failed bool) (result, error) {
+// the recovery. immediate requests an immediate response without a failure.
+func (w *Watcher) fetchFromStore(ctx context.Context, since int64, failed, immediate bool) (result, error) {
 	wait := feedWait
 	if w.Copies.followed() {
 		wait = followedFeedWait
@@ -174,6 +187,9 @@
 		defer cancel()
 		wait = 0
 	}
+	if immediate {
+		wait = 0
+	}
 	res := result{whole: since == needsList, confirmedAt: boottime.Now()}
 	var err error
 	if res.whole {
