Poll a lost engine less from gateways that are not its reader

Change: gateways other than the reader poll a lost engine every 2 s, and at the next tick once a report of it arrives from another gateway.

--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -26,8 +26,8 @@
 	failures int
 	inFlight bool
 	// pollStartedAt and pollDoneAt are the times at which this gateway last sent a poll
-	// and last received a report. peerReportAt is the time of the last report that was
-	// accepted from another gateway.
+	// and last received a report. peerReportAt is the time of the last report that another
+	// gateway has polled and that was accepted, or arrived while the polls of this one fail.
 	pollStartedAt, pollDoneAt, peerReportAt time.Time
 	// reportedLost is set when this gateway or another one reports the engine lost, and
 	// cleared when a later poll succeeds.
--- a/internal/process/owner/reader.go
+++ b/internal/process/owner/reader.go
@@ -14,17 +14,27 @@
 	// readerTimeout is the time without a report after which a gateway polls the engine
 	// itself, because the reader may be cut off from the engine or from this gateway.
 	readerTimeout = 2 * time.Second
+	// lostPollPeriod is the interval at which a gateway that is not the reader polls an engine
+	// that it has lost. With a poll at each tick, 95 gateways sent 380 polls/s to an engine
+	// that had crashed.
+	lostPollPeriod = 2 * time.Second
 )
 
 // pollDue reports whether this gateway polls an engine now, under the shared policy.
 // One gateway, the reader, polls each engine and sends its reports to the others,
-// because each poll has a cost. Engines that may have failed are polled at each tick.
+// because each poll has a cost. Engines that may have failed are polled at each tick. A lost
+// one is polled at each tick by its reader, and by the others as soon as a report of it
+// arrives or after lostPollPeriod.
 func (m *Manager) pollDue(now time.Time, name string, reader bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e := m.engines[name]
 	switch {
-	case e == nil || e.reportedLost || e.failures > 0:
+	case e == nil:
+		return true
+	case e.failures >= lostAfterFailures && !reader:
+		return e.peerReportAt.After(e.pollStartedAt) || now.Sub(e.pollStartedAt) >= lostPollPeriod
+	case e.reportedLost || e.failures > 0:
 		return true
 	case reader:
 		return now.Sub(e.pollStartedAt) >= readerPollPeriod
@@ -90,7 +100,7 @@
 		// This gateway's own polls take precedence: its own connection to the engine
 		// may have failed. Times of reports are not compared, because clocks jump.
 		accepted := e != nil && !e.inFlight && !e.reportedLost && e.failures == 0 && now.Sub(e.pollDoneAt) >= readerPollPeriod
-		if accepted {
+		if e != nil && (accepted || e.failures > 0) {
 			e.peerReportAt = now
 		}
 		m.mu.Unlock()
--- a/internal/process/owner/shared_test.go
+++ b/internal/process/owner/shared_test.go
@@ -107,6 +107,37 @@
 	})
 }
 
+// Guards against polls of an engine that has crashed by all gateways at each tick, and
+// against gateways that learn late that it is back.
+func TestLostEnginesAreReadLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const gateways = 10
+		f := newFleet(t, 4)
+		f.slowStart = time.Millisecond
+		var members []*gateway
+		for i := range gateways {
+			g, r := f.startShared(string(rune('a' + i)))
+			members = append(members, g)
+			r.Sync(time.Now(), engineList("e1"))
+		}
+		defer f.stop()
+		time.Sleep(15 * time.Second)
+		f.engines.crash("e1", false)
+		time.Sleep(6 * time.Second) // all have lost it
+		before := f.engines.pollCount()
+		time.Sleep(10 * time.Second)
+		perSecond := float64(f.engines.pollCount()-before) / 10
+		is.True(perSecond <= 4+gateways/2) // the reader at each tick, the others every 2 s
+		f.engines.crash("e1", true)
+		time.Sleep(time.Second)
+		for i, g := range members[:4] {
+			_, err := g.acquire(fmt.Sprint("r", i), 0, time.Second)
+			is.NoErr(err)
+		}
+	})
+}
+
 // contendedFleet is eight gateways under the shared policy and one full engine, for
 // which each gateway has a request waiting.
 type contendedFleet struct {
