Clear suspects of engines that were only silent

Three failed polls counted as a crash of all requests on the engine, also in a cut between data centres. A request that its caller sent again while two engines were silent was refused as one that crashes engines. Running streams themselves were never cut for missing reports. Change: an engine that answers a poll, sent after its loss, under the same incarnation withdraws the loss here and at the other gateways. TestSilentEnginesMakeNoSuspects failed first; its second case keeps the refusal after real crashes.

--- a/internal/process/crashguard/guard.go
+++ b/internal/process/crashguard/guard.go
@@ -58,6 +58,9 @@
 	Finished []uint64
 	// Refused lists requests that are still being sent and refused.
 	Refused []uint64
+	// Survived lists suspects of Loss, if the engine has answered since under the same
+	// incarnation and so was only unreachable.
+	Survived []uint64
 }
 
 type suspect struct {
@@ -91,6 +94,34 @@
 	return added
 }
 
+// EngineSurvived withdraws the loss of an engine that was only unreachable: it has answered
+// under the same incarnation. It returns the fingerprints that it changed.
+func (g *Guard) EngineSurvived(engine, incarnation string) []uint64 {
+	var changed []uint64
+	for _, f := range g.suspects.Keys() {
+		if g.withdraw(f, Loss{engine, incarnation}) {
+			changed = append(changed, f)
+		}
+	}
+	return changed
+}
+
+func (g *Guard) withdraw(fingerprint uint64, l Loss) bool {
+	s, ok := g.suspects.Peek(fingerprint)
+	if !ok {
+		return false
+	}
+	if _, lost := s.losses[l]; !lost {
+		return false
+	}
+	delete(s.losses, l)
+	s.refused = s.refused && len(s.losses) >= refuseAt
+	if len(s.losses) == 0 {
+		g.suspects.Remove(fingerprint)
+	}
+	return true
+}
+
 func (g *Guard) add(now time.Time, fingerprint uint64, l Loss) bool {
 	s := g.getOrAdd(now, fingerprint)
 	for known, at := range s.losses {
@@ -165,7 +196,7 @@
 func (g *Guard) Finished(fingerprint uint64) bool { return g.suspects.Remove(fingerprint) }
 
 // Merge applies another gateway's report. It returns the fingerprints that it changed:
-// those with a new loss, those newly refused and those removed.
+// those with a new or withdrawn loss, those newly refused and those removed.
 func (g *Guard) Merge(now time.Time, r Report) []uint64 {
 	changed := g.EngineLost(now, r.Loss.Engine, r.Loss.Incarnation, r.Fingerprints)
 	for _, f := range r.Refused {
@@ -175,6 +206,11 @@
 		}
 		s.refused, s.until, s.broadcastAt = true, now.Add(suspectTTL), now
 	}
+	for _, f := range r.Survived {
+		if g.withdraw(f, r.Loss) {
+			changed = append(changed, f)
+		}
+	}
 	for _, f := range r.Finished {
 		if g.Finished(f) {
 			changed = append(changed, f)
--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -32,6 +32,9 @@
 	// reportedLost is set when this gateway or another one reports the engine lost, and
 	// cleared when a later poll succeeds.
 	reportedLost bool
+	// lostAt is the time at which this gateway took the engine for lost, until a later poll
+	// succeeds.
+	lostAt time.Time
 }
 
 // usable reports whether the engine can take new work according to its last polls.
@@ -128,6 +131,9 @@
 	e.inFlight = false
 	e.failures++
 	lost := e.failures == lostAfterFailures
+	if lost {
+		e.lostAt = time.Now()
+	}
 	incarnation := e.report.Incarnation
 	m.mu.Unlock()
 	if !lost {
@@ -143,8 +149,17 @@
 	m.mu.Lock()
 	e := m.engines[name]
 	e.pollDoneAt, e.inFlight = time.Now(), false
+	// A report that was requested before the loss may be older than a crash.
+	survived := false
+	if !e.lostAt.IsZero() && e.pollStartedAt.After(e.lostAt) {
+		survived = e.polled && report.Incarnation != "" && report.Incarnation == e.report.Incarnation
+		e.lostAt = time.Time{}
+	}
 	m.mu.Unlock()
 	m.applyReport(name, report)
+	if survived {
+		m.engineSurvived(name, report.Incarnation)
+	}
 }
 
 // applyReport applies a report that this gateway or another one has polled, or that is
@@ -208,7 +223,7 @@
 	e := m.engines[name]
 	reportedLost := e != nil && e.polled && e.report.Incarnation == incarnation
 	if reportedLost {
-		e.reportedLost = true
+		e.reportedLost, e.lostAt = true, time.Now()
 	}
 	m.mu.Unlock()
 	if reportedLost {
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -184,6 +184,13 @@
 	e.starts[name]++
 }
 
+// setSilent makes an engine stop or resume answering polls while its work runs on.
+func (e *engines) setSilent(name string, silent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down[name] = silent
+}
+
 // gateway is a gateway of a test, without its HTTP server.
 type gateway struct {
 	*owner.Manager
--- a/internal/process/owner/guard.go
+++ b/internal/process/owner/guard.go
@@ -38,6 +38,12 @@
 	return g.table.EngineLost(time.Now(), engine, incarnation, fingerprints)
 }
 
+func (g *guard) noteEngineSurvived(engine, incarnation string) []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.EngineSurvived(engine, incarnation)
+}
+
 func (g *guard) finished(fingerprint uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/process/owner/shared_test.go
+++ b/internal/process/owner/shared_test.go
@@ -319,3 +319,48 @@
 		})
 	}
 }
+
+// Guards against a request that is refused as one that crashes engines because the two
+// engines on which it still runs were silent for a while, and against clearing a request
+// that did crash them.
+func TestSilentEnginesMakeNoSuspects(t *testing.T) {
+	for name, crashed := range map[string]bool{"silent": false, "crashed": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const fingerprint = 7
+				f := newFleet(t, 4)
+				f.slowStart = time.Millisecond
+				a, ra := f.startShared("a")
+				b, rb := f.startShared("b")
+				defer f.stop()
+				ra.Sync(time.Now(), engineList("e1", "e2"))
+				rb.Sync(time.Now(), engineList("e1", "e2"))
+				time.Sleep(15 * time.Second)
+				for i := range 2 {
+					grant, err := a.acquire(fmt.Sprint("r", i), fingerprint, time.Second)
+					is.NoErr(err)
+					if crashed {
+						f.engines.crash(grant.Backend, false)
+					} else {
+						f.engines.setSilent(grant.Backend, true)
+					}
+					time.Sleep(5 * time.Second)
+					if crashed {
+						f.engines.crash(grant.Backend, true)
+					} else {
+						f.engines.setSilent(grant.Backend, false)
+					}
+					time.Sleep(5 * time.Second)
+					if crashed {
+						a.Release(grant.ID, schedule.Outcome{EngineLost: true})
+					}
+				}
+				for _, g := range []*gateway{a, b} {
+					_, err := g.acquire("again at "+g.name, fingerprint, time.Second)
+					is.Equal(err != nil, crashed)
+				}
+			})
+		})
+	}
+}
--- a/internal/process/owner/suspects.go
+++ b/internal/process/owner/suspects.go
@@ -64,6 +64,22 @@
 	})
 }
 
+// engineSurvived clears the requests that ran on an engine which was taken for lost, and
+// has answered since under the same incarnation. Silence alone must not make a request a
+// suspect: after two engines that were silent for a while it would be refused for good.
+func (m *Manager) engineSurvived(name, incarnation string) {
+	cleared := m.guard.noteEngineSurvived(name, incarnation)
+	if len(cleared) == 0 {
+		return
+	}
+	level.Info(m.opt.Logger).Log("msg", "engine was only unreachable", "engine", name, "cleared", len(cleared))
+	m.recheck()
+	m.broadcastInBackground(crashguard.Report{
+		Loss:     crashguard.Loss{Engine: name, Incarnation: incarnation},
+		Survived: cleared,
+	})
+}
+
 // runningOn returns the fingerprints of all requests known to run on an engine.
 func (m *Manager) runningOn(name, incarnation string) []uint64 {
 	seen := map[uint64]bool{}
