Answer the requests that a planned stop has just accepted

Operators' report: during a planned stop under load, requests that had just been accepted were cut off without an answer. Could it happen here: yes, in two ways. The kernel resets the connections in the queue of a listener that is closed, and http.Server.Shutdown closes a connection whose request it has just read. Change: new connections are ignored by a socket filter where the kernel has it, the queue is accepted and served before the listener is closed, and Shutdown is called when no connection carries a request or is about to. The product's gateway takes the queue over too; its own linger stays. Ruled out: a longer wait before the close (the queue is full whenever the host is slow); Shutdown alone.

--- a/internal/process/gateway/drain.go
+++ b/internal/process/gateway/drain.go
@@ -6,13 +6,22 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+
+	"persimmonwing/internal/process/daemon"
 )
 
-// idlePollInterval is the interval at which waitIdle checks the open connections.
-const idlePollInterval = 20 * time.Millisecond
+const (
+	// idlePollInterval is the interval at which waitIdle checks the open connections.
+	idlePollInterval = 20 * time.Millisecond
+	// acceptQueueTime is how long the connections in the listener's queue are accepted after
+	// new ones are ignored.
+	acceptQueueTime = 100 * time.Millisecond
+)
 
 // connections tracks the open connections of callers.
 type connections struct {
@@ -50,6 +59,15 @@
 	err  error
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *closeOnce) SyscallConn() (syscall.RawConn, error) {
+	c, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, eris.Errorf("listener of type %T has no socket", l.Listener)
+	}
+	return c.SyscallConn()
+}
+
 // Close implements net.Listener.
 func (l *closeOnce) Close() error {
 	l.once.Do(func() { l.err = l.Listener.Close() })
@@ -64,7 +82,12 @@
 	g.stopping.Store(true)
 	_ = level.Info(g.logger).Log("msg", "stopping", "in_progress", g.inProgress.Load(), "delay", g.opts.DrainDelay)
 	time.Sleep(g.opts.DrainDelay)
-	_ = callers.Close()
+	if err := daemon.RefuseNewConnections(callers); err == nil {
+		time.Sleep(acceptQueueTime)
+	}
+	if err := daemon.CloseListener(server.Serve, callers); err != nil {
+		_ = level.Warn(g.logger).Log("msg", "closing the listener failed", "err", err)
+	}
 	g.connections.waitIdle(g.opts.IdleLinger)
 	err := server.Shutdown(context.Background())
 	_ = level.Info(g.logger).Log("msg", "stopped")
