Bound the heads of the store's and the product's engines' responses

Cause: http.Transport reads up to 10 MB of a header for each connection; hosts have 112 MB. Change: 64 KiB. Bodies were bounded before.

--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -41,6 +41,7 @@
 	responseHeaderTimeout = 10 * time.Second
 	idleConnTimeout       = 60 * time.Second
 	idleConnsPerHost      = 64
+	maxHeaderBytes        = 64 << 10
 )
 
 // NewTransport returns an HTTP transport for engines. It uses no proxy and no compression,
@@ -53,6 +54,9 @@
 		IdleConnTimeout:       idleConnTimeout,
 		ResponseHeaderTimeout: responseHeaderTimeout,
 		DisableCompression:    true,
+		// The default of 10 MB for each connection would let a few faulty engines fill a
+		// gateway's memory.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
