Encode loads once at a relay, and let followers call it every 100 ms

Followers call at most every 100 ms; relays still call each other every 50 ms. Ruled out: more relays in a data centre, since each would call all others.

--- a/internal/process/owner/export_test.go
+++ b/internal/process/owner/export_test.go
@@ -40,12 +40,15 @@
 	return out
 }
 
+// DecodeLoads exposes decodeLoads.
+var DecodeLoads = decodeLoads
+
 // RelayBuffer exposes relayBuffer.
 type RelayBuffer struct{ relayBuffer }
 
 // Add, Since, Expire and Sequence expose the methods and the newest sequence number.
 func (b *RelayBuffer) Add(now time.Time, in *LoadsArgs, local bool) { b.add(now, in, local) }
-func (b *RelayBuffer) Since(now time.Time, s uint64, caller string, onlyLocal bool) ([]LoadsArgs, []api.LoadReport) {
+func (b *RelayBuffer) Since(now time.Time, s uint64, caller string, onlyLocal bool) ([]RelayedLoads, []api.LoadReport) {
 	return b.since(now, s, caller, onlyLocal)
 }
 func (b *RelayBuffer) Expire(now time.Time) { b.expire(now) }
--- a/internal/process/owner/relay.go
+++ b/internal/process/owner/relay.go
@@ -19,6 +19,10 @@
 	// relayedLoadsPeriod is the time after which unchanged loads are sent to the relay
 	// again. Three of them fit into loadsTTL.
 	relayedLoadsPeriod = time.Second
+	// fetchPeriod is the minimum interval between two calls of a follower to its relay. With
+	// 50 ms, four gateways that were relays of 20 others had two thirds of all late answers.
+	// Relays call those of other data centres every 50 ms.
+	fetchPeriod = 100 * time.Millisecond
 	// fetchHold is how long a relay delays its reply while it has nothing new.
 	fetchHold = 250 * time.Millisecond
 	// relayTimeout bounds one call to a relay, in addition to fetchHold. A relay with a fifth
@@ -40,6 +44,8 @@
 	relay string
 	// ownSentAt is the time of the last message with the loads of this gateway.
 	ownSentAt time.Time
+	// fetchedAt is the time of the last call to the relay.
+	fetchedAt time.Time
 	cursors   map[string]relayCursor
 }
 
@@ -57,11 +63,19 @@
 	Since       uint64
 }
 
+// RelayedLoads are the loads of one gateway as a relay passes them on.
+type RelayedLoads struct {
+	// Encoded is the result of encodeLoads.
+	Encoded []byte
+	// Broken is that of LoadsArgs, less the time since the relay received it.
+	Broken map[string]time.Duration
+}
+
 // FetchLoadsReply holds the loads and reports after the position of FetchLoadsArgs.
 type FetchLoadsReply struct {
 	Incarnation int64
 	Sequence    uint64
-	Loads       []LoadsArgs
+	Loads       []RelayedLoads
 	Reports     []api.LoadReport
 }
 
@@ -152,7 +166,9 @@
 		}
 	} else {
 		m.pushLoads(ctx, wait, now, relay)
-		m.startFetch(ctx, wait, relay)
+		if m.relayDue(now) {
+			m.startFetch(ctx, wait, relay)
+		}
 	}
 	if !m.isRelay(now, relay) {
 		return
@@ -221,6 +237,18 @@
 	})
 }
 
+// relayDue reports whether fetchPeriod has passed since the last call to the relay, and if so
+// marks a new one.
+func (m *Manager) relayDue(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.loads.relay.fetchedAt) < fetchPeriod {
+		return false
+	}
+	m.loads.relay.fetchedAt = now
+	return true
+}
+
 // startFetch starts a call that fetches what a relay has received, unless one is in
 // progress.
 func (m *Manager) startFetch(ctx context.Context, wait *sync.WaitGroup, relay membership.Gateway) {
@@ -285,8 +313,16 @@
 // applyRelayed applies the reply of a relay and keeps it for the gateways that call this
 // one.
 func (m *Manager) applyRelayed(now time.Time, relay string, in *FetchLoadsReply) {
-	for i := range in.Loads {
-		m.receiveLoads(now, &in.Loads[i])
+	loads := make([]LoadsArgs, 0, len(in.Loads))
+	for _, l := range in.Loads {
+		a, err := decodeLoads(l.Encoded)
+		if err != nil {
+			level.Warn(m.opt.Logger).Log("msg", "ignoring loads from a relay", "relay", relay, "err", err)
+			continue
+		}
+		a.Broken = l.Broken
+		loads = append(loads, a)
+		m.receiveLoads(now, &a)
 	}
 	m.applyPeerReports(now, in.Reports)
 	m.mu.Lock()
@@ -296,8 +332,8 @@
 		l.cursors = map[string]relayCursor{}
 	}
 	l.cursors[relay] = relayCursor{in.Incarnation, in.Sequence}
-	for i := range in.Loads {
-		l.buffer.add(now, &in.Loads[i], false)
+	for i := range loads {
+		l.buffer.add(now, &loads[i], false)
 	}
 	l.buffer.addReports(now, in.Reports, "", false)
 	if len(in.Loads)+len(in.Reports) > 0 {
--- a/internal/process/owner/relay_test.go
+++ b/internal/process/owner/relay_test.go
@@ -168,7 +168,9 @@
 		loads, _ := b.Since(at, since, caller, onlyLocal)
 		var out []string
 		for _, l := range loads {
-			out = append(out, fmt.Sprintf("%s%d%d", l.Gateway, l.Number, len(l.Broken)))
+			a, err := owner.DecodeLoads(l.Encoded)
+			is.NoErr(err)
+			out = append(out, fmt.Sprintf("%s%d%d", a.Gateway, a.Number, len(l.Broken)))
 		}
 		if len(out) == 2 && out[0] > out[1] {
 			out[0], out[1] = out[1], out[0]
--- a/internal/process/owner/relaybuffer.go
+++ b/internal/process/owner/relaybuffer.go
@@ -18,11 +18,14 @@
 	reports  map[string]bufferedReport
 }
 
-// bufferedLoads are the newest loads of a gateway.
+// bufferedLoads are the newest loads of a gateway, encoded by encodeLoads.
 type bufferedLoads struct {
-	args       LoadsArgs
-	sequence   uint64
-	receivedAt time.Time
+	encoded     []byte
+	incarnation int64
+	number      uint64
+	broken      map[string]time.Duration
+	sequence    uint64
+	receivedAt  time.Time
 	// local is set for the gateways of this data centre. Only their loads are passed on to
 	// relays of other data centres.
 	local bool
@@ -39,16 +42,14 @@
 
 // add replaces the loads of a gateway, unless the buffer holds newer ones.
 func (b *relayBuffer) add(now time.Time, in *LoadsArgs, local bool) {
-	if old, known := b.loads[in.Gateway]; known && !in.newerThan(old.args.Incarnation, old.args.Number) {
+	if old, known := b.loads[in.Gateway]; known && !in.newerThan(old.incarnation, old.number) {
 		return
 	}
 	if b.loads == nil {
 		b.loads = map[string]bufferedLoads{}
 	}
 	b.sequence++
-	args := *in
-	args.Reports = nil
-	b.loads[in.Gateway] = bufferedLoads{args, b.sequence, now, local}
+	b.loads[in.Gateway] = bufferedLoads{encodeLoads(in), in.Incarnation, in.Number, in.Broken, b.sequence, now, local}
 	b.addReports(now, in.Reports, in.Gateway, local)
 }
 
@@ -67,12 +68,10 @@
 // since returns the loads and reports that were added after a sequence number, without
 // those of the caller itself. A caller of another data centre receives only those of this
 // data centre.
-func (b *relayBuffer) since(now time.Time, sequence uint64, caller string, onlyLocal bool) (loads []LoadsArgs, reports []api.LoadReport) {
+func (b *relayBuffer) since(now time.Time, sequence uint64, caller string, onlyLocal bool) (loads []RelayedLoads, reports []api.LoadReport) {
 	for gateway, l := range b.loads {
 		if l.sequence > sequence && gateway != caller && (l.local || !onlyLocal) {
-			args := l.args
-			args.Broken = remaining(l.args.Broken, now.Sub(l.receivedAt))
-			loads = append(loads, args)
+			loads = append(loads, RelayedLoads{l.encoded, remaining(l.broken, now.Sub(l.receivedAt))})
 		}
 	}
 	for _, r := range b.reports {
