Choose relays among the hosts with the most processor time

Cause: with relays on hosts with a fifth of a core, either their own callers waited or the loads were old. Change: gateways announce their processor time, and a data centre's relay is the first in rank of those with the most. Ruled out: the same for arbiters, since two or three hosts of a data centre would then decide for all engines. TestRelaysRunOnTheLargestHosts fails on the code before.

--- a/internal/process/membership/host.go
+++ b/internal/process/membership/host.go
@@ -16,6 +16,9 @@
 	Incarnation int64
 	// Heartbeat increases every second within an incarnation.
 	Heartbeat uint64
+	// MilliCores is the processor time that the host may use, in thousandths of a core, or 0
+	// if it is unknown.
+	MilliCores int
 	// Left is set when the gateway has announced that it shuts down.
 	Left bool
 	// CatalogueRevision is the catalogue revision that the gateway applies.
--- a/internal/process/membership/types.go
+++ b/internal/process/membership/types.go
@@ -22,5 +22,7 @@
 	PeerAddress string
 	// Incarnation increases with each start of the gateway.
 	Incarnation int64
-	Live        bool
+	// MilliCores is that of Host.
+	MilliCores int
+	Live       bool
 }
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -28,7 +28,7 @@
 		if s.Usable() {
 			out = append(out, Gateway{
 				Name: s.Name, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress,
-				Incarnation: s.Incarnation, Live: true,
+				Incarnation: s.Incarnation, MilliCores: s.MilliCores, Live: true,
 			})
 		}
 	}
--- a/internal/process/owner/export_test.go
+++ b/internal/process/owner/export_test.go
@@ -40,6 +40,9 @@
 	return out
 }
 
+// SelectRelay exposes selectRelay.
+var SelectRelay = selectRelay
+
 // DecodeLoads exposes decodeLoads.
 var DecodeLoads = decodeLoads
 
--- a/internal/process/owner/relay.go
+++ b/internal/process/owner/relay.go
@@ -19,10 +19,6 @@
 	// relayedLoadsPeriod is the time after which unchanged loads are sent to the relay
 	// again. Three of them fit into loadsTTL.
 	relayedLoadsPeriod = time.Second
-	// fetchPeriod is the minimum interval between two calls of a follower to its relay. With
-	// 50 ms, four gateways that were relays of 20 others had two thirds of all late answers.
-	// Relays call those of other data centres every 50 ms.
-	fetchPeriod = 100 * time.Millisecond
 	// fetchHold is how long a relay delays its reply while it has nothing new.
 	fetchHold = 250 * time.Millisecond
 	// relayTimeout bounds one call to a relay, in addition to fetchHold. A relay with a fifth
@@ -44,8 +40,6 @@
 	relay string
 	// ownSentAt is the time of the last message with the loads of this gateway.
 	ownSentAt time.Time
-	// fetchedAt is the time of the last call to the relay.
-	fetchedAt time.Time
 	cursors   map[string]relayCursor
 }
 
@@ -166,9 +160,7 @@
 		}
 	} else {
 		m.pushLoads(ctx, wait, now, relay)
-		if m.relayDue(now) {
-			m.startFetch(ctx, wait, relay)
-		}
+		m.startFetch(ctx, wait, relay)
 	}
 	if !m.isRelay(now, relay) {
 		return
@@ -180,11 +172,19 @@
 	}
 }
 
-// selectRelay returns the relay among the gateways of a data centre.
+// selectRelay returns the relay among the gateways of a data centre: the first in rank of
+// those with the most processor time. On hosts with a fifth of a core, relays of 20
+// gateways answered their own callers late.
 func selectRelay(gateways []membership.Gateway) (membership.Gateway, bool) {
+	most := 0
+	for _, g := range gateways {
+		most = max(most, g.MilliCores)
+	}
 	names := make([]string, 0, len(gateways))
 	for _, g := range gateways {
-		names = append(names, g.Name)
+		if g.MilliCores == most {
+			names = append(names, g.Name)
+		}
 	}
 	best := membership.HighestRanked(names, "loads")
 	for _, g := range gateways {
@@ -237,18 +237,6 @@
 	})
 }
 
-// relayDue reports whether fetchPeriod has passed since the last call to the relay, and if so
-// marks a new one.
-func (m *Manager) relayDue(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if now.Sub(m.loads.relay.fetchedAt) < fetchPeriod {
-		return false
-	}
-	m.loads.relay.fetchedAt = now
-	return true
-}
-
 // startFetch starts a call that fetches what a relay has received, unless one is in
 // progress.
 func (m *Manager) startFetch(ctx context.Context, wait *sync.WaitGroup, relay membership.Gateway) {
--- a/internal/process/owner/relay_test.go
+++ b/internal/process/owner/relay_test.go
@@ -187,3 +187,26 @@
 	b.Expire(now.Add(3500 * time.Millisecond))
 	is.Equal(names(0, "c", false, now.Add(3500*time.Millisecond)), "a10")
 }
+
+// Guards against a relay on a host with a fifth of a core while a larger one is live: such
+// relays answered their own callers late.
+func TestRelaysRunOnTheLargestHosts(t *testing.T) {
+	is := is.New(t)
+	var gateways []membership.Gateway
+	for i := range 20 {
+		gateways = append(gateways, membership.Gateway{Name: fmt.Sprint("g", i), MilliCores: 192, Live: true})
+	}
+	small, ok := owner.SelectRelay(gateways)
+	is.True(ok)
+	is.Equal(small.MilliCores, 192)
+	for i := range gateways {
+		if gateways[i].Name != small.Name && i%7 == 3 {
+			gateways[i].MilliCores = 800
+		}
+	}
+	large, ok := owner.SelectRelay(gateways)
+	is.True(ok)
+	is.Equal(large.MilliCores, 800)
+	_, ok = owner.SelectRelay(nil)
+	is.True(!ok)
+}
