--- a/internal/process/owner/relay.go
+++ b/internal/process/owner/relay.go
@@ -155,8 +155,8 @@
 		return
 	}
 	if relay.Name == m.self() {
-		if own, _ := m.changedLoads(now); own != nil {
-			m.bufferLoads(now, own)
+		if loads, _ := m.changedLoads(now); loads != nil {
+			m.bufferLoads(now, loads)
 		}
 	} else {
 		m.pushLoads(ctx, wait, now, relay)
