--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -1,14 +1,11 @@
 package daemon
 
 import (
-	"context"
 	"errors"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
@@ -130,71 +127,11 @@
 func (q *Queue) Addr() net.Addr { return q.address }
 
 // CloseListener stops a server from accepting new connections through l. Connections that
-// the kernel has established before are served.
-func CloseListener(serve func(net.Listener) error, l net.Listener) error {
+// the kernel has established before are served; it returns how many there were.
+func CloseListener(serve func(net.Listener) error, l net.Listener) (queued int, err error) {
 	conns, err := CloseAfterQueue(l)
 	q := NewQueue(l.Addr(), conns)
 	go func() { _ = serve(q) }() // ends when the server shuts down, which closes q
 	<-q.Taken()
-	return err
-}
-
-const (
-	// newConnectionTimeout is the time after which a connection without a request no longer
-	// delays a stop.
-	newConnectionTimeout = time.Second
-	// drainPollPeriod is the interval at which Drain looks at the connections.
-	drainPollPeriod = 10 * time.Millisecond
-)
-
-// Connections tracks the connections of an HTTP server that carry a request or are about
-// to. http.Server.Shutdown closes a connection whose request it has just read without an
-// answer, so a server must have none of them when Shutdown is called.
-type Connections struct {
-	mu sync.Mutex
-	// newSince holds the connections without a request with the time of their start.
-	newSince map[net.Conn]time.Time
-	active   map[net.Conn]struct{}
-}
-
-// Observe implements the ConnState hook of http.Server.
-func (c *Connections) Observe(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.newSince == nil {
-		c.newSince, c.active = map[net.Conn]time.Time{}, map[net.Conn]struct{}{}
-	}
-	delete(c.newSince, conn)
-	delete(c.active, conn)
-	switch state {
-	case http.StateNew:
-		c.newSince[conn] = time.Now()
-	case http.StateActive:
-		c.active[conn] = struct{}{}
-	}
-}
-
-// Drain waits until no connection carries a request or is about to, or until ctx ends. The
-// server must not accept connections any more, and its responses must close theirs.
-func (c *Connections) Drain(ctx context.Context) {
-	poll := time.NewTicker(drainPollPeriod)
-	defer poll.Stop()
-	for c.busy(time.Now()) {
-		select {
-		case <-poll.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (c *Connections) busy(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, since := range c.newSince {
-		if now.Sub(since) < newConnectionTimeout {
-			return true
-		}
-	}
-	return len(c.active) > 0
+	return len(conns), err
 }
--- a/internal/process/gateway/drain.go
+++ b/internal/process/gateway/drain.go
@@ -85,7 +85,7 @@
 	if err := daemon.RefuseNewConnections(callers); err == nil {
 		time.Sleep(acceptQueueTime)
 	}
-	if err := daemon.CloseListener(server.Serve, callers); err != nil {
+	if _, err := daemon.CloseListener(server.Serve, callers); err != nil {
 		_ = level.Warn(g.logger).Log("msg", "closing the listener failed", "err", err)
 	}
 	g.connections.waitIdle(g.opts.IdleLinger)
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -85,6 +85,7 @@
 		ctx, cancel = context.WithTimeout(ctx, max(minAttemptTimeout, attemptTimeoutFactor*q.Route.Target))
 		defer cancel()
 	}
+	q.Sent = time.Now()
 	answer, err := f.o.Client.Send(ctx, Attempt{Request: q, Server: s, Remaining: time.Until(q.Deadline), Resumes: q.Resumes, After: q.After})
 	if err != nil {
 		return false, f.noteSendError(ctx, s, fault.From(err))
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -153,6 +153,7 @@
 	if err := r.f.checkSend(r.q); err != nil {
 		return err
 	}
+	r.q.Sent = time.Now()
 	src, err := r.open(ctx, r.server, nil, r.last, r.hasLast, 0)
 	if err != nil {
 		outcome = schedule.Outcome{NotRun: err.Execution == api.NotRun, Refused: err.Code == fault.BackendRefused}
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -44,6 +44,9 @@
 	Version  int64
 
 	Arrived time.Time
+	// Sent is the time of the last send to a backend server, other than one that moves a
+	// running generation. It is zero before the first send.
+	Sent time.Time
 	// Deadline is the earlier of the caller's deadline and the route's.
 	Deadline time.Time
 
