Add a failing test of kept connections during a shutdown of the product's front end

The shutdown of this front end has no end of a grace period at which it cuts requests, and closes idle connections as soon as the listener is closed and the callers have been quiet for idle_linger.

--- a/internal/process/gateway/harness_test.go
+++ b/internal/process/gateway/harness_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +56,7 @@
 	base      string
 	admin     string
 	address   string
+	reads     *readCounter
 	stop      context.CancelFunc
 	ended     chan error
 }
@@ -76,6 +79,42 @@
 	return l.b.String()
 }
 
+// readCounter is a listener that counts the bytes which the gateway reads from each
+// connection.
+type readCounter struct {
+	*net.TCPListener
+	conns sync.Map // of *countedConn, by the caller's address
+}
+
+type countedConn struct {
+	*net.TCPConn
+	read atomic.Int64
+}
+
+func (l *readCounter) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	counted := &countedConn{TCPConn: c}
+	l.conns.Store(c.RemoteAddr().String(), counted)
+	return counted, nil
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// from returns how many bytes the gateway has read from a caller's connection.
+func (l *readCounter) from(c net.Conn) int64 {
+	if counted, ok := l.conns.Load(c.LocalAddr().String()); ok {
+		return counted.(*countedConn).read.Load()
+	}
+	return 0
+}
+
 // testOptions returns options with short timeouts, so that tests of timeouts are fast.
 func testOptions() *Options {
 	o := DefaultOptions()
@@ -137,11 +176,12 @@
 	listeners, err := daemon.Listen("127.0.0.1:0", "127.0.0.1:0")
 	w.noErr(err)
 	w.gateway = g
+	w.reads = &readCounter{TCPListener: listeners[0].(*net.TCPListener)}
 	w.address = listeners[0].Addr().String()
 	w.base, w.admin = "http://"+w.address, "http://"+listeners[1].Addr().String()
 	go func() { _ = claims.Run(background) }()
 	go func() {
-		err := g.Run(ctx, listeners[0], listeners[1])
+		err := g.Run(ctx, w.reads, listeners[1])
 		stopBackground()
 		transport.CloseIdleConnections()
 		callTransport.CloseIdleConnections()
--- a/internal/process/gateway/shutdown_test.go
+++ b/internal/process/gateway/shutdown_test.go
@@ -1,8 +1,13 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,3 +71,45 @@
 	is.Equal(w.runs("queued"), 1)
 	is.Equal(w.runs("booked"), 1)
 }
+
+// Guards against a graceful shutdown that closes a kept connection as idle although it has just
+// read a request from it.
+func TestKeptConnectionsDuringShutdown(t *testing.T) {
+	const rounds, callers = 5, 100
+	var sent, cut, ran atomic.Int64
+	for range rounds {
+		w := newHarness(t, nil)
+		var wait sync.WaitGroup
+		for i := range callers {
+			c := w.dial()
+			wait.Go(func() {
+				answers := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					before, id := w.reads.from(c), fmt.Sprintf("c%d-%d", i, n)
+					body := fmt.Sprintf(`{"model":"wide","input":"#id=%s #tokens=1"}`, id)
+					_, _ = fmt.Fprintf(c, "POST /v1/responses HTTP/1.1\r\nHost: gateway\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", keyA, len(body), body)
+					sent.Add(1)
+					resp, err := http.ReadResponse(answers, nil)
+					if err == nil {
+						_, err = io.Copy(io.Discard, resp.Body)
+					}
+					if err == nil && !resp.Close {
+						continue
+					}
+					time.Sleep(10 * time.Millisecond) // the counter may lag behind the close
+					if err != nil && w.reads.from(c) > before {
+						cut.Add(1)
+						ran.Add(int64(w.runs(id)))
+					}
+					return
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.stop()
+		wait.Wait()
+	}
+	if n := cut.Load(); n > 0 {
+		t.Errorf("%d of %d requests on kept connections were read and had no answer; %d of them ran", n, sent.Load(), ran.Load())
+	}
+}
