Close idle connections of a stopping gateway with its listener

Cause: Connections.Drain waited for the connections with a request, and http.Server.Shutdown closed the idle ones only after that. One long stream kept all idle connections usable for the rest of the grace period: 3,196 of 8,453 requests that came on kept connections after SIGTERM came after the listener was closed (docs/incidents/stop-lost.md). Class: a resource that stays open as long as an unrelated one is in use.

Drain now closes idle connections at once, and each further one when its request ends. It expires their read deadline instead of closing them: Shutdown and SetKeepAlivesEnabled also close a connection whose request the server has just read, which the product's own front end did to 15, 39 and 47 of some 4,500 requests in TestKeptConnectionsDuringShutdown. Ruled out by the timeline: connections from the listener's queue (0 in 421 stops), requests that wait in the scheduler (sent at most 14 ms after their arrival).

--- a/internal/process/daemon/connections.go
+++ b/internal/process/daemon/connections.go
@@ -34,6 +34,9 @@
 	state http.ConnState
 	since time.Time
 
+	// expired is set while the read deadline is expired; see closeUnused.
+	expired bool
+
 	queued   bool
 	requests int           // including the current one
 	idle     time.Duration // before the current request
@@ -69,9 +72,9 @@
 	return c
 }
 
-// Connections tracks the connections of an HTTP server that carry a request or are about
-// to. http.Server.Shutdown closes a connection whose request it has just read without an
-// answer, so a server must have none of them when Shutdown is called.
+// Connections tracks the connections of an HTTP server, to close each of them in a planned
+// stop without losing a request that the server has read. Shutdown and SetKeepAlivesEnabled
+// of http.Server also close a connection whose request the server has just read.
 type Connections struct {
 	mu    sync.Mutex
 	conns map[net.Conn]*Connection
@@ -80,7 +83,8 @@
 // ConnectionCounts contains the number of open connections by state.
 type ConnectionCounts struct{ New, Active, Idle int }
 
-// Track sets the hooks of a server that has not been started.
+// Track sets the hooks of a server that has not been started. The server must not have a
+// ReadTimeout.
 func (c *Connections) Track(s *http.Server) {
 	s.BaseContext = func(l net.Listener) context.Context {
 		if _, ok := l.(*Queue); ok {
@@ -119,6 +123,12 @@
 	case http.StateActive:
 		tracked.requests++
 		tracked.idle = now.Sub(tracked.since)
+		if tracked.expired {
+			// The request was read before the deadline expired. The server would take the
+			// expired deadline for a caller that has left.
+			_ = conn.SetReadDeadline(time.Time{})
+			tracked.expired = false
+		}
 	case http.StateHijacked, http.StateClosed:
 		delete(c.conns, conn)
 	}
@@ -143,12 +153,20 @@
 	return n
 }
 
-// Drain waits until no connection carries a request or is about to, or until ctx ends. The
-// server must not accept connections any more, and its responses must close theirs.
+// expiredDeadline is a read deadline in the past.
+var expiredDeadline = time.Unix(1, 0)
+
+// Drain closes the connections that carry no request and waits until all others are closed, or
+// until ctx ends. The server must not accept connections any more, and its responses must close
+// theirs.
+//
+// A caller may send its next request on a kept connection at any time until it is closed. If
+// idle connections stayed open until the last response, requests would be accepted
+// until the end of the grace period.
 func (c *Connections) Drain(ctx context.Context) {
 	poll := time.NewTicker(drainPollPeriod)
 	defer poll.Stop()
-	for c.busy(time.Now()) {
+	for c.closeUnused(time.Now()) > 0 {
 		select {
 		case <-poll.C:
 		case <-ctx.Done():
@@ -157,13 +175,18 @@
 	}
 }
 
-func (c *Connections) busy(now time.Time) bool {
+// closeUnused makes the server close the connections that carry no request, and returns
+// the number of open connections. An expired read deadline ends the server's wait for the first
+// bytes of a request. If the server has read them already, it sets the deadline for the rest of the
+// head anew and serves the request.
+func (c *Connections) closeUnused(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, conn := range c.conns {
-		if conn.state == http.StateActive || conn.state == http.StateNew && now.Sub(conn.since) < newConnectionTimeout {
-			return true
+	for conn, tracked := range c.conns {
+		if tracked.state == http.StateIdle || tracked.state == http.StateNew && now.Sub(tracked.since) >= newConnectionTimeout {
+			_ = conn.SetReadDeadline(expiredDeadline) // fails only for a connection that is closed
+			tracked.expired = true
 		}
 	}
-	return false
+	return len(c.conns)
 }
--- a/internal/process/gateway/drain.go
+++ b/internal/process/gateway/drain.go
@@ -25,28 +25,16 @@
 
 // connections tracks the open connections of callers.
 type connections struct {
-	open atomic.Int64
+	daemon.Connections
 	// lastRequest is the start time of the latest request, in Unix nanoseconds.
 	lastRequest atomic.Int64
 }
 
-// observe implements the ConnState hook of http.Server.
-func (c *connections) observe(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		c.open.Add(1)
-	case http.StateActive:
-		c.lastRequest.Store(time.Now().UnixNano())
-	case http.StateClosed, http.StateHijacked:
-		c.open.Add(-1)
-	}
-}
-
 // waitIdle returns when no connection is open or no new request has arrived for the
 // linger time. It does not wait for requests in progress.
 func (c *connections) waitIdle(linger time.Duration) {
 	c.lastRequest.Store(time.Now().UnixNano())
-	for c.open.Load() > 0 && time.Since(time.Unix(0, c.lastRequest.Load())) < linger {
+	for c.Counts() != (daemon.ConnectionCounts{}) && time.Since(time.Unix(0, c.lastRequest.Load())) < linger {
 		time.Sleep(idlePollInterval)
 	}
 }
@@ -89,6 +77,7 @@
 		_ = level.Warn(g.logger).Log("msg", "closing the listener failed", "err", err)
 	}
 	g.connections.waitIdle(g.opts.IdleLinger)
+	g.connections.Drain(context.Background())
 	err := server.Shutdown(context.Background())
 	_ = level.Info(g.logger).Log("msg", "stopped")
 	return err
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -123,6 +123,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.inProgress.Add(1)
 		defer g.inProgress.Add(-1)
+		g.connections.lastRequest.Store(time.Now().UnixNano())
 		if g.stopping.Load() {
 			// Makes the client open its next connection to another gateway.
 			w.Header().Set("Connection", "close")
@@ -146,8 +147,8 @@
 		ReadHeaderTimeout: g.opts.HTTP.HeaderTimeout,
 		MaxHeaderBytes:    g.opts.HTTP.MaxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
-		ConnState:         g.connections.observe,
 	}
+	g.connections.Track(callerServer)
 	callers = &closeOnce{Listener: callers}
 	adminServer := &http.Server{Handler: g.adminRouter(), ReadHeaderTimeout: adminReadTimeout, ReadTimeout: adminReadTimeout}
 	failed := make(chan error, 2)
