Refuse what a stopping gateway can't finish, and answer the rest before it ends

Cause: a stopping gateway refused long background generations only, by their class and not by the time that was left. At the end of the grace period all connections were closed under their requests. Class: work is accepted without comparing the time that it needs with the time that is left.

Now a planned stop has a grace period that requests know (daemon.Grace): * A request is sent, also again, only if it ends before the grace period does: a stream with all its tokens at the route's targets, a whole answer within the time after which it would be repeated. Others are refused at once as not run, so that another gateway serves them.

--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -13,6 +13,7 @@
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/version/routing"
 )
 
 const (
@@ -37,6 +38,12 @@
 		if sends > 0 && !f.allowRetry(q, failed, 0) {
 			return last
 		}
+		if err := f.checkSend(q); err != nil {
+			if last != nil {
+				return last
+			}
+			return err
+		}
 		set := f.o.Health(q.Service)
 		b, done, ok := set.Pick(time.Now(), f.o.Servers.Service(time.Now(), q.Service, f.o.DataCentre), tried)
 		if !ok {
@@ -65,6 +72,12 @@
 	return last
 }
 
+// attemptTimeout returns the time after which an idempotent request of a route with a
+// latency target is retried on another server.
+func attemptTimeout(r *routing.Route) time.Duration {
+	return max(minAttemptTimeout, attemptTimeoutFactor*r.Target)
+}
+
 // callOnce sends a request to one server. final is true if the request must not be
 // retried; retryable states that a failure after which the request may have run can
 // still be retried.
@@ -76,13 +89,9 @@
 		result = health.Abandoned
 		return false, fault.New(fault.BackendRefused, stepSend, name, api.NotRun, "server is leaving")
 	}
-	if err := f.checkSend(q); err != nil {
-		result = health.Abandoned
-		return true, err
-	}
 	if retryable && q.Route.Target > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, max(minAttemptTimeout, attemptTimeoutFactor*q.Route.Target))
+		ctx, cancel = context.WithTimeout(ctx, attemptTimeout(q.Route))
 		defer cancel()
 	}
 	q.Sent = time.Now()
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
@@ -38,7 +39,8 @@
 	return &Forwarder{o: o, runs: map[string]map[*run]struct{}{}}
 }
 
-// Serve forwards a request and writes the answer to w. begun reports whether any
+// Serve forwards a request and writes the answer to w. ctx ends when the caller leaves, and
+// with the cause daemon.ErrStopping at the end of the grace period. begun reports whether any
 // part of the answer was sent to the caller; an error after that leaves the answer
 // incomplete.
 func (f *Forwarder) Serve(ctx context.Context, q *Request, w Caller) (begun bool, err *fault.Error) {
@@ -54,7 +56,11 @@
 	if err != nil && err.Code == codeAnswered {
 		err = nil
 	}
-	if err != nil && ctx.Err() != nil {
+	switch {
+	case err == nil || ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), daemon.ErrStopping):
+		err = stoppingError(err.Step, err.Peer, err.Execution)
+	default:
 		err = fault.Wrap(ctx.Err(), fault.Cancelled, err.Step, err.Peer, err.Execution)
 	}
 	return c.begun, err
@@ -87,12 +93,24 @@
 
 // checkSend returns an error if the request may no longer be sent.
 func (f *Forwarder) checkSend(q *Request) *fault.Error {
+	if !f.o.Grace.Fits(q.endsBy(time.Now())) {
+		return stoppingError(stepSend, "", api.NotRun)
+	}
 	if f.o.MayRun(q) {
 		return nil
 	}
 	return fault.New(fault.PlatformUnavailable, stepSend, "", api.NotRun, "the key could not be confirmed in time").WithRetryAfter(time.Second)
 }
 
+// stoppingRetryAfter is the Retry-After of a stopping gateway. It is short because the
+// retry reaches another gateway.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// stoppingError returns the error of a request that can't end before the process does.
+func stoppingError(step, peer string, x api.Execution) *fault.Error {
+	return fault.Wrap(daemon.ErrStopping, fault.ShuttingDown, step, peer, x).WithRetryAfter(stoppingRetryAfter)
+}
+
 // fingerprint returns a hash of host, path, workspace and body. It is the same for
 // every resend of a request.
 func fingerprint(q *Request) uint64 {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/process/telemetry"
@@ -122,18 +123,32 @@
 	}
 }
 
-// place acquires a grant for an engine that is not leaving, and stores it in the run.
+// place acquires a grant for an engine that is not leaving, and stores it in the run. It returns
+// an error if the request may not be sent, or no longer after its wait. When a planned stop begins,
+// a request that may outlast it stops waiting, because another gateway can still serve it.
 func (r *run) place(ctx context.Context, request schedule.Request) *fault.Error {
+	if err := r.f.checkSend(r.q); err != nil {
+		return err
+	}
 	started := time.Now()
+	ctx, cancel := r.f.o.Grace.BoundUnless(ctx, func() bool { return r.f.o.Grace.Fits(r.q.endsBy(time.Now())) })
+	defer cancel()
 	for try := 0; ; try++ {
 		request.ID = attemptID(r.q.ID, r.runs, try)
 		grant, err := r.f.o.Scheduler.Acquire(ctx, request)
 		if err != nil {
-			if ctx.Err() != nil {
+			switch {
+			case errors.Is(context.Cause(ctx), daemon.ErrStopping):
+				return stoppingError(stepPlace, "", api.NotRun)
+			case ctx.Err() != nil:
 				return fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepPlace, "", api.NotRun)
 			}
 			return acquireError(err)
 		}
+		if err := r.f.checkSend(r.q); err != nil {
+			r.f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
+			return err
+		}
 		server, ok := r.f.o.Servers.Get(grant.Backend)
 		if ok && !r.f.o.Servers.Leaving(grant.Backend) {
 			r.grant, r.server = grant, server
@@ -150,9 +165,6 @@
 func (r *run) attempt(ctx context.Context) *fault.Error {
 	outcome := schedule.Outcome{NotRun: true}
 	defer func() { r.f.o.Scheduler.Release(r.grant.ID, outcome) }()
-	if err := r.f.checkSend(r.q); err != nil {
-		return err
-	}
 	r.q.Sent = time.Now()
 	src, err := r.open(ctx, r.server, nil, r.last, r.hasLast, 0)
 	if err != nil {
@@ -186,13 +198,7 @@
 	return !r.f.o.Client.Alive(ctx, r.server)
 }
 
-func (r *run) generatedTokens() int {
-	stride := 1
-	if r.q.Engine != nil {
-		stride = max(1, r.q.Engine.Stride)
-	}
-	return r.events * stride
-}
+func (r *run) generatedTokens() int { return r.events * r.q.stride() }
 
 // engineStream is the event stream of one engine.
 type engineStream struct {
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -68,6 +68,31 @@
 	return runs == 0 || q.Route.Repeatable() && runs < q.Route.Attempts
 }
 
+// endsBy returns the time by which a request that is sent at the time now has ended if it is on
+// time: a stream with all its tokens at the route's targets, or a whole answer that does not
+// have to be requested again. It is the deadline if the route or the request does not tell.
+func (q *Request) endsBy(now time.Time) time.Time {
+	end := q.Deadline
+	switch {
+	case q.Route.Kind != routing.Streaming && q.Route.Target > 0:
+		end = now.Add(attemptTimeout(q.Route))
+	case q.Route.Kind == routing.Streaming && q.Route.GapTarget > 0 && q.MaxOutputTokens > 0:
+		end = now.Add(q.Route.Target + time.Duration(q.MaxOutputTokens/q.stride())*q.Route.GapTarget)
+	}
+	if q.Deadline.Before(end) {
+		return q.Deadline
+	}
+	return end
+}
+
+// stride returns the number of tokens in an event of the request's stream.
+func (q *Request) stride() int {
+	if q.Engine == nil {
+		return 1
+	}
+	return max(1, q.Engine.Stride)
+}
+
 // Caller receives the answer to a request.
 type Caller interface {
 	// Begin sends status and header. length is the length of the body in bytes, or -1
@@ -186,6 +211,15 @@
 	Allow(now time.Time, service string, reserve float64) bool
 }
 
+// Grace is the grace period of a planned stop.
+type Grace interface {
+	// Fits reports whether work that has ended by the time at can still be started.
+	Fits(at time.Time) bool
+	// BoundUnless returns a copy of ctx that ends when the stop begins, unless fits returns
+	// true at that moment.
+	BoundUnless(ctx context.Context, fits func() bool) (context.Context, context.CancelFunc)
+}
+
 // Options configures a Forwarder.
 type Options struct {
 	DataCentre string
@@ -196,6 +230,8 @@
 	Health     func(service string) *health.Set
 	Metrics    *telemetry.Metrics
 	Logger     log.Logger
+	// Grace is the grace period of a planned stop of this process.
+	Grace Grace
 	// MayRun is called before each send. If it returns false, the request is refused,
 	// because its API key may have been revoked since the request arrived.
 	MayRun func(q *Request) bool
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/process/registry"
@@ -91,7 +92,7 @@
 	set := health.NewSet(health.DefaultOptions())
 	w.f = New(Options{
 		Client: w, Scheduler: w, Servers: w, Budget: w, Metrics: telemetry.New(), Logger: log.NewNopLogger(),
-		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun },
+		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun }, Grace: daemon.NewGrace(),
 	})
 	return w
 }
