Let callers of a stopping data centre come back when its stop is noticed

A gateway that stops refuses long generations with a Retry-After of 50 ms.

Cause: the Retry-After assumed that a new connection reaches another gateway at once. That holds if the data centre has another live gateway. Otherwise it is the time until the platform has noticed that this one is not ready, and sends its callers to another data centre.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -59,7 +59,7 @@
 	switch {
 	case err == nil || ctx.Err() == nil:
 	case errors.Is(context.Cause(ctx), daemon.ErrStopping):
-		err = stoppingError(err.Step, err.Peer, err.Execution)
+		err = f.stoppingError(err.Step, err.Peer, err.Execution)
 	default:
 		err = fault.Wrap(ctx.Err(), fault.Cancelled, err.Step, err.Peer, err.Execution)
 	}
@@ -94,7 +94,7 @@
 // checkSend returns an error if the request may no longer be sent.
 func (f *Forwarder) checkSend(q *Request) *fault.Error {
 	if !f.o.Grace.Fits(q.endsBy(time.Now())) {
-		return stoppingError(stepSend, "", api.NotRun)
+		return f.stoppingError(stepSend, "", api.NotRun)
 	}
 	if f.o.MayRun(q) {
 		return nil
@@ -102,13 +102,9 @@
 	return fault.New(fault.PlatformUnavailable, stepSend, "", api.NotRun, "the key could not be confirmed in time").WithRetryAfter(time.Second)
 }
 
-// stoppingRetryAfter is the Retry-After of a stopping gateway. It is short because the
-// retry reaches another gateway.
-const stoppingRetryAfter = 50 * time.Millisecond
-
 // stoppingError returns the error of a request that can't end before the process does.
-func stoppingError(step, peer string, x api.Execution) *fault.Error {
-	return fault.Wrap(daemon.ErrStopping, fault.ShuttingDown, step, peer, x).WithRetryAfter(stoppingRetryAfter)
+func (f *Forwarder) stoppingError(step, peer string, x api.Execution) *fault.Error {
+	return fault.Wrap(daemon.ErrStopping, fault.ShuttingDown, step, peer, x).WithRetryAfter(f.o.StopRetryAfter())
 }
 
 // fingerprint returns a hash of host, path, workspace and body. It is the same for
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -139,7 +139,7 @@
 		if err != nil {
 			switch {
 			case errors.Is(context.Cause(ctx), daemon.ErrStopping):
-				return stoppingError(stepPlace, "", api.NotRun)
+				return r.f.stoppingError(stepPlace, "", api.NotRun)
 			case ctx.Err() != nil:
 				return fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepPlace, "", api.NotRun)
 			}
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -230,8 +230,10 @@
 	Health     func(service string) *health.Set
 	Metrics    *telemetry.Metrics
 	Logger     log.Logger
-	// Grace is the grace period of a planned stop of this process.
-	Grace Grace
+	// Grace is the grace period of a planned stop of this process, and StopRetryAfter the
+	// time after which a request that it refuses reaches another gateway.
+	Grace          Grace
+	StopRetryAfter func() time.Duration
 	// MayRun is called before each send. If it returns false, the request is refused,
 	// because its API key may have been revoked since the request arrived.
 	MayRun func(q *Request) bool
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -92,7 +92,7 @@
 	set := health.NewSet(health.DefaultOptions())
 	w.f = New(Options{
 		Client: w, Scheduler: w, Servers: w, Budget: w, Metrics: telemetry.New(), Logger: log.NewNopLogger(),
-		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun }, Grace: daemon.NewGrace(),
+		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun }, Grace: daemon.NewGrace(), StopRetryAfter: func() time.Duration { return time.Millisecond },
 	})
 	return w
 }
