Log what ran on a lost engine, with the parts of the prompts

The line about a lost engine had the engine and the number of suspects only. It did not tell whether a part of a prompt, one request that comes again or a kill of engines was the cause. It now has the incarnation, the number of requests of this gateway with and without an event, and of the latter up to 8 ids and fingerprints and up to 24 part hashes with the number of requests that have them. The counter engine_lost.ROUTE.PHASE counts the requests whose engine was lost before and after their first event.

No logic changes.

--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -34,6 +34,12 @@
 	owner string
 }
 
+// ranOn reports whether the grant is for an incarnation of an engine. An incarnation that
+// is not known matches all.
+func (h *held) ranOn(engine, incarnation string) bool {
+	return h.Grant.Backend == engine && (h.incarnation == incarnation || h.incarnation == "" || incarnation == "")
+}
+
 // Manager issues grants for the groups of this gateway and requests grants from the
 // owners of other groups. It implements the gateway's Scheduler interface.
 type Manager struct {
--- a/internal/process/owner/suspects.go
+++ b/internal/process/owner/suspects.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +13,7 @@
 
 	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/schedule"
 )
 
 // reportTimeout bounds the broadcast of suspects, during which the caller of a failed
@@ -56,7 +60,7 @@
 	if len(newSuspects) == 0 {
 		return
 	}
-	level.Warn(m.opt.Logger).Log("msg", "engine lost with requests running", "engine", name, "suspects", len(newSuspects))
+	m.logLoss(name, incarnation, len(newSuspects))
 	m.recheck()
 	m.broadcast(crashguard.Report{
 		Loss:         crashguard.Loss{Engine: name, Incarnation: incarnation},
@@ -64,6 +68,59 @@
 	})
 }
 
+// logLoss logs the requests of this gateway that ran on a lost engine and had no event yet,
+// with the parts of their prompts: if a part crashes engines, it is in the lines of several
+// losses, while a request that does so comes again with the same fingerprint, and a kill of
+// engines also hits requests that have events.
+func (m *Manager) logLoss(name, incarnation string, suspects int) {
+	var unanswered []schedule.Held
+	answered := 0
+	m.mu.Lock()
+	for _, h := range m.held {
+		switch {
+		case !h.ranOn(name, incarnation):
+		case h.Generated > 0:
+			answered++
+		default:
+			unanswered = append(unanswered, h.Held)
+		}
+	}
+	m.mu.Unlock()
+	ids, fingerprints, parts := describeRequests(unanswered)
+	level.Warn(m.opt.Logger).Log("msg", "engine lost with requests running", "engine", name, "incarnation", incarnation, "suspects", suspects,
+		"with_events", answered, "without_events", len(unanswered), "ids", ids, "fingerprints", fingerprints, "parts", parts)
+}
+
+// maxLoggedRequests and maxLoggedParts bound what a line about a lost engine contains.
+const maxLoggedRequests, maxLoggedParts = 8, 24
+
+// describeRequests returns the grant ids, the fingerprints and the prompt parts of requests
+// for a log line, each part with the number of requests that have it, the most frequent
+// first.
+func describeRequests(requests []schedule.Held) (ids, fingerprints, parts string) {
+	slices.SortFunc(requests, func(a, b schedule.Held) int { return strings.Compare(a.Grant.ID, b.Grant.ID) })
+	var idList, fingerprintList, partList []string
+	uses := map[uint64]int{}
+	var order []uint64
+	for i, h := range requests {
+		if i < maxLoggedRequests {
+			idList = append(idList, h.Grant.ID)
+			fingerprintList = append(fingerprintList, strconv.FormatUint(h.Request.Fingerprint, 16))
+		}
+		for _, p := range h.Request.PartHashes {
+			if uses[p] == 0 {
+				order = append(order, p)
+			}
+			uses[p]++
+		}
+	}
+	slices.SortStableFunc(order, func(a, b uint64) int { return uses[b] - uses[a] })
+	for _, p := range order[:min(len(order), maxLoggedParts)] {
+		partList = append(partList, fmt.Sprintf("%x:%d", p, uses[p]))
+	}
+	return strings.Join(idList, ","), strings.Join(fingerprintList, ","), strings.Join(partList, ",")
+}
+
 // engineSurvived clears the requests that ran on an engine which was taken for lost, and
 // has answered since under the same incarnation. Silence alone must not make a request a
 // suspect: after two engines that were silent for a while it would be refused for good.
@@ -98,7 +155,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range m.held {
-		if h.Grant.Backend == name && (h.incarnation == incarnation || h.incarnation == "" || incarnation == "") {
+		if h.ranOn(name, incarnation) {
 			add(h.Request.Fingerprint)
 		}
 	}
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -55,6 +55,9 @@
 	// Suspect is set if an engine was lost while it ran this fingerprint, so that
 	// the request may crash engines.
 	Suspect bool
+	// PartHashes are hashes of the parts of the prompt that other requests may share, in
+	// order. Each one identifies a part whatever precedes it.
+	PartHashes []uint64
 	// PrefixHashes are hashes of the input's prefixes in whole blocks, shortest first.
 	PrefixHashes []uint64
 	// Spread selects a pseudo-random replica with room, preferably in DataCentre,
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -105,6 +106,17 @@
 	return d.Sum64()
 }
 
+// partHashes returns a hash of the id of each different part.
+func partHashes(parts []PromptPart) []uint64 {
+	var out []uint64
+	for _, p := range parts {
+		if h := xxhash.Sum64String(p.ID); !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // acquireError converts an error of Scheduler.Acquire to a fault.
 func acquireError(err error) *fault.Error {
 	var r *schedule.Refusal
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -118,7 +118,7 @@
 	return schedule.Request{
 		Workspace: q.Workspace, Weight: 1, Entry: q.Route.Name, Class: q.Class, Model: q.Service,
 		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, ExpectedOutputTokens: q.HintTokens,
-		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
+		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PartHashes: partHashes(q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
 	}
 }
 
@@ -182,7 +182,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
-	return !r.f.o.Client.Alive(ctx, r.server)
+	if r.f.o.Client.Alive(ctx, r.server) {
+		return false
+	}
+	phase := "before_first_event"
+	if r.events > 0 {
+		phase = "after_first_event"
+	}
+	r.f.o.Metrics.Counter("engine_lost", r.q.Route.Name, phase).Inc(1)
+	return true
 }
 
 func (r *run) generatedTokens() int {
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -54,11 +54,20 @@
 	// HintTokens is the caller's estimate of the output length in tokens, or 0.
 	HintTokens   int
 	PrefixHashes []uint64
+	// PromptParts lists the parts of the prompt that other requests may share, in order.
+	PromptParts []PromptPart
 	// After is the id of the last event that the caller received, if Resumes is set.
 	After   int64
 	Resumes bool
 }
 
+// PromptPart is a part of a prompt that requests may share.
+type PromptPart struct {
+	// ID is opaque. Parts with the same id have the same content.
+	ID     string
+	Tokens int
+}
+
 // mayRepeat reports whether the request may be sent to another server after runs
 // servers have run it or may have run it.
 func (q *Request) mayRepeat(runs int) bool {
