--- a/internal/process/owner/tainted_world_test.go
+++ b/internal/process/owner/tainted_world_test.go
@@ -103,13 +103,14 @@
 	return w.members[name]
 }
 
-// crash ends an engine that is up; it is back after engineDownTime in a new incarnation.
-func (w *taintedWorld) crash(engine string) {
+// crash ends an engine and reports whether it was up. It is back after engineDownTime in a
+// new incarnation.
+func (w *taintedWorld) crash(engine string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c, up := w.crashed[engine]
 	if !up {
-		return
+		return false
 	}
 	close(c)
 	delete(w.crashed, engine)
@@ -121,6 +122,7 @@
 		w.crashed[engine] = make(chan struct{})
 		w.engines.setSilent(engine, false)
 	})
+	return true
 }
 
 // reach returns the channel that is closed when the engine crashes, and false if the engine
@@ -196,10 +198,11 @@
 	case <-time.After(readTime):
 	}
 	if p, deadly := w.deadlyPart(parts); deadly {
-		w.mu.Lock()
-		w.losses[p] = append(w.losses[p], time.Now())
-		w.mu.Unlock()
-		w.crash(grant.Backend)
+		if w.crash(grant.Backend) {
+			w.mu.Lock()
+			w.losses[p] = append(w.losses[p], time.Now())
+			w.mu.Unlock()
+		}
 		return lost(0)
 	}
 	g.Progress(grant.ID, 1)
