Count requests with an unconfirmed grant not as running on a lost engine

A request that waited for the confirmation of its grant became a suspect when the engine was lost, although nothing had been sent to it.

Cause: under the shared policy the groups hold the requests of this gateway only, with the grants that still wait; the grants in use are the ones that the manager holds. TestUnconfirmedGrantsDoNotRun failed before:

loss_log_test.go:66: 1 != 0

--- a/internal/process/owner/loss_log_test.go
+++ b/internal/process/owner/loss_log_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
@@ -46,3 +47,23 @@
 	is.Equal(len(strings.Split(fingerprints, ",")), maxLoggedRequests)
 	is.Equal(len(strings.Split(parts, ",")), maxLoggedParts)
 }
+
+// Guards against suspects that never ran on a lost engine: requests whose grant still awaits
+// its confirmation.
+func TestUnconfirmedGrantsDoNotRun(t *testing.T) {
+	is := is.New(t)
+	m := New(Options{View: peersView{}, Policy: PolicyShared, Logger: log.NewNopLogger()})
+	now := time.Now()
+	k := schedule.GroupKey{Model: "m", DataCentre: "a"}
+	group := schedule.NewGroup(k, schedule.Options{Owner: "g1", Policy: schedule.PolicyShared, NoBatchBound: true, NoMemoryAdmission: true})
+	r := newRunner(k, "g1", group, m.guard.check)
+	r.confirm = func(*runner, pendingGrant) {} // no answer
+	m.runners[k] = r
+	r.setReplicas(now, []schedule.Replica{{Name: "e", MaxBatch: 4, KVCapacityTokens: 1000, Accepting: true}})
+	r.enqueue(now, schedule.Request{ID: "r1", Fingerprint: 7, PromptTokens: 10, MaxOutputTokens: 10}, 1)
+	r.dispatch(now)
+	is.Equal(len(r.grants), 1)
+	is.Equal(len(m.runningOn("e", "")), 0)
+	m.addHeld(schedule.Request{ID: "r1", Fingerprint: 7}, nil, AcquireReply{Grant: r.grants["r1"].grant}, "g1")
+	is.Equal(m.runningOn("e", ""), []uint64{7})
+}
--- a/internal/process/owner/suspects.go
+++ b/internal/process/owner/suspects.go
@@ -160,9 +160,13 @@
 			out = append(out, f)
 		}
 	}
-	for _, r := range m.allRunners() {
-		for _, f := range r.fingerprints(name) {
-			add(f)
+	if m.opt.Policy != PolicyShared {
+		// The groups have the requests of all gateways. Under the shared policy they have those
+		// of this one only, also while a grant awaits its confirmation and nothing is sent.
+		for _, r := range m.allRunners() {
+			for _, f := range r.fingerprints(name) {
+				add(f)
+			}
 		}
 	}
 	m.mu.Lock()
