Ignore an assumed report of an engine that has left the list

A gateway could crash when its list of engines changed: BackendsChanged adds a new engine and then applies the report that its entry implies, and a tick with an older list may remove the engine in between. TestReportOfAnEngineThatHasLeft panicked before.

--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -167,6 +167,11 @@
 func (m *Manager) applyReport(name string, report api.LoadReport) {
 	m.mu.Lock()
 	e := m.engines[name]
+	if e == nil {
+		// The engine has left the list since the report was chosen.
+		m.mu.Unlock()
+		return
+	}
 	old := e.report
 	restarted := e.polled && old.Incarnation != report.Incarnation
 	changed := !e.polled || restarted || e.reportedLost || e.failures >= lostAfterFailures || old.Draining != report.Draining ||
--- a/internal/process/owner/loss_log_test.go
+++ b/internal/process/owner/losses_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/api"
 )
 
 // Guards against a line about a lost engine that doesn't tell the requests without an event
@@ -67,3 +68,11 @@
 	m.addHeld(schedule.Request{ID: "r1", Fingerprint: 7}, nil, AcquireReply{Grant: r.grants["r1"].grant}, "g1")
 	is.Equal(m.runningOn("e", ""), []uint64{7})
 }
+
+// Guards against a gateway that crashes because an engine leaves the list at the moment at which
+// its first report is assumed.
+func TestReportOfAnEngineThatHasLeft(t *testing.T) {
+	m := New(Options{View: peersView{}, Logger: log.NewNopLogger()})
+	m.applyReport("gone", api.LoadReport{Name: "gone", Incarnation: "1"})
+	is.New(t).Equal(len(m.engines), 0)
+}
