--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -24,7 +24,9 @@
 	limit  *limitedReader
 	reader *bufio.Reader
 	// reused is true if the connection has carried an earlier request.
-	reused    bool
+	reused bool
+	// lastID is the Request.ID of the last request.
+	lastID    string
 	idleSince time.Time
 	// idleTimeout is the time for which the connection may be idle before it is no longer
 	// reused.
--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -51,10 +51,10 @@
 	return &Pool{idle: map[connKey][]*conn{}, notifyDial: onDial}
 }
 
-// get returns a connection that has been idle for at most maxAge, or dials a new one.
-func (p *Pool) get(ctx context.Context, key connKey, maxAge time.Duration) (*conn, error) {
+// get returns a connection that may carry the request: an idle one, or a new one.
+func (p *Pool) get(ctx context.Context, key connKey, r Request) (*conn, error) {
 	for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
-		if time.Since(c.idleSince) <= min(maxAge, c.idleTimeout) && c.reusable() {
+		if time.Since(c.idleSince) <= min(r.MaxIdle, c.idleTimeout) && (r.ID == "" || r.ID != c.lastID) && c.reusable() {
 			c.reused = true
 			return c, nil
 		}
--- a/internal/connection/backend/send.go
+++ b/internal/connection/backend/send.go
@@ -35,6 +35,10 @@
 	// MaxIdle is the maximum time for which a reused connection may have been idle; 0 requires
 	// a new connection.
 	MaxIdle time.Duration
+	// ID is the id that the server echoes in its responses, or empty. A connection whose last
+	// request had the same id is not reused: a second response to that request would be taken
+	// as the response to this one.
+	ID string
 	// Accept reports whether a response with this header belongs to the request. If it is nil,
 	// every response is accepted.
 	Accept func(http.Header) bool
@@ -65,6 +69,9 @@
 	Length int64
 	// Framed is false if the end of the body is marked only by the end of the connection.
 	Framed bool
+	// Reused is true if the connection has carried an earlier request, to which a response
+	// without an id may belong.
+	Reused bool
 
 	body       io.ReadCloser
 	conn       *conn
@@ -87,10 +94,11 @@
 // Send sends a request once and returns the response after its header was received. If ctx ends
 // before Response.Close, the connection is closed. The error is a *SendError.
 func (p *Pool) Send(ctx context.Context, address string, r Request) (*Response, error) {
-	c, err := p.get(ctx, connKey{address, r.Control}, r.MaxIdle)
+	c, err := p.get(ctx, connKey{address, r.Control}, r)
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
+	c.lastID = r.ID
 	stopCancel := context.AfterFunc(ctx, c.close)
 	w := startWrite(c, r)
 	resp, err := readResponse(c, r)
@@ -106,7 +114,7 @@
 	c.updateIdleTimeout(resp.Header)
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: framed,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: framed, Reused: c.reused,
 		body: resp.Body, conn: c, pool: p, written: w, stopCancel: stopCancel, keepAlive: framed && !resp.Close,
 	}, nil
 }
--- a/internal/connection/backend/send_test.go
+++ b/internal/connection/backend/send_test.go
@@ -267,3 +267,34 @@
 		t.Fatal("the connection stays open")
 	}
 }
+
+// Guards against a second response to a request that is taken as the response to a later
+// request with the same id.
+func TestSameIDNeedsANewConnection(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(s *fakeServer, c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			id, ok := s.readRequest(r)
+			if !ok {
+				return
+			}
+			body := "first answer"
+			if n > 0 {
+				body = "first answer again"
+			}
+			_, _ = io.WriteString(c, response(id, body))
+		}
+	})
+	p := NewPool(nil)
+	defer p.Close()
+	for range 2 {
+		r := request("a")
+		r.ID = "a"
+		resp, err := p.Send(t.Context(), s.Addr().String(), r)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp)
+		is.NoErr(err)
+		is.Equal(string(body), "first answer")
+		resp.Close()
+	}
+}
