Count a generation as run if its engine stops before the destination takes it

What callers saw: a generation that must not be repeated ran again at another engine, and its events were joined to those of the first one, or its caller was told "not run, try again". It happened when the engine stopped while the generation was moved and the destination then refused it or could not be reached.

Cause: the error of the destination, which truly did not run the generation, was returned as the result of the whole attempt. The source had run it.

The error is now that of the source's broken stream with the execution ran, and has the destination's error as its cause. So the retry rules see a run.

--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -230,7 +230,8 @@
 	o := <-m.opened
 	if o.err != nil {
 		m.opened <- o
-		return nil, o.err
+		// The source has run the generation, whatever the destination states.
+		return nil, fault.Wrap(o.err, linkErrorCode(ctx), stepMove, r.server.Name, api.Ran)
 	}
 	return o.src, nil
 }
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -43,6 +43,16 @@
 			w.servers["a"].total = 100
 			w.servers["b"].openTime = time.Hour
 		}, "a", 1},
+		{"the source dies and the destination has no copy", func(w *fakeFleet) {
+			w.servers["a"].diesAfter = 9
+			w.servers["a"].copyTime = 20 * time.Millisecond
+			w.servers["b"].refuses, w.servers["b"].failsAfter = true, 100*time.Millisecond
+		}, "", 1},
+		{"the source dies and the destination is not reached", func(w *fakeFleet) {
+			w.servers["a"].diesAfter = 9
+			w.servers["a"].copyTime = 20 * time.Millisecond
+			w.servers["b"].fail, w.servers["b"].failsAfter = errNotRun, 100*time.Millisecond
+		}, "", 1},
 		{"no room anywhere", func(w *fakeFleet) { w.servers["a"].copyFails = NoRoom }, "a", 0},
 		{"the copy fails", func(w *fakeFleet) { w.servers["a"].copyFails = MoveFailed }, "a", 0},
 	} {
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -53,7 +53,7 @@
 	// not streamed.
 	fail   error
 	answer *Answer
-	// failsAfter is the time that a send takes until it returns fail.
+	// failsAfter is the time that a send takes until it returns fail or is refused.
 	failsAfter time.Duration
 	// total is the number of events of a generation. If diesAfter is not 0, a stream
 	// breaks after this server has sent that many events.
@@ -187,6 +187,7 @@
 		answer.Close = func() {}
 		return &answer, nil
 	case a.KVCopy != nil && s.refuses:
+		time.Sleep(s.failsAfter)
 		return nil, fault.New(fault.BackendRefused, "send", s.name, api.NotRun, "no copy")
 	}
 	if a.KVCopy != nil && s.fails {
