Continue a stream only with numbered events of an event stream

What callers saw: the text of a server's error, at times with its whole head, in the middle of their stream, which then ended as if it were complete. It happened when a resumable stream had broken off, or a generation was moved, and the next server answered 200 with something else than the rest of the stream.

Cause: a sealed 200 counted as the rest of the stream, whatever its content type.

An answer that continues a stream must now be an event stream and begin with the event that follows; comments before that are dropped. Anything else breaks the stream off, and a source that still runs is relayed on. Errors with another status were not passed on before either; the test shows that, too.

--- a/internal/request/eventstream/reader.go
+++ b/internal/request/eventstream/reader.go
@@ -30,6 +30,8 @@
 	// Progress is set for an event with an id or data. Comments and empty events, which a
 	// stalled server may send now and then, are no progress.
 	Progress bool
+	// Comment is set for an event that consists of comments and empty lines.
+	Comment bool
 }
 
 // Reader reads events from a stream. It is not safe for concurrent use.
@@ -73,7 +75,11 @@
 
 // parse sets the fields that describe the event.
 func (e *Event) parse() {
+	e.Comment = true
 	for line := range bytes.Lines(e.Raw) {
+		if len(bytes.TrimRight(line, "\r\n")) > 0 && line[0] != ':' {
+			e.Comment = false
+		}
 		if content, ok := bytes.CutPrefix(line, []byte("data:")); ok {
 			e.Progress = e.Progress || len(bytes.TrimSpace(content)) > 0
 			continue
--- a/internal/request/eventstream/reader_test.go
+++ b/internal/request/eventstream/reader_test.go
@@ -80,5 +80,8 @@
 	is.Equal(e.ID, int64(7))
 	e, err = NewReader(strings.NewReader("id: seven\ndata: x\n\n")).Next()
 	is.NoErr(err)
-	is.True(!e.HasID)
+	is.True(!e.HasID && !e.Comment)
+	e, err = NewReader(strings.NewReader(": data: x\r\n:\n\n")).Next()
+	is.NoErr(err)
+	is.True(!e.HasID && e.Comment)
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"sync"
 	"time"
@@ -200,6 +201,8 @@
 	// readErr is set before events is closed; it is nil after a complete stream.
 	readErr error
 	stop    context.CancelFunc
+	// continues is set until the first event of an answer that continues a stream.
+	continues bool
 }
 
 // close closes the connection to the engine. The engine then cancels the generation
@@ -232,7 +235,8 @@
 		stop()
 		return nil, refused
 	}
-	if answer.Status != http.StatusOK || !answer.Sealed {
+	continues := kvCopy != nil || r.begun
+	if answer.Status != http.StatusOK || !answer.Sealed || continues && !isEventStream(answer.Header) {
 		defer stop()
 		if kvCopy != nil {
 			// The source engine's stream may still be active, so nothing is sent to the caller.
@@ -241,11 +245,17 @@
 		}
 		return nil, r.forwardNonStream(ctx, server, answer)
 	}
-	s := &engineStream{answer: answer, events: make(chan eventstream.Event), stop: stop}
+	s := &engineStream{answer: answer, events: make(chan eventstream.Event), stop: stop, continues: continues}
 	go s.read(ctx)
 	return s, nil
 }
 
+// isEventStream reports whether an answer with this header is a stream of events.
+func isEventStream(h http.Header) bool {
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
 // forwardNonStream forwards an engine's answer that is not a stream, unless it has
 // to be replaced by a retry or must not be forwarded. It always returns an error;
 // the code is codeAnswered if the answer was delivered.
@@ -363,12 +373,26 @@
 	r.leavingOnce = new(sync.Once)
 }
 
+// errNotContinued is the cause of the failure of a stream that another engine should have
+// continued.
+var errNotContinued = errors.New("answer does not continue the stream")
+
 // errOutOfOrder is the cause of the failure of a stream with a gap in its event ids.
 var errOutOfOrder = errors.New("event id does not follow the previous one")
 
 // forwardEvent sends one event to the caller and skips events that the caller has
 // already received.
 func (r *run) forwardEvent(src *engineStream, e eventstream.Event) *fault.Error {
+	if src.continues {
+		if e.Comment {
+			return nil
+		}
+		if !e.HasID {
+			// An error in the form of an event has no id.
+			return fault.Wrap(errNotContinued, fault.BackendLost, stepStream, r.server.Name, api.Ran)
+		}
+		src.continues = false
+	}
 	if e.HasID && r.hasLast {
 		if e.ID <= r.last {
 			return nil
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +55,12 @@
 			w.servers["a"].copyTime = 20 * time.Millisecond
 			w.servers["b"].fail, w.servers["b"].failsAfter = errNotRun, 100*time.Millisecond
 		}, "", 1},
+		{"the destination answers with an error", func(w *fakeFleet) { w.servers["b"].moved = status(http.StatusInternalServerError) }, "a", 1},
+		{"the destination answers with something else", func(w *fakeFleet) { w.servers["b"].moved = ok("data: error\n\n") }, "a", 1},
+		{"the destination sends an event without an id", func(w *fakeFleet) {
+			w.servers["b"].moved = ok("data: error\n\n")
+			w.servers["b"].moved.Header.Set("Content-Type", "text/event-stream; charset=utf-8")
+		}, "", 0},
 		{"no room anywhere", func(w *fakeFleet) { w.servers["a"].copyFails = NoRoom }, "a", 0},
 		{"the copy fails", func(w *fakeFleet) { w.servers["a"].copyFails = MoveFailed }, "a", 0},
 	} {
@@ -73,6 +81,7 @@
 				if c.ends == "" {
 					is.True(err != nil)
 					is.Equal(err.Execution, api.Ran)
+					is.True(strings.HasPrefix(events(0, total), r.body.String()))
 				} else {
 					is.True(err == nil)
 					is.Equal(r.body.String(), events(0, total))
@@ -95,7 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newFakeFleet("a", "b")
-		w.servers["b"].fails = true
+		w.servers["b"].moved = status(http.StatusInternalServerError)
 		time.AfterFunc(eventGap/2, func() { w.leave("a") })
 		r := &recordingCaller{}
 		_, err := w.f.Serve(context.Background(), plan(), r)
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -69,8 +69,8 @@
 	// openTime is the time until a moved stream begins; refuses makes it fail.
 	openTime time.Duration
 	refuses  bool
-	// fails makes the server answer a moved stream with status 500.
-	fails bool
+	// moved is the answer to a moved stream, if it is not nil.
+	moved *Answer
 	// running holds the streams in progress by request id; begun lists the first event
 	// of each stream started.
 	running map[string]*stream
@@ -190,10 +190,9 @@
 		time.Sleep(s.failsAfter)
 		return nil, fault.New(fault.BackendRefused, "send", s.name, api.NotRun, "no copy")
 	}
-	if a.KVCopy != nil && s.fails {
-		answer := status(http.StatusInternalServerError)
-		answer.Close = func() {}
-		return answer, nil
+	if a.KVCopy != nil && s.moved != nil {
+		s.moved.Close = func() {}
+		return s.moved, nil
 	}
 	if a.KVCopy != nil {
 		select {
@@ -226,7 +225,7 @@
 		w.mu.Unlock()
 		_ = pipe.CloseWithError(err)
 	}()
-	return &Answer{Status: http.StatusOK, Header: http.Header{"Seal": {s.name}}, Length: -1, Framed: true, Sealed: true, Body: r, Close: func() { cancel(); _ = r.Close() }}
+	return &Answer{Status: http.StatusOK, Header: http.Header{"Seal": {s.name}, "Content-Type": {"text/event-stream"}}, Length: -1, Framed: true, Sealed: true, Body: r, Close: func() { cancel(); _ = r.Close() }}
 }
 
 var errBroken = errors.New("connection reset by peer")
