Send no stream after a part of an error

What callers saw: the first part of a server's error with the error's status, followed by a whole stream of another server, and no sign that it is not one answer.

Cause: an error of more than 64 KiB is passed on while it is read. If its server broke off, the failure counted as one after which a resumable stream may be started again, although the caller had received a part of the error. Further sends were only prevented after a whole error, and by a number of runs that a route with more attempts does not reach.

Before, with the test of this commit: TestNoStreamAfterHalfAnError: not true: !strings.Contains(body, "data:")

A run now records that an answer other than a stream is being passed on, before the first byte of it, and nothing is sent after that. The answer is broken off.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -52,6 +52,8 @@
 	// set once any part of the answer was sent to the caller.
 	runs  int
 	begun bool
+	// answered is set once an answer other than a stream was passed on, whole or in part.
+	answered bool
 
 	// leaving is closed when the current server begins to leave.
 	leaving     chan struct{}
@@ -97,7 +99,7 @@
 		if err.Execution != api.NotRun {
 			r.runs++
 		}
-		if ctx.Err() != nil || !q.mayRepeat(r.runs) {
+		if ctx.Err() != nil || r.answered || !q.mayRepeat(r.runs) {
 			return last
 		}
 		failed = err
@@ -272,11 +274,10 @@
 		return fault.New(fault.BackendRefused, stepAnswer, server.Name, api.Ran, "status %d", a.Status)
 	}
 	r.begun = true
+	r.answered = true
 	if failed := r.f.deliver(r.q, r.w, server, a, body, whole); failed != nil {
 		return failed
 	}
-	// The answer was delivered although it is not a stream: prevent further sends.
-	r.runs = maxSends
 	return fault.New(codeAnswered, stepAnswer, server.Name, api.Ran, "status %d", a.Status)
 }
 
