Show that a cut head is never an answer

Operators of similar systems saw a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its answer's head. It cannot happen here: http.ReadResponse, which all three clients use, needs the blank line that ends the head.

TestCutHeads cuts the heads of answers with a length, with chunks, without either and after an interim answer at every byte, over the connections of the platform's front end; TestCutResponses does the same for the clients of engines and application servers, with the bodies.

--- a/internal/connection/backend/send_test.go
+++ b/internal/connection/backend/send_test.go
@@ -172,6 +172,7 @@
 	}{
 		"length not reached":    {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nhalf", false},
 		"chunks without an end": {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false},
+		"chunks, cut end":       {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n", false},
 		"unframed":              {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf", true},
 		"whole chunks":          {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n", true},
 	} {
@@ -298,3 +299,41 @@
 		resp.Close()
 	}
 }
+
+// Guards against a head that is cut at any byte and taken as whole, with a body that then
+// looks complete.
+func TestCutHeads(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":       "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 12\r\n\r\n",
+		"chunks":       "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"unframed":     "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\n\r\n",
+		"length first": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: a\r\n\r\n",
+		"bare feeds":   "HTTP/1.1 200 OK\nId: a\nContent-Length: 0\n\n",
+		"interim":      "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+		"folded":       "HTTP/1.1 200 OK\r\nId: a\r\nLink: x\r\n  y\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := atomic.Int64{}
+			s := serve(t, func(s *fakeServer, c net.Conn, r *bufio.Reader) {
+				_, _ = s.readRequest(r)
+				_, _ = io.WriteString(c, head[:cut.Load()])
+			})
+			p := NewPool(nil)
+			defer p.Close()
+			for n := range len(head) {
+				cut.Store(int64(n))
+				q := request("a")
+				q.Accept = nil // a cut id does not hide the cut
+				resp, err := p.Send(t.Context(), s.Addr().String(), q)
+				if err == nil {
+					resp.Close()
+					t.Errorf("a head cut to %q is an answer", head[:n])
+				}
+				var failed *SendError
+				if err != nil && (!errors.As(err, &failed) || !failed.Sent) {
+					t.Errorf("a request with an answer cut to %q counts as not sent", head[:n])
+				}
+			}
+		})
+	}
+}
--- a/internal/connection/service/client_test.go
+++ b/internal/connection/service/client_test.go
@@ -1,6 +1,7 @@
 package service_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -157,3 +158,52 @@
 	is.Equal(got.Get("X-Private")+got.Get("Te")+resp.Header.Get("Keep-Alive"), "")
 	is.Equal(resp.Header.Get("X-Kept")+got.Get("Idempotency-Key"), "1c")
 }
+
+// answerOnce starts a server that answers the first request on each connection with raw
+// bytes and closes the connection. It returns its address.
+func answerOnce(t *testing.T, raw func() string) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, raw())
+			}
+			_ = c.Close()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a response whose head or body is cut at any byte and that is returned as
+// whole.
+func TestCutResponses(t *testing.T) {
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 12\r\n\r\ntwelve bytes",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		is := is.New(t)
+		sent := 0
+		addr := answerOnce(t, func() string { return whole[:sent] })
+		c := newClient(t)
+		for ; sent < len(whole); sent++ {
+			_, err := c.Do(t.Context(), "app-1", addr, post("c"))
+			if err == nil {
+				t.Errorf("a response cut to %q is whole", whole[:sent])
+				continue
+			}
+			is.True(fault.From(err).Execution != api.NotRun)
+		}
+		_, err := c.Do(t.Context(), "app-1", addr, post("c"))
+		is.NoErr(err)
+	}
+}
