Break off unframed streams that are empty or end with their engine

What callers saw: a stream ended as if it were complete, although its engine had crashed, or a 200 without any event, if the engine's answer had neither a length nor chunks.

Cause: such an answer ends with its connection. The operating system closes the connections of a process that crashes, and if that happens between two events, nothing in the bytes tells it from the end of the stream.

An unframed stream now counts as complete only if it had an event and its engine answers under the same incarnation afterwards, at the cost of one control call. Otherwise it is resumed where the route allows it, or broken off. An engine that lives on and ends a stream too early between two events cannot be detected.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -180,12 +180,14 @@
 // engineLost reports whether the engine of a broken stream stopped without having
 // announced that it leaves. In that case the request may have crashed it.
 func (r *run) engineLost(ctx context.Context) bool {
-	if ctx.Err() != nil || r.f.o.Servers.Leaving(r.server.Name) {
-		return false
-	}
+	return ctx.Err() == nil && !r.f.o.Servers.Leaving(r.server.Name) && !r.alive(ctx)
+}
+
+// alive reports whether the engine still runs.
+func (r *run) alive(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
-	return !r.f.o.Client.Alive(ctx, r.server)
+	return r.f.o.Client.Alive(ctx, r.server)
 }
 
 func (r *run) generatedTokens() int {
@@ -288,15 +290,20 @@
 func (s *engineStream) read(ctx context.Context) {
 	defer close(s.events)
 	reader := eventstream.NewReader(s.answer.Body)
+	empty := true
 	for {
 		e, err := reader.Next()
 		if errors.Is(err, io.EOF) {
+			if empty && !s.answer.Framed {
+				s.readErr = io.ErrUnexpectedEOF
+			}
 			return
 		}
 		if err != nil {
 			s.readErr = err
 			return
 		}
+		empty = empty && e.Comment
 		select {
 		case s.events <- e:
 		case <-ctx.Done():
@@ -332,6 +339,9 @@
 				}
 				break
 			}
+			if src.readErr == nil && !src.answer.Framed && !r.alive(ctx) {
+				src.readErr = errEndedWithEngine
+			}
 			if src.readErr == nil {
 				return r.finish(src)
 			}
@@ -374,6 +384,10 @@
 	r.leavingOnce = new(sync.Once)
 }
 
+// errEndedWithEngine is the cause of the failure of a stream that ended with its connection and
+// whose engine no longer runs: the system closes the connections of a process that crashes.
+var errEndedWithEngine = errors.New("engine has ended with its stream")
+
 // errNotContinued is the cause of the failure of a stream that another engine should have
 // continued.
 var errNotContinued = errors.New("answer does not continue the stream")
