Pass an answer without a length on without a length

What callers saw: a 200 whose length or last chunk states that the body is whole, also if the server had sent neither and its end was only that of the connection.

Cause: the gateway buffered such a body and stated its length, or sent it in chunks. A crash of the server can end the connection like a whole answer does, so the gateway stated what it did not know.

Before, with the test of this commit (TestUnframedAnswers): whole: 5 != -1 (Content-Length), whole_and_large: 1 != 0 (Transfer-Encoding), empty: 0 != -1

Such an answer now ends with the caller's connection as well. Up to 64 KiB, a reset leads to a retry or 502 as before.

--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -166,7 +166,12 @@
 // the rest is forwarded as it arrives.
 func (f *Forwarder) deliver(q *Request, w Caller, s registry.Server, a *Answer, body []byte, whole bool) *fault.Error {
 	length := a.Length
-	if whole && q.Method != http.MethodHead {
+	switch {
+	case q.Method == http.MethodHead:
+	case !a.Framed:
+		// A length or chunks would state that the body is whole, which is not known.
+		length = UntilClose
+	case whole:
 		length = int64(len(body))
 	}
 	if err := w.Begin(a.Status, a.Header, length); err != nil {
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -65,10 +65,13 @@
 	return runs == 0 || q.Route.Repeatable() && runs < q.Route.Attempts
 }
 
+// UntilClose is the length of a body that ends when its connection closes.
+const UntilClose = -2
+
 // Caller receives the answer to a request.
 type Caller interface {
-	// Begin sends status and header. length is the length of the body in bytes, or -1
-	// if it is unknown.
+	// Begin sends status and header. length is the length of the body in bytes, -1
+	// if it is unknown, or UntilClose.
 	Begin(status int, header http.Header, length int64) error
 	// Write sends a part of the body immediately, without buffering.
 	Write(b []byte) error
