Trust a refusal of a service call only on a new connection

What callers of the product's own front end saw: not_run for a call that an application server was running, or the call ran at a second server although it must not be repeated. It needs a faulty server that writes an earlier refusal once more on a kept connection.

Cause: responses of application servers have no id, and net/http takes the first response that arrives after a request as its response.

Before, with the test of this commit: TestRepeatedRefusalIsNotTrusted: not_run != unknown

A refusal on a connection that has carried an earlier call now leaves the execution unknown. So that leaving servers can still refuse calls that must not be repeated, these are sent on connections of their own, at the cost of a handshake each. Idempotent calls keep using kept connections; they are retried after a refusal either way.

--- a/internal/connection/service/client.go
+++ b/internal/connection/service/client.go
@@ -35,6 +35,9 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// NewConnection requires a connection that has carried no earlier call. Only there is a
+	// refusal certainly the response to this call: a faulty server may repeat an earlier one.
+	NewConnection bool
 }
 
 // Response is the response to a call that was executed.
@@ -45,14 +48,20 @@
 }
 
 // Client calls application servers. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct{ kept, single *http.Client }
 
 // New returns a client that uses the transport of c. Redirects are not followed but returned as
 // responses, because following one would send the call a second time.
 func New(c *http.Client) *Client {
-	client := *c
-	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{http: &client}
+	kept := *c
+	kept.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	single := kept
+	if t, ok := c.Transport.(*http.Transport); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		single.Transport = t
+	}
+	return &Client{kept: &kept, single: &single}
 }
 
 // Do sends a call once to the server with the given name and address. Every error is a *fault.Error.
@@ -63,7 +72,11 @@
 	if err != nil {
 		return Response{}, fault.Wrap(withoutURL(err), fault.BadRequest, stepDispatch, name, api.NotRun)
 	}
-	resp, err := c.http.Do(req)
+	client := c.kept
+	if r.NewConnection {
+		client = c.single
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return Response{}, fault.Wrap(withoutURL(err), faultCode(err), stepDispatch, name, sent.execution())
 	}
@@ -73,7 +86,7 @@
 		return Response{}, fault.Wrap(err, faultCode(err), stepDispatch, name, bodyExecution(resp.StatusCode))
 	}
 	if refusal := refusalBeforeExecution(resp, body); refusal != nil {
-		return Response{}, fault.New(fault.BackendRefused, stepDispatch, name, api.NotRun,
+		return Response{}, fault.New(fault.BackendRefused, stepDispatch, name, sent.refusalExecution(),
 			"%s: %s", refusal.Code, refusal.Message).WithRetryAfter(time.Duration(refusal.RetryAfterMS) * time.Millisecond)
 	}
 	return Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
@@ -107,9 +120,9 @@
 	return report, nil
 }
 
-// sendState records whether the call has obtained a connection. Before that, nothing was sent,
-// independent of the error.
-type sendState struct{ connected atomic.Bool }
+// sendState records whether the call has obtained a connection, and whether that has carried an
+// earlier call. Before that, nothing was sent, independent of the error.
+type sendState struct{ connected, reused atomic.Bool }
 
 func (s *sendState) execution() api.Execution {
 	if s.connected.Load() {
@@ -118,8 +131,19 @@
 	return api.NotRun
 }
 
+// refusalExecution returns the execution of a call for which a refusal arrived.
+func (s *sendState) refusalExecution() api.Execution {
+	if s.reused.Load() {
+		return api.Unknown
+	}
+	return api.NotRun
+}
+
 func (s *sendState) request(ctx context.Context, address string, r Request) (*http.Request, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { s.connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		s.connected.Store(true)
+		s.reused.Store(c.Reused)
+	}}
 	u := url.URL{Scheme: "http", Host: address, Path: r.Path, RawQuery: r.Query}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, u.String(), nil)
 	if err != nil {
--- a/internal/connection/service/client_test.go
+++ b/internal/connection/service/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -207,3 +208,40 @@
 		is.NoErr(err)
 	}
 }
+
+// Guards against a refusal that a faulty server writes once more on a kept connection and that
+// is taken as the response to the next call, which the server runs.
+func TestRepeatedRefusalIsNotTrusted(t *testing.T) {
+	const refusal = `{"error":{"code":"draining","message":"m","execution":"not_run"}}`
+	is := is.New(t)
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, rw, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		for n := 0; err == nil; n++ {
+			if n > 0 {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Draining\r\nContent-Length: %d\r\n\r\n%s", len(refusal), refusal)
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+			if r, err = http.ReadRequest(rw.Reader); err == nil {
+				_, err = io.Copy(io.Discard, r.Body)
+			}
+		}
+	}))
+	defer h.Close()
+	c, addr := newClient(t), strings.TrimPrefix(h.URL, "http://")
+	_, err := c.Do(t.Context(), "app-1", addr, post("a"))
+	is.NoErr(err)
+	_, err = c.Do(t.Context(), "app-1", addr, post("b"))
+	is.Equal(fault.From(err).Execution, api.Unknown)
+	for range 2 {
+		r := post("c")
+		r.NewConnection = true
+		resp, err := c.Do(t.Context(), "app-1", addr, r)
+		is.NoErr(err)
+		is.Equal(string(resp.Body), "own")
+	}
+}
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -134,6 +134,7 @@
 		return service.Response{}, fault.New(fault.IdempotencyKeyNeeded, "claim", "", api.NotRun,
 			"entry %q is not idempotent; an %s header is needed", s.call.entry.Name, headerIdempotencyKey)
 	}
+	s.request.NewConnection = true
 	return s.runAtMostOnce(ctx, claim.Key{Workspace: s.call.workspace.Name, Entry: s.call.entry.Name, IdempotencyKey: key})
 }
 
