Trust an engine's refusal on a kept connection only with the attempt's id

What callers of the product's own front end saw: not_run for a generation that an engine was running, if the engine wrote an earlier refusal once more on a kept connection. The scheduler also counted it as a refused one.

Cause: a refusal did not say which request it belongs to, and net/http takes the first response that arrives after a request as its response. Events were compared with the attempt's id, but not refusals.

Before, with the test of this commit (TestRepeatedRefusalIsNotTrusted): no_attempt: not_run != unknown earlier_attempt: not_run != unknown

Engines now echo the attempt as request_id of a refusal, as the stand-in does. On a connection that has carried an earlier request, a refusal without that echo leaves the execution unknown. The generation is tried at another engine as before; only what its caller is told in the end differs. Orders may be repeated, so their refusals are trusted as before.

--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -80,6 +80,8 @@
 	path    string
 	// body is sent as JSON. If it is nil, the request has no body.
 	body any
+	// attempt is the attempt id in the body, which a refusal echoes as its request id.
+	attempt string
 }
 
 func (c *call) fault(cause error, code fault.Code, x api.Execution) *fault.Error {
@@ -89,8 +91,11 @@
 // do sends the request and returns the response if its status is 200. The caller must
 // close the response body.
 func (c *Client) do(ctx context.Context, k call) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(c.Reused)
+	}}
 	req, err := k.request(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
 		return nil, k.fault(err, fault.BadRequest, api.NotRun)
@@ -100,7 +105,7 @@
 		return nil, k.transportFault(ctx, err, connected.Load())
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, k.statusFault(resp)
+		return nil, k.statusFault(resp, reused.Load())
 	}
 	return resp, nil
 }
@@ -134,6 +139,7 @@
 		method:  http.MethodPost,
 		path:    "/v1/responses",
 		body:    r,
+		attempt: r.Metadata[api.MetadataAttempt],
 	})
 }
 
--- a/internal/connection/engine/client_test.go
+++ b/internal/connection/engine/client_test.go
@@ -261,3 +261,38 @@
 		}
 	}
 }
+
+// Guards against a refusal that a faulty engine writes once more on a kept connection and that is
+// taken as the response to the next request, which the engine runs.
+func TestRepeatedRefusalIsNotTrusted(t *testing.T) {
+	for name, tt := range map[string]struct {
+		attempt   string
+		execution api.Execution
+	}{
+		"no attempt":      {"", api.Unknown},
+		"earlier attempt": {"a1", api.Unknown},
+		"own attempt":     {"a2", api.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := 0
+			c, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				if n++; n > 1 {
+					body := fmt.Sprintf(`{"error":{"code":"draining","execution":"not_run","request_id":%q}}`, tt.attempt)
+					respondWith(503, "application/json", body)(w, r)
+					return
+				}
+				respondWith(200, "text/event-stream", createdEvent+completedEvent)(w, r)
+			})
+			s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+			is.NoErr(err)
+			for err == nil {
+				_, err = s.Next()
+			}
+			s.drain() // so that its connection is kept
+			_, err = c.Create(t.Context(), "e1", address, api.CreateRequest{Metadata: map[string]string{api.MetadataAttempt: "a2"}})
+			is.Equal(fault.From(err).Code, fault.EngineRefused)
+			is.Equal(fault.From(err).Execution, tt.execution)
+		})
+	}
+}
--- a/internal/connection/engine/errors.go
+++ b/internal/connection/engine/errors.go
@@ -70,8 +70,10 @@
 }
 
 // statusFault converts a response with a status other than 200 into an error and closes
-// its body.
-func (c *call) statusFault(resp *http.Response) *fault.Error {
+// its body. reused states that the connection has carried an earlier request, whose refusal a
+// faulty engine may have repeated. Only a generation must not count as not run then; orders may be
+// repeated.
+func (c *call) statusFault(resp *http.Response, reused bool) *fault.Error {
 	defer resp.Body.Close()
 	var body api.ErrorBody
 	err := decode(resp, &body)
@@ -80,7 +82,11 @@
 		return c.fault(cause, untypedErrorCode(resp.StatusCode), api.Unknown)
 	}
 	cause := &Refused{Status: resp.StatusCode, Body: body.Error}
-	f := c.fault(cause, refusalCode(body.Error.Code), refusalExecution(cause))
+	execution := refusalExecution(cause)
+	if reused && c.step == StepDispatch && (c.attempt == "" || body.Error.RequestID != c.attempt) {
+		execution = api.Unknown
+	}
+	f := c.fault(cause, refusalCode(body.Error.Code), execution)
 	return f.WithRetryAfter(time.Duration(body.Error.RetryAfterMS) * time.Millisecond)
 }
 
--- a/internal/process/standin/engine/http.go
+++ b/internal/process/standin/engine/http.go
@@ -89,6 +89,7 @@
 	var failure *errorResponse
 	e.onLoop(r, func() { st, failure = e.accept(&req) })
 	if failure != nil {
+		failure.body.RequestID = req.Metadata[api.MetadataAttempt]
 		e.writeError(w, failure)
 		return
 	}
