Cut unframed engine streams in the test at every byte, too

A stream of the product's engines that ends inside an event, with or without chunks, has no terminal event, so that it is never taken as complete; it held before any change. The byte counts are shared through atomics.

--- a/internal/connection/engine/client_test.go
+++ b/internal/connection/engine/client_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -225,40 +226,48 @@
 	is.Equal(len(addresses), 1)
 }
 
-// Guards against a response whose head or stream is cut at any byte and that ends without an
-// error before its terminal event, or is taken as one that states that nothing was run.
+// Guards against a response whose head or stream is cut at any byte and that has a terminal
+// event, or is taken as one that states that nothing was run.
 func TestCutResponses(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-	for _, whole := range []string{
-		fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n", head, len(createdEvent+completedEvent), createdEvent+completedEvent),
-		"HTTP/1.1 103 Early Hints\r\n\r\n" + head + "0\r\n\r\n",
+	const (
+		head   = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		events = createdEvent + completedEvent
+		chunks = "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	for name, whole := range map[string]string{
+		"chunks":   fmt.Sprintf("%s%s%x\r\n%s", head, chunks, len(events), events),
+		"unframed": head + "\r\n" + events,
+		"interim":  "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "\r\n" + events,
 	} {
-		is := is.New(t)
-		sent := 0
-		c, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				return
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			c, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, whole[:sent.Load()])
+				_ = conn.Close()
+			})
+			for n := range len(whole) + 1 {
+				sent.Store(int64(n))
+				s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+				if err != nil {
+					is.True(fault.From(err).Execution != api.NotRun)
+					continue
+				}
+				is.True(n >= strings.LastIndex(whole, createdEvent)-len("00\r\n")) // the head is whole
+				terminal := false
+				for err == nil {
+					var e api.Event
+					e, err = s.Next()
+					terminal = terminal || e.Type.Terminal()
+				}
+				is.Equal(terminal, n == len(whole))
+				is.NoErr(s.Close())
 			}
-			_, _ = io.WriteString(conn, whole[:sent])
-			_ = conn.Close()
 		})
-		for ; sent < len(whole); sent++ {
-			s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
-			if err != nil {
-				is.True(fault.From(err).Execution != api.NotRun)
-				continue
-			}
-			is.True(sent >= strings.Index(whole, head)+len(head))
-			terminal := false
-			for err == nil {
-				var e api.Event
-				e, err = s.Next()
-				terminal = terminal || e.Type.Terminal()
-			}
-			is.True(terminal || !errors.Is(err, io.EOF)) // a cut stream has ended without an error
-			is.NoErr(s.Close())
-		}
 	}
 }
 
--- a/internal/connection/service/client_test.go
+++ b/internal/connection/service/client_test.go
@@ -193,17 +193,19 @@
 		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		is := is.New(t)
-		sent := 0
-		addr := answerOnce(t, func() string { return whole[:sent] })
+		var sent atomic.Int64
+		addr := answerOnce(t, func() string { return whole[:sent.Load()] })
 		c := newClient(t)
-		for ; sent < len(whole); sent++ {
+		for n := range len(whole) {
+			sent.Store(int64(n))
 			_, err := c.Do(t.Context(), "app-1", addr, post("c"))
 			if err == nil {
-				t.Errorf("a response cut to %q is whole", whole[:sent])
+				t.Errorf("a response cut to %q is whole", whole[:n])
 				continue
 			}
 			is.True(fault.From(err).Execution != api.NotRun)
 		}
+		sent.Store(int64(len(whole)))
 		_, err := c.Do(t.Context(), "app-1", addr, post("c"))
 		is.NoErr(err)
 	}
