Pass a service response without a length on without a length

What callers of the product's own front end saw: a length or a last chunk for a response of an application server that had neither and ended with its connection, so that it may be truncated.

Cause: the body was read to the end of the connection and then framed by net/http.

Such a response now ends with the caller's connection as well. A recorded answer of a call that must not be repeated is still replayed with a length: the record does not say how it was framed.

--- a/internal/connection/service/client.go
+++ b/internal/connection/service/client.go
@@ -45,6 +45,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// UntilClose is set for a body that ended with its connection, so that it may be truncated.
+	UntilClose bool
 }
 
 // Client calls application servers. It is safe for concurrent use.
@@ -89,7 +91,8 @@
 		return Response{}, fault.New(fault.BackendRefused, stepDispatch, name, sent.refusalExecution(),
 			"%s: %s", refusal.Code, refusal.Message).WithRetryAfter(time.Duration(refusal.RetryAfterMS) * time.Millisecond)
 	}
-	return Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead
+	return Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body, UntilClose: untilClose}, nil
 }
 
 // withoutURL removes the URL from an error of net/http, because errors are logged and the path and
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -121,6 +121,10 @@
 		}
 		w.Header()[name] = values
 	}
+	if a.UntilClose {
+		// A length or chunks would state that the body is whole. The header is not sent.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
