--- a/internal/connection/service/client_test.go
+++ b/internal/connection/service/client_test.go
@@ -1,7 +1,9 @@
 package service_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -157,3 +159,91 @@
 	is.Equal(got.Get("X-Private")+got.Get("Te")+resp.Header.Get("Keep-Alive"), "")
 	is.Equal(resp.Header.Get("X-Kept")+got.Get("Idempotency-Key"), "1c")
 }
+
+// answerOnce starts a server that answers the first request on each connection with raw
+// bytes and closes the connection. It returns its address.
+func answerOnce(t *testing.T, raw func() string) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, raw())
+			}
+			_ = c.Close()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a response whose head or body is cut at any byte and that is returned as
+// whole.
+func TestCutResponses(t *testing.T) {
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 12\r\n\r\ntwelve bytes",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		is := is.New(t)
+		var sent atomic.Int64
+		addr := answerOnce(t, func() string { return whole[:sent.Load()] })
+		c := newClient(t)
+		for n := range len(whole) {
+			sent.Store(int64(n))
+			_, err := c.Do(t.Context(), "app-1", addr, post("c"))
+			if err == nil {
+				t.Errorf("a response cut to %q is whole", whole[:n])
+				continue
+			}
+			is.True(fault.From(err).Execution != api.NotRun)
+		}
+		sent.Store(int64(len(whole)))
+		_, err := c.Do(t.Context(), "app-1", addr, post("c"))
+		is.NoErr(err)
+	}
+}
+
+// Guards against a refusal that a faulty server writes once more on a kept connection and that
+// is taken as the response to the next call, which the server runs.
+func TestRepeatedRefusalIsNotTrusted(t *testing.T) {
+	const refusal = `{"error":{"code":"draining","message":"m","execution":"not_run"}}`
+	is := is.New(t)
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, rw, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		for n := 0; err == nil; n++ {
+			if n > 0 {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Draining\r\nContent-Length: %d\r\n\r\n%s", len(refusal), refusal)
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+			if r, err = http.ReadRequest(rw.Reader); err == nil {
+				_, err = io.Copy(io.Discard, r.Body)
+			}
+		}
+	}))
+	defer h.Close()
+	c, addr := newClient(t), strings.TrimPrefix(h.URL, "http://")
+	_, err := c.Do(t.Context(), "app-1", addr, post("a"))
+	is.NoErr(err)
+	_, err = c.Do(t.Context(), "app-1", addr, post("b"))
+	is.Equal(fault.From(err).Execution, api.Unknown)
+	for range 2 {
+		r := post("c")
+		r.NewConnection = true
+		resp, err := c.Do(t.Context(), "app-1", addr, r)
+		is.NoErr(err)
+		is.Equal(string(resp.Body), "own")
+	}
+}
