--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,7 +60,7 @@
 	switch {
 	case err == nil || ctx.Err() == nil:
 	case errors.Is(context.Cause(ctx), daemon.ErrStopping):
-		err = stoppingError(err.Step, err.Peer, err.Execution)
+		err = f.stoppingError(err.Step, err.Peer, err.Execution)
 	default:
 		err = fault.Wrap(ctx.Err(), fault.Cancelled, err.Step, err.Peer, err.Execution)
 	}
@@ -94,7 +95,7 @@
 // checkSend returns an error if the request may no longer be sent.
 func (f *Forwarder) checkSend(q *Request) *fault.Error {
 	if !f.o.Grace.Fits(q.endsBy(time.Now())) {
-		return stoppingError(stepSend, "", api.NotRun)
+		return f.stoppingError(stepSend, "", api.NotRun)
 	}
 	if f.o.MayRun(q) {
 		return nil
@@ -102,13 +103,9 @@
 	return fault.New(fault.PlatformUnavailable, stepSend, "", api.NotRun, "the key could not be confirmed in time").WithRetryAfter(time.Second)
 }
 
-// stoppingRetryAfter is the Retry-After of a stopping gateway. It is short because the
-// retry reaches another gateway.
-const stoppingRetryAfter = 50 * time.Millisecond
-
 // stoppingError returns the error of a request that can't end before the process does.
-func stoppingError(step, peer string, x api.Execution) *fault.Error {
-	return fault.Wrap(daemon.ErrStopping, fault.ShuttingDown, step, peer, x).WithRetryAfter(stoppingRetryAfter)
+func (f *Forwarder) stoppingError(step, peer string, x api.Execution) *fault.Error {
+	return fault.Wrap(daemon.ErrStopping, fault.ShuttingDown, step, peer, x).WithRetryAfter(f.o.StopRetryAfter())
 }
 
 // fingerprint returns a hash of host, path, workspace and body. It is the same for
@@ -123,6 +120,17 @@
 	return d.Sum64()
 }
 
+// partHashes returns a hash of the id of each different part.
+func partHashes(parts []PromptPart) []uint64 {
+	var out []uint64
+	for _, p := range parts {
+		if h := xxhash.Sum64String(p.ID); !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // acquireError converts an error of Scheduler.Acquire to a fault.
 func acquireError(err error) *fault.Error {
 	var r *schedule.Refusal
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -119,7 +119,7 @@
 	return schedule.Request{
 		Workspace: q.Workspace, Weight: 1, Entry: q.Route.Name, Class: q.Class, Model: q.Service,
 		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, ExpectedOutputTokens: q.HintTokens,
-		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
+		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PartHashes: partHashes(q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
 	}
 }
 
@@ -139,7 +139,7 @@
 		if err != nil {
 			switch {
 			case errors.Is(context.Cause(ctx), daemon.ErrStopping):
-				return stoppingError(stepPlace, "", api.NotRun)
+				return r.f.stoppingError(stepPlace, "", api.NotRun)
 			case ctx.Err() != nil:
 				return fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepPlace, "", api.NotRun)
 			}
@@ -195,7 +195,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
-	return !r.f.o.Client.Alive(ctx, r.server)
+	if r.f.o.Client.Alive(ctx, r.server) {
+		return false
+	}
+	phase := "before_first_event"
+	if r.events > 0 {
+		phase = "after_first_event"
+	}
+	r.f.o.Metrics.Counter("engine_lost", r.q.Route.Name, phase).Inc(1)
+	return true
 }
 
 func (r *run) generatedTokens() int { return r.events * r.q.stride() }
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -57,11 +57,20 @@
 	// HintTokens is the caller's estimate of the output length in tokens, or 0.
 	HintTokens   int
 	PrefixHashes []uint64
+	// PromptParts lists the parts of the prompt that other requests may share, in order.
+	PromptParts []PromptPart
 	// After is the id of the last event that the caller received, if Resumes is set.
 	After   int64
 	Resumes bool
 }
 
+// PromptPart is a part of a prompt that requests may share.
+type PromptPart struct {
+	// ID is opaque. Parts with the same id have the same content.
+	ID     string
+	Tokens int
+}
+
 // mayRepeat reports whether the request may be sent to another server after runs
 // servers have run it or may have run it.
 func (q *Request) mayRepeat(runs int) bool {
@@ -230,8 +239,10 @@
 	Health     func(service string) *health.Set
 	Metrics    *telemetry.Metrics
 	Logger     log.Logger
-	// Grace is the grace period of a planned stop of this process.
-	Grace Grace
+	// Grace is the grace period of a planned stop of this process, and StopRetryAfter the
+	// time after which a request that it refuses reaches another gateway.
+	Grace          Grace
+	StopRetryAfter func() time.Duration
 	// MayRun is called before each send. If it returns false, the request is refused,
 	// because its API key may have been revoked since the request arrived.
 	MayRun func(q *Request) bool
