--- a/internal/connection/engine/client_test.go
+++ b/internal/connection/engine/client_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -224,3 +225,83 @@
 	}
 	is.Equal(len(addresses), 1)
 }
+
+// Guards against a response whose head or stream is cut at any byte and that has a terminal
+// event, or is taken as one that states that nothing was run.
+func TestCutResponses(t *testing.T) {
+	const (
+		head   = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+		events = createdEvent + completedEvent
+		chunks = "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	for name, whole := range map[string]string{
+		"chunks":   fmt.Sprintf("%s%s%x\r\n%s", head, chunks, len(events), events),
+		"unframed": head + "\r\n" + events,
+		"interim":  "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "\r\n" + events,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			c, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, whole[:sent.Load()])
+				_ = conn.Close()
+			})
+			for n := range len(whole) + 1 {
+				sent.Store(int64(n))
+				s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+				if err != nil {
+					is.True(fault.From(err).Execution != api.NotRun)
+					continue
+				}
+				is.True(n >= strings.LastIndex(whole, createdEvent)-len("00\r\n")) // the head is whole
+				terminal := false
+				for err == nil {
+					var e api.Event
+					e, err = s.Next()
+					terminal = terminal || e.Type.Terminal()
+				}
+				is.Equal(terminal, n == len(whole))
+				is.NoErr(s.Close())
+			}
+		})
+	}
+}
+
+// Guards against a refusal that a faulty engine writes once more on a kept connection and that is
+// taken as the response to the next request, which the engine runs.
+func TestRepeatedRefusalIsNotTrusted(t *testing.T) {
+	for name, tt := range map[string]struct {
+		attempt   string
+		execution api.Execution
+	}{
+		"no attempt":      {"", api.Unknown},
+		"earlier attempt": {"a1", api.Unknown},
+		"own attempt":     {"a2", api.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := 0
+			c, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				if n++; n > 1 {
+					body := fmt.Sprintf(`{"error":{"code":"draining","execution":"not_run","request_id":%q}}`, tt.attempt)
+					respondWith(503, "application/json", body)(w, r)
+					return
+				}
+				respondWith(200, "text/event-stream", createdEvent+completedEvent)(w, r)
+			})
+			s, err := c.Create(t.Context(), "e1", address, api.CreateRequest{})
+			is.NoErr(err)
+			for err == nil {
+				_, err = s.Next()
+			}
+			s.drain() // so that its connection is kept
+			_, err = c.Create(t.Context(), "e1", address, api.CreateRequest{Metadata: map[string]string{api.MetadataAttempt: "a2"}})
+			is.Equal(fault.From(err).Code, fault.EngineRefused)
+			is.Equal(fault.From(err).Execution, tt.execution)
+		})
+	}
+}
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -121,6 +121,10 @@
 		}
 		w.Header()[name] = values
 	}
+	if a.UntilClose {
+		// A length or chunks would state that the body is whole. The header is not sent.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
@@ -134,6 +138,7 @@
 		return service.Response{}, fault.New(fault.IdempotencyKeyNeeded, "claim", "", api.NotRun,
 			"entry %q is not idempotent; an %s header is needed", s.call.entry.Name, headerIdempotencyKey)
 	}
+	s.request.NewConnection = true
 	return s.runAtMostOnce(ctx, claim.Key{Workspace: s.call.workspace.Name, Entry: s.call.entry.Name, IdempotencyKey: key})
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"sync"
 	"time"
@@ -52,6 +53,8 @@
 	// set once any part of the answer was sent to the caller.
 	runs  int
 	begun bool
+	// answered is set once an answer other than a stream was passed on, whole or in part.
+	answered bool
 
 	// leaving is closed when the current server begins to leave.
 	leaving     chan struct{}
@@ -97,7 +100,7 @@
 		if err.Execution != api.NotRun {
 			r.runs++
 		}
-		if ctx.Err() != nil || !q.mayRepeat(r.runs) {
+		if ctx.Err() != nil || r.answered || !q.mayRepeat(r.runs) {
 			return last
 		}
 		failed = err
@@ -190,12 +193,7 @@
 // engineLost reports whether the engine of a broken stream stopped without having
 // announced that it leaves. In that case the request may have crashed it.
 func (r *run) engineLost(ctx context.Context) bool {
-	if ctx.Err() != nil || r.f.o.Servers.Leaving(r.server.Name) {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-	defer cancel()
-	if r.f.o.Client.Alive(ctx, r.server) {
+	if ctx.Err() != nil || r.f.o.Servers.Leaving(r.server.Name) || r.alive(ctx) {
 		return false
 	}
 	phase := "before_first_event"
@@ -206,6 +204,13 @@
 	return true
 }
 
+// alive reports whether the engine still runs.
+func (r *run) alive(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	return r.f.o.Client.Alive(ctx, r.server)
+}
+
 func (r *run) generatedTokens() int { return r.events * r.q.stride() }
 
 // engineStream is the event stream of one engine.
@@ -215,6 +220,8 @@
 	// readErr is set before events is closed; it is nil after a complete stream.
 	readErr error
 	stop    context.CancelFunc
+	// continues is set until the first event of an answer that continues a stream.
+	continues bool
 }
 
 // close closes the connection to the engine. The engine then cancels the generation
@@ -247,7 +254,8 @@
 		stop()
 		return nil, refused
 	}
-	if answer.Status != http.StatusOK || !answer.Sealed {
+	continues := kvCopy != nil || r.begun
+	if answer.Status != http.StatusOK || !answer.Sealed || continues && !isEventStream(answer.Header) {
 		defer stop()
 		if kvCopy != nil {
 			// The source engine's stream may still be active, so nothing is sent to the caller.
@@ -256,11 +264,17 @@
 		}
 		return nil, r.forwardNonStream(ctx, server, answer)
 	}
-	s := &engineStream{answer: answer, events: make(chan eventstream.Event), stop: stop}
+	s := &engineStream{answer: answer, events: make(chan eventstream.Event), stop: stop, continues: continues}
 	go s.read(ctx)
 	return s, nil
 }
 
+// isEventStream reports whether an answer with this header is a stream of events.
+func isEventStream(h http.Header) bool {
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
 // forwardNonStream forwards an engine's answer that is not a stream, unless it has
 // to be replaced by a retry or must not be forwarded. It always returns an error;
 // the code is codeAnswered if the answer was delivered.
@@ -277,11 +291,10 @@
 		return fault.New(fault.BackendRefused, stepAnswer, server.Name, api.Ran, "status %d", a.Status)
 	}
 	r.begun = true
+	r.answered = true
 	if failed := r.f.deliver(r.q, r.w, server, a, body, whole); failed != nil {
 		return failed
 	}
-	// The answer was delivered although it is not a stream: prevent further sends.
-	r.runs = maxSends
 	return fault.New(codeAnswered, stepAnswer, server.Name, api.Ran, "status %d", a.Status)
 }
 
@@ -292,15 +305,20 @@
 func (s *engineStream) read(ctx context.Context) {
 	defer close(s.events)
 	reader := eventstream.NewReader(s.answer.Body)
+	empty := true
 	for {
 		e, err := reader.Next()
 		if errors.Is(err, io.EOF) {
+			if empty && !s.answer.Framed {
+				s.readErr = io.ErrUnexpectedEOF
+			}
 			return
 		}
 		if err != nil {
 			s.readErr = err
 			return
 		}
+		empty = empty && e.Comment
 		select {
 		case s.events <- e:
 		case <-ctx.Done():
@@ -336,6 +354,9 @@
 				}
 				break
 			}
+			if src.readErr == nil && !src.answer.Framed && !r.alive(ctx) {
+				src.readErr = errEndedWithEngine
+			}
 			if src.readErr == nil {
 				return r.finish(src)
 			}
@@ -378,12 +399,30 @@
 	r.leavingOnce = new(sync.Once)
 }
 
+// errEndedWithEngine is the cause of the failure of a stream that ended with its connection and
+// whose engine no longer runs: the system closes the connections of a process that crashes.
+var errEndedWithEngine = errors.New("engine has ended with its stream")
+
+// errNotContinued is the cause of the failure of a stream that another engine should have
+// continued.
+var errNotContinued = errors.New("answer does not continue the stream")
+
 // errOutOfOrder is the cause of the failure of a stream with a gap in its event ids.
 var errOutOfOrder = errors.New("event id does not follow the previous one")
 
 // forwardEvent sends one event to the caller and skips events that the caller has
 // already received.
 func (r *run) forwardEvent(src *engineStream, e eventstream.Event) *fault.Error {
+	if src.continues {
+		if e.Comment {
+			return nil
+		}
+		if !e.HasID {
+			// An error in the form of an event has no id.
+			return fault.Wrap(errNotContinued, fault.BackendLost, stepStream, r.server.Name, api.Ran)
+		}
+		src.continues = false
+	}
 	if e.HasID && r.hasLast {
 		if e.ID <= r.last {
 			return nil
