Stop new work on a server that states in an answer that it leaves

A gateway learnt only from the store's rows, from reports and from peers that a server leaves. While the store was late or away, it went on sending requests to a server whose answers had the header Server-Leaving.

TestLeavingStatedInAnswers on the commit before (the first number is what reached the server or was answered):

statements_test.go:86: 31 != 1 --- FAIL: TestLeavingStatedInAnswers/answer (1.25s) --- FAIL: TestLeavingStatedInAnswers/error (0.84s) --- FAIL: TestLeavingStatedInAnswers/refusal (0.95s) --- FAIL: TestLeavingStatedInAnswers/head_of_a_stream (1.27s) --- FAIL: TestLeavingStatedInAnswers/refused_stream (1.18s) --- FAIL: TestLeavingStatedInAnswers/report (5.93s) statements_test.go:67: not within 5 s: a report with the header

The client of the servers reads the header of every response, also of control calls, before the response is passed on, and tells the registry. The registry keeps it for the incarnation (name and start), whatever rows say later, and for 10 minutes after the row has gone. A request is checked again once its connection is open, and a destination again after a copy. A response of another server at the address (421) states nothing about this one. The registry can also keep a pause that a server asked for; nothing reads that from responses yet.

--- a/internal/connection/backend/send.go
+++ b/internal/connection/backend/send.go
@@ -46,6 +46,8 @@
 	// a control call has no id, so that a request on the same connection could take it as its
 	// own.
 	Control bool
+	// Admit is called once the connection is open. If it returns an error, nothing is sent.
+	Admit func() error
 }
 
 // SendError is the error of a request for which no response was received.
@@ -98,6 +100,12 @@
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
+	if r.Admit != nil {
+		if err := r.Admit(); err != nil {
+			c.close()
+			return nil, &SendError{cause: err}
+		}
+	}
 	c.lastID = r.ID
 	stopCancel := context.AfterFunc(ctx, c.close)
 	w := startWrite(c, r)
--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -64,6 +64,9 @@
 	}
 	for _, b := range engines {
 		listed[b.Name] = true
+		if shared && m.opt.Paused != nil && m.opt.Paused(b.Name) {
+			continue
+		}
 		if shared && !m.pollDue(time.Now(), b.Name, reader(b.Name) == m.self()) {
 			continue
 		}
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -102,6 +102,9 @@
 	// nil.
 	Broken      func(now time.Time) map[string]time.Duration
 	MergeBroken func(now time.Time, broken map[string]time.Duration)
+	// Paused reports whether an engine has asked this gateway for a pause, during which it
+	// is not polled, under the shared policy. It may be nil.
+	Paused func(engine string) bool
 
 	// NewGroup returns an empty group.
 	NewGroup func(schedule.GroupKey) Group
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -64,10 +64,16 @@
 	removalPending bool
 	// replaced is set when another server responds at the address.
 	replaced bool
-	// draining is set when the server itself reports that it drains. excludedUntil is the
-	// time until which the server gets no new work after a failure.
+	// draining is set when the server itself reports that it drains, and drainingOf is the
+	// start of the incarnation to which that applies. excludedUntil is the time until which
+	// the server gets no new work after a failure.
 	draining      bool
+	drainingOf    int64
 	excludedUntil time.Time
+	// stated is set when a response's header stated that the server leaves.
+	stated   bool
+	statedAt time.Time
+	pause    requestPause
 	// brokenLinks counts consecutive requests whose connection the server closed before
 	// responding, and brokenUntil is the end of the exclusion for the last of them.
 	brokenLinks int
@@ -98,12 +104,16 @@
 	// and must not block.
 	onChange  func()
 	onLeaving func(name string)
-	now       func() time.Time
+	// onState is set by ObserveStates.
+	onState func(StateChange)
+	now     func() time.Time
 
 	mu         sync.Mutex
 	servers    map[string]*record
 	graceUntil time.Time
 	synced     bool
+	// changes holds the changes of state that onState has not been called for.
+	changes []StateChange
 }
 
 // New returns an empty registry that calls onChange and onLeaving as described at their
@@ -177,6 +187,9 @@
 		if next.crashes >= crashLoopThreshold {
 			next.excludedUntil = g.now().Add(maxBrokenExclusion)
 		}
+		if !next.inherit(r, s) && r != nil {
+			g.endStatements(g.now(), r, "restart")
+		}
 		r = next
 		g.servers[s.Name] = r
 	}
@@ -211,25 +224,35 @@
 		g.onLeaving(name)
 	}
 	g.onChange()
+	g.reportChanges()
 }
 
 // Tick does the periodic work: it drops entries that were not rewritten after an outage
-// and deletes the records of servers removed more than removedRetention ago.
+// and deletes the records of servers removed more than removedRetention ago. It also notices pauses
+// that have ended.
 func (g *Registry) Tick(now time.Time) {
 	var leaving []string
+	changed := false
 	g.mu.Lock()
 	for name, r := range g.servers {
+		changed = r.pause.noticeEnd(now) || changed
 		if r.removalPending && !now.Before(g.graceUntil) {
 			leaving = g.drop(now, name, leaving)
 		}
-		if r.removed && now.Sub(r.removedAt) > removedRetention {
+		retention := removedRetention
+		if r.draining {
+			retention = statementRetention
+		}
+		if r.removed && now.Sub(r.removedAt) > retention {
+			g.endStatements(now, r, "removed")
 			delete(g.servers, name)
 		}
 	}
 	g.mu.Unlock()
-	if len(leaving) > 0 {
+	if changed || len(leaving) > 0 {
 		g.notify(leaving)
 	}
+	g.reportChanges()
 }
 
 // NoteReplaced records that another server responds at the server's address.
@@ -240,7 +263,7 @@
 func (g *Registry) NoteDraining(name string, startedMS int64) {
 	g.update(name, func(r *record) {
 		if startedMS == 0 || startedMS >= r.StartedMS {
-			r.draining = true
+			r.draining, r.drainingOf = true, max(startedMS, r.StartedMS)
 		}
 	})
 }
@@ -321,6 +344,7 @@
 		g.onLeaving(name)
 	}
 	g.onChange()
+	g.reportChanges()
 }
 
 // Get returns a server by name and whether it is known.
@@ -397,6 +421,6 @@
 func (r *record) backend(now time.Time) membership.Backend {
 	return membership.Backend{
 		Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Service: r.Service,
-		Accepting: !r.isLeaving() && !now.Before(r.excludedUntil),
+		Accepting: !r.isLeaving() && !now.Before(r.excludedUntil) && r.pause.remaining(now) == 0,
 	}
 }
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -47,6 +47,9 @@
 		set := f.o.Health(q.Service)
 		b, done, ok := set.Pick(time.Now(), f.o.Servers.Service(time.Now(), q.Service, f.o.DataCentre), tried)
 		if !ok {
+			if paused := f.pausedError(q); paused != nil && (last == nil || last.Execution == api.NotRun) {
+				return paused
+			}
 			if last != nil {
 				return last
 			}
@@ -85,9 +88,9 @@
 	result := health.Failure
 	defer func() { done(time.Now(), result) }()
 	s, ok := f.o.Servers.Get(name)
-	if !ok || f.o.Servers.Leaving(name) {
+	if !ok || f.o.Servers.Blocked(time.Now(), name) {
 		result = health.Abandoned
-		return false, fault.New(fault.BackendRefused, stepSend, name, api.NotRun, "server is leaving")
+		return false, fault.New(fault.BackendRefused, stepSend, name, api.NotRun, "server is leaving or paused")
 	}
 	if retryable && q.Route.Target > 0 {
 		var cancel context.CancelFunc
@@ -121,7 +124,7 @@
 // noteSendError marks a server as unreachable if a send certainly did not reach it,
 // and returns err.
 func (f *Forwarder) noteSendError(ctx context.Context, s registry.Server, err *fault.Error) *fault.Error {
-	if err.Execution == api.NotRun && ctx.Err() == nil {
+	if err.Code == fault.BackendLost && err.Execution == api.NotRun && ctx.Err() == nil {
 		f.o.Servers.NoteUnreachable(time.Now(), s.Name)
 	}
 	return err
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/process/daemon"
+	"persimmonwing/internal/process/random"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
@@ -155,6 +156,19 @@
 	return fault.New(code, stepPlace, "", api.NotRun, "%s", r.Reason).WithRetryAfter(wait)
 }
 
+// pauseSpread is the time over which callers are spread that return after a pause.
+const pauseSpread = 500 * time.Millisecond
+
+// pausedError returns an error if all servers that could serve a request have asked for a pause.
+func (f *Forwarder) pausedError(q *Request) *fault.Error {
+	wait, paused := f.o.Servers.AllPaused(time.Now(), q.Service)
+	if !paused {
+		return nil
+	}
+	wait += time.Duration(random.Shared.Int64N(int64(pauseSpread)))
+	return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "all servers of service %s have asked for a pause", q.Service).WithRetryAfter(wait)
+}
+
 // defaultRetryAfter is the Retry-After value when no better estimate is known:
 // engines finish a short generation and admit the next one within about this time.
 const defaultRetryAfter = time.Second
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -144,7 +144,7 @@
 		}
 		request.Exclude = append(request.Exclude, grant.Backend)
 		to, ok := f.o.Servers.Get(grant.Backend)
-		if !ok || f.o.Servers.Leaving(grant.Backend) {
+		if !ok || f.o.Servers.Blocked(time.Now(), grant.Backend) {
 			f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
 			continue
 		}
@@ -191,7 +191,8 @@
 // copied handles the end of the copying: it starts the stream at the destination, or
 // abandons the move if the copying failed.
 func (r *run) copied(ctx context.Context) {
-	if r.moving.ok {
+	// The destination may have changed its state while the memory was copied.
+	if r.moving.ok && !r.f.o.Servers.Blocked(time.Now(), r.moving.to.Name) {
 		r.moving.open(ctx)
 		return
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -137,6 +137,9 @@
 	ctx, cancel := r.f.o.Grace.BoundUnless(ctx, func() bool { return r.f.o.Grace.Fits(r.q.endsBy(time.Now())) })
 	defer cancel()
 	for try := 0; ; try++ {
+		if paused := r.f.pausedError(r.q); paused != nil {
+			return paused
+		}
 		request.ID = attemptID(r.q.ID, r.runs, try)
 		grant, err := r.f.o.Scheduler.Acquire(ctx, request)
 		if err != nil {
@@ -146,6 +149,9 @@
 			case ctx.Err() != nil:
 				return fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepPlace, "", api.NotRun)
 			}
+			if paused := r.f.pausedError(r.q); paused != nil {
+				return paused
+			}
 			return acquireError(err)
 		}
 		if err := r.f.checkSend(r.q); err != nil {
@@ -153,7 +159,7 @@
 			return err
 		}
 		server, ok := r.f.o.Servers.Get(grant.Backend)
-		if ok && !r.f.o.Servers.Leaving(grant.Backend) {
+		if ok && !r.f.o.Servers.Blocked(time.Now(), grant.Backend) {
 			r.grant, r.server = grant, server
 			_ = level.Info(r.f.logger(r.q)).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "waited_ms", time.Since(started).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
 			r.f.o.Metrics.Observe(telemetry.QueueTime, r.q.Workspace, string(r.q.Class), time.Since(started))
@@ -191,9 +197,9 @@
 }
 
 // engineLost reports whether the engine of a broken stream stopped without having
-// announced that it leaves. In that case the request may have crashed it.
+// announced that it leaves or asked for a pause. In that case the request may have crashed it.
 func (r *run) engineLost(ctx context.Context) bool {
-	if ctx.Err() != nil || r.f.o.Servers.Leaving(r.server.Name) || r.alive(ctx) {
+	if ctx.Err() != nil || r.f.o.Servers.Blocked(time.Now(), r.server.Name) || r.alive(ctx) {
 		return false
 	}
 	phase := "before_first_event"
