Choose another destination if one begins to leave during the copy

A generation continued on an engine that had begun to leave, or had asked for a pause, while the memory was copied to it. TestDestinationLeavesDuringTheCopy before:

stream_test.go:188: [a b c] != [a c]

The destination is checked again when the copy is complete. If it accepts no requests, the copy is released and another move begins.

--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -189,15 +189,21 @@
 }
 
 // copied handles the end of the copying: it starts the stream at the destination, or
-// abandons the move if the copying failed.
+// abandons the move if the copying failed. If the destination accepts no requests any more, it starts
+// another move.
 func (r *run) copied(ctx context.Context) {
-	// The destination may have changed its state while the memory was copied.
-	if r.moving.ok && !r.f.o.Servers.Blocked(time.Now(), r.moving.to.Name) {
-		r.moving.open(ctx)
+	m := r.moving
+	// The destination may have begun to leave, or asked for a pause, while the memory was copied.
+	blocked := m.ok && r.f.o.Servers.Blocked(time.Now(), m.to.Name)
+	if m.ok && !blocked {
+		m.open(ctx)
 		return
 	}
-	r.moving.abandon()
+	m.abandon()
 	r.moving = nil
+	if blocked {
+		r.moving = r.startMove(ctx)
+	}
 }
 
 // opened returns the destination's stream. If the destination did not resume, it
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -166,6 +166,31 @@
 	})
 }
 
+// Guards against sending a generation to a destination that has begun to leave during the copy,
+// and against a generation that stays on its source because of that.
+func TestDestinationLeavesDuringTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFakeFleet("a", "b", "c")
+		for _, s := range w.servers {
+			s.total = 60
+		}
+		w.servers["a"].copyTime = 50 * time.Millisecond
+		r := &recordingCaller{after: func(n int) {
+			if n == 5 {
+				w.leave("a")
+				time.AfterFunc(30*time.Millisecond, func() { w.leave("b") })
+			}
+		}}
+		_, err := w.f.Serve(context.Background(), plan(), r)
+		is.True(err == nil)
+		is.Equal(r.body.String(), events(0, 60))
+		is.Equal(w.sent, []string{"a", "c"})
+		synctest.Wait()
+		is.Equal(w.freed, 1)
+	})
+}
+
 // Guards against a second run of a generation that may have begun, against a
 // resumable stream that is not resumed on another engine, and against more runs than
 // the route allows.
