Refuse requests that wait for an engine when all have asked for a pause

A request in the queue of the only engine waited until its scheduling deadline or for 2 s, and was then refused with a Retry-After that did not follow from the pause. TestPauseEndsWaits before:

statements_test.go:197: not true: after > 4 && after < 5.6 --- FAIL: TestPauseEndsWaits (4.27s)

The begin of a pause ends the waits for the service's engines if all of them have asked for one.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -12,7 +12,6 @@
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/process/daemon"
-	"persimmonwing/internal/process/random"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
@@ -34,11 +33,13 @@
 
 	mu   sync.Mutex
 	runs map[string]map[*run]struct{}
+	// waits holds, by service, the functions that end waits for an engine.
+	waits map[string]map[*wait]struct{}
 }
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, runs: map[string]map[*run]struct{}{}}
+	return &Forwarder{o: o, runs: map[string]map[*run]struct{}{}, waits: map[string]map[*wait]struct{}{}}
 }
 
 // Serve forwards a request and writes the answer to w. ctx ends when the caller leaves, and
@@ -156,19 +157,6 @@
 	return fault.New(code, stepPlace, "", api.NotRun, "%s", r.Reason).WithRetryAfter(wait)
 }
 
-// pauseSpread is the time over which callers are spread that return after a pause.
-const pauseSpread = 500 * time.Millisecond
-
-// pausedError returns an error if all servers that could serve a request have asked for a pause.
-func (f *Forwarder) pausedError(q *Request) *fault.Error {
-	wait, paused := f.o.Servers.AllPaused(time.Now(), q.Service)
-	if !paused {
-		return nil
-	}
-	wait += time.Duration(random.Shared.Int64N(int64(pauseSpread)))
-	return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "all servers of service %s have asked for a pause", q.Service).WithRetryAfter(wait)
-}
-
 // defaultRetryAfter is the Retry-After value when no better estimate is known:
 // engines finish a short generation and admit the next one within about this time.
 const defaultRetryAfter = time.Second
--- /dev/null
+++ b/internal/request/forward/paused.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"persimmonwing/internal/process/random"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+)
+
+// pauseSpread is the time over which callers are spread that return after a pause.
+const pauseSpread = 500 * time.Millisecond
+
+// pausedError returns an error if all servers that could serve a request have asked for a pause.
+func (f *Forwarder) pausedError(q *Request) *fault.Error {
+	left, paused := f.o.Servers.AllPaused(time.Now(), q.Service)
+	if !paused {
+		return nil
+	}
+	return allPausedError(q, left)
+}
+
+func allPausedError(q *Request, left time.Duration) *fault.Error {
+	left += time.Duration(random.Shared.Int64N(int64(pauseSpread)))
+	return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "all servers of service %s have asked for a pause", q.Service).WithRetryAfter(left)
+}
+
+// errPaused is the cause of the end of a wait for an engine when all of them have asked for a pause.
+var errPaused = errors.New("all servers have asked for a pause")
+
+// wait is a request's wait for an engine.
+type wait struct{ end context.CancelCauseFunc }
+
+// boundByPauses returns a copy of ctx that ends when all servers of a service have asked for a pause.
+func (f *Forwarder) boundByPauses(ctx context.Context, service string) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancelCause(ctx)
+	w := &wait{end}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.waits[service] == nil {
+		f.waits[service] = map[*wait]struct{}{}
+	}
+	f.waits[service][w] = struct{}{}
+	return ctx, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.waits[service], w)
+		if len(f.waits[service]) == 0 {
+			delete(f.waits, service)
+		}
+		end(nil)
+	}
+}
+
+// ServerPaused refuses the requests that wait for an engine of a service, one of whose servers has
+// asked for a pause, if all of them have.
+func (f *Forwarder) ServerPaused(service string) {
+	if _, paused := f.o.Servers.AllPaused(time.Now(), service); !paused {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for w := range f.waits[service] {
+		w.end(errPaused)
+	}
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -136,6 +136,8 @@
 	started := time.Now()
 	ctx, cancel := r.f.o.Grace.BoundUnless(ctx, func() bool { return r.f.o.Grace.Fits(r.q.endsBy(time.Now())) })
 	defer cancel()
+	ctx, done := r.f.boundByPauses(ctx, r.q.Service)
+	defer done()
 	for try := 0; ; try++ {
 		if paused := r.f.pausedError(r.q); paused != nil {
 			return paused
@@ -146,6 +148,9 @@
 			switch {
 			case errors.Is(context.Cause(ctx), daemon.ErrStopping):
 				return r.f.stoppingError(stepPlace, "", api.NotRun)
+			case errors.Is(context.Cause(ctx), errPaused):
+				left, _ := r.f.o.Servers.AllPaused(time.Now(), r.q.Service)
+				return allPausedError(r.q, left)
 			case ctx.Err() != nil:
 				return fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepPlace, "", api.NotRun)
 			}
