Keep pauses and statements over late answers and old entries

Found by TestStatements with more checks and, in its later form, longer waits:

statements_test.go: y is paused: false, want true statements_test.go:128: x has stated that it leaves and gets new work

The late answer to an earlier first request ended a pause that had been asked for since, or made it shorter. An old entry listed again 30 s after its removal made a paused server, or one that had left, accept work, also where a later incarnation had been listed in between. A first request now carries the number of the pause that it ends, which no other pause has, and records of removed servers with statements, their own or of an earlier incarnation, are kept for 10 minutes. A call that was prepared for an earlier incarnation is held back while the current one is in a pause.

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -74,6 +74,9 @@
 	stated   bool
 	statedAt time.Time
 	pause    requestPause
+	// retained is set if an earlier incarnation left or paused by its own statement: an old
+	// entry of it may be listed again.
+	retained bool
 	// brokenLinks counts consecutive requests whose connection the server closed before
 	// responding, and brokenUntil is the end of the exclusion for the last of them.
 	brokenLinks int
@@ -114,6 +117,8 @@
 	synced     bool
 	// changes holds the changes of state that onState has not been called for.
 	changes []StateChange
+	// pauses is the number of the last pause.
+	pauses uint64
 }
 
 // New returns an empty registry that calls onChange and onLeaving as described at their
@@ -240,7 +245,7 @@
 			leaving = g.drop(now, name, leaving)
 		}
 		retention := removedRetention
-		if r.draining {
+		if r.draining || r.retained || r.pause.remaining(now) > 0 {
 			retention = statementRetention
 		}
 		if r.removed && now.Sub(r.removedAt) > retention {
--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -47,6 +47,9 @@
 	began, until time.Time
 	// firstUntil is the time until which the first request after the end is awaited.
 	firstUntil time.Time
+	// number changes whenever the server asks for a pause, so that the answer to a first
+	// request does not end a pause that was asked for later. No two pauses have the same.
+	number uint64
 	// elapsed is set once Tick has noticed the end.
 	elapsed bool
 }
@@ -82,37 +85,38 @@
 	return max(0, end.Sub(now))
 }
 
-// Admit reports whether something may be sent to the incarnation s of a server now: a request, or
-// a control call. first is set for the first request after a pause; its result must be passed to
+// Admit reports whether something may be sent to a server now, whatever its incarnation: a request, or
+// a control call. first is not 0 for the first request after a pause; it must be passed to
 // NoteStatement or to Unanswered.
-func (g *Registry) Admit(now time.Time, s Server, control bool) (admitted, first bool) {
+func (g *Registry) Admit(now time.Time, s Server, control bool) (admitted bool, first uint64) {
 	g.mu.Lock()
 	r := g.servers[s.Name]
 	switch {
-	case r == nil || r.StartedMS != s.StartedMS:
+	case r == nil:
 		g.mu.Unlock()
-		return true, false
+		return true, 0
 	case control:
 		defer g.mu.Unlock()
-		return !now.Before(r.pause.until), false
+		return !now.Before(r.pause.until), 0
 	case r.draining || r.pause.remaining(now) > 0:
 		g.mu.Unlock()
-		return false, false
+		return false, 0
 	case r.pause.began.IsZero():
 		g.mu.Unlock()
-		return true, false
+		return true, 0
 	}
 	r.pause.firstUntil = now.Add(firstRequestTimeout)
+	first = r.pause.number
 	g.mu.Unlock()
 	g.onChange()
-	return true, true
+	return true, first
 }
 
 // Unanswered records that the first request after a pause got no answer, so that another
 // one may be sent.
-func (g *Registry) Unanswered(s Server) {
+func (g *Registry) Unanswered(s Server, first uint64) {
 	g.update(s.Name, func(r *record) {
-		if r.StartedMS == s.StartedMS {
+		if r.StartedMS == s.StartedMS && r.pause.number == first {
 			r.pause.firstUntil = time.Time{}
 		}
 	})
@@ -120,8 +124,8 @@
 
 // NoteStatement records what the incarnation s of a server stated in a response. first is the
 // result of Admit.
-func (g *Registry) NoteStatement(now time.Time, s Server, first bool, st Statement) {
-	if !first && !st.Leaving && st.Pause <= 0 {
+func (g *Registry) NoteStatement(now time.Time, s Server, first uint64, st Statement) {
+	if first == 0 && !st.Leaving && st.Pause <= 0 {
 		return
 	}
 	g.update(s.Name, func(r *record) {
@@ -133,15 +137,19 @@
 			r.stated, r.statedAt = true, now
 			g.changes = append(g.changes, StateChange{Server: r.Name, State: stateLeaving, Source: st.Source, Began: true})
 		}
+		// The pause may have ended, or another one have begun, since the request was sent.
+		current := first != 0 && r.pause.number == first && !r.pause.began.IsZero()
 		switch {
 		case st.Pause > 0:
-			if first {
+			if current {
 				g.endPause(now, r, "next_pause")
 			}
+			g.pauses++
+			r.pause.number = g.pauses
 			if r.pause.extend(now, st.Pause) {
 				g.changes = append(g.changes, StateChange{Server: r.Name, State: statePaused, Source: st.Source, Began: true, Length: min(st.Pause, MaxPause)})
 			}
-		case first:
+		case current:
 			g.endPause(now, r, "answer")
 		}
 	})
@@ -151,7 +159,7 @@
 	if !r.pause.began.IsZero() {
 		g.changes = append(g.changes, StateChange{Server: r.Name, State: statePaused, Source: reason, Length: now.Sub(r.pause.began)})
 	}
-	r.pause = requestPause{}
+	r.pause = requestPause{number: r.pause.number}
 }
 
 // endStatements records the end of an incarnation's own statements.
@@ -165,7 +173,11 @@
 // inherit copies what the server has stated to the record of its new entry if both
 // describe the same incarnation. It reports whether they do.
 func (r *record) inherit(old *record, s Server) bool {
-	if old == nil || s.StartedMS == 0 {
+	if old == nil {
+		return false
+	}
+	r.retained = old.retained || old.draining || !old.pause.began.IsZero()
+	if s.StartedMS == 0 {
 		return false
 	}
 	if old.draining && old.drainingOf == s.StartedMS {
--- a/internal/process/registry/statements_test.go
+++ b/internal/process/registry/statements_test.go
@@ -34,12 +34,15 @@
 		}
 		leaving := map[incarnation]bool{}
 		until := map[incarnation]time.Time{}
+		pauses := map[incarnation]int{}
 		firstAt := map[incarnation]time.Time{}
 		of := func(s Server) incarnation { return incarnation{s.Name, s.StartedMS} }
 		names := rapid.SampledFrom([]string{"x", "y"})
 		type request struct {
 			server Server
-			first  bool
+			// first is the result of Admit, and pauses the number of pauses asked for before.
+			first  uint64
+			pauses int
 		}
 		var sent []request // without a response
 		take := func(t *rapid.T) request {
@@ -63,7 +66,7 @@
 			"sync":   func(*rapid.T) { g.Sync(now, []Server{draw()}) },
 			"remove": func(t *rapid.T) { g.Remove(now, names.Draw(t, "name")) },
 			"wait": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				now = now.Add(time.Duration(rapid.IntRange(1, 15_000).Draw(t, "ms")) * time.Millisecond)
 				g.Tick(now)
 			},
 			"send": func(t *rapid.T) {
@@ -75,38 +78,43 @@
 				if !admitted {
 					return
 				}
-				if first {
+				if first != 0 {
 					if at, waiting := firstAt[of(s)]; waiting && now.Sub(at) < firstRequestTimeout {
 						t.Fatalf("another first request after %v", now.Sub(at))
 					}
 					firstAt[of(s)] = now
 				}
-				sent = append(sent, request{s, first})
+				sent = append(sent, request{s, first, pauses[of(s)]})
 			},
 			"unanswered": func(t *rapid.T) {
 				r := take(t)
-				if r.first {
-					g.Unanswered(r.server)
-					delete(firstAt, of(r.server))
+				if r.first != 0 {
+					g.Unanswered(r.server, r.first)
+					if r.pauses == pauses[of(r.server)] {
+						delete(firstAt, of(r.server))
+					}
 				}
 			},
 			"response": func(t *rapid.T) {
 				r := take(t)
 				s := r.server
-				st := Statement{Leaving: rapid.IntRange(0, 3).Draw(t, "leaving") == 0, Pause: time.Duration(rapid.IntRange(-2000, 5000).Draw(t, "pause")) * time.Millisecond}
+				st := Statement{Leaving: rapid.IntRange(0, 3).Draw(t, "leaving") == 0, Pause: time.Duration(rapid.IntRange(-2000, 70_000).Draw(t, "pause")) * time.Millisecond}
 				if current(s) {
 					leaving[of(s)] = leaving[of(s)] || st.Leaving
-					switch end := now.Add(st.Pause); {
+					switch end := now.Add(min(st.Pause, MaxPause)); {
 					case st.Pause > 0 && end.After(until[of(s)]):
 						until[of(s)] = end
 						delete(firstAt, of(s))
 					case st.Pause > 0:
 						delete(firstAt, of(s))
-					case r.first:
+					case r.first != 0 && r.pauses == pauses[of(s)]:
 						delete(until, of(s))
 						delete(firstAt, of(s))
 					}
 				}
+				if st.Pause > 0 && current(s) {
+					pauses[of(s)]++
+				}
 				g.NoteStatement(now, s, r.first, st)
 			},
 			"": func(t *rapid.T) {
