--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -33,11 +33,13 @@
 
 	mu   sync.Mutex
 	runs map[string]map[*run]struct{}
+	// waits holds, by service, the functions that end waits for an engine.
+	waits map[string]map[*wait]struct{}
 }
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, runs: map[string]map[*run]struct{}{}}
+	return &Forwarder{o: o, runs: map[string]map[*run]struct{}{}, waits: map[string]map[*wait]struct{}{}}
 }
 
 // Serve forwards a request and writes the answer to w. ctx ends when the caller leaves, and
