Go on with what a stopping gateway has begun

Cause: the check of the time left was made before each send, so a resume or a repeat without a target, or whose whole stream would not have fitted, was refused like a new request. That gains nothing: no other gateway can take it over.

The check now applies to requests of which nothing was sent that may have run and whose answer has not begun. Others go on until their context ends, which the end of the grace period does. The check of the API key still precedes each send.

--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -38,7 +38,7 @@
 		if sends > 0 && !f.allowRetry(q, failed, 0) {
 			return last
 		}
-		if err := f.checkSend(q); err != nil {
+		if err := f.checkSend(q, runs > 0); err != nil {
 			if last != nil {
 				return last
 			}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -92,9 +92,11 @@
 	return log.With(f.o.Logger, "id", q.ID, "route", q.Route.Name, "service", q.Service)
 }
 
-// checkSend returns an error if the request may no longer be sent.
-func (f *Forwarder) checkSend(q *Request) *fault.Error {
-	if !f.o.Grace.Fits(q.endsBy(time.Now())) {
+// checkSend returns an error if the request may no longer be sent. started states that a server
+// has run it or may have run it, or that its answer has begun: such work goes on during a planned
+// stop until its context ends, because no other gateway can take it over.
+func (f *Forwarder) checkSend(q *Request, started bool) *fault.Error {
+	if !started && !f.o.Grace.Fits(q.endsBy(time.Now())) {
 		return f.stoppingError(stepSend, "", api.NotRun)
 	}
 	if f.o.MayRun(q) {
--- /dev/null
+++ b/internal/request/forward/stop_test.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"persimmonwing/internal/process/daemon"
+	"persimmonwing/internal/version/routing"
+)
+
+// beginStop begins a planned stop of the fleet's forwarder, with d until all answers are due.
+func (w *fakeFleet) beginStop(d time.Duration) { w.f.o.Grace.(*daemon.Grace).Begin(d) }
+
+// Guards against a stop that breaks off a stream which has begun and could be resumed: no other
+// gateway can take it over, and its remaining events fit into the grace period.
+func TestBegunStreamIsResumedDuringStop(t *testing.T) {
+	cases := map[string]func(q *Request){
+		"route without a target between events": func(*Request) {},
+		"remaining events fit, all of them do not": func(q *Request) {
+			q.Route.GapTarget, q.MaxOutputTokens = 100*time.Millisecond, 80
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeFleet("a", "b")
+			w.servers["a"].diesAfter = 15
+			q, c := check(), &recordingCaller{}
+			change(q)
+			c.after = func(writes int) {
+				if writes == 1 {
+					w.beginStop(2500 * time.Millisecond)
+				}
+			}
+			_, err := w.f.Serve(context.Background(), q, c)
+			if want := events(0, 20); err != nil || c.body.String() != want {
+				t.Errorf("%d of 20 events, sent to %v, error %v", c.writes, w.sent, err)
+			}
+		})
+	}
+}
+
+// Guards against a stop that gives up an idempotent call which was sent before it, when the
+// first server fails with most of the grace period left.
+func TestCallIsRepeatedDuringStop(t *testing.T) {
+	w := newFakeFleet("a", "b")
+	for _, s := range w.servers {
+		s.fail, s.failsAfter = errUnknown, 50*time.Millisecond
+	}
+	q := newRequest(routing.Route{Name: "call", Kind: routing.Idempotent, Attempts: 2})
+	time.AfterFunc(10*time.Millisecond, func() { w.beginStop(7 * time.Second) })
+	_, err := w.f.Serve(context.Background(), q, &recordingCaller{})
+	if len(w.sent) != 2 {
+		t.Errorf("sent to %v, error %v", w.sent, err)
+	}
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -128,13 +128,15 @@
 
 // place acquires a grant for an engine that is not leaving, and stores it in the run. It returns
 // an error if the request may not be sent, or no longer after its wait. When a planned stop begins,
-// a request that may outlast it stops waiting, because another gateway can still serve it.
+// a request that has not started and may outlast the stop stops waiting, because another gateway can
+// still serve it.
 func (r *run) place(ctx context.Context, request schedule.Request) *fault.Error {
-	if err := r.f.checkSend(r.q); err != nil {
+	started := r.started()
+	if err := r.f.checkSend(r.q, started); err != nil {
 		return err
 	}
-	started := time.Now()
-	ctx, cancel := r.f.o.Grace.BoundUnless(ctx, func() bool { return r.f.o.Grace.Fits(r.q.endsBy(time.Now())) })
+	began := time.Now()
+	ctx, cancel := r.f.o.Grace.BoundUnless(ctx, func() bool { return started || r.f.o.Grace.Fits(r.q.endsBy(time.Now())) })
 	defer cancel()
 	for try := 0; ; try++ {
 		request.ID = attemptID(r.q.ID, r.runs, try)
@@ -148,15 +150,15 @@
 			}
 			return acquireError(err)
 		}
-		if err := r.f.checkSend(r.q); err != nil {
+		if err := r.f.checkSend(r.q, started); err != nil {
 			r.f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
 			return err
 		}
 		server, ok := r.f.o.Servers.Get(grant.Backend)
 		if ok && !r.f.o.Servers.Leaving(grant.Backend) {
 			r.grant, r.server = grant, server
-			_ = level.Info(r.f.logger(r.q)).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "waited_ms", time.Since(started).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
-			r.f.o.Metrics.Observe(telemetry.QueueTime, r.q.Workspace, string(r.q.Class), time.Since(started))
+			_ = level.Info(r.f.logger(r.q)).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
+			r.f.o.Metrics.Observe(telemetry.QueueTime, r.q.Workspace, string(r.q.Class), time.Since(began))
 			return nil
 		}
 		r.f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
@@ -164,6 +166,10 @@
 	}
 }
 
+// started reports whether an engine has run the request or may have run it, or whether its answer
+// has begun.
+func (r *run) started() bool { return r.runs > 0 || r.begun }
+
 // attempt runs the request on the granted engine until its stream ends.
 func (r *run) attempt(ctx context.Context) *fault.Error {
 	outcome := schedule.Outcome{NotRun: true}
