--- a/internal/process/daemon/grace.go
+++ b/internal/process/daemon/grace.go
@@ -45,32 +45,31 @@
 // End returns the end of the grace period.
 func (g *Grace) End() time.Time { return g.end }
 
-// Fits reports whether work that has ended by the time at can still be started.
-func (g *Grace) Fits(at time.Time) bool { return !g.Stopping() || !at.After(g.end) }
+// MayStart reports whether work can still be started. latest returns the latest time for that,
+// for work that must have ended by the time end.
+func (g *Grace) MayStart(latest func(end time.Time) time.Time) bool {
+	return !g.Stopping() || !time.Now().After(latest(g.end))
+}
 
 // Bound returns a copy of ctx that ends with the cause ErrStopping at the end of the grace
 // period.
 func (g *Grace) Bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	return endAfter(ctx, g.ended, func() bool { return true })
-}
-
-// BoundUnless returns a copy of ctx that ends with the cause ErrStopping when the stop begins,
-// unless fits returns true at that moment.
-func (g *Grace) BoundUnless(ctx context.Context, fits func() bool) (context.Context, context.CancelFunc) {
-	return endAfter(ctx, g.begun, func() bool { return !fits() })
+	ctx, cancel := context.WithCancelCause(ctx)
+	release := context.AfterFunc(g.ended, func() { cancel(ErrStopping) })
+	return ctx, func() { release(); cancel(nil) }
 }
 
-// AtEnd calls f in a goroutine of its own at the end of the grace period. stop prevents that;
-// it returns false if f has been called.
-func (g *Grace) AtEnd(f func()) (stop func() bool) { return context.AfterFunc(g.ended, f) }
-
-// endAfter returns a copy of ctx that ends with the cause ErrStopping when event ends, if
-// condition returns true then.
-func endAfter(ctx, event context.Context, condition func() bool) (context.Context, context.CancelFunc) {
+// BoundStart returns a copy of ctx that ends with the cause ErrStopping once the stop has begun
+// and work can no longer be started, as defined for MayStart.
+func (g *Grace) BoundStart(ctx context.Context, latest func(end time.Time) time.Time) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	release := context.AfterFunc(event, func() {
-		if condition() {
+	release := context.AfterFunc(g.begun, func() {
+		late := time.NewTimer(time.Until(latest(g.end)))
+		defer late.Stop()
+		select {
+		case <-late.C:
 			cancel(ErrStopping)
+		case <-ctx.Done():
 		}
 	})
 	return ctx, func() { release(); cancel(nil) }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -96,7 +96,7 @@
 // has run it or may have run it, or that its answer has begun: such work goes on during a planned
 // stop until its context ends, because no other gateway can take it over.
 func (f *Forwarder) checkSend(q *Request, started bool) *fault.Error {
-	if !started && !f.o.Grace.Fits(q.endsBy(time.Now())) {
+	if !started && !f.o.Grace.MayStart(q.LatestSend) {
 		return f.stoppingError(stepSend, "", api.NotRun)
 	}
 	if f.o.MayRun(q) {
--- a/internal/request/forward/stop_test.go
+++ b/internal/request/forward/stop_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"persimmonwing/internal/process/daemon"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
 	"persimmonwing/internal/version/routing"
 )
 
@@ -54,3 +56,17 @@
 		t.Errorf("sent to %v, error %v", w.sent, err)
 	}
 }
+
+// Guards against a request that is sent although it can't end before the stop does: the checks
+// before it reaches the Forwarder may have passed earlier.
+func TestRequestThatDoesNotFitIsNotSent(t *testing.T) {
+	for name, q := range map[string]*Request{"call": call(routing.NonIdempotent, 1), "stream": plan()} {
+		w := newFakeFleet("a")
+		w.servers["a"].answer = ok("done")
+		w.beginStop(100 * time.Millisecond)
+		_, err := w.f.Serve(context.Background(), q, &recordingCaller{})
+		if len(w.sent) > 0 || err == nil || err.Code != fault.ShuttingDown || err.Execution != api.NotRun {
+			t.Errorf("%s: sent to %v, error %v", name, w.sent, err)
+		}
+	}
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -127,8 +127,8 @@
 }
 
 // place acquires a grant for an engine that is not leaving, and stores it in the run. It returns
-// an error if the request may not be sent, or no longer after its wait. When a planned stop begins,
-// a request that has not started and may outlast the stop stops waiting, because another gateway can
+// an error if the request may not be sent, or no longer after its wait. In a planned stop, a request
+// that has not started stops waiting when it can no longer end in time, because another gateway can
 // still serve it.
 func (r *run) place(ctx context.Context, request schedule.Request) *fault.Error {
 	started := r.started()
@@ -136,8 +136,11 @@
 		return err
 	}
 	began := time.Now()
-	ctx, cancel := r.f.o.Grace.BoundUnless(ctx, func() bool { return started || r.f.o.Grace.Fits(r.q.endsBy(time.Now())) })
-	defer cancel()
+	if !started {
+		var cancel context.CancelFunc
+		ctx, cancel = r.f.o.Grace.BoundStart(ctx, r.q.LatestSend)
+		defer cancel()
+	}
 	for try := 0; ; try++ {
 		request.ID = attemptID(r.q.ID, r.runs, try)
 		grant, err := r.f.o.Scheduler.Acquire(ctx, request)
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -77,21 +77,20 @@
 	return runs == 0 || q.Route.Repeatable() && runs < q.Route.Attempts
 }
 
-// endsBy returns the time by which a request that is sent at the time now has ended if it is on
-// time: a stream with all its tokens at the route's targets, or a whole answer that does not
-// have to be requested again. It is the deadline if the route or the request does not tell.
-func (q *Request) endsBy(now time.Time) time.Time {
-	end := q.Deadline
+// LatestSend returns the latest time at which a request can be sent to end by the time end if
+// it is on time: a stream with all its tokens at the route's targets, or a whole answer that
+// does not have to be requested again. It is the zero time if the route or the request does not
+// tell, and its deadline is later than end.
+func (q *Request) LatestSend(end time.Time) time.Time {
 	switch {
+	case !q.Deadline.After(end):
+		return end
 	case q.Route.Kind != routing.Streaming && q.Route.Target > 0:
-		end = now.Add(attemptTimeout(q.Route))
+		return end.Add(-attemptTimeout(q.Route))
 	case q.Route.Kind == routing.Streaming && q.Route.GapTarget > 0 && q.MaxOutputTokens > 0:
-		end = now.Add(q.Route.Target + time.Duration(q.MaxOutputTokens/q.stride())*q.Route.GapTarget)
+		return end.Add(-q.Route.Target - time.Duration(q.MaxOutputTokens/q.stride())*q.Route.GapTarget)
 	}
-	if q.Deadline.Before(end) {
-		return q.Deadline
-	}
-	return end
+	return time.Time{}
 }
 
 // stride returns the number of tokens in an event of the request's stream.
@@ -225,11 +224,12 @@
 
 // Grace is the grace period of a planned stop.
 type Grace interface {
-	// Fits reports whether work that has ended by the time at can still be started.
-	Fits(at time.Time) bool
-	// BoundUnless returns a copy of ctx that ends when the stop begins, unless fits returns
-	// true at that moment.
-	BoundUnless(ctx context.Context, fits func() bool) (context.Context, context.CancelFunc)
+	// MayStart reports whether work can still be started. latest returns the latest time for
+	// that, for work that must have ended by the time end.
+	MayStart(latest func(end time.Time) time.Time) bool
+	// BoundStart returns a copy of ctx that ends once a stop has begun and the work can no longer
+	// be started.
+	BoundStart(ctx context.Context, latest func(end time.Time) time.Time) (context.Context, context.CancelFunc)
 }
 
 // Options configures a Forwarder.
