Serve calls without a target early in a planned stop

Cause: without a target a request was expected to take until its deadline. Before (TestCallWithoutTargetIsServedEarlyInStop): request short, sent 161ms after the stop, ended at 161ms: status 503, error <nil>

Such a call is now expected to take 2 s; the figure is a choice, not measured.

--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -77,16 +77,22 @@
 	return runs == 0 || q.Route.Repeatable() && runs < q.Route.Attempts
 }
 
+// untargetedCallTime is the time that a call on a route without a latency target is expected to
+// take. Its timeout would say that hardly any fits into a planned stop.
+const untargetedCallTime = 2 * time.Second
+
 // LatestSend returns the latest time at which a request can be sent to end by the time end if
 // it is on time: a stream with all its tokens at the route's targets, or a whole answer that
-// does not have to be requested again. It is the zero time if the route or the request does not
-// tell, and its deadline is later than end.
+// does not have to be requested again, or within untargetedCallTime if the route has no target. It is
+// the zero time if nothing tells how long a stream takes, and its deadline is later than end.
 func (q *Request) LatestSend(end time.Time) time.Time {
 	switch {
 	case !q.Deadline.After(end):
 		return end
 	case q.Route.Kind != routing.Streaming && q.Route.Target > 0:
 		return end.Add(-attemptTimeout(q.Route))
+	case q.Route.Kind != routing.Streaming:
+		return end.Add(-untargetedCallTime)
 	case q.Route.Kind == routing.Streaming && q.Route.GapTarget > 0 && q.MaxOutputTokens > 0:
 		return end.Add(-q.Route.Target - time.Duration(q.MaxOutputTokens/q.stride())*q.Route.GapTarget)
 	}
