Close the connection of answers that begin in a shutdown of the front end

Cause: the header Connection was set when a request arrived.

daemon.CloseAfterAnswers sets it when a response begins. http.MaxBytesReader closes the connection of a body that is too large only through the server's own writer, so the front end does that itself.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/gorilla/mux"
 
 	"persimmonwing/internal/process/adminapi"
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/process/logging"
@@ -116,7 +117,8 @@
 	r.HandleFunc("/v1/services/{entry}/{rest:.*}", g.authenticated(api.NotRun, g.callService))
 	r.NotFoundHandler = g.rejectUnrouted(fault.UnknownPath)
 	r.MethodNotAllowedHandler = g.rejectUnrouted(fault.MethodNotAllowed)
-	return g.countInProgress(r)
+	// Callers open their next connection to another gateway.
+	return g.countInProgress(daemon.CloseAfterAnswers(r, g.stopping.Load))
 }
 
 func (g *Gateway) countInProgress(next http.Handler) http.Handler {
@@ -124,10 +126,6 @@
 		g.inProgress.Add(1)
 		defer g.inProgress.Add(-1)
 		g.connections.lastRequest.Store(time.Now().UnixNano())
-		if g.stopping.Load() {
-			// Makes the client open its next connection to another gateway.
-			w.Header().Set("Connection", "close")
-		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/process/gateway/generate.go
+++ b/internal/process/gateway/generate.go
@@ -81,6 +81,8 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
+		// http.MaxBytesReader does this itself only for the server's own writer.
+		w.Header().Set("Connection", "close")
 		return nil, fault.New(fault.BodyTooLarge, "read", "", api.NotRun, "the body is larger than %d bytes", tooLarge.Limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, fault.New(fault.BodyTimeout, "read", "", api.NotRun, "the body did not end within %v", g.opts.HTTP.BodyTimeout)
