Stop waiting for the destination of a move when its request ends

Cause: awaitDestination waited for the copy and for the destination's stream without the context of the request.

It now returns when the context ends; the move is abandoned in the background as in other cases.

--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -220,14 +220,23 @@
 	if m == nil {
 		return nil, fault.Wrap(src.readErr, linkErrorCode(ctx), stepStream, r.server.Name, api.Ran)
 	}
-	<-m.copied
+	select {
+	case <-m.copied:
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepMove, r.server.Name, api.Ran)
+	}
 	if !m.ok {
 		return nil, fault.New(fault.BackendLost, stepMove, m.from.Name, api.Ran, "engine stopped before the generation was copied")
 	}
 	if m.opened == nil {
 		m.open(ctx)
 	}
-	o := <-m.opened
+	var o openResult
+	select {
+	case o = <-m.opened:
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepMove, r.server.Name, api.Ran)
+	}
 	if o.err != nil {
 		m.opened <- o
 		// The source has run the generation, whatever the destination states.
--- a/internal/request/forward/stop_test.go
+++ b/internal/request/forward/stop_test.go
@@ -70,3 +70,22 @@
 		}
 	}
 }
+
+// Guards against a request that goes on waiting for a destination of its generation after the end of
+// the grace period, or after its caller has left.
+func TestWaitForDestinationEndsWithRequest(t *testing.T) {
+	w := newFakeFleet("a", "b")
+	w.servers["a"].diesAfter, w.servers["a"].copyTime = 10, 2*time.Second
+	c := &recordingCaller{after: func(writes int) {
+		if writes == 2 {
+			w.leave("a")
+		}
+	}}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, err := w.f.Serve(ctx, plan(), c)
+	if d := time.Since(began); err == nil || d < 300*time.Millisecond || d > 800*time.Millisecond {
+		t.Errorf("ended after %v, error %v", d, err)
+	}
+}
