Count retries of a stopping gateway only if they may be sent

Cause: the retry was counted and logged before the check whether the request may be sent.

The check comes first.

--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -35,15 +35,15 @@
 	var last, failed *fault.Error
 	runs := 0
 	for sends := 0; sends < maxSends; sends++ {
-		if sends > 0 && !f.allowRetry(q, failed, 0) {
-			return last
-		}
 		if err := f.checkSend(q, runs > 0); err != nil {
 			if last != nil {
 				return last
 			}
 			return err
 		}
+		if sends > 0 && !f.allowRetry(q, failed, 0) {
+			return last
+		}
 		set := f.o.Health(q.Service)
 		b, done, ok := set.Pick(time.Now(), f.o.Servers.Service(time.Now(), q.Service, f.o.DataCentre), tried)
 		if !ok {
--- a/internal/request/forward/stop_test.go
+++ b/internal/request/forward/stop_test.go
@@ -89,3 +89,29 @@
 		t.Errorf("ended after %v, error %v", d, err)
 	}
 }
+
+// Guards against a stop that uses up retry budget, and logs a retry, without sending one.
+func TestRefusedRetryLeavesRetryBudget(t *testing.T) {
+	cases := map[string]struct {
+		request *Request
+		fail    *fault.Error
+	}{
+		"call that may have run":  {call(routing.Idempotent, 2), errUnknown},
+		"call that has not run":   {call(routing.Idempotent, 2), errNotRun},
+		"stream that has not run": {plan(), errNotRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newFakeFleet("a", "b")
+			for _, s := range w.servers {
+				s.fail, s.failsAfter = c.fail, 50*time.Millisecond
+			}
+			before := w.budget
+			time.AfterFunc(10*time.Millisecond, func() { w.beginStop(100 * time.Millisecond) })
+			_, _ = w.f.Serve(context.Background(), c.request, &recordingCaller{})
+			if used := before - w.budget; used != len(w.sent)-1 {
+				t.Errorf("%d retries counted in the budget, %d sent", used, len(w.sent)-1)
+			}
+		})
+	}
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -77,7 +77,8 @@
 	request := f.schedulingRequest(q)
 	var last, failed *fault.Error
 	for sends := 0; sends < maxSends; sends++ {
-		if sends > 0 && !f.allowRetry(q, failed, r.events) {
+		// place checks again, but the budget must not count what is certainly not sent.
+		if sends > 0 && (f.checkSend(q, r.started()) != nil || !f.allowRetry(q, failed, r.events)) {
 			return last
 		}
 		// Each attempt gets a new scheduling deadline: an earlier engine may have been lost
