Serve requests whose head is read in part when connections are closed

Cause: Drain takes a connection for idle, or new, until the head of its request has been read, since http.Server reports the state "active" only then; the expired read deadline cut the rest. The comments promised otherwise.

Connections.Serve wraps the connections that the server accepts, so that Drain knows of the first bytes of a request and leaves the connection to the server's header timeout. If they come just as the deadline expires, it is set anew. This includes the byte that the server reads while it serves the request before. What it reads together with the end of that request's body is not told apart; the comment says so.

--- a/internal/process/daemon/connections.go
+++ b/internal/process/daemon/connections.go
@@ -34,6 +34,8 @@
 	state http.ConnState
 	since time.Time
 
+	// begun is set once the first bytes of a request have been read, until its head has been read.
+	begun bool
 	// expired is set while the read deadline is expired; see closeUnused.
 	expired bool
 
@@ -76,17 +78,22 @@
 // stop without losing a request that the server has read. Shutdown and SetKeepAlivesEnabled
 // of http.Server also close a connection whose request the server has just read.
 type Connections struct {
-	mu    sync.Mutex
-	conns map[net.Conn]*Connection
+	mu            sync.Mutex
+	conns         map[net.Conn]*Connection
+	headerTimeout time.Duration
 }
 
 // ConnectionCounts contains the number of open connections by state.
 type ConnectionCounts struct{ New, Active, Idle int }
 
 // Track sets the hooks of a server that has not been started. The server must not have a
-// ReadTimeout.
+// ReadTimeout, and must be run by Serve.
 func (c *Connections) Track(s *http.Server) {
+	c.headerTimeout = s.ReadHeaderTimeout
 	s.BaseContext = func(l net.Listener) context.Context {
+		if tracked, ok := l.(*trackedListener); ok {
+			l = tracked.Listener
+		}
 		if _, ok := l.(*Queue); ok {
 			return context.WithValue(context.Background(), queuedKey{}, true)
 		}
@@ -99,6 +106,78 @@
 	s.ConnState = c.observe
 }
 
+// Serve serves the connections of a listener, as the method of the server does.
+func (c *Connections) Serve(s *http.Server, l net.Listener) error {
+	return s.Serve(&trackedListener{Listener: l, connections: c})
+}
+
+// trackedListener returns connections that note when a request begins.
+type trackedListener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept implements net.Listener.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: conn, connections: l.connections}, nil
+}
+
+// trackedConn notes when a request begins.
+type trackedConn struct {
+	net.Conn
+	connections *Connections
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.connections.noteRead(c, len(b))
+	}
+	return n, err
+}
+
+// CloseWrite is called by http.Server.
+func (c *trackedConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger is the method of net.TCPConn.
+func (c *trackedConn) SetLinger(sec int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return conn.SetLinger(sec)
+	}
+	return nil
+}
+
+// noteRead records that bytes were read into a buffer of the given size. While a request is served,
+// the server reads into a buffer of one byte to notice that the caller has left: what it gets is the
+// beginning of the next request.
+func (c *Connections) noteRead(conn net.Conn, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tracked := c.conns[conn]
+	if tracked == nil || tracked.begun || tracked.state == http.StateActive && size != 1 {
+		return
+	}
+	tracked.begun = true
+	if tracked.expired {
+		var deadline time.Time
+		if c.headerTimeout > 0 {
+			deadline = time.Now().Add(c.headerTimeout)
+		}
+		_ = conn.SetReadDeadline(deadline) // fails only for a connection that is closed
+		tracked.expired = false
+	}
+}
+
 func (c *Connections) add(conn net.Conn, queued bool) *Connection {
 	tracked := &Connection{queued: queued, state: http.StateNew, since: time.Now()}
 	c.mu.Lock()
@@ -122,6 +201,7 @@
 	switch state {
 	case http.StateActive:
 		tracked.requests++
+		tracked.begun = false
 		tracked.idle = now.Sub(tracked.since)
 		if tracked.expired {
 			// The request was read before the deadline expired. The server would take the
@@ -156,8 +236,9 @@
 // expiredDeadline is a read deadline in the past.
 var expiredDeadline = time.Unix(1, 0)
 
-// Drain closes the connections that carry no request and waits until all others are closed, or
-// until ctx ends. The server must not accept connections any more, and its responses must close
+// Drain closes the connections of which no byte of a request has been read and waits until all
+// others are closed, or until ctx ends. A request whose head has been read in part is served if the
+// rest arrives within the server's header timeout. The server must not accept connections any more, and its responses must close
 // theirs.
 //
 // A caller may send its next request on a kept connection at any time until it is closed. If
@@ -177,12 +258,15 @@
 
 // closeUnused makes the server close the connections that carry no request, and returns
 // the number of open connections. An expired read deadline ends the server's wait for the first
-// bytes of a request. If the server has read them already, it sets the deadline for the rest of the
-// head anew and serves the request.
+// bytes of a request. If the server has just read them, noteRead sets the deadline anew. The part
+// of a head that the server has read together with the previous request is not noted.
 func (c *Connections) closeUnused(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, tracked := range c.conns {
+		if tracked.begun {
+			continue
+		}
 		if tracked.state == http.StateIdle || tracked.state == http.StateNew && now.Sub(tracked.since) >= newConnectionTimeout {
 			_ = conn.SetReadDeadline(expiredDeadline) // fails only for a connection that is closed
 			tracked.expired = true
--- a/internal/process/gateway/drain.go
+++ b/internal/process/gateway/drain.go
@@ -73,7 +73,7 @@
 	if err := daemon.RefuseNewConnections(callers); err == nil {
 		time.Sleep(acceptQueueTime)
 	}
-	if _, err := daemon.CloseListener(server.Serve, callers); err != nil {
+	if _, err := daemon.CloseListener(func(l net.Listener) error { return g.connections.Serve(server, l) }, callers); err != nil {
 		_ = level.Warn(g.logger).Log("msg", "closing the listener failed", "err", err)
 	}
 	g.connections.waitIdle(g.opts.IdleLinger)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -150,7 +150,7 @@
 	callers = &closeOnce{Listener: callers}
 	adminServer := &http.Server{Handler: g.adminRouter(), ReadHeaderTimeout: adminReadTimeout, ReadTimeout: adminReadTimeout}
 	failed := make(chan error, 2)
-	go func() { failed <- callerServer.Serve(callers) }()
+	go func() { failed <- g.connections.Serve(callerServer, callers) }()
 	go func() { failed <- adminServer.Serve(admin) }()
 	_ = level.Info(g.logger).Log("msg", "serving", "callers", callers.Addr(), "admin", admin.Addr())
 	select {
