Answer what a stand-in has read when it shuts down

Cause: http.Server.Shutdown closes connections by their state, which is idle until the head of a request has been read.

Stand-ins close their listener, drain their connections and close those of answers that begin in the shutdown as gateways do.

--- a/internal/process/standin/serve/serve.go
+++ b/internal/process/standin/serve/serve.go
@@ -10,10 +10,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"persimmonwing/internal/process/daemon"
 )
 
 // shutdownTimeout limits a graceful shutdown, after which calls still running are
@@ -35,9 +38,13 @@
 
 // Serve is like ListenAndServe, but serves on the open listener ln, which it closes.
 func Serve(ctx context.Context, l log.Logger, ln net.Listener, h http.Handler, drain func()) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTimeout}
+	var connections daemon.Connections
+	var stopping atomic.Bool
+	srv := &http.Server{Handler: daemon.CloseAfterAnswers(h, stopping.Load), ReadHeaderTimeout: shutdownTimeout}
+	connections.Track(srv)
+	serve := func(ln net.Listener) error { return connections.Serve(srv, ln) }
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(ln) }()
+	go func() { failed <- serve(ln) }()
 	level.Info(l).Log("msg", "listening", "address", ln.Addr())
 	select {
 	case err := <-failed:
@@ -46,8 +53,14 @@
 	}
 	level.Info(l).Log("msg", "draining")
 	drain()
+	stopping.Store(true)
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
+	if _, err := daemon.CloseListener(serve, ln); err != nil {
+		level.Info(l).Log("msg", "connections in the listener's queue are not served", "err", err)
+	}
+	<-failed
+	connections.Drain(shutdownCtx)
 	if err := srv.Shutdown(shutdownCtx); err != nil {
 		return errors.Join(fmt.Errorf("calls cut off after %v: %w", shutdownTimeout, err), srv.Close())
 	}
