End the trial of a request whose first grant was given up

Callers with a sound part waited up to 5 s, or were refused at their deadline, behind a trial whose request had ended. A request that learns of a suspect part after its grant gives the grant up and gets a new id, with which it begins its trial.

TestTrialEndsWithTheIDItBeganWith failed before, for 4 of the 8 parts (gateway a decides the other grants itself):

trials_test.go:140: request with parts [602 1000002] at b: "deadline", want "" trials_test.go:140: a request with the part of an ended trial took 2s

--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		if err != nil {
-			m.endTrials(r.ID, s.trial)
+			m.endTrials(s.request.ID, s.trial)
 		}
 		return grant, err
 	}
