End trials at every gateway that may have granted them

Callers with a sound part waited up to 5 s, or were refused at their deadline, behind a trial that nobody ran.

The end now goes to the gateways that may have been asked. Both tests failed before:

TestTrialEndsIfTheCallerLeavesMeanwhile (6 of 8 parts; gateway a keeps the other two itself): request with parts [500 1000002] at b: "deadline", want "" TestTrialEndsAtTheNextKeeper, with the end sent to the first in rank only: request with parts [701 1000002] at b: "deadline", want ""

--- a/internal/process/owner/trials.go
+++ b/internal/process/owner/trials.go
@@ -151,6 +151,7 @@
 		if err == nil {
 			return reply.Granted
 		}
+		m.endTrialAt(keeper, a) // the keeper may have granted it
 		if ctx.Err() != nil {
 			return false
 		}
@@ -160,23 +161,34 @@
 	return m.grantTrial(time.Now(), a)
 }
 
-// endTrials ends the trials of parts by a request.
+// endTrials ends the trials of parts by a request, at all gateways that may have been asked.
 func (m *Manager) endTrials(id string, parts []uint64) {
 	for _, part := range parts {
 		a := TrialArgs{Part: part, ID: id}
 		m.trials.end(a)
-		if keeper, ok := m.keeper(part, nil); ok {
-			m.inBackground(func() {
-				ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-				defer cancel()
-				if err := m.opt.Caller.Call(ctx, keeper.PeerAddress, SuspectsServiceName+".EndTrial", &a, new(Empty)); err != nil {
-					level.Debug(m.opt.Logger).Log("msg", "ending a trial failed", "keeper", keeper.Name, "err", err)
-				}
-			})
+		var asked []string
+		for range maxTrialCalls {
+			keeper, ok := m.keeper(part, asked)
+			if !ok {
+				break
+			}
+			m.endTrialAt(keeper, a)
+			asked = append(asked, keeper.Name)
 		}
 	}
 }
 
+// endTrialAt ends a trial at a keeper, in the background.
+func (m *Manager) endTrialAt(keeper membership.Gateway, a TrialArgs) {
+	m.inBackground(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := m.opt.Caller.Call(ctx, keeper.PeerAddress, SuspectsServiceName+".EndTrial", &a, new(Empty)); err != nil {
+			level.Debug(m.opt.Logger).Log("msg", "ending a trial failed", "keeper", keeper.Name, "err", err)
+		}
+	})
+}
+
 // keeper returns the gateway that keeps the trial of a part: the first in rank of the live
 // gateways that are neither avoided nor among failed. It returns false if that is this gateway.
 func (m *Manager) keeper(part uint64, failed []string) (membership.Gateway, bool) {
--- a/internal/process/owner/trials_test.go
+++ b/internal/process/owner/trials_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// Guards against a trial that lasts until its lease ends, because its caller left while the keeper
+// was asked: sound requests with the part would wait.
+func TestTrialEndsIfTheCallerLeavesMeanwhile(t *testing.T) {
+	withHookedWorld(t, func(w *taintedWorld, c *hookedCaller) {
+		for part := uint64(500); part < 508; part++ {
+			w.suspect(part)
+			ctx, cancel := context.WithCancel(context.Background())
+			c.set(func(_ context.Context, method string, pass func() error) error {
+				err := pass()
+				if strings.HasSuffix(method, ".BeginTrial") {
+					cancel()
+					return context.Canceled
+				}
+				return err
+			})
+			r := trialRequest(part)
+			if grant, err := w.member("a").Acquire(ctx, r); err == nil {
+				// Gateway a keeps this part itself.
+				w.member("a").Release(grant.ID, schedule.Outcome{NotRun: true})
+			}
+			cancel()
+			c.set(nil)
+			time.Sleep(50 * time.Millisecond)
+			w.checkNextTrial(part)
+		}
+	})
+}
+
 // Guards against a trial that lasts until its lease ends, because the request got a new id when
 // its first grant was given up, and ended without a second one.
 func TestTrialEndsWithTheIDItBeganWith(t *testing.T) {
@@ -125,3 +153,27 @@
 		}
 	})
 }
+
+// Guards against a trial that lasts until its lease ends at the gateway that was asked because the
+// keeper does not answer.
+func TestTrialEndsAtTheNextKeeper(t *testing.T) {
+	withTaintedWorld(t, func(w *taintedWorld) {
+		for part := uint64(700); part < 708; part++ {
+			w.suspect(part)
+		}
+		w.network.Cut([]string{"address of d"}, []string{"address of a", "address of b", "address of c"})
+		for part := uint64(700); part < 708; part++ {
+			w.work.Go(func() {
+				grant, err := w.member("a").Acquire(context.Background(), trialRequest(part))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				w.member("a").Release(grant.ID, schedule.Outcome{NotRun: true})
+				w.checkNextTrial(part)
+			})
+		}
+		w.work.Wait()
+		w.network.Heal([]string{"address of d"}, []string{"address of a", "address of b", "address of c"})
+	})
+}
