Try parts alone that came together with a part that crashes engines

Cause: two requests that crash engines have several parts in common, and trials of them weigh against each of these parts. Only an answer less than 2 s before a loss held for the parts that others use, too, so that it hit parts with few sound requests. Class: evidence is kept at a coarser grain than the cause.

A part is now refused only in a request that has all refused parts with the same losses, or more. Other requests with it become its trial, one at a time: an answer clears the part, and a loss rules the other parts out. A part that crashes engines costs one more engine at most for each part that it comes with, and only if requests leave that out.

TestPartsOfMostlyDeadlyRequestsStayInUse and TestPartsThatCameTogetherAreToldApart failed before:

--- a/internal/process/crashguard/parts.go
+++ b/internal/process/crashguard/parts.go
@@ -171,7 +171,7 @@
 		if s == nil {
 			continue
 		}
-		if now.Before(s.retrialAt) {
+		if now.Before(s.retrialAt) && !p.explainedElsewhere(now, s, parts) {
 			return Refuse, nil
 		}
 		suspects = append(suspects, part)
@@ -182,6 +182,26 @@
 	return Clear, nil
 }
 
+// explainedElsewhere reports whether a part that a request doesn't have explains all losses of a
+// suspect part, as the two came in the same requests. A trial without the other part tells which
+// of them crashes engines.
+func (p *Parts) explainedElsewhere(now time.Time, s *suspectPart, parts []uint64) bool {
+	for _, other := range p.suspects.Keys() {
+		o, ok := p.suspects.Peek(other)
+		if ok && now.Before(o.retrialAt) && !now.After(o.until) && !slices.Contains(parts, other) && o.explains(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// explains reports whether a part has all losses of another one.
+func (s *suspectPart) explains(other *suspectPart) bool {
+	return !slices.ContainsFunc(other.losses, func(l partLoss) bool {
+		return !slices.ContainsFunc(s.losses, func(own partLoss) bool { return own.loss == l.loss })
+	})
+}
+
 // Answered records that an engine has begun an answer on these parts. It returns the parts that
 // this has cleared.
 func (p *Parts) Answered(now time.Time, parts []uint64) []uint64 {
--- a/internal/process/crashguard/parts_test.go
+++ b/internal/process/crashguard/parts_test.go
@@ -117,3 +117,40 @@
 	s, _ := p.suspects.Peek(1 << 40)
 	is.Equal(len(s.losses), maxLosses)
 }
+
+// Guards against a part that is refused by itself for losses that it shares with another part,
+// against two of them that are never refused together, and against a search that does not end:
+// each lost trial rules a part out.
+func TestPartsThatCameTogetherAreToldApart(t *testing.T) {
+	is := is.New(t)
+	const company, team, deadly, own = 1, 2, 3, 9
+	now := time.Now()
+	p := NewParts()
+	lose := func(engine string, parts ...uint64) {
+		var lost []PartLoss
+		for _, part := range parts {
+			lost = append(lost, PartLoss{Part: part, Trial: true})
+		}
+		p.EngineLost(now, Loss{Engine: engine, Incarnation: "1"}, lost)
+	}
+	verdict := func(parts ...uint64) Verdict {
+		v, _ := p.Check(now, parts)
+		return v
+	}
+	lose("e1", company, team, deadly)
+	is.Equal(verdict(company, team, deadly, own), AwaitTrial)
+	lose("e2", company, team, deadly)
+	is.Equal(verdict(company, team, deadly, own), Refuse)
+	is.Equal(verdict(company, own), AwaitTrial)
+	is.Equal(verdict(company, deadly, own), AwaitTrial)
+	lose("e3", company, deadly)
+	is.Equal(verdict(company, deadly, own), Refuse)
+	is.Equal(verdict(team, own), AwaitTrial)
+	is.Equal(verdict(deadly, own), AwaitTrial)
+	lose("e4", deadly)
+	is.Equal(verdict(deadly, own), Refuse)
+	is.Equal(verdict(company, team, own), AwaitTrial)
+	p.Answered(now, []uint64{company, team, own})
+	is.Equal(verdict(company, team, own), Clear)
+	is.Equal(verdict(company, team, deadly, own), Refuse)
+}
--- a/internal/process/owner/tainted_test.go
+++ b/internal/process/owner/tainted_test.go
@@ -190,3 +190,19 @@
 		}
 	})
 }
+
+// Guards against sound requests that are refused for a first part that only most requests with a
+// part that crashes engines share with them: trials can't tell the parts apart.
+func TestPartsOfMostlyDeadlyRequestsStayInUse(t *testing.T) {
+	withTaintedWorld(t, func(w *taintedWorld) {
+		w.setDeadly(deadlyPart)
+		deadly := deadlyTraffic(2, deadlyPart, 250*time.Millisecond)
+		w.send(3*time.Second, time.Now().Add(time.Hour), deadly)
+		sound := traffic{gateways: []string{"d", "a", "c", "b"}, interval: 2 * time.Second, parts: func(i int) []uint64 {
+			return []uint64{companyPart, ownPart(i)}
+		}}
+		w.send(45*time.Second, time.Now(), deadly, sound)
+		w.checkPart(deadlyPart)
+		w.checkSound()
+	})
+}
