Tell prompt parts of different services apart in the crash guard

A part that crashes the engines of one service was refused at all services, and an answer of another service on the part cleared it, so that engines of the first went on crashing.

The hash of a part now covers the service. A part that crashes the engines of several services costs each of them the losses up to its verdict.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -120,11 +120,12 @@
 	return d.Sum64()
 }
 
-// partHashes returns a hash of the id of each different part.
-func partHashes(parts []PromptPart) []uint64 {
+// partHashes returns a hash of the service and the id of each different part. A part that
+// crashes the engines of one service may be sound at another.
+func partHashes(service string, parts []PromptPart) []uint64 {
 	var out []uint64
 	for _, p := range parts {
-		if h := xxhash.Sum64String(p.ID); !slices.Contains(out, h) {
+		if h := xxhash.Sum64String(service + "\x00" + p.ID); !slices.Contains(out, h) {
 			out = append(out, h)
 		}
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -122,7 +122,7 @@
 	return schedule.Request{
 		Workspace: q.Workspace, Weight: 1, Entry: q.Route.Name, Class: q.Class, Model: q.Service,
 		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, ExpectedOutputTokens: q.HintTokens,
-		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PartHashes: partHashes(q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
+		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PartHashes: partHashes(q.Service, q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
 	}
 }
 
