Let a trial rule out parts that were only lost beside it

A part that crashes engines got one more trial, and cost one more engine, if another such part had been lost on the same engines, also where its own trial was: the losses seemed to be explained by the other part.

TestPartIsNotExplainedByAnotherTrial failed before:

parts_test.go:170: 2 != 3

--- a/internal/process/crashguard/parts.go
+++ b/internal/process/crashguard/parts.go
@@ -195,10 +195,11 @@
 	return false
 }
 
-// explains reports whether a part has all losses of another one.
+// explains reports whether a part has all losses of another one. The loss of a trial is explained
+// only by parts that were in it, as other suspects that ran there are ruled out.
 func (s *suspectPart) explains(other *suspectPart) bool {
 	return !slices.ContainsFunc(other.losses, func(l partLoss) bool {
-		return !slices.ContainsFunc(s.losses, func(own partLoss) bool { return own.loss == l.loss })
+		return !slices.ContainsFunc(s.losses, func(own partLoss) bool { return own.loss == l.loss && (own.trial || !l.trial) })
 	})
 }
 
--- a/internal/process/crashguard/parts_test.go
+++ b/internal/process/crashguard/parts_test.go
@@ -154,3 +154,19 @@
 	is.Equal(verdict(company, team, own), Clear)
 	is.Equal(verdict(company, team, deadly, own), Refuse)
 }
+
+// Guards against a part that gets a trial more because another part that crashes engines was lost
+// beside it.
+func TestPartIsNotExplainedByAnotherTrial(t *testing.T) {
+	is := is.New(t)
+	const one, other, own = 1, 2, 9
+	now := time.Now()
+	p := NewParts()
+	p.EngineLost(now, Loss{Engine: "e1"}, []PartLoss{{Part: one}, {Part: other}})
+	p.EngineLost(now, Loss{Engine: "e2"}, []PartLoss{{Part: one, Trial: true}, {Part: other}})
+	p.EngineLost(now, Loss{Engine: "e3"}, []PartLoss{{Part: other, Trial: true}})
+	for _, part := range []uint64{one, other} {
+		verdict, _ := p.Check(now, []uint64{part, own})
+		is.Equal(verdict, Refuse)
+	}
+}
