--- a/internal/process/daemon/connections.go
+++ b/internal/process/daemon/connections.go
@@ -238,8 +238,8 @@
 
 // Drain closes the connections of which no byte of a request has been read and waits until all
 // others are closed, or until ctx ends. A request whose head has been read in part is served if the
-// rest arrives within the server's header timeout. The server must not accept connections any more, and its responses must close
-// theirs.
+// rest arrives within the server's header timeout. The server must not accept connections any more,
+// and its responses must close theirs.
 //
 // A caller may send its next request on a kept connection at any time until it is closed. If
 // idle connections stayed open until the last response, requests would be accepted
