--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -113,6 +113,7 @@
 		m.spills.add(time.Now(), *s.spill)
 		s.spilled = true
 	case reply.Refusal != nil && reply.Refusal.Reason == schedule.ReasonTrial:
+		// awaitTrial makes the request a trial before the next attempt.
 	case reply.Refusal != nil:
 		s.skip[k] = true
 		s.refusal = reply.Refusal
