Add review case 2: long bodies in a burst exceed a gateway's memory

The case sends plans with bodies of 4,000,000 bytes, within the limit of the configuration, to one gateway: 12 at a time, then 31 (a burst of 2.58). The gateway keeps each body until its stream ends. Over 134 MB the platform kills the process.

--- a/review/standin/world/engine.go
+++ b/review/standin/world/engine.go
@@ -23,6 +23,7 @@
 // Run is what an engine did for one request.
 type Run struct {
 	ID, Engine string
+	Prompt     int  // tokens
 	Resumed    bool // goes on from a copy or after an event
 	Began      time.Time
 	Ended      time.Time
@@ -44,9 +45,11 @@
 	seq    int
 	// keepsRunning is set for an engine that works on when a request's connection closes.
 	keepsRunning   bool
+	prefill        chan struct{}
 	draining, gone bool
 	runs           []*Run
 	active         map[string]*Run
+	arrived        map[string]bool
 	copies         map[string]bool // by source address and handle
 	handles        int
 	peers          map[string]*Engine // by address
@@ -61,7 +64,7 @@
 		if err != nil {
 			w.Fail("engine: %v", err)
 		}
-		e := &Engine{ID: fmt.Sprintf("i-7f3a91c%d", i), Zone: zone, Address: l.Addr().String(), w: w, born: time.Now().UnixMilli(), active: map[string]*Run{}, copies: map[string]bool{}, peers: peers}
+		e := &Engine{ID: fmt.Sprintf("i-7f3a91c%d", i), Zone: zone, Address: l.Addr().String(), w: w, born: time.Now().UnixMilli(), prefill: make(chan struct{}, 1), active: map[string]*Run{}, arrived: map[string]bool{}, copies: map[string]bool{}, peers: peers}
 		peers[e.Address] = e
 		e.server = &http.Server{Handler: e}
 		go func() { _ = e.server.Serve(l) }()
@@ -181,15 +184,25 @@
 		w.WriteHeader(421)
 		return
 	}
+	e.mu.Lock()
+	e.arrived[id] = true
+	e.mu.Unlock()
 	e.run(w, r, id, body)
 }
 
+// Arrived reports whether a request has reached the engine and was not refused.
+func (e *Engine) Arrived(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrived[id]
+}
+
 func (e *Engine) report(w http.ResponseWriter) {
 	e.mu.Lock()
 	runs, used := [][]any{}, 0
 	for _, r := range e.active {
-		runs = append(runs, []any{r.ID, 3000, r.Last, 5})
-		used += 3000 + tokensAnEvent*r.Last
+		runs = append(runs, []any{r.ID, r.Prompt, r.Last, 5})
+		used += r.Prompt + tokensAnEvent*r.Last
 	}
 	v := map[string]any{
 		"stage": "mixed", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "seq": e.seq, "born": e.born,
@@ -229,14 +242,14 @@
 	}
 	e.handles++
 	handle := "h" + strconv.Itoa(e.handles)
-	created := r.Last
+	created, prompt := r.Last, r.Prompt
 	e.mu.Unlock()
 	if to == nil {
 		w.WriteHeader(503)
 		return
 	}
 	e.w.Log("%s copies %s to %s, last=%v, %d events made", e.ID, in.ID, to.ID, in.Last, created)
-	time.Sleep(time.Duration((3000 + tokensAnEvent*created) * bytesAToken * 8 / linkMbps * 1000))
+	time.Sleep(time.Duration((prompt + tokensAnEvent*created) * bytesAToken * 8 / linkMbps * 1000))
 	to.mu.Lock()
 	to.copies[e.Address+"/"+handle] = true
 	to.mu.Unlock()
@@ -244,11 +257,22 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "created": created})
 }
 
-// run serves a stream. The body holds the number of events.
+// promptTokens returns the number of tokens of a request's prompt.
+func promptTokens(r *http.Request) int {
+	prompt, _, _ := strings.Cut(r.Header.Get("X-Persimmonwing-Token-Usage"), ",")
+	n, _ := strconv.Atoi(prompt)
+	return n
+}
+
+// eventsField is the length of the part of a body that holds the number of events of its stream.
+const eventsField = 8
+
+// run serves a stream. The body begins with the number of events.
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	h := w.Header()
-	events, _ := strconv.Atoi(strings.TrimSpace(string(body)))
-	first, resumed, prefill := 1, false, 3000/prefillPerMS*time.Millisecond
+	events, _ := strconv.Atoi(strings.TrimSpace(string(body[:min(len(body), eventsField)])))
+	prompt := promptTokens(r)
+	first, resumed, prefill := 1, false, time.Duration(prompt/prefillPerMS)*time.Millisecond
 	if after := r.Header.Get("Last-Event-Id"); after != "" {
 		n, _ := strconv.Atoi(after)
 		first, resumed = n+1, true
@@ -265,12 +289,18 @@
 		}
 		prefill = 5 * time.Millisecond
 	}
+	// Prompts are read one after the other.
 	select {
-	case <-time.After(prefill):
+	case e.prefill <- struct{}{}:
 	case <-r.Context().Done():
 		return
 	}
-	run := &Run{ID: id, Engine: e.ID, Resumed: resumed, Began: time.Now(), First: first, Last: first - 1, stop: make(chan struct{})}
+	read := sleep(r.Context(), prefill)
+	<-e.prefill
+	if !read {
+		return
+	}
+	run := &Run{ID: id, Engine: e.ID, Prompt: prompt, Resumed: resumed, Began: time.Now(), First: first, Last: first - 1, stop: make(chan struct{})}
 	e.mu.Lock()
 	if e.gone {
 		e.mu.Unlock()
