--- a/review/standin/world/app.go
+++ b/review/standin/world/app.go
@@ -17,8 +17,6 @@
 	// Work is how long a request takes, and Answer the body of its answer.
 	Work   time.Duration
 	Answer []byte
-	// Pause is the time between two pieces of pieceBytes of an answer.
-	Pause time.Duration
 
 	w      *World
 	born   int64
@@ -27,10 +25,12 @@
 	mu     sync.Mutex
 	seq    int
 	ran    map[string]int // by attempt id
+	// leaving is set once the server leaves. arrivals holds the times at which requests reached it.
+	leaving  bool
+	arrivals map[string]time.Time
+	running  map[string]bool
 }
 
-const pieceBytes = 16 << 10
-
 // AddApps starts application servers, one for each zone given.
 func (w *World) AddApps(zones ...string) []*App {
 	var out []*App
@@ -39,9 +39,8 @@
 		if err != nil {
 			w.Fail("application server: %v", err)
 		}
-		a := &App{ID: fmt.Sprintf("i-02d9e6b%d", i), Zone: zone, Address: l.Addr().String(), Work: 60 * time.Millisecond, Answer: make([]byte, 800), w: w, born: time.Now().UnixMilli(), slots: make(chan struct{}, 6), ran: map[string]int{}}
-		a.server = &http.Server{Handler: a}
-		go func() { _ = a.server.Serve(l) }()
+		a := &App{ID: fmt.Sprintf("i-02d9e6b%d", i), Zone: zone, Address: l.Addr().String(), Work: 60 * time.Millisecond, Answer: make([]byte, 800), w: w, born: time.Now().UnixMilli(), slots: make(chan struct{}, 6), ran: map[string]int{}, arrivals: map[string]time.Time{}, running: map[string]bool{}}
+		a.serve(l)
 		w.AtEnd(func() { _ = a.server.Close() })
 		a.beat()
 		go func() {
@@ -57,19 +56,74 @@
 
 func (a *App) beat() {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return
+	}
 	a.seq++
 	seq := a.seq
-	a.mu.Unlock()
 	a.w.Store.Put("servers", a.ID, map[string]any{
 		"service": AppService, "addr": a.Address, "zone": a.Zone, "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": seq, "born": a.born,
 	})
 }
 
-// SetPause changes Pause.
-func (a *App) SetPause(d time.Duration) {
+// Leave removes the server's entry without a report that it drains. The server goes on serving. It
+// returns the time of the acknowledgement.
+func (a *App) Leave() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+	a.w.Store.Remove("servers", a.ID)
+	a.w.Log("entry of %s removed, acknowledged", a.ID)
+	return time.Now()
+}
+
+// End ends the server, whatever it runs.
+func (a *App) End() {
+	a.mu.Lock()
+	server := a.server
+	for id, running := range a.running {
+		if running {
+			a.w.Log("%s ends while it runs %s", a.ID, id)
+		}
+	}
+	a.mu.Unlock()
+	_ = server.Close()
+	a.w.Log("%s ends", a.ID)
+}
+
+// Return starts the server again, as a new incarnation under its id and at a new address.
+func (a *App) Return() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		a.w.Fail("application server: %v", err)
+	}
+	a.mu.Lock()
+	a.Address = l.Addr().String()
+	a.leaving, a.born, a.seq = false, time.Now().UnixMilli(), 0
+	a.arrivals, a.running = map[string]time.Time{}, map[string]bool{}
+	a.mu.Unlock()
+	a.serve(l)
+	a.beat()
+}
+
+func (a *App) serve(l net.Listener) {
+	server := &http.Server{Handler: a}
+	a.mu.Lock()
+	a.server = server
+	a.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+}
+
+// Arrivals returns the times at which requests reached the server, by attempt id.
+func (a *App) Arrivals() map[string]time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.Pause = d
+	out := map[string]time.Time{}
+	for id, t := range a.arrivals {
+		out[id] = t
+	}
+	return out
 }
 
 // Ran returns how often a request ran.
@@ -95,6 +149,12 @@
 		w.WriteHeader(421)
 		return
 	}
+	a.mu.Lock()
+	a.arrivals[id] = time.Now()
+	if a.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	a.mu.Unlock()
 	select {
 	case a.slots <- struct{}{}:
 		defer func() { <-a.slots }()
@@ -103,8 +163,14 @@
 	}
 	a.mu.Lock()
 	a.ran[id]++
-	pause, work, answer := a.Pause, a.Work, a.Answer
+	a.running[id] = true
+	work, answer := a.Work, a.Answer
 	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.running, id)
+		a.mu.Unlock()
+	}()
 	a.w.Log("%s runs %s, body of %d bytes, checksum %08x", a.ID, id, n, hash.Sum32())
 	if !sleep(r.Context(), work) {
 		a.w.Log("%s: connection of %s closed", a.ID, id)
@@ -113,20 +179,8 @@
 	h.Set("X-Persimmonwing-Replica-Seal", "3e1b.07."+a.ID)
 	h.Set("X-Persimmonwing-Replica-Load", fmt.Sprintf("%d,0,6", len(a.slots)))
 	h.Set("Content-Length", fmt.Sprint(len(answer)))
-	for len(answer) > 0 {
-		piece := answer[:min(len(answer), pieceBytes)]
-		answer = answer[len(piece):]
-		if _, err := w.Write(piece); err != nil {
-			a.w.Log("%s: connection of %s closed with %d bytes left", a.ID, id, len(answer))
-			return
-		}
-		if f, ok := w.(http.Flusher); ok {
-			f.Flush()
-		}
-		if len(answer) > 0 && pause > 0 && !sleep(r.Context(), pause) {
-			a.w.Log("%s: connection of %s closed with %d bytes left", a.ID, id, len(answer))
-			return
-		}
+	if _, err := w.Write(answer); err != nil {
+		return
 	}
 	a.w.Log("%s answered %s", a.ID, id)
 }
--- a/review/standin/world/world.go
+++ b/review/standin/world/world.go
@@ -36,10 +36,12 @@
 
 // World is one run of a case.
 type World struct {
-	Trouble  bool
-	Dir      string // temporary folder
-	Store    *Store
-	Gateways []*Gateway
+	Trouble bool
+	// ProxyStore gives each gateway a proxy to the store; it must be set before AddGateways.
+	ProxyStore bool
+	Dir        string // temporary folder
+	Store      *Store
+	Gateways   []*Gateway
 
 	start time.Time
 	mu    sync.Mutex
@@ -136,8 +138,11 @@
 type Gateway struct {
 	Name, Zone                    string
 	Front, Ready, Control, Metric string
-	w                             *World
-	settings                      string
+	// StoreProxy is the gateway's way to the store, if it is not nil.
+	StoreProxy *Proxy
+
+	w        *World
+	settings string
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -173,9 +178,14 @@
 	if begin, end := strings.Index(text, "{{^listen.control}}"), strings.Index(text, "{{/listen.control}}"); begin >= 0 && end > begin {
 		text = text[:begin] + text[end+len("{{/listen.control}}"):]
 	}
+	store := g.w.Store.Address
+	if g.w.ProxyStore {
+		g.StoreProxy = g.w.NewProxy(store)
+		store = g.StoreProxy.Address
+	}
 	values := map[string]any{
 		"node": g.Name, "zone": g.Zone, "listen.front": g.Front, "listen.ready": g.Ready, "listen.control": g.Control,
-		"seeds": seeds, "platform.addr": g.w.Store.Address, "limits.memory_mb": MemoryMB, "limits.cpu_share": 0.4, "limits.cores": 1,
+		"seeds": seeds, "platform.addr": store, "limits.memory_mb": MemoryMB, "limits.cpu_share": 0.4, "limits.cores": 1,
 		"bounds.grace_s": GraceS, "bounds.revoke_strict": true, "bounds.revoke_ms": 5000, "bounds.budget_ratio": 0.2,
 		"bounds.budget_window_s": 10, "bounds.budget_slack": 54,
 	}
