--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 case=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$case/../.." || exit 2
 [ -x target/persimmonwing ] || { echo "cannot run: target/persimmonwing is not built"; exit 2; }
-[ -x review/bin/grace ] || { echo "cannot run: review/build.sh has not run"; exit 2; }
-TROUBLE=${TROUBLE:-1} review/bin/grace "$case"
+[ -x review/bin/poison ] || { echo "cannot run: review/build.sh has not run"; exit 2; }
+TROUBLE=${TROUBLE:-1} review/bin/poison "$case"
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/standin/cmd/grace/main.go
+++ b/review/standin/cmd/grace/main.go
@@ -84,7 +84,11 @@
 
 func ask(w *world.World, c *world.Client, method, path string) (id string, status int) {
 	id = world.NewID()
-	resp, err := c.Send(world.Request{Method: method, Path: path, ID: id, DeadlineMS: 3000, Body: "wire"})
+	body := "wire"
+	if method == "GET" {
+		body = ""
+	}
+	resp, err := c.Send(world.Request{Method: method, Path: path, ID: id, DeadlineMS: 3000, Body: body})
 	if err != nil {
 		w.Fail("client: %v", err)
 	}
--- a/review/standin/world/app.go
+++ b/review/standin/world/app.go
@@ -14,6 +14,8 @@
 // App is an application server.
 type App struct {
 	ID, Zone, Address string
+	// Deadly is a path whose requests crash the server when it begins to run them, or empty.
+	Deadly string
 	// Work is how long a request takes, and Answer the body of its answer.
 	Work   time.Duration
 	Answer []byte
@@ -25,10 +27,12 @@
 	mu     sync.Mutex
 	seq    int
 	ran    map[string]int // by attempt id
-	// leaving is set once the server leaves. arrivals holds the times at which requests reached it.
+	// leaving is set once the server leaves, and down after a crash. arrivals holds the times at which requests reached it.
 	leaving  bool
+	down     bool
 	arrivals map[string]time.Time
 	running  map[string]bool
+	crashes  []time.Time
 }
 
 // AddApps starts application servers, one for each zone given.
@@ -57,7 +61,7 @@
 func (a *App) beat() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leaving {
+	if a.leaving || a.down {
 		return
 	}
 	a.seq++
@@ -78,6 +82,31 @@
 	return time.Now()
 }
 
+// crash ends the server without notice. It is back after a time.
+func (a *App) crash(id string) {
+	a.mu.Lock()
+	if a.down {
+		a.mu.Unlock()
+		return
+	}
+	a.down = true
+	a.crashes = append(a.crashes, time.Now())
+	a.mu.Unlock()
+	a.w.Log("%s crashes on %s", a.ID, id)
+	a.End()
+	time.AfterFunc(crashTime, a.Return)
+}
+
+// crashTime is the time after which a server that has crashed is back.
+const crashTime = 3 * time.Second
+
+// Crashes returns the times of the crashes.
+func (a *App) Crashes() []time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]time.Time(nil), a.crashes...)
+}
+
 // End ends the server, whatever it runs.
 func (a *App) End() {
 	a.mu.Lock()
@@ -100,8 +129,8 @@
 	}
 	a.mu.Lock()
 	a.Address = l.Addr().String()
-	a.leaving, a.born, a.seq = false, time.Now().UnixMilli(), 0
-	a.arrivals, a.running = map[string]time.Time{}, map[string]bool{}
+	a.leaving, a.down, a.born, a.seq = false, false, time.Now().UnixMilli(), 0
+	a.running = map[string]bool{}
 	a.mu.Unlock()
 	a.serve(l)
 	a.beat()
@@ -172,6 +201,10 @@
 		a.mu.Unlock()
 	}()
 	a.w.Log("%s runs %s, body of %d bytes, checksum %08x", a.ID, id, n, hash.Sum32())
+	if a.Deadly != "" && r.URL.Path == a.Deadly {
+		a.crash(id)
+		return
+	}
 	if !sleep(r.Context(), work) {
 		a.w.Log("%s: connection of %s closed", a.ID, id)
 		return
