Stop generations at engines that work on after they have moved

Cause: the end of a run was left to the close of its connection, by which most engines drop it, not all. The same cause acted at destinations that were given up, and at engines whose resumable stream broke or was silent before it was sent again.

Ruled out: "last" instead of the first copy, or between the copy and the switch: the rest waits behind other copies for 0.3 to 1.6 s (docs/platform.md, measured before), and a destination that refuses would lose the run.

Now the destination goes on first, the source's connection is closed, and a call that ends the run follows; it is repeated until the engine has stopped, has no such run or is gone. Engines that drop answer it with 404, so nothing is copied for them.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -35,6 +35,9 @@
 	runs map[string]map[*run]struct{}
 	// waits holds, by service, the functions that end waits for an engine.
 	waits map[string]map[*wait]struct{}
+
+	// halts tracks the calls of halt in progress.
+	halts sync.WaitGroup
 }
 
 // New returns a Forwarder.
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -85,8 +85,8 @@
 	return m.opened
 }
 
-// abandon cancels a move whose copy was not used, and releases its grant and copy in
-// the background. It does nothing if there is no move.
+// abandon cancels a move whose copy was not used, ends the run at the destination, and releases
+// the move's grant and copy in the background. It does nothing if there is no move.
 func (m *move) abandon() {
 	if m == nil || m.used {
 		return
@@ -95,9 +95,13 @@
 	go func() {
 		<-m.copied
 		if m.opened != nil {
-			if o := <-m.opened; o.src != nil {
+			o := <-m.opened
+			if o.src != nil {
 				o.src.close()
 			}
+			if o.err == nil || o.err.Execution != api.NotRun {
+				m.r.f.halt(m.r.q, m.to, m.from.Name, true)
+			}
 		}
 		if m.grant.ID != "" {
 			m.r.f.o.Scheduler.Release(m.grant.ID, schedule.Outcome{NotRun: true})
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -81,6 +81,9 @@
 		if sends > 0 && (f.checkSend(q, r.started()) != nil || !f.allowRetry(q, failed, r.events)) {
 			return last
 		}
+		if sends > 0 && failed.Execution != api.NotRun {
+			f.halt(q, r.server, "", true)
+		}
 		// Each attempt gets a new scheduling deadline: an earlier engine may have been lost
 		// after the previous scheduling deadline, but long before the request's deadline.
 		request.Deadline = schedulingDeadline(q)
@@ -402,7 +405,9 @@
 		if next != nil {
 			silence.Reset(patience)
 			r.switchTo(r.moving)
+			// Most engines drop a generation whose connection closes.
 			src.close()
+			r.f.halt(r.q, r.moving.from, r.moving.to.Name, false)
 			src, r.moving, leavingC = next, nil, r.leaving
 		}
 	}
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -87,7 +87,7 @@
 					is.Equal(r.body.String(), events(0, total))
 					is.Equal(r.header.Get("Seal"), "a")
 				}
-				synctest.Wait()
+				w.settle()
 				is.Equal(w.running(), 0)
 				is.Equal(w.freed, c.freed)
 				if c.ends == "b" {
@@ -111,6 +111,7 @@
 		is.True(err == nil)
 		is.Equal(r.status, 200)
 		is.Equal(r.body.String(), events(0, 20))
+		w.settle()
 	})
 }
 
@@ -186,7 +187,7 @@
 		is.True(err == nil)
 		is.Equal(r.body.String(), events(0, 60))
 		is.Equal(w.sent, []string{"a", "c"})
-		synctest.Wait()
+		w.settle()
 		is.Equal(w.freed, 1)
 	})
 }
@@ -221,7 +222,7 @@
 				if c.whole {
 					is.Equal(r.body.String(), events(0, 20))
 				}
-				synctest.Wait()
+				w.settle()
 				is.Equal(w.running(), 0)
 			})
 		})
@@ -247,7 +248,7 @@
 		}}
 		_, err := w.f.Serve(ctx, plan(), r)
 		is.Equal(err.Code, fault.Cancelled)
-		synctest.Wait()
+		w.settle()
 		is.Equal(w.running(), 0)
 		is.Equal(w.freed, 1)
 	})
@@ -297,6 +298,7 @@
 		is.True(err == nil)
 		is.Equal(w.sent, []string{"a", "b"})
 		is.Equal(r.body.String(), events(0, 20))
+		w.settle()
 	})
 }
 
@@ -319,6 +321,7 @@
 				_, err := w.f.Serve(t.Context(), check(), &recordingCaller{})
 				is.True(err == nil)
 				is.Equal(w.noted, c.noted)
+				w.settle()
 			})
 		})
 	}
@@ -347,7 +350,7 @@
 				_, err := w.f.Serve(context.Background(), q, &recordingCaller{})
 				is.True(err != nil)
 				is.Equal(time.Since(started).Round(time.Second), 12*time.Second) // as long as its caller waits
-				synctest.Wait()
+				w.settle()
 				is.Equal(w.running(), 0)
 			})
 		})
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -196,6 +196,10 @@
 	Copy(ctx context.Context, from, to registry.Server, id string) Copy
 	// Free releases the KV cache copy with this handle.
 	Free(ctx context.Context, from registry.Server, handle string)
+	// Stop ends the generation with this request id at an engine, releases its memory there, and
+	// reports whether the engine was running it. receiver is another engine; the call may have to
+	// name one for the generation's memory.
+	Stop(ctx context.Context, at, receiver registry.Server, id string) (running bool, err error)
 	// Alive reports whether the server still runs in the same incarnation.
 	Alive(ctx context.Context, s registry.Server) bool
 }
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -40,6 +41,9 @@
 	freed int
 	// noted lists the calls of NoteBroken and NoteAnswered, in order.
 	noted []string
+	// runs lists all streams in the order in which they began. stops counts the calls of Stop.
+	runs  []*stream
+	stops int
 	// budget is the number of retries left; mayRun is the result of MayRun.
 	budget int
 	mayRun bool
@@ -76,12 +80,21 @@
 	// of each stream started.
 	running map[string]*stream
 	begun   []int64
+	// worksOn is set for a server that goes on with a stream whose connection closes.
+	// beginsLate is the time after which it begins a moved stream, whether or not its
+	// connection is still open. unreachable is the number of calls of Stop that fail, and
+	// noRoom makes it a receiver that Stop can't name.
+	worksOn     bool
+	beginsLate  time.Duration
+	unreachable int
+	noRoom      bool
 }
 
 // stream is a running generation.
 type stream struct {
-	cancel context.CancelFunc
-	ended  time.Time
+	server, id   string
+	cancel       context.CancelFunc
+	began, ended time.Time
 }
 
 func newFakeFleet(names ...string) *fakeFleet {
@@ -199,6 +212,11 @@
 		s.moved.Close = func() {}
 		return s.moved, nil
 	}
+	if a.KVCopy != nil && s.beginsLate > 0 {
+		time.AfterFunc(s.beginsLate, func() { w.stream(ctx, s, a).Close() })
+		<-ctx.Done()
+		return nil, fault.Wrap(ctx.Err(), fault.BackendLost, "send", s.name, api.Unknown)
+	}
 	if a.KVCopy != nil {
 		select {
 		case <-time.After(s.openTime):
@@ -211,15 +229,20 @@
 
 // stream starts a generation, or resumes it after the attempt's last event.
 func (w *fakeFleet) stream(ctx context.Context, s *fakeServer, a Attempt) *Answer {
-	ctx, cancel := context.WithCancel(ctx)
 	r, pipe := io.Pipe()
-	run := &stream{cancel: cancel}
+	if s.worksOn {
+		context.AfterFunc(ctx, func() { _ = r.CloseWithError(context.Cause(ctx)) })
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	run := &stream{server: s.name, id: a.Request.ID, cancel: cancel, began: time.Now()}
 	next := int64(0)
 	if a.Resumes {
 		next = a.After + 1
 	}
 	w.mu.Lock()
 	s.running[a.Request.ID] = run
+	w.runs = append(w.runs, run)
 	s.begun = append(s.begun, next)
 	w.mu.Unlock()
 	go func() {
@@ -230,7 +253,12 @@
 		w.mu.Unlock()
 		_ = pipe.CloseWithError(err)
 	}()
-	return &Answer{Status: http.StatusOK, Header: http.Header{"Seal": {s.name}, "Content-Type": {"text/event-stream"}}, Length: -1, Framed: true, Sealed: true, Body: r, Close: func() { cancel(); _ = r.Close() }}
+	return &Answer{Status: http.StatusOK, Header: http.Header{"Seal": {s.name}, "Content-Type": {"text/event-stream"}}, Length: -1, Framed: true, Sealed: true, Body: r, Close: func() {
+		if !s.worksOn {
+			cancel()
+		}
+		_ = r.Close()
+	}}
 }
 
 var errBroken = errors.New("connection reset by peer")
@@ -239,13 +267,16 @@
 // is closed.
 func (s *fakeServer) write(ctx context.Context, w io.Writer, next int64) error {
 	for n := 0; next < int64(s.total); n++ {
-		if s.diesAfter > 0 && n >= s.diesAfter {
-			return errBroken
+		if s.diesAfter > 0 && n == s.diesAfter {
+			if !s.worksOn {
+				return errBroken
+			}
+			_ = w.(*io.PipeWriter).CloseWithError(errBroken) // only the connection breaks
 		}
 		if err := s.pause(ctx, w); err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", next, next); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", next, next); err != nil && !s.worksOn {
 			return err
 		}
 		next++
@@ -308,8 +339,57 @@
 	w.freed++
 }
 
+var errNotReached = errors.New("not reached")
+
+func (w *fakeFleet) Stop(_ context.Context, at, receiver registry.Server, id string) (bool, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops++
+	s := w.servers[at.Name]
+	run := s.running[id]
+	switch {
+	case s.unreachable > 0:
+		s.unreachable--
+		return false, errNotReached
+	case run == nil:
+		return false, nil
+	case receiver.Name == at.Name || w.servers[receiver.Name].noRoom:
+		return false, errNotReached
+	}
+	run.cancel()
+	return true, nil
+}
+
+// overlap returns the longest time for which an engine worked on a request after another one had
+// begun to go on with it.
+func (w *fakeFleet) overlap() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var longest time.Duration
+	for i, later := range w.runs {
+		for _, earlier := range w.runs[:i] {
+			if earlier.id != later.id || earlier.server == later.server {
+				continue
+			}
+			end := earlier.ended
+			if later.ended.Before(end) {
+				end = later.ended
+			}
+			longest = max(longest, end.Sub(later.began))
+		}
+	}
+	return longest
+}
+
 func (w *fakeFleet) Alive(context.Context, registry.Server) bool { return true }
 
+// settle returns when no goroutine works for a request that has ended.
+func (w *fakeFleet) settle() {
+	synctest.Wait()
+	w.f.halts.Wait()
+	synctest.Wait()
+}
+
 // running counts the streams in progress on all servers.
 func (w *fakeFleet) running() int {
 	w.mu.Lock()
