Refuse calls that crash application servers

Cause: only the scheduler recorded what ran on a lost server, and calls with a whole answer are not scheduled. Now each send of a call asks the crash guard, which treats equal calls as one suspect part: one loss makes it a suspect, a loss in its trial refuses it, any answer clears it. A loss needs proof that the server ended: a refused connection, or a later start in its entry.

Ruled out: the guard of whole requests, which refuses equal sound calls after a kill of two servers, whatever was answered before.

--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -60,15 +61,29 @@
 		}
 		c.close()
 	}
-	p.notifyDial()
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
-	n, err := d.DialContext(ctx, "tcp", key.address)
+	n, err := p.dial(ctx, key.address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial")
 	}
 	return newConn(n, key), nil
 }
 
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	p.notifyDial()
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Refuses reports whether nothing listens at an address, which proves that the process that did
+// has ended. It sends nothing.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	n, err := p.dial(ctx, address)
+	if err == nil {
+		_ = n.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -38,8 +38,10 @@
 	// unreachable holds the groups in skip whose gateways have all failed.
 	unreachable []schedule.GroupKey
 	refusal     *schedule.Refusal
-	// trial holds the suspect parts of which the request is the trial.
+	// trial holds the suspect parts of which the request is the trial, with trialSlots.
 	trial []uint64
+	// trialSlots are further parts of which a request with suspect parts has to become the trial.
+	trialSlots []uint64
 }
 
 // Acquire waits for a grant. Its error is a *schedule.Refusal, or ctx's error when ctx
--- /dev/null
+++ b/internal/process/owner/calls_world_test.go
@@ -0,0 +1,219 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"persimmonwing/internal/process/crashguard"
+	"persimmonwing/internal/process/schedule"
+)
+
+// Times of the simulated application servers.
+const (
+	callTime       = 60 * time.Millisecond
+	serverDownTime = 3 * time.Second
+	callWait       = time.Second
+)
+
+// callWorld sends calls from four gateways to application servers. A deadly call crashes each
+// server that runs it, with all that runs there.
+type callWorld struct {
+	*taintedWorld
+	random *rand.Rand
+
+	mu sync.Mutex
+	// up holds, for each server that is up, a channel that is closed when it ends, and starts
+	// counts its incarnations.
+	up     map[string]chan struct{}
+	starts map[string]int
+	dead   map[uint64]bool
+	// crashes and arrivals hold the times at which a deadly call crashed and reached a server.
+	crashes, arrivals map[uint64][]time.Time
+	// results counts sound calls by their result.
+	results map[string]int
+	number  int
+}
+
+func withCallWorld(t *testing.T, test func(*callWorld)) {
+	withTaintedWorld(t, func(tainted *taintedWorld) {
+		w := &callWorld{
+			taintedWorld: tainted, random: rand.New(rand.NewPCG(1, 2)), up: map[string]chan struct{}{}, starts: map[string]int{}, dead: map[uint64]bool{},
+			crashes: map[uint64][]time.Time{}, arrivals: map[uint64][]time.Time{}, results: map[string]int{},
+		}
+		for i := range 4 {
+			w.up[fmt.Sprint("s", i)] = make(chan struct{})
+		}
+		test(w)
+	})
+}
+
+// end ends servers, which are back after a while.
+func (w *callWorld) end(servers ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range servers {
+		ended, ok := w.up[s]
+		if !ok {
+			continue
+		}
+		close(ended)
+		delete(w.up, s)
+		w.work.Go(func() {
+			time.Sleep(serverDownTime)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.starts[s]++
+			w.up[s] = make(chan struct{})
+		})
+	}
+}
+
+// pick returns a random server that is up.
+func (w *callWorld) pick(exclude []string) (server, incarnation string, ended chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var names []string
+	for s := range w.up {
+		if !slices.Contains(exclude, s) {
+			names = append(names, s)
+		}
+	}
+	if len(names) == 0 {
+		return "", "", nil
+	}
+	slices.Sort(names)
+	server = names[w.random.IntN(len(names))]
+	return server, fmt.Sprint(w.starts[server]), w.up[server]
+}
+
+// call sends one call with at most two attempts and returns "", "lost", "no server" or the reason of
+// its refusal. callOnce makes only one attempt.
+func (w *callWorld) call(gateway string, part uint64) string { return w.send(gateway, part, 2) }
+
+func (w *callWorld) callOnce(gateway string, part uint64) string { return w.send(gateway, part, 1) }
+
+func (w *callWorld) send(gateway string, part uint64, attempts int) string {
+	g := w.member(gateway)
+	w.mu.Lock()
+	w.number++
+	id := fmt.Sprint(gateway, "-", w.number)
+	deadly := w.dead[part]
+	w.mu.Unlock()
+	var tried []string
+	for try := range attempts {
+		c := crashguard.Call{ID: fmt.Sprint(id, "-", try), Service: "app", Part: part}
+		ctx, cancel := context.WithTimeout(context.Background(), callWait)
+		trial, err := g.AdmitCall(ctx, c)
+		cancel()
+		if err != nil {
+			var refusal *schedule.Refusal
+			if errors.As(err, &refusal) {
+				return refusal.Reason
+			}
+			return err.Error()
+		}
+		server, incarnation, ended := w.pick(tried)
+		if server == "" {
+			g.EndCall(c, trial, crashguard.CallOutcome{})
+			return "no server"
+		}
+		if deadly {
+			w.mu.Lock()
+			w.arrivals[part] = append(w.arrivals[part], time.Now())
+			w.mu.Unlock()
+			time.Sleep(callTime / 4)
+			w.mu.Lock()
+			w.crashes[part] = append(w.crashes[part], time.Now())
+			w.mu.Unlock()
+			w.end(server)
+		}
+		select {
+		case <-ended:
+			time.Sleep(time.Millisecond)
+			g.EndCall(c, trial, crashguard.CallOutcome{Lost: true, Loss: crashguard.Loss{Engine: server, Incarnation: incarnation}})
+			tried = append(tried, server)
+		case <-time.After(callTime):
+			g.EndCall(c, trial, crashguard.CallOutcome{Answered: true})
+			return ""
+		}
+	}
+	return "lost"
+}
+
+// callTraffic sends calls from gateways in turn.
+type callTraffic struct {
+	part     func(i int) uint64
+	interval time.Duration
+	gateways []string
+}
+
+func (w *callWorld) sendCalls(d time.Duration, list ...callTraffic) {
+	for _, t := range list {
+		w.work.Go(func() {
+			for i := range int(d / t.interval) {
+				part, at := t.part(i), t.gateways[i%len(t.gateways)]
+				w.work.Go(func() {
+					result := w.call(at, part)
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					if !w.dead[part] {
+						w.results[result]++
+					}
+				})
+				time.Sleep(t.interval)
+			}
+		})
+	}
+	time.Sleep(d)
+	w.work.Wait()
+}
+
+func (w *callWorld) kill(parts ...uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range parts {
+		w.dead[p] = true
+	}
+}
+
+// checkDeadly fails the test if a deadly call crashed more servers than it may, or reached servers
+// more than three times later than a while after the third crash.
+func (w *callWorld) checkDeadly(part uint64, mostCrashes int) {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	late := 0
+	if c := w.crashes[part]; len(c) >= 3 {
+		for _, a := range w.arrivals[part] {
+			if a.After(c[2].Add(3 * time.Second)) {
+				late++
+			}
+		}
+	}
+	w.t.Logf("call %d: %d crashes, %d sent late", part, len(w.crashes[part]), late)
+	if len(w.crashes[part]) > mostCrashes || late > 3 {
+		w.t.Errorf("call %d crashed servers %d times (at most %d), %d sends were late (at most 3)", part, len(w.crashes[part]), mostCrashes, late)
+	}
+}
+
+// checkSound fails the test if a sound call was refused, or if hardly any was served.
+func (w *callWorld) checkSound() {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.t.Log("sound calls:", w.results)
+	for result, n := range w.results {
+		if result != "" && result != "lost" && result != "no server" {
+			w.t.Errorf("%d sound calls were refused: %s", n, result)
+		}
+	}
+	if w.results[""] < 100 {
+		w.t.Errorf("only %d sound calls were served", w.results[""])
+	}
+}
--- a/internal/process/owner/trials.go
+++ b/internal/process/owner/trials.go
@@ -94,7 +94,7 @@
 			return nil
 		case s.isTrialOf(suspects):
 			return nil
-		case m.beginTrials(ctx, s, suspects):
+		case m.beginTrials(ctx, s, slices.Concat(suspects, s.trialSlots)):
 			s.request.Trial = true
 			level.Info(m.opt.Logger).Log("msg", "request is the trial of suspect prompt parts", "id", s.request.ID, "parts", formatParts(suspects), "waited_ms", time.Since(started).Milliseconds())
 			return nil
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -5,10 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"persimmonwing/internal/process/crashguard"
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/request/api"
@@ -35,18 +38,21 @@
 	var last, failed *fault.Error
 	runs := 0
 	for sends := 0; sends < maxSends; sends++ {
-		if err := f.checkSend(q, runs > 0); err != nil {
+		admitted, err := f.admitCall(ctx, q, sends, runs > 0)
+		if err != nil {
 			if last != nil {
 				return last
 			}
 			return err
 		}
 		if sends > 0 && !f.allowRetry(q, failed, 0) {
+			admitted.end(crashguard.CallOutcome{})
 			return last
 		}
 		set := f.o.Health(q.Service)
 		b, done, ok := set.Pick(time.Now(), f.o.Servers.Service(time.Now(), q.Service, f.o.DataCentre), tried)
 		if !ok {
+			admitted.end(crashguard.CallOutcome{})
 			if paused := f.pausedError(q); paused != nil && (last == nil || last.Execution == api.NotRun) {
 				return paused
 			}
@@ -56,7 +62,8 @@
 			return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "no server of service %s accepts work", q.Service).WithRetryAfter(defaultRetryAfter)
 		}
 		retryable := sends+1 < maxSends && q.mayRepeat(runs+1)
-		final, err := f.callOnce(ctx, q, w, b.Name, done, retryable)
+		final, err := f.callOnce(ctx, q, w, b.Name, admitted, done, retryable)
+		admitted.end(crashguard.CallOutcome{})
 		if final {
 			return err
 		}
@@ -81,10 +88,78 @@
 	return max(minAttemptTimeout, attemptTimeoutFactor*r.Target)
 }
 
+// admittedCall is one send of a call that the crash guard has admitted.
+type admittedCall struct {
+	crashguard.Call
+	guard CrashGuard
+	trial []uint64
+	ended bool
+}
+
+// end records the outcome. Only the first one counts.
+func (c *admittedCall) end(o crashguard.CallOutcome) {
+	if !c.ended {
+		c.ended = true
+		c.guard.EndCall(c.Call, c.trial, o)
+	}
+}
+
+// maxTrialWait is the maximum time that a call waits while an equal one, or another suspect call of
+// its service, is tried. Most answers come within 0.3 s.
+const maxTrialWait = time.Second
+
+// admitCall waits until the crash guard admits a send, and checks again that the call may be sent.
+// started states that a server has run the call or may have run it.
+func (f *Forwarder) admitCall(ctx context.Context, q *Request, try int, started bool) (*admittedCall, *fault.Error) {
+	c := &admittedCall{Call: crashguard.Call{ID: q.ID + "-" + strconv.Itoa(try), Service: q.Service, Part: callPart(q)}, guard: f.o.CrashGuard}
+	bounded, cancel := context.WithTimeout(ctx, maxTrialWait)
+	defer cancel()
+	if !started {
+		var cancel context.CancelFunc
+		bounded, cancel = f.o.Grace.BoundStart(bounded, q.LatestSend)
+		defer cancel()
+	}
+	// What can't be sent need not wait.
+	if err := f.checkSend(q, started); err != nil {
+		return nil, err
+	}
+	var err error
+	c.trial, err = f.o.CrashGuard.AdmitCall(bounded, c.Call)
+	switch {
+	case err == nil:
+		failed := f.checkSend(q, started)
+		if failed != nil {
+			c.end(crashguard.CallOutcome{})
+		}
+		return c, failed
+	case errors.Is(context.Cause(bounded), daemon.ErrStopping):
+		return nil, f.stoppingError(stepPlace, "", api.NotRun)
+	case ctx.Err() != nil:
+		return nil, fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepPlace, "", api.NotRun)
+	case bounded.Err() != nil:
+		return nil, fault.New(fault.NoCapacity, stepPlace, "", api.NotRun, "an equal call has crashed a server and is being tried").WithRetryAfter(defaultRetryAfter)
+	}
+	return nil, acquireError(err)
+}
+
+// endLost records that the call was lost at a server, and whether the server has ended with it.
+// A server that was about to end, or a call that was given up, proves nothing.
+func (f *Forwarder) endLost(ctx context.Context, c *admittedCall, s registry.Server) {
+	o := crashguard.CallOutcome{}
+	if ctx.Err() == nil && !f.o.Servers.Blocked(time.Now(), s.Name) {
+		ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+		defer cancel()
+		now, _ := f.o.Servers.Get(s.Name)
+		o.Lost = now.StartedMS > s.StartedMS || f.o.Client.Ended(ctx, s)
+		o.Loss = crashguard.Loss{Engine: s.Name, Incarnation: strconv.FormatInt(s.StartedMS, 10)}
+	}
+	c.end(o)
+}
+
 // callOnce sends a request to one server. final is true if the request must not be
 // retried; retryable states that a failure after which the request may have run can
 // still be retried.
-func (f *Forwarder) callOnce(ctx context.Context, q *Request, w Caller, name string, done func(time.Time, health.Result), retryable bool) (final bool, failed *fault.Error) {
+func (f *Forwarder) callOnce(ctx context.Context, q *Request, w Caller, name string, c *admittedCall, done func(time.Time, health.Result), retryable bool) (final bool, failed *fault.Error) {
 	result := health.Failure
 	defer func() { done(time.Now(), result) }()
 	s, ok := f.o.Servers.Get(name)
@@ -100,7 +175,11 @@
 	q.Sent = time.Now()
 	answer, err := f.o.Client.Send(ctx, Attempt{Request: q, Server: s, Remaining: time.Until(q.Deadline), Resumes: q.Resumes, After: q.After})
 	if err != nil {
-		return false, f.noteSendError(ctx, s, fault.From(err))
+		failed := f.noteSendError(ctx, s, fault.From(err))
+		if failed.Code == fault.BackendLost && failed.Execution != api.NotRun {
+			f.endLost(ctx, c, s)
+		}
+		return false, failed
 	}
 	defer answer.Close()
 	if refused := f.refusalError(s, answer); refused != nil {
@@ -108,8 +187,10 @@
 	}
 	body, whole, err := bufferBody(answer.Body)
 	if err != nil {
+		f.endLost(ctx, c, s)
 		return false, fault.Wrap(err, linkErrorCode(ctx), stepAnswer, name, api.Ran)
 	}
+	c.end(crashguard.CallOutcome{Answered: true})
 	if unusable(q, answer) {
 		return false, fault.New(fault.BackendRefused, stepAnswer, name, api.Ran, "status %d without a seal, or a status that claims the request was not run", answer.Status)
 	}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -127,6 +128,12 @@
 	return d.Sum64()
 }
 
+// callPart returns a hash that is equal for equal calls of a service. A call that crashes the servers
+// of one service may be sound at another.
+func callPart(q *Request) uint64 {
+	return xxhash.Sum64String(q.Service + "\x00call\x00" + strconv.FormatUint(fingerprint(q), 16))
+}
+
 // partHashes returns a hash of the service and the id of each different part. A part that
 // crashes the engines of one service may be sound at another.
 func partHashes(service string, parts []PromptPart) []uint64 {
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 
+	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/process/registry"
@@ -200,8 +201,10 @@
 	// reports whether the engine was running it. receiver is another engine; the call may have to
 	// name one for the generation's memory.
 	Stop(ctx context.Context, at, receiver registry.Server, id string) (running bool, err error)
-	// Alive reports whether the server still runs in the same incarnation.
+	// Alive reports whether the engine still runs in the same incarnation.
 	Alive(ctx context.Context, s registry.Server) bool
+	// Ended reports whether the server's process has certainly ended.
+	Ended(ctx context.Context, s registry.Server) bool
 }
 
 // Scheduler grants permission to run generations on engines.
@@ -211,6 +214,13 @@
 	Release(grantID string, o schedule.Outcome)
 }
 
+// CrashGuard refuses calls that crash the servers that run them.
+type CrashGuard interface {
+	// AdmitCall returns when the call may be sent, and EndCall records its end.
+	AdmitCall(ctx context.Context, c crashguard.Call) (trial []uint64, err error)
+	EndCall(c crashguard.Call, trial []uint64, o crashguard.CallOutcome)
+}
+
 // Servers is the registry of backend servers.
 type Servers interface {
 	Get(name string) (registry.Server, bool)
@@ -251,6 +261,7 @@
 	DataCentre string
 	Client     Client
 	Scheduler  Scheduler
+	CrashGuard CrashGuard
 	Servers    Servers
 	Budget     Budget
 	Health     func(service string) *health.Set
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -18,6 +18,7 @@
 	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/owner"
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/process/telemetry"
@@ -58,6 +59,8 @@
 	// not streamed.
 	fail   error
 	answer *Answer
+	// survives is set for a server that goes on although the connection breaks.
+	survives bool
 	// failsAfter is the time that a send takes until it returns fail or is refused.
 	failsAfter time.Duration
 	// total is the number of events of a generation. If diesAfter is not 0, a stream
@@ -104,12 +107,19 @@
 	}
 	set := health.NewSet(health.DefaultOptions())
 	w.f = New(Options{
-		Client: w, Scheduler: w, Servers: w, Budget: w, Metrics: telemetry.New(), Logger: log.NewNopLogger(),
+		Client: w, Scheduler: w, CrashGuard: owner.New(owner.Options{View: lonelyView{}, Logger: log.NewNopLogger()}), Servers: w, Budget: w, Metrics: telemetry.New(), Logger: log.NewNopLogger(),
 		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun }, Grace: daemon.NewGrace(), StopRetryAfter: func() time.Duration { return time.Millisecond },
 	})
 	return w
 }
 
+// lonelyView is the view of a gateway that knows no other.
+type lonelyView struct{ owner.View }
+
+func (lonelyView) Self() membership.Host       { return membership.Host{Name: "g"} }
+func (lonelyView) Live() []membership.Gateway  { return nil }
+func (lonelyView) Known() []membership.Gateway { return nil }
+
 // leave marks a server as leaving and notifies the Forwarder.
 func (w *fakeFleet) leave(name string) {
 	w.mu.Lock()
@@ -383,6 +393,11 @@
 
 func (w *fakeFleet) Alive(context.Context, registry.Server) bool { return true }
 
+// Ended reports whether the server has crashed, which breaks all its connections.
+func (w *fakeFleet) Ended(_ context.Context, s registry.Server) bool {
+	return errors.Is(w.servers[s.Name].fail, errUnknown) && !w.servers[s.Name].survives
+}
+
 // settle returns when no goroutine works for a request that has ended.
 func (w *fakeFleet) settle() {
 	synctest.Wait()
