Ask servers whose entries are missing after an outage whether they serve

Cause: after an outage entries that are missing may only have expired, so all of them stayed in force for 2.5 s after the gateway's first answer. That answer comes up to 1.4 s after the end of a cut that only this gateway had, and nothing told it of the server that left.

Now a health check asks each such server; until it answers 200 without stating that it leaves, it gets new work only if no other server of its service accepts any. Running work goes on, and the end of the grace period is the same.

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -60,8 +60,8 @@
 	removed   bool
 	removedAt time.Time
 	// removalPending is set while a missing entry may still be rewritten after an
-	// outage of the list.
-	removalPending bool
+	// outage of the list, and confirmed once the server has answered since that it serves.
+	removalPending, confirmed bool
 	// replaced is set when another server responds at the address.
 	replaced bool
 	// draining is set when the server itself reports that it drains, and drainingOf is the
@@ -107,16 +107,19 @@
 	// and must not block.
 	onChange  func()
 	onLeaving func(name string)
-	// onState is set by ObserveStates.
-	onState func(StateChange)
-	now     func() time.Time
+	// onState is set by ObserveStates, and onLapsed by ObserveLapses.
+	onState  func(StateChange)
+	onLapsed func(Server)
+	now      func() time.Time
 
 	mu         sync.Mutex
 	servers    map[string]*record
 	graceUntil time.Time
 	synced     bool
-	// changes holds the changes of state that onState has not been called for.
+	// changes holds the changes of state that onState has not been called for, and lapsed the
+	// servers that onLapsed has not been called for.
 	changes []StateChange
+	lapsed  []Server
 	// pauses is the number of the last pause.
 	pauses uint64
 }
@@ -200,7 +203,7 @@
 	}
 	before := r.isLeaving()
 	r.Server = s
-	r.removed, r.removalPending = false, false
+	r.removed, r.removalPending, r.confirmed = false, false, false
 	if !before && r.isLeaving() {
 		leaving = append(leaving, s.Name)
 	}
@@ -213,11 +216,14 @@
 	case r == nil || r.removed:
 		return leaving
 	case now.Before(g.graceUntil):
+		if !r.removalPending && !r.isLeaving() {
+			g.lapsed = append(g.lapsed, r.Server)
+		}
 		r.removalPending = true
 		return leaving
 	}
 	before := r.isLeaving()
-	r.removed, r.removedAt, r.removalPending = true, now, false
+	r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
 	if !before {
 		leaving = append(leaving, name)
 	}
@@ -230,8 +236,53 @@
 	}
 	g.onChange()
 	g.reportChanges()
+	g.reportLapses()
+}
+
+// ObserveLapses sets a function that is called for each server whose entry is missing after an
+// outage of the list. Such a server may have left, or its entry may have expired: only the server
+// itself can tell. The function must not block. It must be set before the registry is used.
+func (g *Registry) ObserveLapses(f func(Server)) { g.onLapsed = f }
+
+// reportLapses calls onLapsed for the servers collected. The caller holds no lock.
+func (g *Registry) reportLapses() {
+	g.mu.Lock()
+	lapsed := g.lapsed
+	g.lapsed = nil
+	g.mu.Unlock()
+	if g.onLapsed != nil {
+		for _, s := range lapsed {
+			g.onLapsed(s)
+		}
+	}
+}
+
+// Lapsed reports whether the entry of this incarnation of a server is missing after an outage of the
+// list, and the server has not been confirmed.
+func (g *Registry) Lapsed(s Server) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.servers[s.Name]
+	return r != nil && r.StartedMS == s.StartedMS && r.unconfirmed()
+}
+
+// NoteServing records that a server whose entry is missing has answered that it serves.
+func (g *Registry) NoteServing(s Server) {
+	g.update(s.Name, func(r *record) { r.confirmed = r.confirmed || r.StartedMS == s.StartedMS && r.removalPending })
+}
+
+// NoteEnded records that a server whose entry is missing has ended.
+func (g *Registry) NoteEnded(now time.Time, s Server) {
+	g.update(s.Name, func(r *record) {
+		if r.StartedMS == s.StartedMS && r.removalPending {
+			r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
+		}
+	})
 }
 
+// unconfirmed reports whether nothing but an earlier entry tells that the server serves.
+func (r *record) unconfirmed() bool { return r.removalPending && !r.confirmed && !r.isLeaving() }
+
 // Tick does the periodic work: it drops entries that were not rewritten after an outage
 // and deletes the records of servers removed more than removedRetention ago. It also notices pauses
 // that have ended.
@@ -390,9 +441,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []membership.Backend
+	listed := g.listedServices(now)
 	for _, r := range g.servers {
 		if r.Service == service && !r.removed {
-			out = append(out, r.backend(now))
+			out = append(out, r.backend(now, listed))
 		}
 	}
 	slices.SortFunc(out, func(a, b membership.Backend) int {
@@ -412,9 +464,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []membership.Backend
+	listed := g.listedServices(now)
 	for _, r := range g.servers {
 		if len(r.Models) > 0 && !r.removed {
-			b := r.backend(now)
+			b := r.backend(now, listed)
 			b.Service = ""
 			out = append(out, b)
 		}
@@ -423,9 +476,34 @@
 	return out
 }
 
-func (r *record) backend(now time.Time) membership.Backend {
+// listedServices returns the services that have a server which accepts work and is not
+// unconfirmed, if any server is unconfirmed. The caller holds the lock.
+func (g *Registry) listedServices(now time.Time) map[string]bool {
+	any := false
+	for _, r := range g.servers {
+		any = any || r.unconfirmed()
+	}
+	if !any {
+		return nil
+	}
+	out := map[string]bool{}
+	for _, r := range g.servers {
+		if r.accepting(now) && !r.unconfirmed() {
+			out[r.Service] = true
+		}
+	}
+	return out
+}
+
+func (r *record) accepting(now time.Time) bool {
+	return !r.isLeaving() && !now.Before(r.excludedUntil) && r.pause.remaining(now) == 0
+}
+
+// backend returns the server as a backend. An unconfirmed one accepts work only if no other server
+// of its service does.
+func (r *record) backend(now time.Time, listed map[string]bool) membership.Backend {
 	return membership.Backend{
 		Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Service: r.Service,
-		Accepting: !r.isLeaving() && !now.Before(r.excludedUntil) && r.pause.remaining(now) == 0,
+		Accepting: r.accepting(now) && !(r.unconfirmed() && listed[r.Service]),
 	}
 }
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -89,6 +89,7 @@
 	r.Remove(back, "x")
 	r.Remove(back, "y")
 	is.Equal(r.accepting(back), []string{"x", "y"})
+	r.NoteServing(server("x"))
 	r.Put(server("y"))
 	r.Tick(back.Add(recoveryGrace - time.Millisecond))
 	is.Equal(r.accepting(back), []string{"x", "y"})
@@ -97,6 +98,51 @@
 	is.Equal(r.leaving, []string{"x"})
 }
 
+// Guards against new work for a server that has left while the list could not be read, until the end
+// of the grace period, and against a service without servers because no entry is back yet.
+func TestLapsedServersAreAsked(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry()
+	var asked []string
+	r.ObserveLapses(func(s Server) { asked = append(asked, s.Name) })
+	r.Sync(start, []Server{server("w"), server("x"), server("y"), server("z")})
+	r.ListRecovered(start)
+	r.Sync(start, []Server{server("w")})
+	slices.Sort(asked)
+	is.Equal(asked, []string{"x", "y", "z"})
+	is.Equal(r.accepting(start), []string{"w"}) // one whose entry is there
+	is.Equal(len(r.leaving), 0)                 // work that runs goes on
+	is.True(r.Lapsed(server("x")))
+
+	r.NoteServing(server("x"))
+	r.NoteStatement(start, server("y"), 0, Statement{Leaving: true})
+	r.NoteEnded(start, server("z"))
+	is.Equal(r.accepting(start), []string{"w", "x"})
+	is.Equal(r.leaving, []string{"y", "z"})
+	is.True(!r.Lapsed(server("x")) && !r.Lapsed(server("y")) && !r.Lapsed(server("z")))
+
+	r.NoteUnreachable(start, "w")
+	r.Remove(start, "w")
+	is.Equal(r.accepting(start), []string{"x"})
+	r.NoteUnreachable(start, "x")
+	r.Put(server("y")) // an old entry of the server that leaves
+	later := start.Add(unreachableExclusion)
+	is.Equal(r.accepting(later), []string{"x"})
+	r.Tick(start.Add(recoveryGrace))
+	is.Equal(len(r.accepting(later)), 0)
+
+	// An answer of an earlier incarnation tells nothing of a later one.
+	reborn := server("v")
+	reborn.StartedMS++
+	r.Put(reborn)
+	r.ListRecovered(later)
+	r.Remove(later, "v")
+	r.NoteEnded(later, server("v"))
+	r.NoteServing(server("v"))
+	is.True(r.Lapsed(reborn))
+	is.Equal(r.accepting(later), []string{"v"}) // no other server is left
+}
+
 // Guards against treating an outage before the first read of the list as a recovery,
 // which would keep removed servers for the grace period.
 func TestNoGraceBeforeTheFirstList(t *testing.T) {
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -84,6 +84,8 @@
 // Service describes the backend servers that share a service name.
 type Service struct {
 	Name string
+	// HealthPath is the target of health checks, or empty.
+	HealthPath string
 	// Engine is set if the backend servers are inference engines, and is nil otherwise.
 	Engine *EngineSpec
 }
