Refuse calls that crash servers at the product's own front end

Its calls to application servers had no crash guard either, so that a call which crashes servers was sent on, with a new idempotency key or without one.

TestCallThatCrashesServersIsRefused of the gateway before: "6 != 2" servers of six lost, for an idempotent call and for one that must run once.

--- a/internal/connection/service/client.go
+++ b/internal/connection/service/client.go
@@ -9,10 +9,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"persimmonwing/internal/request/api"
@@ -95,6 +97,20 @@
 	return Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body, UntilClose: untilClose}, nil
 }
 
+// endedTimeout bounds the check whether a server listens.
+const endedTimeout = 300 * time.Millisecond
+
+// Ended reports whether nothing listens at an address any more, which proves that the server's process
+// has ended. It sends nothing.
+func (c *Client) Ended(ctx context.Context, address string) bool {
+	d := net.Dialer{Timeout: endedTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // withoutURL removes the URL from an error of net/http, because errors are logged and the path and
 // the query contain the caller's data.
 func withoutURL(err error) error {
--- a/internal/process/gateway/deps.go
+++ b/internal/process/gateway/deps.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
@@ -44,6 +45,15 @@
 // Services calls application servers. Errors are *fault.Error.
 type Services interface {
 	Do(ctx context.Context, name, address string, r service.Request) (service.Response, error)
+	// Ended reports whether nothing listens at a server's address any more.
+	Ended(ctx context.Context, address string) bool
+}
+
+// CrashGuard refuses calls that crash the application servers that run them.
+type CrashGuard interface {
+	// AdmitCall returns when the call may be sent, and EndCall records its end.
+	AdmitCall(ctx context.Context, c crashguard.Call) (trial []uint64, err error)
+	EndCall(c crashguard.Call, trial []uint64, o crashguard.CallOutcome)
 }
 
 // Claims ensures that a non-idempotent call runs at most once. Begin returns either a
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -41,10 +41,12 @@
 	Backends  Backends
 	Engines   Engines
 	Services  Services
-	Claims    Claims
-	Limits    *limits.Limiter
-	Metrics   *telemetry.Metrics
-	Logger    log.Logger
+	// CrashGuard may be nil, so that no call is refused.
+	CrashGuard CrashGuard
+	Claims     Claims
+	Limits     *limits.Limiter
+	Metrics    *telemetry.Metrics
+	Logger     log.Logger
 	// Discovered reports whether the gateway has discovered backend servers since
 	// its start or has waited the maximum time for them; nil means always true.
 	Discovered func() bool
@@ -63,6 +65,7 @@
 	backends      Backends
 	engines       Engines
 	services      Services
+	crashGuard    CrashGuard
 	claims        Claims
 	limits        *limits.Limiter
 	metrics       *telemetry.Metrics
@@ -94,6 +97,7 @@
 		backends:      d.Backends,
 		engines:       d.Engines,
 		services:      d.Services,
+		crashGuard:    d.CrashGuard,
 		claims:        d.Claims,
 		limits:        d.Limits,
 		metrics:       d.Metrics,
--- a/internal/process/gateway/harness_test.go
+++ b/internal/process/gateway/harness_test.go
@@ -24,6 +24,7 @@
 	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/owner"
 	"persimmonwing/internal/process/standin/app"
 	standin "persimmonwing/internal/process/standin/engine"
 	"persimmonwing/internal/process/telemetry"
@@ -162,15 +163,16 @@
 	claims := claim.NewStore(w.table, claim.DefaultOptions())
 	background, stopBackground := context.WithCancel(context.Background())
 	g, err := New(o, Deps{
-		Scheduler: w.scheduler,
-		Catalogue: w.catalogue,
-		Backends:  &w.backends,
-		Engines:   engineClient{engine.New(&http.Client{Transport: transport})},
-		Services:  service.New(&http.Client{Transport: callTransport}),
-		Claims:    claims,
-		Limits:    limits.New(),
-		Metrics:   w.metrics,
-		Logger:    logger,
+		Scheduler:  w.scheduler,
+		Catalogue:  w.catalogue,
+		Backends:   &w.backends,
+		Engines:    engineClient{engine.New(&http.Client{Transport: transport})},
+		Services:   service.New(&http.Client{Transport: callTransport}),
+		CrashGuard: owner.New(owner.Options{View: lonelyView{}, Logger: logger}),
+		Claims:     claims,
+		Limits:     limits.New(),
+		Metrics:    w.metrics,
+		Logger:     logger,
 	})
 	w.noErr(err)
 	listeners, err := daemon.Listen("127.0.0.1:0", "127.0.0.1:0")
@@ -189,6 +191,13 @@
 	}()
 }
 
+// lonelyView is the view of a gateway that knows no other.
+type lonelyView struct{ owner.View }
+
+func (lonelyView) Self() membership.Host       { return membership.Host{Name: "gateway-1"} }
+func (lonelyView) Live() []membership.Gateway  { return nil }
+func (lonelyView) Known() []membership.Gateway { return nil }
+
 func (w *harness) startEngine(name string, step time.Duration) {
 	s := standin.DefaultSettings()
 	s.Name = name
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -100,6 +100,7 @@
 		Backends:      freshBackends{p.gossiper},
 		Engines:       engineClient{engines},
 		Services:      p.services,
+		CrashGuard:    p.manager,
 		Claims:        p.claims,
 		Limits:        p.limits,
 		Metrics:       p.metrics,
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"path"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
 
 	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/claim"
 	"persimmonwing/internal/request/fault"
@@ -26,6 +31,10 @@
 // background.
 const settleTimeout = time.Second
 
+// maxTrialWait is the maximum time for which a call waits while another call that has crashed a server is
+// being tried.
+const maxTrialWait = time.Second
+
 // serviceSets tracks the health of the replicas of each service.
 type serviceSets struct {
 	mu   sync.Mutex
@@ -61,6 +70,9 @@
 	call    *call
 	request service.Request
 	exclude []string
+	// sends counts the sends, and part is what equal calls have in common.
+	sends int
+	part  uint64
 }
 
 // callService serves /v1/services/{entry}[/{rest}].
@@ -84,6 +96,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	s := &serviceCall{g: g, call: c, request: backendRequest(r, c.entry, mux.Vars(r)["rest"], body)}
+	s.part = xxhash.Sum64String(strings.Join([]string{"call", c.entry.Service, c.workspace.Name, s.bodyDigest()}, "\x00"))
 	response, ferr := s.run(ctx, r)
 	if ferr != nil {
 		return ferr
@@ -227,9 +240,46 @@
 	return service.Response{Status: a.Status, Header: a.Header, Body: a.Body}, nil
 }
 
-// dispatch sends the call once to a healthy replica. It returns the response and the
+// dispatch sends the call once to a healthy replica, unless it crashes servers. It returns the response and the
 // name of the replica, or "" if no replica is available.
 func (s *serviceCall) dispatch(ctx context.Context) (service.Response, string, *fault.Error) {
+	s.sends++
+	admitted := crashguard.Call{ID: s.call.id + "-" + strconv.Itoa(s.sends), Service: s.call.entry.Service, Part: s.part}
+	trial, err := s.admit(ctx, admitted)
+	if err != nil {
+		return service.Response{}, "", err
+	}
+	var outcome crashguard.CallOutcome
+	defer func() {
+		if s.g.crashGuard != nil {
+			s.g.crashGuard.EndCall(admitted, trial, outcome)
+		}
+	}()
+	return s.send(ctx, &outcome)
+}
+
+// admit waits until the crash guard admits a send.
+func (s *serviceCall) admit(ctx context.Context, c crashguard.Call) (trial []uint64, failed *fault.Error) {
+	if s.g.crashGuard == nil {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxTrialWait)
+	defer cancel()
+	trial, err := s.g.crashGuard.AdmitCall(ctx, c)
+	var refusal *schedule.Refusal
+	switch {
+	case err == nil:
+		return trial, nil
+	case errors.As(err, &refusal) && refusal.Reason == schedule.ReasonCrashes:
+		return nil, fault.New(fault.RequestCrashes, "admit", "", api.NotRun, "the call has crashed backend servers")
+	case errors.Is(ctx.Err(), context.Canceled):
+		return nil, fault.Wrap(err, fault.Cancelled, "admit", "", api.NotRun)
+	}
+	return nil, fault.New(fault.NoCapacity, "admit", "", api.NotRun, "an equal call has crashed a server and is being tried").WithRetryAfter(minRetryAfter)
+}
+
+// send sends an admitted call once to a healthy replica.
+func (s *serviceCall) send(ctx context.Context, outcome *crashguard.CallOutcome) (service.Response, string, *fault.Error) {
 	candidates := s.candidates()
 	b, done, ok := s.g.serviceSets.get(s.call.entry.Service).Pick(time.Now(), candidates, s.exclude)
 	if !ok {
@@ -239,11 +289,16 @@
 	s.call.record.Step("dispatch", b.Name, "")
 	response, err := s.g.services.Do(ctx, b.Name, b.Address, s.request)
 	if err == nil {
+		outcome.Answered = true
 		done(time.Now(), health.Success)
 		s.g.retryBudget.Success(b.Name)
 		return response, b.Name, nil
 	}
 	ferr := fault.From(err)
+	if ferr.Code == fault.BackendLost && ferr.Execution != api.NotRun && ctx.Err() == nil {
+		outcome.Lost = s.g.services.Ended(ctx, b.Address)
+		outcome.Loss = crashguard.Loss{Engine: b.Name}
+	}
 	if ctx.Err() != nil {
 		done(time.Now(), health.Abandoned)
 	} else {
--- a/internal/process/gateway/settle_test.go
+++ b/internal/process/gateway/settle_test.go
@@ -28,6 +28,8 @@
 	return service.Response{Status: http.StatusOK, Body: []byte("booked")}, nil
 }
 
+func (slowServer) Ended(context.Context, string) bool { return false }
+
 // recorder is a ResponseRecorder that accepts deadlines, like a connection.
 type recorder struct{ *httptest.ResponseRecorder }
 
