Bound the trials of what goes on crashing servers

A refused part or call was tried again at least every ten minutes for as long as callers repeated it, so that one repeat after the other reached servers, without end; the users' rule allows three after the third crash.

--- a/internal/process/crashguard/parts.go
+++ b/internal/process/crashguard/parts.go
@@ -31,8 +31,14 @@
 	// would stay so as long as callers send it.
 	minRetrial = time.Minute
 	maxRetrial = 10 * time.Minute
+	// maxRetrials bounds the trials of a refused part after the first one. A part that goes on
+	// crashing engines is then refused until callers have not sent it for suspectTTL.
+	maxRetrials = 4
 )
 
+// noRetrial is a time after the end of all suspicions.
+const noRetrial = 100 * 365 * 24 * time.Hour
+
 // PartLoss is a part of a prompt for which an engine had not begun an answer when it was lost.
 type PartLoss struct {
 	Part uint64
@@ -142,6 +148,10 @@
 		s.retrialAt = time.Time{}
 		return
 	}
+	if excess >= maxRetrials*trialWeight {
+		s.retrialAt = now.Add(noRetrial)
+		return
+	}
 	wait := minRetrial
 	for ; excess >= trialWeight && wait < maxRetrial; excess -= trialWeight {
 		wait *= 2
--- a/internal/process/crashguard/parts_test.go
+++ b/internal/process/crashguard/parts_test.go
@@ -170,3 +170,28 @@
 		is.Equal(verdict, Refuse)
 	}
 }
+
+// Guards against a part, or a call, that goes on crashing servers for as long as its callers repeat it,
+// once in each of its trials: three repeats may reach servers after the third crash.
+func TestRetrialsAreBounded(t *testing.T) {
+	p := NewParts()
+	now := partsStart
+	crashes := 0
+	for range 6 * 60 { // six hours
+		verdict, _ := p.Check(now, []uint64{1})
+		if verdict == Refuse {
+			p.Refused(now, []uint64{1})
+		} else {
+			crashes++
+			p.EngineLost(now, Loss{Engine: "e", Incarnation: strconv.Itoa(crashes)}, []PartLoss{{Part: 1, Trial: verdict == AwaitTrial}})
+		}
+		now = now.Add(time.Minute)
+	}
+	if crashes > 6 {
+		t.Errorf("the part crashed %d engines in six hours", crashes)
+	}
+	// An answer on the part, or ten minutes without it, end the refusal.
+	if verdict, _ := p.Check(now.Add(suspectTTL), []uint64{1}); verdict != Clear {
+		t.Errorf("verdict after ten minutes without the part: %v", verdict)
+	}
+}
