--- a/internal/connection/backend/send.go
+++ b/internal/connection/backend/send.go
@@ -132,16 +132,21 @@
 func startWrite(c *conn, r Request) *requestWrite {
 	w := &requestWrite{finished: make(chan struct{})}
 	head := appendHead(nil, r)
-	write := func() {
+	write := func(parts ...[]byte) {
 		defer close(w.finished)
-		_, w.err = c.Write(append(head, r.Body...))
-		w.succeeded.Store(w.err == nil)
+		for _, b := range parts {
+			if _, w.err = c.Write(b); w.err != nil {
+				return
+			}
+		}
+		w.succeeded.Store(true)
 	}
 	const maxInlineBytes = 32 << 10 // fits into the smallest window of a new connection
 	if len(head)+len(r.Body) <= maxInlineBytes {
-		write()
+		write(append(head, r.Body...))
 	} else {
-		go write()
+		// A large body is not copied.
+		go write(head, r.Body)
 	}
 	return w
 }
