Stop asking an engine that has ended to stop a generation

After a resumable stream had gone on elsewhere, the engine that was lost with it was called for up to 10 s more: each call opened a connection that was refused. TestHaltsAreBounded before: "43 != 1" calls.

--- a/internal/request/forward/halt.go
+++ b/internal/request/forward/halt.go
@@ -67,7 +67,7 @@
 				f.o.Metrics.Counter("generations_halted", at.Service).Inc(1)
 				_ = level.Info(logger).Log("msg", "generation stopped at an engine that worked on", "backend", at.Name, "took_ms", elapsed.Milliseconds(), "tries", try+1)
 				return
-			case err == nil && (!mayBegin || elapsed >= lateBeginTime):
+			case err == nil && (!mayBegin || elapsed >= lateBeginTime), err != nil && h.ended():
 				return
 			case elapsed >= maxHaltTime || !time.Now().Before(deadline):
 				_ = level.Warn(logger).Log("msg", "engine may work on a generation that goes on elsewhere", "backend", at.Name, "tries", try+1, "err", err)
@@ -84,6 +84,13 @@
 	return ok && now.StartedMS == h.at.StartedMS && now.Address == h.at.Address
 }
 
+// ended reports whether the engine has certainly ended.
+func (h *halt) ended() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	return h.f.o.Client.Ended(ctx, h.at)
+}
+
 // stop makes one call that ends the generation and reports whether it was running. The first call
 // is made while the engine is certainly the same.
 func (h *halt) stop(try int) (running bool, err error) {
--- a/internal/request/forward/halt_test.go
+++ b/internal/request/forward/halt_test.go
@@ -118,6 +118,12 @@
 		w.servers["a"].unreachable = 1 << 20
 		_, err = w.f.Serve(context.Background(), check(), &recordingCaller{})
 		is.True(err == nil)
+		w.settle()
+		is.Equal(w.stops, 1) // the engine has ended
+
+		w.servers["a"].survives = true
+		_, err = w.f.Serve(context.Background(), check(), &recordingCaller{})
+		is.True(err == nil)
 		began := time.Now()
 		w.f.Close()
 		is.True(time.Since(began) <= haltExitTime)
