Confirm engines whose entries are missing before schedulers see them

Engines are confirmed at once after an outage of the store, but the schedulers were told of the change before: for a moment an engine accepted no work, and then began its slow start of 2 s again, as if it were new. TestConfirmedLapseIsNotSeen before: "not true: b.Accepting".

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -231,12 +231,13 @@
 }
 
 func (g *Registry) notify(leaving []string) {
+	// What the registry is told at once about these servers belongs to the same change.
+	g.reportLapses()
 	for _, name := range leaving {
 		g.onLeaving(name)
 	}
 	g.onChange()
 	g.reportChanges()
-	g.reportLapses()
 }
 
 // ObserveLapses sets a function that is called for each server whose entry is missing after an
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -249,3 +249,20 @@
 	b.MergeBroken(start, map[string]time.Duration{"x": time.Hour, "unknown": time.Second})
 	is.Equal(b.accepting(start.Add(maxBrokenExclusion)), []string{"x", "y"})
 }
+
+// Guards against a server that is confirmed at once, as engines are, and that accepts no work for a
+// moment: it would come back slowly.
+func TestConfirmedLapseIsNotSeen(t *testing.T) {
+	is := is.New(t)
+	var r *Registry
+	r = New(func() {
+		for _, b := range r.Service(start, "s", "a") {
+			is.True(b.Accepting)
+		}
+	}, func(string) {})
+	r.ObserveLapses(r.NoteServing)
+	r.Sync(start, []Server{server("x"), server("y")})
+	r.ListRecovered(start)
+	r.Remove(start, "x")
+	is.True(!r.Lapsed(server("x")))
+}
