Follow the host list although one host in it is odd

A gateway or controller of the product stopped following the platform's host list as soon as one host in it could not be decoded or had a value that is not known: the whole list was refused, each second. Hosts with a port out of range or a line end in the name were used.

Cause: one invalid element failed the list. Now the list is split before its hosts are decoded, as encoding/json refuses a document in which anything is nested too deep; invalid hosts are ignored, and logged once.

--- a/internal/connection/platform/hosts.go
+++ b/internal/connection/platform/hosts.go
@@ -1,11 +1,16 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,6 +26,9 @@
 	// returns a copy of last.
 	etag string
 	last []Host
+	// onInvalid is set by ObserveInvalid, and invalid is what it was last called with.
+	onInvalid func(error)
+	invalid   string
 }
 
 // NewHostList returns a client for the service at the base URL.
@@ -68,16 +76,26 @@
 	if status == http.StatusNotModified {
 		return last, nil
 	}
-	hosts, err := parseHosts(body)
+	hosts, invalid, err := parseHosts(body)
 	if err != nil {
 		return nil, NewError(stepHosts, l.caller.base, ErrNotApplied, err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.etag, l.last = header.Get("ETag"), slices.Clone(hosts)
+	if text := fmt.Sprint(invalid); text != l.invalid && l.onInvalid != nil {
+		l.invalid = text
+		for _, err := range invalid {
+			l.onInvalid(NewError(stepHosts, l.caller.base, ErrNotApplied, err))
+		}
+	}
 	return hosts, nil
 }
 
+// ObserveInvalid sets a function that is called for each invalid host of a list, once as long as the
+// invalid hosts of the list stay the same. It must be set before the first call of Hosts.
+func (l *HostList) ObserveInvalid(f func(error)) { l.onInvalid = f }
+
 // cached returns the entity tag of the latest list and a copy of the list.
 func (l *HostList) cached() (string, []Host) {
 	l.mu.Lock()
@@ -85,20 +103,68 @@
 	return l.etag, slices.Clone(l.last)
 }
 
-func parseHosts(body []byte) ([]Host, error) {
-	var groups []targetGroup
-	if err := json.Unmarshal(body, &groups); err != nil {
-		return nil, err
+// parseHosts returns the valid hosts of a list, and an error for each of the others, which must not
+// hide them.
+func parseHosts(body []byte) (hosts []Host, invalid []error, err error) {
+	elements, err := splitArray(body)
+	if err != nil {
+		return nil, nil, err
 	}
-	hosts := make([]Host, 0, len(groups))
-	for _, g := range groups {
-		h, err := g.host()
-		if err != nil {
-			return nil, err
+	for i, element := range elements {
+		var g targetGroup
+		err := json.Unmarshal(element, &g)
+		if err == nil {
+			var h Host
+			if h, err = g.host(); err == nil {
+				hosts = append(hosts, h)
+				continue
+			}
 		}
-		hosts = append(hosts, h)
+		invalid = append(invalid, fmt.Errorf("host %d of the list is ignored: %w", i, err))
 	}
-	return hosts, nil
+	return hosts, invalid, nil
+}
+
+var errNoArray = errors.New("the list is not a JSON array")
+
+// splitArray returns the elements of a JSON array without decoding them: encoding/json refuses a whole
+// document in which one value is nested too deep.
+func splitArray(body []byte) ([][]byte, error) {
+	body = bytes.TrimSpace(body)
+	if len(body) < 2 || body[0] != '[' || body[len(body)-1] != ']' {
+		return nil, errNoArray
+	}
+	body = body[1 : len(body)-1]
+	if len(bytes.TrimSpace(body)) == 0 {
+		return nil, nil
+	}
+	var out [][]byte
+	depth, begin, inText, escaped := 0, 0, false, false
+	for i, b := range body {
+		switch {
+		case escaped:
+			escaped = false
+		case inText:
+			escaped = b == '\\'
+			inText = b != '"'
+		case b == '"':
+			inText = true
+		case b == '[' || b == '{':
+			depth++
+		case b == ']' || b == '}':
+			depth--
+		case b == ',' && depth == 0:
+			out = append(out, body[begin:i])
+			begin = i + 1
+		}
+		if depth < 0 {
+			return nil, errNoArray
+		}
+	}
+	if depth != 0 || inText {
+		return nil, errNoArray
+	}
+	return append(out, body[begin:]), nil
 }
 
 // host converts a target group. It rejects values that could cause requests to be sent to a wrong
@@ -110,6 +176,10 @@
 		return Host{}, fmt.Errorf("host %q has %d targets; 1 is allowed", l.Name, len(g.Targets))
 	case l.Kind != KindEngine && l.Kind != KindApp:
 		return Host{}, fmt.Errorf("host %q: kind %q is not allowed", l.Name, l.Kind)
+	case !isHostName(l.Name):
+		return Host{}, fmt.Errorf("host name %.100q is not allowed", l.Name)
+	case !hasPort(g.Targets[0]):
+		return Host{}, fmt.Errorf("host %q: target %.100q has no port from 1 to 65535", l.Name, g.Targets[0])
 	case l.State != HostLive && l.State != HostLeaving:
 		return Host{}, fmt.Errorf("host %q: state %q is not allowed", l.Name, l.State)
 	}
@@ -122,3 +192,14 @@
 		Service:    l.Service,
 	}, nil
 }
+
+// isHostName reports whether a text can be the name of a host.
+func isHostName(name string) bool {
+	return name != "" && strings.IndexFunc(name, func(r rune) bool { return r <= ' ' || r > '~' }) < 0
+}
+
+func hasPort(target string) bool {
+	host, port, err := net.SplitHostPort(target)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && host != "" && portErr == nil && number > 0
+}
--- a/internal/process/controller/wire.go
+++ b/internal/process/controller/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/connection/engine"
 	"persimmonwing/internal/connection/platform"
@@ -53,11 +54,15 @@
 	lease := order.DefaultLeaseOptions(o.Name, o.DataCentre)
 	lease.Logger = logging.Part(logger, "lease")
 	lease.CallTimeout = o.Platform.Timeout
+	hosts := platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.EnableCompression(engine.NewTransport())}, o.Platform.Timeout)
+	hosts.ObserveInvalid(func(err error) {
+		_ = level.Warn(logging.Part(logger, "hosts")).Log("msg", "ignoring invalid host", "err", err)
+	})
 	return Deps{
 		Catalogue:             holder,
 		CatalogueCheckedSince: syncer.PolledSince,
 		Table:                 table,
-		Hosts:                 platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.EnableCompression(engine.NewTransport())}, o.Platform.Timeout),
+		Hosts:                 hosts,
 		Engines:               engine.New(&http.Client{Transport: engine.NewTransport()}),
 		Lease:                 lease,
 	}, syncer
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -74,6 +74,9 @@
 	table := platform.NewTable(o.Platform.TableURL, platformHTTP, o.Platform.Timeout)
 	objects := platform.NewObjects(o.Platform.ObjectURL, platformHTTP, o.Platform.Timeout)
 	hosts := platform.NewHostList(o.Platform.HostsURL, &http.Client{Transport: platform.EnableCompression(engine.NewTransport())}, o.Platform.Timeout)
+	hosts.ObserveInvalid(func(err error) {
+		_ = level.Warn(logging.Part(logger, "membership")).Log("msg", "ignoring invalid host", "err", err)
+	})
 	p.hostObserver = newHostObserver(hosts, prober{p.services})
 	p.gossiper = p.newGossiper()
 	p.division = &limits.Exchange{
