Cancel a generation at an engine that counts as lost

The product's own gateways tried a generation at another engine without cancelling it at the first one, which may only have been out of reach. TestLostGenerationIsCancelled before: "the generation was not cancelled at its first engine".

--- a/internal/process/gateway/failures_test.go
+++ b/internal/process/gateway/failures_test.go
@@ -132,6 +132,28 @@
 	}
 }
 
+// Guards against an engine that works on a generation which counts as lost and has been tried at another
+// engine.
+func TestLostGenerationIsCancelled(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t, nil)
+	cancelled := make(chan string, 1)
+	w.replaceEngine(func(rw http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/cancel") {
+			cancelled <- r.URL.Path
+		}
+		acceptAndBreak(rw, r)
+	})
+	a := w.send(w.create("plan", "#id=x #tokens=20", false))
+	is.Equal(a.status, http.StatusOK)
+	select {
+	case path := <-cancelled:
+		is.Equal(path, "/v1/responses/resp_lost/cancel")
+	case <-time.After(time.Second):
+		t.Fatal("the generation was not cancelled at its first engine")
+	}
+}
+
 // Guards against a second generation that continues a stream whose engine was lost
 // after the first token.
 func TestEngineLostInStream(t *testing.T) {
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -185,7 +185,10 @@
 	n.g.scheduler.Release(grant.ID, schedule.Outcome{Generated: result.Tokens, EngineLost: lost})
 	if lost {
 		n.recordEngineLost(grant)
-	} else if !result.ReaderGone || !n.body.Stream {
+	}
+	// An engine that could not be reached for a while may work on, although the generation is
+	// tried at another one.
+	if lost || !result.ReaderGone || !n.body.Stream {
 		n.g.cancelAtEngine(grant, result.EngineID)
 	}
 	nothingSent := !result.Forwarded || !n.body.Stream
