Resume no stream at an engine at which it is being stopped

A resumable generation whose move was given up, and whose engine broke after that, could be sent to the destination of that move, where a call that ends the run was still being repeated: the new run would have been ended instead. TestEnginesThatWorkOnAreStopped with the new case before: servers "a b b != a b c".

--- a/internal/request/forward/halt_test.go
+++ b/internal/request/forward/halt_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"persimmonwing/internal/version/catalogue"
 )
 
 // maxOverlap is how long an engine may work on a generation that goes on at another one.
@@ -36,6 +38,10 @@
 		}, "a b"},
 		{"the destination begins too late", plan, func(w *fakeFleet) { w.servers["b"].beginsLate = 350 * time.Millisecond }, "a b"},
 		{"the destination begins long after", plan, func(w *fakeFleet) { w.servers["b"].beginsLate = 2 * time.Second }, "a b"},
+		{"a resumable generation breaks after a move that was given up", resumablePlan, func(w *fakeFleet) {
+			w.servers["b"].beginsLate = 350 * time.Millisecond
+			w.servers["a"].diesAfter = 50
+		}, "a b c"},
 		{"a resumable stream breaks", check, func(w *fakeFleet) { w.servers["a"].diesAfter = 5 }, "a b"},
 		{"a resumable stream is silent", check, func(w *fakeFleet) { w.servers["a"].gap = 10 * time.Second }, "a b"},
 	} {
@@ -50,7 +56,7 @@
 				c.setup(w)
 				q := c.q()
 				r := &recordingCaller{after: func(n int) {
-					if n == 5 && !q.Route.Resumable {
+					if n == 5 && q.Class != catalogue.Urgent {
 						w.leave("a")
 					}
 				}}
@@ -73,6 +79,13 @@
 	}
 }
 
+// resumablePlan returns a request for a long stream that another run may resume.
+func resumablePlan() *Request {
+	q := plan()
+	q.Route.Resumable, q.Route.Attempts = true, 3
+	return q
+}
+
 // Guards against a caller that leaves during a move while two engines work on for it.
 func TestCallerLeavesEnginesThatWorkOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -92,6 +92,10 @@
 		return
 	}
 	m.cancel()
+	if m.opened != nil {
+		// The run at this engine is being ended, so that the request must not run there again.
+		m.r.exclude = append(m.r.exclude, m.to.Name)
+	}
 	go func() {
 		<-m.copied
 		if m.opened != nil {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -61,6 +61,8 @@
 	leavingOnce *sync.Once
 	// moving is the move in progress, or nil.
 	moving *move
+	// exclude lists the destinations of moves that were given up after they were asked to resume.
+	exclude []string
 
 	lastEventAt time.Time
 	// stalled is the total time by which gaps between events exceeded the route's
@@ -97,7 +99,8 @@
 		if err == nil {
 			return nil
 		}
-		request.Exclude = append(request.Exclude, r.grant.Backend)
+		request.Exclude = append(append(request.Exclude, r.grant.Backend), r.exclude...)
+		r.exclude = nil
 		if last == nil || err.Execution != api.NotRun {
 			last = err
 		}
