Check again whether a server has ended with a call

A server that crashes may close its listener a moment after its connections; it then counted as one that only broke a connection, and the call was sent on. In the other tests of calls the fake fleet now waits until the check has ended.

--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -16,6 +16,7 @@
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/request/pause"
 	"persimmonwing/internal/version/routing"
 )
 
@@ -142,18 +143,37 @@
 	return nil, acquireError(err)
 }
 
+// endRecheck is the time after which a server is checked again that had not ended when its connection
+// broke: a process that crashes may close its listener after its connections.
+const endRecheck = 100 * time.Millisecond
+
 // endLost records that the call was lost at a server, and whether the server has ended with it.
 // A server that was about to end, or a call that was given up, proves nothing.
 func (f *Forwarder) endLost(ctx context.Context, c *admittedCall, s registry.Server) {
-	o := crashguard.CallOutcome{}
-	if ctx.Err() == nil && !f.o.Servers.Blocked(time.Now(), s.Name) {
-		ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-		defer cancel()
-		now, _ := f.o.Servers.Get(s.Name)
-		o.Lost = now.StartedMS > s.StartedMS || f.o.Client.Ended(ctx, s)
-		o.Loss = crashguard.Loss{Engine: s.Name, Incarnation: strconv.FormatInt(s.StartedMS, 10)}
+	if ctx.Err() != nil || f.o.Servers.Blocked(time.Now(), s.Name) {
+		c.end(crashguard.CallOutcome{})
+		return
 	}
-	c.end(o)
+	lost := crashguard.CallOutcome{Lost: true, Loss: crashguard.Loss{Engine: s.Name, Incarnation: strconv.FormatInt(s.StartedMS, 10)}}
+	if f.hasEnded(ctx, s) {
+		c.end(lost)
+		return
+	}
+	c.end(crashguard.CallOutcome{})
+	f.background.Go(func() {
+		_ = pause.For(context.Background(), endRecheck)
+		if f.hasEnded(context.Background(), s) {
+			c.guard.EndCall(c.Call, c.trial, lost)
+		}
+	})
+}
+
+// hasEnded reports whether a server has certainly ended.
+func (f *Forwarder) hasEnded(ctx context.Context, s registry.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	now, _ := f.o.Servers.Get(s.Name)
+	return now.StartedMS > s.StartedMS || f.o.Client.Ended(ctx, s)
 }
 
 // callOnce sends a request to one server. final is true if the request must not be
--- a/internal/request/forward/call_test.go
+++ b/internal/request/forward/call_test.go
@@ -60,6 +60,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newFakeFleet("a", "b")
+				defer w.settle()
 				w.budget = c.budget
 				w.servers["a"].fail, w.servers["a"].answer = c.first.fail, c.first.answer
 				if a := c.first.answer; a != nil && a.Status != 0 && a.Body != nil {
@@ -92,6 +93,7 @@
 		is := is.New(t)
 		for _, q := range []*Request{call(routing.Idempotent, 2), plan()} {
 			w := newFakeFleet("a")
+			defer w.settle()
 			w.mayRun = false
 			_, err := w.f.Serve(context.Background(), q, &recordingCaller{})
 			is.True(err != nil)
@@ -106,6 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newFakeFleet("a")
+		defer w.settle()
 		w.leave("a")
 		_, err := w.f.Serve(context.Background(), call(routing.Idempotent, 2), &recordingCaller{})
 		is.Equal(err.Code, fault.NoBackend)
@@ -129,6 +132,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newFakeFleet("a", "b")
+				defer w.settle()
 				w.budget = 9
 				w.servers["b"].answer = ok("x")
 				q := call(routing.Idempotent, 2)
--- a/internal/request/forward/crash_test.go
+++ b/internal/request/forward/crash_test.go
@@ -39,3 +39,28 @@
 		})
 	}
 }
+
+// Guards against the same where a server that crashes can still be reached for a moment after its
+// connections have broken.
+func TestCallIsRefusedIfServersEndLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var names []string
+		for i := range 10 {
+			names = append(names, fmt.Sprint("s", i))
+		}
+		w := newFakeFleet(names...)
+		w.budget = 100
+		for _, s := range w.servers {
+			s.fail, s.failsAfter, s.endsLate = errUnknown, 30*time.Millisecond, 50*time.Millisecond
+		}
+		for i := range 20 {
+			q := call(routing.Idempotent, 2)
+			q.ID, q.Body = fmt.Sprint("call-", i), []byte("crash")
+			_, _ = w.f.Serve(context.Background(), q, &recordingCaller{})
+			time.Sleep(4 * time.Second)
+		}
+		if len(w.sent) > 6 {
+			t.Errorf("20 equal calls reached servers %d times (at most 6)", len(w.sent))
+		}
+	})
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -37,8 +37,8 @@
 	// waits holds, by service, the functions that end waits for an engine.
 	waits map[string]map[*wait]struct{}
 
-	// halts tracks the calls of halt in progress.
-	halts sync.WaitGroup
+	// background tracks work that outlives its request.
+	background sync.WaitGroup
 }
 
 // New returns a Forwarder.
--- a/internal/request/forward/halt.go
+++ b/internal/request/forward/halt.go
@@ -15,8 +15,6 @@
 	// stopTimeout bounds one call that ends a generation at an engine. The engine stops the
 	// generation first and then copies its memory, which can take as long as another move.
 	stopTimeout = moveTimeout
-	// confirmTimeout bounds the check that an engine is still the same incarnation.
-	confirmTimeout = 300 * time.Millisecond
 	// stopBackoff is the growth of the time between two calls, and maxStopInterval its maximum.
 	// A generation may run at two engines for at most 400 ms.
 	stopBackoff     = 50 * time.Millisecond
@@ -54,7 +52,7 @@
 	}
 	h := &halt{f: f, id: q.ID, at: at, to: to, service: q.Service}
 	deadline, logger := q.Deadline, f.logger(q)
-	f.halts.Go(func() {
+	f.background.Go(func() {
 		began := time.Now()
 		for try := 0; ; try++ {
 			if try > 0 && !h.current() {
@@ -67,7 +65,7 @@
 				f.o.Metrics.Counter("generations_halted", at.Service).Inc(1)
 				_ = level.Info(logger).Log("msg", "generation stopped at an engine that worked on", "backend", at.Name, "took_ms", elapsed.Milliseconds(), "tries", try+1)
 				return
-			case err == nil && (!mayBegin || elapsed >= lateBeginTime), err != nil && h.ended():
+			case err == nil && (!mayBegin || elapsed >= lateBeginTime), err != nil && f.hasEnded(context.Background(), at):
 				return
 			case elapsed >= maxHaltTime || !time.Now().Before(deadline):
 				_ = level.Warn(logger).Log("msg", "engine may work on a generation that goes on elsewhere", "backend", at.Name, "tries", try+1, "err", err)
@@ -84,18 +82,11 @@
 	return ok && now.StartedMS == h.at.StartedMS && now.Address == h.at.Address
 }
 
-// ended reports whether the engine has certainly ended.
-func (h *halt) ended() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-	defer cancel()
-	return h.f.o.Client.Ended(ctx, h.at)
-}
-
 // stop makes one call that ends the generation and reports whether it was running. The first call
 // is made while the engine is certainly the same.
 func (h *halt) stop(try int) (running bool, err error) {
 	if try > 0 {
-		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
 		defer cancel()
 		if !h.f.o.Client.Alive(ctx, h.at) {
 			return false, errNotConfirmed
@@ -131,7 +122,7 @@
 func (f *Forwarder) Close() {
 	done := make(chan struct{})
 	go func() {
-		f.halts.Wait()
+		f.background.Wait()
 		close(done)
 	}()
 	limit := time.NewTimer(haltExitTime)
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -59,8 +59,11 @@
 	// not streamed.
 	fail   error
 	answer *Answer
-	// survives is set for a server that goes on although the connection breaks.
+	// survives is set for a server that goes on although the connection breaks, and endsLate
+	// for one that can be reached for a moment after that.
 	survives bool
+	endsLate time.Duration
+	brokeAt  time.Time
 	// failsAfter is the time that a send takes until it returns fail or is refused.
 	failsAfter time.Duration
 	// total is the number of events of a generation. If diesAfter is not 0, a stream
@@ -209,6 +212,7 @@
 	switch {
 	case s.fail != nil:
 		time.Sleep(s.failsAfter)
+		s.brokeAt = time.Now()
 		return nil, s.fail
 	case a.Request.Route.Kind != routing.Streaming:
 		answer := *s.answer
@@ -395,13 +399,14 @@
 
 // Ended reports whether the server has crashed, which breaks all its connections.
 func (w *fakeFleet) Ended(_ context.Context, s registry.Server) bool {
-	return errors.Is(w.servers[s.Name].fail, errUnknown) && !w.servers[s.Name].survives
+	server := w.servers[s.Name]
+	return errors.Is(server.fail, errUnknown) && !server.survives && time.Since(server.brokeAt) >= server.endsLate
 }
 
 // settle returns when no goroutine works for a request that has ended.
 func (w *fakeFleet) settle() {
 	synctest.Wait()
-	w.f.halts.Wait()
+	w.f.background.Wait()
 	synctest.Wait()
 }
 
