Remove two races of tests

Found by go test -race on the packages of this change: the counter of TestTrialEndsWithTheIDItBeganWith, which it had before, and a variable of the fake fleet of package forward, which is new.

--- a/internal/process/owner/trials_test.go
+++ b/internal/process/owner/trials_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,13 +119,12 @@
 	withHookedWorld(t, func(w *taintedWorld, c *hookedCaller) {
 		given := 0
 		for part := uint64(600); part < 608; part++ {
-			confirmed := 0
+			var confirmed atomic.Int64
 			c.set(func(ctx context.Context, method string, pass func() error) error {
 				if !strings.HasSuffix(method, ".Confirm") {
 					return pass()
 				}
-				confirmed++
-				if confirmed == 1 {
+				if confirmed.Add(1) == 1 {
 					w.suspect(part)
 					return pass()
 				}
@@ -143,7 +143,7 @@
 				t.Error(err)
 			}
 			time.Sleep(50 * time.Millisecond)
-			if confirmed > 1 {
+			if confirmed.Load() > 1 {
 				given++
 				w.checkNextTrial(part)
 			}
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -245,7 +245,8 @@
 func (w *fakeFleet) stream(ctx context.Context, s *fakeServer, a Attempt) *Answer {
 	r, pipe := io.Pipe()
 	if s.worksOn {
-		context.AfterFunc(ctx, func() { _ = r.CloseWithError(context.Cause(ctx)) })
+		request := ctx
+		context.AfterFunc(request, func() { _ = r.CloseWithError(context.Cause(request)) })
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithCancel(ctx)
