Send one call that stops a generation in a pause, not all

Calls that stop generations were sent to an engine that had asked for a pause, one for each generation that moved away from it, while the users' rule allows two requests in all. TestStopCallsDuringPause before: "0 != 4" refused calls.

--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -52,8 +52,13 @@
 	number uint64
 	// elapsed is set once Tick has noticed the end.
 	elapsed bool
+	// urgent counts the calls that were admitted in spite of the pause.
+	urgent int
 }
 
+// maxUrgentCalls bounds the calls that are sent in spite of a pause.
+const maxUrgentCalls = 1
+
 // extend starts the pause or makes it longer. It reports whether it has begun.
 func (p *requestPause) extend(now time.Time, d time.Duration) bool {
 	begun := p.began.IsZero()
@@ -112,6 +117,19 @@
 	return true, first
 }
 
+// AdmitUrgent reports whether a control call may be sent to a server now that can't wait for the end of
+// a pause.
+func (g *Registry) AdmitUrgent(now time.Time, s Server) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.servers[s.Name]
+	if r == nil || !now.Before(r.pause.until) {
+		return true
+	}
+	r.pause.urgent++
+	return r.pause.urgent <= maxUrgentCalls
+}
+
 // Unanswered records that the first request after a pause got no answer, so that another
 // one may be sent.
 func (g *Registry) Unanswered(s Server, first uint64) {
