Treat requests without a fingerprint as no suspects

Calls and moves were refused with request_crashes_servers after two engines had been lost to which generations were moving: moves carry no fingerprint, so that 0 became a suspect request, and everything without a fingerprint was that request.

TestRequestsWithoutFingerprintAreNoSuspects before: "no replica granted: crashes_servers".

--- a/internal/process/owner/guard.go
+++ b/internal/process/owner/guard.go
@@ -23,12 +23,19 @@
 	return &guard{broadcast: broadcast, table: crashguard.New(), parts: crashguard.NewParts(), changed: make(chan struct{})}
 }
 
+// noFingerprint is the fingerprint of requests that can't crash an engine as a whole: moved generations,
+// which have events, and calls, which are suspect parts.
+const noFingerprint = 0
+
 // check returns the verdict on a request that is about to wait or run, and
 // broadcasts a refusal of which the other gateways have to be notified.
 func (g *guard) check(r *schedule.Request) crashguard.Verdict {
 	now := time.Now()
 	g.mu.Lock()
-	verdict := g.table.Check(now, r.Fingerprint)
+	verdict := crashguard.Clear
+	if r.Fingerprint != noFingerprint {
+		verdict = g.table.Check(now, r.Fingerprint)
+	}
 	var report crashguard.Report
 	if verdict == crashguard.Refuse && g.table.Refused(now, r.Fingerprint) {
 		report.Refused = []uint64{r.Fingerprint}
--- a/internal/process/owner/losses_test.go
+++ b/internal/process/owner/losses_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 )
@@ -76,3 +77,19 @@
 	m.applyReport("gone", api.LoadReport{Name: "gone", Incarnation: "1"})
 	is.New(t).Equal(len(m.engines), 0)
 }
+
+// Guards against refusing calls and moves because engines were lost to which generations without a
+// fingerprint had moved: all requests without one would count as the same, suspect request.
+func TestRequestsWithoutFingerprintAreNoSuspects(t *testing.T) {
+	is := is.New(t)
+	m := New(Options{View: peersView{}, Logger: log.NewNopLogger()})
+	for i, engine := range []string{"e", "f", "g"} {
+		id := fmt.Sprint("moved-", i)
+		m.addHeld(schedule.Request{ID: id}, nil, AcquireReply{Grant: schedule.Grant{ID: id, Backend: engine}, Incarnation: "1"}, "g1")
+		m.engineLost(engine, "1")
+	}
+	m.guard.merge(crashguard.Report{Loss: crashguard.Loss{Engine: "h", Incarnation: "1"}, Fingerprints: []uint64{0}, Refused: []uint64{0}}) // of an older build
+	_, err := m.AdmitCall(t.Context(), crashguard.Call{ID: "c", Service: "s", Part: 1})
+	is.NoErr(err)
+	is.Equal(m.guard.check(&schedule.Request{ID: "another move"}), crashguard.Clear)
+}
--- a/internal/process/owner/suspects.go
+++ b/internal/process/owner/suspects.go
@@ -155,7 +155,7 @@
 	seen := map[uint64]bool{}
 	var out []uint64
 	add := func(f uint64) {
-		if !seen[f] {
+		if f != noFingerprint && !seen[f] {
 			seen[f] = true
 			out = append(out, f)
 		}
