--- a/internal/process/owner/calls_test.go
+++ b/internal/process/owner/calls_test.go
@@ -32,7 +32,7 @@
 	for _, interval := range []time.Duration{4500 * time.Millisecond, 700 * time.Millisecond, 90 * time.Millisecond} {
 		t.Run(fmt.Sprint(interval), func(t *testing.T) {
 			withCallWorld(t, func(w *callWorld) {
-				w.kill(deadlyCall)
+				w.makeDeadly(deadlyCall)
 				w.sendCalls(40*time.Second, append(soundCalls(fourGateways...), repeated(deadlyCall, interval, fourGateways...))...)
 				w.checkDeadly(deadlyCall, 3)
 				w.checkSound()
@@ -50,14 +50,14 @@
 // against equal calls that reach all gateways at the same moment.
 func TestCallsThatCrashServersTogether(t *testing.T) {
 	withCallWorld(t, func(w *callWorld) {
-		w.kill(deadlyCall, otherDeadlyCall)
+		w.makeDeadly(deadlyCall, otherDeadlyCall)
 		w.sendCalls(40*time.Second, append(soundCalls(fourGateways...), repeated(deadlyCall, 900*time.Millisecond, fourGateways...), repeated(otherDeadlyCall, time.Second, fourGateways...))...)
 		w.checkDeadly(deadlyCall, 4)
 		w.checkDeadly(otherDeadlyCall, 4)
 		w.checkSound()
 	})
 	withCallWorld(t, func(w *callWorld) {
-		w.kill(deadlyCall)
+		w.makeDeadly(deadlyCall)
 		for range 5 {
 			for _, g := range fourGateways {
 				w.work.Go(func() { w.call(g, deadlyCall) })
@@ -129,7 +129,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			withCallWorld(t, func(w *callWorld) {
-				w.kill(deadlyCall)
+				w.makeDeadly(deadlyCall)
 				miss(w, func() {
 					w.sendCalls(12*time.Second, append(soundCalls("a", "b", "c"), repeated(deadlyCall, 2*time.Second, "a", "b", "c"))...)
 				})
@@ -151,7 +151,7 @@
 	withCallWorld(t, func(w *callWorld) {
 		for i := range 30 {
 			sound, deadly := uint64(7000+i), uint64(8000+i)
-			w.kill(deadly)
+			w.makeDeadly(deadly)
 			w.work.Go(func() { w.callOnce("a", sound) })
 			time.Sleep(callTime / 4)
 			w.end("s0", "s1")
--- a/internal/process/owner/calls_world_test.go
+++ b/internal/process/owner/calls_world_test.go
@@ -32,7 +32,8 @@
 	// counts its incarnations.
 	up     map[string]chan struct{}
 	starts map[string]int
-	dead   map[uint64]bool
+	// deadlyCalls holds the parts of calls that crash servers.
+	deadlyCalls map[uint64]bool
 	// crashes and arrivals hold the times at which a deadly call crashed and reached a server.
 	crashes, arrivals map[uint64][]time.Time
 	// results counts sound calls by their result.
@@ -43,7 +44,7 @@
 func withCallWorld(t *testing.T, test func(*callWorld)) {
 	withTaintedWorld(t, func(tainted *taintedWorld) {
 		w := &callWorld{
-			taintedWorld: tainted, random: rand.New(rand.NewPCG(1, 2)), up: map[string]chan struct{}{}, starts: map[string]int{}, dead: map[uint64]bool{},
+			taintedWorld: tainted, random: rand.New(rand.NewPCG(1, 2)), up: map[string]chan struct{}{}, starts: map[string]int{}, deadlyCalls: map[uint64]bool{},
 			crashes: map[uint64][]time.Time{}, arrivals: map[uint64][]time.Time{}, results: map[string]int{},
 		}
 		for i := range 4 {
@@ -103,7 +104,7 @@
 	w.mu.Lock()
 	w.number++
 	id := fmt.Sprint(gateway, "-", w.number)
-	deadly := w.dead[part]
+	deadly := w.deadlyCalls[part]
 	w.mu.Unlock()
 	var tried []string
 	for try := range attempts {
@@ -162,7 +163,7 @@
 					result := w.call(at, part)
 					w.mu.Lock()
 					defer w.mu.Unlock()
-					if !w.dead[part] {
+					if !w.deadlyCalls[part] {
 						w.results[result]++
 					}
 				})
@@ -174,11 +175,12 @@
 	w.work.Wait()
 }
 
-func (w *callWorld) kill(parts ...uint64) {
+// makeDeadly makes equal calls crash each server that runs them.
+func (w *callWorld) makeDeadly(parts ...uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range parts {
-		w.dead[p] = true
+		w.deadlyCalls[p] = true
 	}
 }
 
