Log calls that are given up and servers that end afterwards

Now each such send has a line with the reason, the server is checked every 100 ms for 3 s, and its end has a line for each request that was given up there. No decision changes. A check dials only if no idle connection to the server is open, and keeps the connection that it opens.

--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -75,15 +76,31 @@
 }
 
 // Refuses reports whether nothing listens at an address, which proves that the process that did
-// has ended. It sends nothing.
+// has ended. It sends nothing. It dials only if no idle connection to the address is open, and keeps that
+// connection, so that frequent checks of one server don't take new connections each.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	if p.hasOpenIdle(address) {
+		return false
+	}
 	n, err := p.dial(ctx, address)
 	if err == nil {
-		_ = n.Close()
+		p.put(newConn(n, connKey{address, true}))
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// hasOpenIdle reports whether an idle connection to an address is open.
+func (p *Pool) hasOpenIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, control := range []bool{false, true} {
+		if slices.ContainsFunc(p.idle[connKey{address, control}], (*conn).reusable) {
+			return true
+		}
+	}
+	return false
+}
+
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
--- /dev/null
+++ b/internal/process/crashguard/givenup.go
@@ -0,0 +1,74 @@
+package crashguard
+
+import "time"
+
+const (
+	// givenUpLifetime is the time after which a server's end is not attributed to a request that was
+	// given up there. Servers end most requests when their connection closes, and the others at their
+	// deadline.
+	givenUpLifetime = 3 * time.Second
+	// maxGivenUp bounds the table.
+	maxGivenUp = 2048
+)
+
+// GivenUpSend is a send that was given up before the server had begun an answer.
+type GivenUpSend struct {
+	ID    string
+	Parts []uint64
+	// Trial holds the parts whose trial the request still is, with the trial slots.
+	Trial []uint64
+	At    time.Time
+}
+
+// GivenUp is the table of sends that were given up while the server may still have been running
+// them, by the server's incarnation. The zero value is an empty table. It is not safe for concurrent use.
+type GivenUp struct {
+	sends map[Loss][]GivenUpSend
+	count int
+}
+
+// Add adds a send to an incarnation of a server. It returns false if the table is full.
+func (g *GivenUp) Add(server Loss, s GivenUpSend) bool {
+	if g.count >= maxGivenUp {
+		return false
+	}
+	if g.sends == nil {
+		g.sends = map[Loss][]GivenUpSend{}
+	}
+	g.sends[server] = append(g.sends[server], s)
+	g.count++
+	return true
+}
+
+// Expire removes the sends that a server has survived, and returns them.
+func (g *GivenUp) Expire(now time.Time) []GivenUpSend {
+	return g.remove(func(_ Loss, s GivenUpSend) bool { return now.Sub(s.At) > givenUpLifetime })
+}
+
+// Ended removes the sends that an incarnation of a server may have ended with, and returns them.
+func (g *GivenUp) Ended(server Loss) []GivenUpSend {
+	return g.remove(func(l Loss, _ GivenUpSend) bool { return l.same(server, 0) })
+}
+
+// Waiting reports whether there are sends to an incarnation of a server.
+func (g *GivenUp) Waiting(server Loss) bool { return len(g.sends[server]) > 0 }
+
+func (g *GivenUp) remove(matches func(Loss, GivenUpSend) bool) []GivenUpSend {
+	var removed []GivenUpSend
+	for server, sends := range g.sends {
+		var kept []GivenUpSend
+		for _, s := range sends {
+			if matches(server, s) {
+				removed = append(removed, s)
+			} else {
+				kept = append(kept, s)
+			}
+		}
+		g.sends[server] = kept
+		if len(kept) == 0 {
+			delete(g.sends, server)
+		}
+	}
+	g.count -= len(removed)
+	return removed
+}
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/schedule"
 )
 
@@ -65,6 +66,7 @@
 	ownersChanged chan struct{}
 	loads         loadExchange
 	unsentReports map[string]*unsentReports
+	givenUp       crashguard.GivenUp
 	// knownGateways holds the gateways known at the last check for rejoined gateways.
 	knownGateways map[string]bool
 	startedAt     time.Time
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// giveUp records that the call has no answer although the server has not ended yet.
+func (c *admittedCall) giveUp(server crashguard.Loss, ended func(context.Context) bool) {
+	if !c.ended {
+		c.ended = true
+		c.guard.GiveUpCall(c.Call, c.trial, server, ended)
+	}
+}
+
 // maxTrialWait is the maximum time that a call waits while an equal one, or another suspect call of
 // its service, is tried. Most answers come within 0.3 s.
 const maxTrialWait = time.Second
@@ -147,27 +155,60 @@
 // broke: a process that crashes may close its listener after its connections.
 const endRecheck = 100 * time.Millisecond
 
-// endLost records that the call was lost at a server, and whether the server has ended with it.
-// A server that was about to end, or a call that was given up, proves nothing.
-func (f *Forwarder) endLost(ctx context.Context, c *admittedCall, s registry.Server) {
-	if ctx.Err() != nil || f.o.Servers.Blocked(time.Now(), s.Name) {
+// Reasons why a call has no answer while its server may still be running it.
+const (
+	givenUpDeadline = "deadline"
+	givenUpAttempt  = "attempt_timeout"
+	givenUpCaller   = "caller_left"
+	givenUpStop     = "shutting_down"
+	givenUpBroken   = "connection_broken"
+)
+
+// endUnanswered records that a server gave the call no answer, and whether it has ended with it. request
+// is the context of the call, and attempt that of the send. A server that was about to end proves nothing.
+func (f *Forwarder) endUnanswered(request, attempt context.Context, q *Request, c *admittedCall, s registry.Server) {
+	if f.o.Servers.Blocked(time.Now(), s.Name) {
 		c.end(crashguard.CallOutcome{})
 		return
 	}
-	lost := crashguard.CallOutcome{Lost: true, Loss: crashguard.Loss{Engine: s.Name, Incarnation: strconv.FormatInt(s.StartedMS, 10)}}
-	if f.hasEnded(ctx, s) {
+	server := crashguard.Loss{Engine: s.Name, Incarnation: strconv.FormatInt(s.StartedMS, 10)}
+	reason := givenUpReason(request, attempt)
+	lost := crashguard.CallOutcome{Lost: true, Loss: server}
+	if reason == givenUpBroken && f.hasEnded(attempt, s) {
 		c.end(lost)
 		return
 	}
-	c.end(crashguard.CallOutcome{})
-	f.background.Go(func() {
-		_ = pause.For(context.Background(), endRecheck)
-		if f.hasEnded(context.Background(), s) {
-			c.guard.EndCall(c.Call, c.trial, lost)
-		}
+	if reason == givenUpBroken {
+		f.background.Go(func() {
+			_ = pause.For(context.Background(), endRecheck)
+			if f.hasEnded(context.Background(), s) {
+				c.guard.EndCall(c.Call, c.trial, lost)
+			}
+		})
+	}
+	_ = level.Info(f.logger(q)).Log("msg", "no answer from a server that may be running the call", "backend", s.Name, "incarnation", s.StartedMS,
+		"part", strconv.FormatUint(c.Part, 16), "reason", reason, "sent_ms", time.Since(q.Sent).Milliseconds())
+	f.o.Metrics.Counter("calls_given_up", q.Service, reason).Inc(1)
+	c.giveUp(server, func(ctx context.Context) bool {
+		return !f.o.Servers.Blocked(time.Now(), s.Name) && f.hasEnded(ctx, s)
 	})
 }
 
+// givenUpReason returns why a send has no answer, from its context and that of the call.
+func givenUpReason(request, attempt context.Context) string {
+	switch {
+	case attempt.Err() == nil:
+		return givenUpBroken
+	case request.Err() == nil:
+		return givenUpAttempt
+	case errors.Is(context.Cause(request), daemon.ErrStopping):
+		return givenUpStop
+	case errors.Is(request.Err(), context.DeadlineExceeded):
+		return givenUpDeadline
+	}
+	return givenUpCaller
+}
+
 // hasEnded reports whether a server has certainly ended.
 func (f *Forwarder) hasEnded(ctx context.Context, s registry.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
@@ -187,6 +228,7 @@
 		result = health.Abandoned
 		return false, fault.New(fault.BackendRefused, stepSend, name, api.NotRun, "server is leaving or paused")
 	}
+	request := ctx
 	if retryable && q.Route.Target > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, attemptTimeout(q.Route))
@@ -196,8 +238,8 @@
 	answer, err := f.o.Client.Send(ctx, Attempt{Request: q, Server: s, Remaining: time.Until(q.Deadline), Resumes: q.Resumes, After: q.After})
 	if err != nil {
 		failed := f.noteSendError(ctx, s, fault.From(err))
-		if failed.Code == fault.BackendLost && failed.Execution != api.NotRun {
-			f.endLost(ctx, c, s)
+		if failed.Execution != api.NotRun {
+			f.endUnanswered(request, ctx, q, c, s)
 		}
 		return false, failed
 	}
@@ -207,7 +249,7 @@
 	}
 	body, whole, err := bufferBody(answer.Body)
 	if err != nil {
-		f.endLost(ctx, c, s)
+		f.endUnanswered(request, ctx, q, c, s)
 		return false, fault.Wrap(err, linkErrorCode(ctx), stepAnswer, name, api.Ran)
 	}
 	c.end(crashguard.CallOutcome{Answered: true})
--- a/internal/request/forward/crash_test.go
+++ b/internal/request/forward/crash_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/version/routing"
 )
 
@@ -64,3 +66,59 @@
 		}
 	})
 }
+
+// Guards against the end of a server after a call was given up there that no line of the log tells.
+func TestLogOfCallsThatAreGivenUp(t *testing.T) {
+	for reason, limit := range map[string]func(context.Context, *Request) context.Context{
+		givenUpDeadline: func(ctx context.Context, q *Request) context.Context {
+			q.Deadline = time.Now().Add(50 * time.Millisecond)
+			return ctx
+		},
+		givenUpAttempt: func(ctx context.Context, q *Request) context.Context {
+			q.Route.Attempts, q.Route.Target = 2, time.Millisecond
+			return ctx
+		},
+		givenUpCaller: func(ctx context.Context, _ *Request) context.Context {
+			ctx, cancel := context.WithCancel(ctx)
+			time.AfterFunc(50*time.Millisecond, cancel)
+			return ctx
+		},
+		givenUpStop: func(ctx context.Context, _ *Request) context.Context {
+			ctx, cancel := context.WithCancelCause(ctx)
+			time.AfterFunc(50*time.Millisecond, func() { cancel(daemon.ErrStopping) })
+			return ctx
+		},
+	} {
+		t.Run(reason, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFakeFleet("s")
+				w.servers["s"].crashesAfter = time.Second
+				q := call(routing.Idempotent, 1)
+				_, _ = w.f.Serve(limit(context.Background(), q), q, &recordingCaller{})
+				w.settle()
+				part := fmt.Sprintf("%x", callPart(q))
+				for _, line := range [][]string{
+					{"no answer from a server that may be running the call", "id=" + q.ID, "backend=s", "incarnation=0", "part=" + part, "reason=" + reason},
+					{"server ended after a request was given up", "server=s", "incarnation=0", "id=" + q.ID + "-0", "parts=" + part, "given_up=1"},
+				} {
+					if !hasLine(w.log.String(), line) {
+						t.Errorf("no line with %q in\n%s", line, w.log.String())
+					}
+				}
+			})
+		})
+	}
+}
+
+func hasLine(log string, parts []string) bool {
+	for line := range strings.Lines(log) {
+		all := true
+		for _, p := range parts {
+			all = all && strings.Contains(line, p)
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -40,6 +41,9 @@
 	// sent lists the servers to which requests were sent, in order.
 	sent  []string
 	freed int
+	// crashes lists the times at which calls crashed servers, and log holds the log.
+	crashes []time.Time
+	log     bytes.Buffer
 	// noted lists the calls of NoteBroken and NoteAnswered, in order.
 	noted []string
 	// runs lists all streams in the order in which they began. stops counts the calls of Stop.
@@ -64,6 +68,11 @@
 	survives bool
 	endsLate time.Duration
 	brokeAt  time.Time
+	// crashesAfter is the time after which a call crashes the server, whether or not its connection is
+	// still open. Until downUntil nothing listens there. starts counts the incarnations.
+	crashesAfter time.Duration
+	downUntil    time.Time
+	starts       int64
 	// failsAfter is the time that a send takes until it returns fail or is refused.
 	failsAfter time.Duration
 	// total is the number of events of a generation. If diesAfter is not 0, a stream
@@ -109,8 +118,9 @@
 		w.servers[n] = &fakeServer{name: n, total: 20, running: map[string]*stream{}}
 	}
 	set := health.NewSet(health.DefaultOptions())
+	logger := log.NewSyncLogger(log.NewLogfmtLogger(&w.log))
 	w.f = New(Options{
-		Client: w, Scheduler: w, CrashGuard: owner.New(owner.Options{View: lonelyView{}, Logger: log.NewNopLogger()}), Servers: w, Budget: w, Metrics: telemetry.New(), Logger: log.NewNopLogger(),
+		Client: w, Scheduler: w, CrashGuard: owner.New(owner.Options{View: lonelyView{}, Logger: logger}), Servers: w, Budget: w, Metrics: telemetry.New(), Logger: logger,
 		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun }, Grace: daemon.NewGrace(), StopRetryAfter: func() time.Duration { return time.Millisecond },
 	})
 	return w
@@ -159,7 +169,13 @@
 // The following methods implement Servers.
 
 func (w *fakeFleet) Get(name string) (registry.Server, bool) {
-	return registry.Server{Name: name, Address: name}, true
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	started := int64(0)
+	if s := w.servers[name]; s != nil {
+		started = s.starts
+	}
+	return registry.Server{Name: name, Address: name, StartedMS: started}, true
 }
 
 func (w *fakeFleet) Leaving(name string) bool {
@@ -210,6 +226,8 @@
 	w.sent = append(w.sent, s.name)
 	w.mu.Unlock()
 	switch {
+	case s.crashesAfter > 0:
+		return nil, w.crash(ctx, s)
 	case s.fail != nil:
 		time.Sleep(s.failsAfter)
 		s.brokeAt = time.Now()
@@ -241,6 +259,36 @@
 	return w.stream(ctx, s, a), nil
 }
 
+// downTime is the time for which a fake server that has crashed is down.
+const downTime = 3 * time.Second
+
+// crash runs a call that crashes the server, and returns the error of the send.
+func (w *fakeFleet) crash(ctx context.Context, s *fakeServer) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().Before(s.downUntil) {
+		return errNotRun
+	}
+	began, crashed := s.starts, make(chan struct{})
+	time.AfterFunc(s.crashesAfter, func() {
+		defer close(crashed)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if s.starts == began { // another call may have crashed it before
+			s.downUntil, s.starts = time.Now().Add(downTime), s.starts+1
+			w.crashes = append(w.crashes, time.Now())
+		}
+	})
+	w.mu.Unlock()
+	defer w.mu.Lock()
+	select {
+	case <-crashed:
+		return errUnknown
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), linkErrorCode(ctx), "send", s.name, api.Unknown)
+	}
+}
+
 // stream starts a generation, or resumes it after the attempt's last event.
 func (w *fakeFleet) stream(ctx context.Context, s *fakeServer, a Attempt) *Answer {
 	r, pipe := io.Pipe()
@@ -401,13 +449,22 @@
 // Ended reports whether the server has crashed, which breaks all its connections.
 func (w *fakeFleet) Ended(_ context.Context, s registry.Server) bool {
 	server := w.servers[s.Name]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().Before(server.downUntil) {
+		return true
+	}
 	return errors.Is(server.fail, errUnknown) && !server.survives && time.Since(server.brokeAt) >= server.endsLate
 }
 
+// watchTime is the time after which no server is watched for the end that a call may have caused.
+const watchTime = 5 * time.Second
+
 // settle returns when no goroutine works for a request that has ended.
 func (w *fakeFleet) settle() {
 	synctest.Wait()
 	w.f.background.Wait()
+	time.Sleep(watchTime)
 	synctest.Wait()
 }
 
