--- a/internal/request/forward/crash_test.go
+++ b/internal/request/forward/crash_test.go
@@ -67,6 +67,63 @@
 	})
 }
 
+// Guards against a call that is sent on without end because it is given up before it crashes its server:
+// at its deadline, when it is sent to another server, or when its caller leaves.
+func TestCallGivenUpBeforeItsServerEndsIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind                     routing.Kind
+		attempts                 int
+		deadline, leave, crashes time.Duration
+	}{
+		"deadline":            {routing.Idempotent, 1, 400 * time.Millisecond, 0, 800 * time.Millisecond},
+		"deadline, long ago":  {routing.Idempotent, 1, 400 * time.Millisecond, 0, 2500 * time.Millisecond},
+		"call that runs once": {routing.NonIdempotent, 1, 400 * time.Millisecond, 0, 800 * time.Millisecond},
+		"sent again":          {routing.Idempotent, 2, 3 * time.Second, 0, 800 * time.Millisecond},
+		"sent again, late":    {routing.Idempotent, 2, 700 * time.Millisecond, 0, 1500 * time.Millisecond},
+		"caller leaves":       {routing.Idempotent, 2, 3 * time.Second, 150 * time.Millisecond, 800 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var names []string
+				for i := range 10 {
+					names = append(names, fmt.Sprint("s", i))
+				}
+				w := newFakeFleet(names...)
+				w.budget = 100
+				for _, s := range w.servers {
+					s.crashesAfter = c.crashes
+				}
+				var arrivals []time.Time
+				for i := range 20 {
+					q := call(c.kind, c.attempts)
+					q.ID, q.Body, q.Deadline = fmt.Sprint("call-", i), []byte("crash"), time.Now().Add(c.deadline)
+					ctx, cancel := context.WithCancel(t.Context())
+					if c.leave > 0 {
+						time.AfterFunc(c.leave, cancel)
+					}
+					at, before := time.Now(), len(w.sent)
+					_, _ = w.f.Serve(ctx, q, &recordingCaller{})
+					cancel()
+					if len(w.sent) > before {
+						arrivals = append(arrivals, at)
+					}
+					time.Sleep(4 * time.Second) // servers are back
+				}
+				w.settle()
+				late := 0
+				for _, at := range arrivals {
+					if len(w.crashes) >= 3 && at.After(w.crashes[2].Add(3*time.Second)) {
+						late++
+					}
+				}
+				if late > 3 || len(w.crashes) > 6 {
+					t.Errorf("20 equal calls crashed %d servers, and %d of them reached servers later than 3 s after the third crash (at most 3)", len(w.crashes), late)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the end of a server after a call was given up there that no line of the log tells.
 func TestLogOfCallsThatAreGivenUp(t *testing.T) {
 	for reason, limit := range map[string]func(context.Context, *Request) context.Context{
