Count the end of a server after a call was given up there

Callers saw: bookings lost in crashes of all application servers every 4 s, for as long as the callers of one lookup repeat it (BUDGET), if they give it up before it crashes its server.

Cause: the crash guard looked for a server's end only while the call was not given up. A send that ended with its deadline, with the time for one attempt, with its caller or with a stop ended its admission without an outcome, and its trial with it. Class: evidence that is collected only as long as somebody waits for the answer.

Now such a send stays in a table for 3 s, its server is checked, and the server's end counts, at this gateway and at those that learn of it from a peer. A trial goes on meanwhile, so that equal calls do not take turns. A broken connection whose server ends up to 0.2 s later is the same case.

The other side: a server may end for other reasons in 3 s. So such a loss weighs less than one of a running call; losses outside of trials count once; one in a trial does not count if another server of the service, without the call, ended within 2 s (gateways now also report ends that clear all suspects or that a refused connection shows); and a server that survives a given-up trial outweighs one loss, two in a row clear the call. An answer clears it as before.

Ruled out: trial losses at full weight (sound calls that are always given up were refused in a simulation with servers that end by turns), the trial slot of the service held during the watch (10 of 1,361 sound calls had to wait over 1 s), survivals that clear at once (a server may not have begun to run the call).

TestOtherEndsRefuseNoCallsThatAreGivenUp: 0 of 1,361 sound calls refused, with servers ended all at once and by turns.

--- a/internal/process/crashguard/call.go
+++ b/internal/process/crashguard/call.go
@@ -15,9 +15,9 @@
 // CallOutcome is the end of one send of a call.
 type CallOutcome struct {
 	// Answered is set if the server has begun an answer, whatever the answer, and Lost if it
-	// has ended without one.
-	Answered, Lost bool
-	// Loss identifies the server's incarnation if Lost is set.
+	// has ended without one. NotListening is set if it had ended before the call was sent.
+	Answered, Lost, NotListening bool
+	// Loss identifies the server's incarnation if Lost or NotListening is set.
 	Loss Loss
 }
 
--- a/internal/process/crashguard/givenup.go
+++ b/internal/process/crashguard/givenup.go
@@ -1,26 +1,53 @@
 package crashguard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// givenUpLifetime is the time after which a server's end is not attributed to a request that was
 	// given up there. Servers end most requests when their connection closes, and the others at their
 	// deadline.
 	givenUpLifetime = 3 * time.Second
+	// brokenLifetime is the same for a send whose connection broke: a process that crashes may close its
+	// listener after its connections.
+	brokenLifetime = 200 * time.Millisecond
 	// maxGivenUp bounds the table.
 	maxGivenUp = 2048
 )
 
-// GivenUpSend is a send that was given up before the server had begun an answer.
+// GivenUpSend is a send that was given up, or whose connection broke, before the server had begun an
+// answer.
 type GivenUpSend struct {
-	ID    string
-	Parts []uint64
+	ID string
+	// Service is set for a call to an application server.
+	Service string
+	Parts   []uint64
 	// Trial holds the parts whose trial the request still is, with the trial slots.
 	Trial []uint64
-	At    time.Time
+	// Broken is set if the server closed the connection, and not set if the request was given up.
+	Broken bool
+	At     time.Time
+}
+
+func (s GivenUpSend) lifetime() time.Duration {
+	if s.Broken {
+		return brokenLifetime
+	}
+	return givenUpLifetime
+}
+
+// Losses returns the parts of the send after its server has ended.
+func (s GivenUpSend) Losses() []PartLoss {
+	var lost []PartLoss
+	for _, part := range s.Parts {
+		lost = append(lost, PartLoss{Part: part, Trial: slices.Contains(s.Trial, part), GivenUp: !s.Broken})
+	}
+	return lost
 }
 
-// GivenUp is the table of sends that were given up while the server may still have been running
+// GivenUp is the table of sends without an answer, recorded while the server may still have been running
 // them, by the server's incarnation. The zero value is an empty table. It is not safe for concurrent use.
 type GivenUp struct {
 	sends map[Loss][]GivenUpSend
@@ -42,7 +69,7 @@
 
 // Expire removes the sends that a server has survived, and returns them.
 func (g *GivenUp) Expire(now time.Time) []GivenUpSend {
-	return g.remove(func(_ Loss, s GivenUpSend) bool { return now.Sub(s.At) > givenUpLifetime })
+	return g.remove(func(_ Loss, s GivenUpSend) bool { return now.Sub(s.At) > s.lifetime() })
 }
 
 // Ended removes the sends that an incarnation of a server may have ended with, and returns them.
--- a/internal/process/crashguard/guard.go
+++ b/internal/process/crashguard/guard.go
@@ -62,7 +62,9 @@
 // Report informs other gateways of a loss with the fingerprints of the requests that
 // were running, of requests that finished, or of requests that are refused.
 type Report struct {
-	Loss         Loss
+	Loss Loss
+	// Service is set if Loss is that of an application server.
+	Service      string
 	Fingerprints []uint64
 	// Finished lists suspects that have completed since the loss.
 	Finished []uint64
@@ -77,6 +79,8 @@
 	// SurvivedParts those of Loss, like Survived.
 	AnsweredParts []uint64
 	SurvivedParts []uint64
+	// SurvivedTrials lists parts whose trial was given up at a server that has survived it.
+	SurvivedTrials []uint64
 	// RefusedParts lists parts of prompts that are still being sent and refused.
 	RefusedParts []uint64
 }
--- a/internal/process/crashguard/parts.go
+++ b/internal/process/crashguard/parts.go
@@ -18,12 +18,22 @@
 	// proofLifetime is the time for which an answer on a part outweighs a later loss.
 	// It is short, because a part may become fatal when engines change their software.
 	proofLifetime = 2 * time.Second
+	// clearingSurvivals is the number of servers in a row that have to survive the trial of a part, given up
+	// there, to clear it: the server may not have begun to run it.
+	clearingSurvivals = 2
+	// maxEnds bounds the ends of servers that are kept.
+	maxEnds = 256
+	// otherEndInterval is the time between the ends of two servers of a service within which they may
+	// have a common cause: the end of one that ran no trial makes that of the other doubtful.
+	otherEndInterval = 2 * time.Second
 	// lossInterval is the time within which losses count once. Engines that stop at the
 	// same moment have a common cause more often than a part that is run on all of them.
 	lossInterval = time.Second
 	// trialWeight is the weight of a loss during a trial: other suspects that also ran there
-	// are ruled out.
-	trialWeight = 2
+	// are ruled out. weakTrialWeight is the weight if the server may have ended for another reason: the
+	// trial, or that of another part, was given up before, or other servers ended at the time.
+	trialWeight     = 2
+	weakTrialWeight = 1
 	// refusePartAt is the weight of losses at which a part is refused.
 	refusePartAt = 3
 	// minRetrial and maxRetrial bound the time after which a refused part is tried once more. It
@@ -44,6 +54,8 @@
 	Part uint64
 	// Trial is set if the request with the part was its trial.
 	Trial bool
+	// GivenUp is set if the request was given up before the loss.
+	GivenUp bool
 	// Age is the time since the loss.
 	Age time.Duration
 }
@@ -56,11 +68,21 @@
 	suspects *simplelru.LRU[uint64, *suspectPart]
 	// proofs holds the time of the latest answer on a part.
 	proofs *simplelru.LRU[uint64, time.Time]
+	// ends holds the ends of application servers with calls.
+	ends *simplelru.LRU[Loss, serverEnd]
+}
+
+// serverEnd is the end of an application server.
+type serverEnd struct {
+	service string
+	at      time.Time
 }
 
 type suspectPart struct {
 	losses []partLoss
-	until  time.Time
+	// survivals counts the servers that have survived a trial since the last loss.
+	survivals int
+	until     time.Time
 	// retrialAt is the time of the next trial of a refused part, and zero for others.
 	retrialAt time.Time
 	// broadcastAt is when the part was last reported to or by another gateway.
@@ -68,16 +90,69 @@
 }
 
 type partLoss struct {
-	loss  Loss
-	at    time.Time
-	trial bool
+	loss Loss
+	at   time.Time
+	// trial and givenUp are as in PartLoss.
+	trial, givenUp bool
 }
 
 // NewParts returns an empty table.
 func NewParts() *Parts {
 	suspects, _ := simplelru.NewLRU[uint64, *suspectPart](maxParts, nil) // fails for sizes under 1 only
 	proofs, _ := simplelru.NewLRU[uint64, time.Time](maxProofs, nil)
-	return &Parts{suspects: suspects, proofs: proofs}
+	ends, _ := simplelru.NewLRU[Loss, serverEnd](maxEnds, nil)
+	return &Parts{suspects: suspects, proofs: proofs, ends: ends}
+}
+
+// ServerEnded records that an application server has ended, whether or not a call is suspected
+// of that, and reports whether that is new.
+func (p *Parts) ServerEnded(now time.Time, service string, loss Loss) bool {
+	if p.ends.Contains(loss) {
+		return false
+	}
+	p.ends.Add(loss, serverEnd{service, now})
+	p.reweigh(now, func(l partLoss) bool { return l.trial })
+	return true
+}
+
+// reweigh judges the parts again that have a loss of which the weight may have changed with other evidence.
+func (p *Parts) reweigh(now time.Time, changed func(partLoss) bool) {
+	for _, part := range p.suspects.Keys() {
+		s, _ := p.suspects.Peek(part)
+		if slices.ContainsFunc(s.losses, changed) && s.retrialAt.IsZero() == (p.weight(s) >= refusePartAt) {
+			p.judge(now, s)
+		}
+	}
+}
+
+// isDoubtful reports whether the end of a server with a trial may have another cause, because another server of the service, without the part, ended at about the same time.
+func (p *Parts) isDoubtful(s *suspectPart, loss Loss) bool {
+	end, ok := p.ends.Peek(loss)
+	if !ok {
+		return false
+	}
+	for _, other := range p.ends.Keys() {
+		o, _ := p.ends.Peek(other)
+		if o.service == end.service && !s.has(other) && o.at.Sub(end.at).Abs() < otherEndInterval {
+			return true
+		}
+	}
+	return false
+}
+
+// hasGivenUpTrial reports whether a trial was given up at a server before its loss.
+func (p *Parts) hasGivenUpTrial(loss Loss) bool {
+	for _, part := range p.suspects.Keys() {
+		s, _ := p.suspects.Peek(part)
+		if slices.ContainsFunc(s.losses, func(l partLoss) bool { return l.loss == loss && l.trial && l.givenUp }) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *suspectPart) has(loss Loss) bool {
+	return slices.ContainsFunc(s.losses, func(l partLoss) bool { return l.loss == loss })
 }
 
 // EngineLost records the loss of an engine for the parts of requests that it had not begun to
@@ -109,28 +184,83 @@
 	}
 	for i, known := range s.losses {
 		if known.loss.same(loss, at.Sub(known.at).Abs()) {
-			upgraded := l.Trial && !known.trial
-			s.losses[i].trial = known.trial || l.Trial
-			s.judge(now)
+			upgraded := strength(l.Trial, l.GivenUp) > strength(known.trial, known.givenUp)
+			if upgraded {
+				s.losses[i].trial, s.losses[i].givenUp = l.Trial, l.GivenUp
+				p.reweigh(now, func(l partLoss) bool { return l.trial && l.loss == loss })
+			}
+			p.judge(now, s)
 			return upgraded
 		}
 	}
 	if len(s.losses) == maxLosses {
 		s.losses = slices.Delete(s.losses, 0, 1)
 	}
-	s.losses = append(s.losses, partLoss{loss, at, l.Trial})
+	s.losses = append(s.losses, partLoss{loss, at, l.Trial, l.GivenUp})
 	slices.SortStableFunc(s.losses, func(a, b partLoss) int { return a.at.Compare(b.at) })
-	s.until, s.broadcastAt = now.Add(suspectTTL), now
-	s.judge(now)
+	s.until, s.broadcastAt, s.survivals = now.Add(suspectTTL), now, 0
+	p.judge(now, s)
+	if l.Trial && l.GivenUp {
+		p.reweigh(now, func(l partLoss) bool { return l.trial && l.loss == loss })
+	}
 	return true
 }
 
+// TrialSurvived records that a server has survived a trial of these parts that was given up there. It
+// returns the parts that this has changed. Each survival outweighs one loss in a trial that was given up, too, or is doubtful.
+func (p *Parts) TrialSurvived(now time.Time, parts []uint64) []uint64 {
+	var changed []uint64
+	for _, part := range parts {
+		s := p.find(now, part)
+		if s == nil {
+			continue
+		}
+		changed = append(changed, part)
+		s.survivals++
+		last := -1
+		for i, l := range s.losses {
+			if l.trial && (l.givenUp || p.isDoubtful(s, l.loss)) {
+				last = i
+			}
+		}
+		switch {
+		case last >= 0:
+			s.losses = slices.Delete(s.losses, last, last+1)
+		case s.survivals >= clearingSurvivals:
+			s.losses = slices.DeleteFunc(s.losses, func(l partLoss) bool { return l.givenUp })
+		}
+		p.judge(now, s)
+		if len(s.losses) == 0 {
+			p.suspects.Remove(part)
+		}
+	}
+	return changed
+}
+
+// strength orders the reports of one loss: the strongest one counts.
+func strength(trial, givenUp bool) int {
+	strength := 0
+	if trial {
+		strength += 2
+	}
+	if !givenUp {
+		strength++
+	}
+	return strength
+}
+
 // weight returns the weight of the evidence against a part.
-func (s *suspectPart) weight() int {
+func (p *Parts) weight(s *suspectPart) int {
 	weight := 0
 	var counted time.Time
+	givenUp := false
 	for _, l := range s.losses {
 		switch {
+		case l.givenUp && !l.trial:
+			givenUp = true
+		case l.givenUp && p.isDoubtful(s, l.loss):
+		case l.trial && (l.givenUp || p.isDoubtful(s, l.loss) || p.hasGivenUpTrial(l.loss)):
+			weight += weakTrialWeight
 		case l.trial:
 			weight += trialWeight
 		case counted.IsZero() || l.at.Sub(counted) >= lossInterval:
@@ -138,12 +268,16 @@
 			counted = l.at
 		}
 	}
+	if givenUp && counted.IsZero() {
+		// Such sends are at several servers at the same time, of which some may end for other reasons.
+		weight++
+	}
 	return weight
 }
 
 // judge sets the time of the next trial after the evidence has changed.
-func (s *suspectPart) judge(now time.Time) {
-	excess := s.weight() - refusePartAt
+func (p *Parts) judge(now time.Time, s *suspectPart) {
+	excess := p.weight(s) - refusePartAt
 	if excess < 0 {
 		s.retrialAt = time.Time{}
 		return
@@ -253,7 +387,7 @@
 		}
 		changed = append(changed, part)
 		s.losses = kept
-		s.judge(now)
+		p.judge(now, s)
 		if len(kept) == 0 {
 			p.suspects.Remove(part)
 		}
@@ -295,7 +429,7 @@
 	for _, part := range p.suspects.Keys() {
 		if s, ok := p.suspects.Peek(part); ok && !now.After(s.until) {
 			for _, l := range s.losses {
-				out[l.loss] = append(out[l.loss], PartLoss{Part: part, Trial: l.trial, Age: now.Sub(l.at)})
+				out[l.loss] = append(out[l.loss], PartLoss{Part: part, Trial: l.trial, GivenUp: l.givenUp, Age: now.Sub(l.at)})
 			}
 		}
 	}
--- a/internal/process/owner/calls.go
+++ b/internal/process/owner/calls.go
@@ -25,15 +25,27 @@
 // EndCall records the end of an admitted call. The other gateways learn of a lost server before it
 // returns, or within 200 ms.
 func (m *Manager) EndCall(c crashguard.Call, trial []uint64, o crashguard.CallOutcome) {
-	if o.Lost {
-		report := m.guard.noteEngineLost(o.Loss, nil, []crashguard.PartLoss{{Part: c.Part, Trial: len(trial) > 0}})
+	if o.Lost || o.NotListening {
+		var lost []crashguard.PartLoss
+		if o.Lost {
+			lost = []crashguard.PartLoss{{Part: c.Part, Trial: len(trial) > 0}}
+		}
+		report, isNew := m.guard.noteServerEnded(o.Loss, c.Service, lost)
 		if len(report.Parts) > 0 {
 			level.Warn(m.opt.Logger).Log("msg", "server lost with a call running", "server", o.Loss.Engine, "incarnation", o.Loss.Incarnation,
 				"id", c.ID, "part", formatParts([]uint64{c.Part}), "trial", len(trial) > 0)
+		}
+		switch {
+		case isNew && o.Lost:
 			m.broadcast(report)
+		case isNew:
+			m.broadcastInBackground(report)
 		}
 	}
 	m.endTrials(c.ID, trial)
+	if o.Lost || o.NotListening {
+		m.givenUpLost(o.Loss)
+	}
 	if o.Answered {
 		m.answered([]uint64{c.Part})
 	}
--- a/internal/process/owner/givenup.go
+++ b/internal/process/owner/givenup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -15,11 +16,13 @@
 const givenUpCheckPeriod = 100 * time.Millisecond
 
 // GiveUpCall ends an admitted call that was given up, or whose connection broke, while the server
-// may still be running it. ended reports whether the server has ended since. It is called until the server
-// has ended or survived the call.
-func (m *Manager) GiveUpCall(c crashguard.Call, trial []uint64, server crashguard.Loss, ended func(context.Context) bool) {
-	m.endTrials(c.ID, trial)
-	m.giveUp(server, crashguard.GivenUpSend{ID: c.ID, Parts: []uint64{c.Part}}, ended)
+// may still be running it. ended reports whether the server has ended since, and is called until the
+// server has ended or survived the call. The trial of the call goes on until then.
+func (m *Manager) GiveUpCall(c crashguard.Call, trial []uint64, broken bool, server crashguard.Loss, ended func(context.Context) bool) {
+	// Other suspects need not wait for the trial of this one: the crashguard weighs that.
+	m.endTrials(c.ID, []uint64{c.TrialSlot()})
+	trial = slices.DeleteFunc(slices.Clone(trial), func(part uint64) bool { return part == c.TrialSlot() })
+	m.giveUp(server, crashguard.GivenUpSend{ID: c.ID, Service: c.Service, Parts: []uint64{c.Part}, Trial: trial, Broken: broken}, ended)
 }
 
 // giveUp records a send that was given up, and watches the server for its end.
@@ -29,19 +32,45 @@
 	watched := m.givenUp.Waiting(server)
 	added := !m.stopping && m.givenUp.Add(server, s)
 	m.mu.Unlock()
-	if added && !watched {
+	if !added {
+		m.endTrials(s.ID, s.Trial)
+		return
+	}
+	if len(s.Trial) > 0 {
+		m.inBackground(func() { m.extendTrials(s) })
+	}
+	if !watched {
 		m.inBackground(func() { m.watchServer(server, ended) })
 	}
 }
 
+// extendTrials extends the trials of a send that was given up, which may have begun long ago.
+func (m *Manager) extendTrials(s crashguard.GivenUpSend) {
+	ctx, cancel := context.WithTimeout(context.Background(), trialTTL)
+	defer cancel()
+	for _, part := range s.Trial {
+		m.beginTrial(ctx, TrialArgs{Part: part, ID: s.ID})
+	}
+}
+
 // watchServer checks a server until it has ended, or no request is left that was given up there.
 func (m *Manager) watchServer(server crashguard.Loss, ended func(context.Context) bool) {
-	for !m.isStopping() {
+	for {
 		_ = pause.For(context.Background(), givenUpCheckPeriod)
 		m.mu.Lock()
-		m.givenUp.Expire(time.Now())
+		survived := m.givenUp.Expire(time.Now())
+		var stopped []crashguard.GivenUpSend
+		if m.stopping {
+			stopped = m.givenUp.Ended(server)
+		}
 		waiting := m.givenUp.Waiting(server)
 		m.mu.Unlock()
+		for _, s := range survived {
+			m.trialSurvived(s)
+		}
+		for _, s := range stopped {
+			m.endTrials(s.ID, s.Trial)
+		}
 		if !waiting {
 			return
 		}
@@ -52,17 +81,40 @@
 	}
 }
 
-// givenUpLost logs the requests that were given up at a server which has ended.
+// trialSurvived ends the trial of a send whose server has survived it. The other gateways learn of it
+// before another trial begins, or within 200 ms.
+func (m *Manager) trialSurvived(s crashguard.GivenUpSend) {
+	if !s.Broken && len(s.Trial) > 0 && m.guard.trialSurvived(s.Trial) {
+		level.Info(m.opt.Logger).Log("msg", "server survived a trial that was given up", "id", s.ID, "parts", formatParts(s.Trial))
+		m.broadcast(crashguard.Report{SurvivedTrials: s.Trial})
+	}
+	m.endTrials(s.ID, s.Trial)
+}
+
+// givenUpLost records the end of a server for the requests that were given up there. The other
+// gateways learn of it before it returns, or within 200 ms.
 func (m *Manager) givenUpLost(server crashguard.Loss) {
 	now := time.Now()
 	m.mu.Lock()
 	sends := m.givenUp.Ended(server)
 	m.mu.Unlock()
+	if len(sends) == 0 {
+		return
+	}
+	var lost []crashguard.PartLoss
 	for i, s := range sends {
-		if i == maxLoggedRequests {
-			break
+		lost = append(lost, s.Losses()...)
+		if i < maxLoggedRequests {
+			level.Warn(m.opt.Logger).Log("msg", "server ended after a request was given up", "server", server.Engine, "incarnation", server.Incarnation,
+				"id", s.ID, "parts", formatParts(s.Parts), "trial", len(s.Trial) > 0, "given_up_ms", now.Sub(s.At).Milliseconds(), "given_up", len(sends))
 		}
-		level.Warn(m.opt.Logger).Log("msg", "server ended after a request was given up", "server", server.Engine, "incarnation", server.Incarnation,
-			"id", s.ID, "parts", formatParts(s.Parts), "given_up_ms", now.Sub(s.At).Milliseconds(), "given_up", len(sends))
+	}
+	report, isNew := m.guard.noteServerEnded(server, sends[0].Service, lost)
+	if isNew {
+		m.recheck()
+		m.broadcast(report)
+	}
+	for _, s := range sends {
+		m.endTrials(s.ID, s.Trial)
 	}
 }
--- a/internal/process/owner/guard.go
+++ b/internal/process/owner/guard.go
@@ -74,7 +74,7 @@
 	g.changed = make(chan struct{})
 }
 
-// noteEngineLost records a loss and returns it as a report of what is new.
+// noteEngineLost records the loss of an engine and returns it as a report of what is new.
 func (g *guard) noteEngineLost(loss crashguard.Loss, fingerprints []uint64, parts []crashguard.PartLoss) crashguard.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -87,6 +87,17 @@
 	return report
 }
 
+// noteServerEnded records the end of an application server with calls, and returns it as a report. isNew
+// is false if nothing in it is new.
+func (g *guard) noteServerEnded(loss crashguard.Loss, service string, parts []crashguard.PartLoss) (report crashguard.Report, isNew bool) {
+	report = g.noteEngineLost(loss, nil, parts)
+	report.Service = service
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ended := g.parts.ServerEnded(time.Now(), service, loss)
+	return report, ended || len(report.Parts) > 0
+}
+
 // noteEngineSurvived withdraws a loss and returns a report of what changed.
 func (g *guard) noteEngineSurvived(loss crashguard.Loss) crashguard.Report {
 	g.mu.Lock()
@@ -105,6 +116,18 @@
 	return g.table.Finished(fingerprint)
 }
 
+// trialSurvived records that a server has survived a trial of these parts, and reports whether that
+// changed anything.
+func (g *guard) trialSurvived(parts []uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := len(g.parts.TrialSurvived(time.Now(), parts)) > 0
+	if changed {
+		g.partsChanged()
+	}
+	return changed
+}
+
 // answered records an answer on these parts and returns those that it has cleared.
 func (g *guard) answered(parts []uint64) []uint64 {
 	g.mu.Lock()
@@ -134,8 +157,11 @@
 	g.mu.Lock()
 	changed := len(g.table.Merge(now, r)) > 0
 	added, answered := g.parts.EngineLost(now, r.Loss, r.Parts)
+	if r.Service != "" {
+		g.parts.ServerEnded(now, r.Service, r.Loss)
+	}
 	withdrawn := g.parts.Withdraw(now, r.Loss, r.SurvivedParts)
-	cleared := g.parts.Clear(r.AnsweredParts)
+	cleared := append(g.parts.Clear(r.AnsweredParts), g.parts.TrialSurvived(now, r.SurvivedTrials)...)
 	g.parts.RefusedElsewhere(now, r.RefusedParts)
 	if len(added)+len(withdrawn)+len(cleared) > 0 {
 		g.partsChanged()
--- a/internal/process/owner/service.go
+++ b/internal/process/owner/service.go
@@ -203,6 +203,9 @@
 	if s.m.guard.merge(*in) {
 		s.m.recheck()
 	}
+	if in.Service != "" || len(in.Fingerprints)+len(in.Parts) > 0 {
+		s.m.inBackground(func() { s.m.givenUpLost(in.Loss) })
+	}
 	return nil
 }
 
--- a/internal/process/owner/suspects.go
+++ b/internal/process/owner/suspects.go
@@ -55,6 +55,7 @@
 
 // engineLost marks the requests that ran on one incarnation of an engine as suspects.
 func (m *Manager) engineLost(name, incarnation string) {
+	defer m.givenUpLost(crashguard.Loss{Engine: name, Incarnation: incarnation})
 	report := m.guard.noteEngineLost(crashguard.Loss{Engine: name, Incarnation: incarnation}, m.runningOn(name, incarnation), m.unansweredParts(name, incarnation))
 	if len(report.Fingerprints)+len(report.Parts) == 0 {
 		return
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -16,7 +17,6 @@
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
-	"persimmonwing/internal/request/pause"
 	"persimmonwing/internal/version/routing"
 )
 
@@ -106,10 +106,10 @@
 }
 
 // giveUp records that the call has no answer although the server has not ended yet.
-func (c *admittedCall) giveUp(server crashguard.Loss, ended func(context.Context) bool) {
+func (c *admittedCall) giveUp(broken bool, server crashguard.Loss, ended func(context.Context) bool) {
 	if !c.ended {
 		c.ended = true
-		c.guard.GiveUpCall(c.Call, c.trial, server, ended)
+		c.guard.GiveUpCall(c.Call, c.trial, broken, server, ended)
 	}
 }
 
@@ -151,10 +151,6 @@
 	return nil, acquireError(err)
 }
 
-// endRecheck is the time after which a server is checked again that had not ended when its connection
-// broke: a process that crashes may close its listener after its connections.
-const endRecheck = 100 * time.Millisecond
-
 // Reasons why a call has no answer while its server may still be running it.
 const (
 	givenUpDeadline = "deadline"
@@ -171,29 +167,25 @@
 		c.end(crashguard.CallOutcome{})
 		return
 	}
-	server := crashguard.Loss{Engine: s.Name, Incarnation: strconv.FormatInt(s.StartedMS, 10)}
+	server := incarnation(s)
 	reason := givenUpReason(request, attempt)
-	lost := crashguard.CallOutcome{Lost: true, Loss: server}
 	if reason == givenUpBroken && f.hasEnded(attempt, s) {
-		c.end(lost)
+		c.end(crashguard.CallOutcome{Lost: true, Loss: server})
 		return
 	}
-	if reason == givenUpBroken {
-		f.background.Go(func() {
-			_ = pause.For(context.Background(), endRecheck)
-			if f.hasEnded(context.Background(), s) {
-				c.guard.EndCall(c.Call, c.trial, lost)
-			}
-		})
-	}
 	_ = level.Info(f.logger(q)).Log("msg", "no answer from a server that may be running the call", "backend", s.Name, "incarnation", s.StartedMS,
 		"part", strconv.FormatUint(c.Part, 16), "reason", reason, "sent_ms", time.Since(q.Sent).Milliseconds())
 	f.o.Metrics.Counter("calls_given_up", q.Service, reason).Inc(1)
-	c.giveUp(server, func(ctx context.Context) bool {
+	c.giveUp(reason == givenUpBroken, server, func(ctx context.Context) bool {
 		return !f.o.Servers.Blocked(time.Now(), s.Name) && f.hasEnded(ctx, s)
 	})
 }
 
+// incarnation returns the identity of a server's incarnation.
+func incarnation(s registry.Server) crashguard.Loss {
+	return crashguard.Loss{Engine: s.Name, Incarnation: strconv.FormatInt(s.StartedMS, 10)}
+}
+
 // givenUpReason returns why a send has no answer, from its context and that of the call.
 func givenUpReason(request, attempt context.Context) string {
 	switch {
@@ -238,8 +230,11 @@
 	answer, err := f.o.Client.Send(ctx, Attempt{Request: q, Server: s, Remaining: time.Until(q.Deadline), Resumes: q.Resumes, After: q.After})
 	if err != nil {
 		failed := f.noteSendError(ctx, s, fault.From(err))
-		if failed.Execution != api.NotRun {
+		switch {
+		case failed.Execution != api.NotRun:
 			f.endUnanswered(request, ctx, q, c, s)
+		case errors.Is(err, syscall.ECONNREFUSED):
+			c.end(crashguard.CallOutcome{NotListening: true, Loss: incarnation(s)})
 		}
 		return false, failed
 	}
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -219,9 +219,9 @@
 	// AdmitCall returns when the call may be sent, and EndCall records its end.
 	AdmitCall(ctx context.Context, c crashguard.Call) (trial []uint64, err error)
 	EndCall(c crashguard.Call, trial []uint64, o crashguard.CallOutcome)
-	// GiveUpCall ends a call without an answer that a server may still be running. ended reports
-	// whether the server has ended since.
-	GiveUpCall(c crashguard.Call, trial []uint64, server crashguard.Loss, ended func(context.Context) bool)
+	// GiveUpCall ends a call without an answer that a server may still be running. broken states
+	// that the server closed the connection, and ended reports whether it has ended since.
+	GiveUpCall(c crashguard.Call, trial []uint64, broken bool, server crashguard.Loss, ended func(context.Context) bool)
 }
 
 // Servers is the registry of backend servers.
