Count the end of an engine after a generation was given up there

Callers saw: engines lost with all that ran on them, each time that a request which crashes them comes again, if its caller leaves before the crash.

Cause: as for calls. A released grant was forgotten, so that an engine's end after it made nothing a suspect.

Now a generation without an event that ends although its engine has neither ended nor answered is recorded before its grant is released, like a call. On the platform the last part of a prompt, which is the request's own, is no suspect, and the product's requests have no parts: so the whole request is one more part, but only of given-up requests; of others the fingerprint is the suspect as before.

--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/process/crashguard"
@@ -52,6 +55,9 @@
 		r.DataCentre = m.opt.View.Self().DataCentre
 	}
 	r.PrefixHashes = truncateHashes(r.PrefixHashes)
+	if r.Fingerprint != noFingerprint {
+		r.PartHashes = append(slices.Clone(r.PartHashes), wholeRequestPart(r.Fingerprint))
+	}
 	if !r.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
@@ -74,6 +80,12 @@
 	}
 }
 
+// wholeRequestPart returns the part that stands for a whole request that is given up. Of one that runs
+// when its engine is lost, the fingerprint is the suspect.
+func wholeRequestPart(fingerprint uint64) uint64 {
+	return xxhash.Sum64String("request\x00" + strconv.FormatUint(fingerprint, 16))
+}
+
 // tryNext requests a grant from the next gateway. It returns false if another gateway
 // is to be tried.
 func (m *Manager) tryNext(ctx context.Context, s *acquisition) (schedule.Grant, error, bool) {
--- a/internal/process/owner/givenup.go
+++ b/internal/process/owner/givenup.go
@@ -25,6 +25,22 @@
 	m.giveUp(server, crashguard.GivenUpSend{ID: c.ID, Service: c.Service, Parts: []uint64{c.Part}, Trial: trial, Broken: broken}, ended)
 }
 
+// GiveUpGeneration records, before its grant is released, that a generation was given up while the
+// engine may still be running it. ended is as for GiveUpCall.
+func (m *Manager) GiveUpGeneration(grantID string, ended func(context.Context) bool) {
+	m.mu.Lock()
+	h := m.held[grantID]
+	if h == nil || h.Generated > 0 || len(h.Request.PartHashes) == 0 {
+		m.mu.Unlock()
+		return
+	}
+	send := crashguard.GivenUpSend{ID: grantID, Parts: h.Request.PartHashes, Trial: h.trial}
+	engine := crashguard.Loss{Engine: h.Grant.Backend, Incarnation: h.incarnation}
+	h.trial = nil // goes on after the release
+	m.mu.Unlock()
+	m.giveUp(engine, send, ended)
+}
+
 // giveUp records a send that was given up, and watches the server for its end.
 func (m *Manager) giveUp(server crashguard.Loss, s crashguard.GivenUpSend, ended func(context.Context) bool) {
 	s.At = time.Now()
@@ -109,7 +125,14 @@
 				"id", s.ID, "parts", formatParts(s.Parts), "trial", len(s.Trial) > 0, "given_up_ms", now.Sub(s.At).Milliseconds(), "given_up", len(sends))
 		}
 	}
-	report, isNew := m.guard.noteServerEnded(server, sends[0].Service, lost)
+	var report crashguard.Report
+	var isNew bool
+	if service := sends[0].Service; service != "" {
+		report, isNew = m.guard.noteServerEnded(server, service, lost)
+	} else {
+		report = m.guard.noteEngineLost(server, nil, lost)
+		isNew = len(report.Parts) > 0
+	}
 	if isNew {
 		m.recheck()
 		m.broadcast(report)
--- a/internal/process/owner/suspects.go
+++ b/internal/process/owner/suspects.go
@@ -75,7 +75,10 @@
 			continue
 		}
 		for _, part := range h.Request.PartHashes {
-			trial[part] = trial[part] || slices.Contains(h.trial, part)
+			isTrial := slices.Contains(h.trial, part)
+			if isTrial || part != wholeRequestPart(h.Request.Fingerprint) {
+				trial[part] = trial[part] || isTrial
+			}
 		}
 	}
 	var out []crashguard.PartLoss
--- a/internal/process/owner/tainted_test.go
+++ b/internal/process/owner/tainted_test.go
@@ -51,6 +51,35 @@
 	}
 }
 
+// Guards against a part that crashes engines without end, as each caller leaves before its engine crashes, and against a
+// whole request without parts that does.
+func TestGivenUpGenerationsThatCrashEnginesAreRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		interval time.Duration
+		parts    []uint64
+	}{
+		"part":            {600 * time.Millisecond, []uint64{companyPart, deadlyPart}},
+		"part, seldom":    {4 * time.Second, []uint64{companyPart, deadlyPart}},
+		"whole, seldom":   {4 * time.Second, nil},
+		"whole, repeated": {600 * time.Millisecond, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTaintedWorld(t, func(w *taintedWorld) {
+				w.setDeadly(deadlyPart, wholeRequest)
+				w.patience = 400 * time.Millisecond
+				list := []traffic{{gateways: []string{"a", "b", "c", "d"}, interval: c.interval, parts: func(int) []uint64 { return c.parts }}}
+				w.send(40*time.Second, time.Now().Add(time.Hour), list...)
+				time.Sleep(5 * time.Second)
+				if c.parts == nil {
+					w.checkPart(wholeRequest)
+					return
+				}
+				w.checkPart(deadlyPart)
+			})
+		})
+	}
+}
+
 // Guards against a part that crashes engines at the time when another one does, each of which
 // hides the other.
 func TestTwoPartsThatCrashEnginesAreRefused(t *testing.T) {
--- a/internal/process/owner/tainted_world_test.go
+++ b/internal/process/owner/tainted_world_test.go
@@ -47,6 +47,9 @@
 	// unsound counts sound requests by the reason for which they were not granted.
 	unsound map[string]int
 	sound   int
+	// patience is the time after which callers give requests up that have no event, if it is not 0. Engines
+	// work on.
+	patience time.Duration
 }
 
 // withTaintedWorld runs a test on four gateways and twelve engines of four slots.
@@ -151,7 +154,10 @@
 	return 0, false
 }
 
-// run sends one request, which no other one equals, from a gateway. It returns the reason of
+// wholeRequest is the fingerprint of requests without parts.
+const wholeRequest uint64 = 1005
+
+// run sends one request from a gateway. No other request equals it, unless it has no parts. It returns the reason of
 // a refusal, "lost" for a request whose engine was lost, or "".
 func (w *taintedWorld) run(gateway string, parts ...uint64) string {
 	w.mu.Lock()
@@ -165,6 +171,9 @@
 		Workspace: "w", Weight: 1, Entry: "plan", Model: "m", PromptTokens: 10, MaxOutputTokens: 10,
 		Fingerprint: n<<32 + 1, PartHashes: parts, Deadline: time.Now().Add(soundWait),
 	}
+	if len(parts) == 0 {
+		request.Fingerprint, parts = wholeRequest, []uint64{wholeRequest}
+	}
 	for try := range 6 {
 		request.ID = fmt.Sprintf("%s-%d-%d", gateway, n, try)
 		grant, err := g.Acquire(ctx, request)
@@ -192,6 +201,9 @@
 		g.Release(grant.ID, schedule.Outcome{EngineLost: true, Generated: generated})
 		return "lost"
 	}
+	if w.patience > 0 && w.patience < readTime {
+		return w.giveUp(g, grant, crashed, parts)
+	}
 	select {
 	case <-crashed:
 		return lost(0)
@@ -215,6 +227,36 @@
 	return ""
 }
 
+// giveUp gives a granted request up before its engine has read the prompt.
+func (w *taintedWorld) giveUp(g *gateway, grant schedule.Grant, crashed chan struct{}, parts []uint64) string {
+	time.Sleep(w.patience)
+	g.GiveUpGeneration(grant.ID, func(context.Context) bool {
+		select {
+		case <-crashed:
+			return true
+		default:
+			return false
+		}
+	})
+	g.Release(grant.ID, schedule.Outcome{})
+	if p, deadly := w.deadlyPart(parts); deadly {
+		w.work.Go(func() {
+			time.Sleep(readTime - w.patience)
+			select {
+			case <-crashed: // the engine that ran it is lost already
+				return
+			default:
+			}
+			if w.crash(grant.Backend) {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.losses[p] = append(w.losses[p], time.Now())
+			}
+		})
+	}
+	return "given up"
+}
+
 // checkRun fails the test if a request that is sent from a gateway ends otherwise.
 func (w *taintedWorld) checkRun(want, gateway string, parts ...uint64) {
 	w.t.Helper()
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -176,9 +176,15 @@
 	_ = level.Info(f.logger(q)).Log("msg", "no answer from a server that may be running the call", "backend", s.Name, "incarnation", s.StartedMS,
 		"part", strconv.FormatUint(c.Part, 16), "reason", reason, "sent_ms", time.Since(q.Sent).Milliseconds())
 	f.o.Metrics.Counter("calls_given_up", q.Service, reason).Inc(1)
-	c.giveUp(reason == givenUpBroken, server, func(ctx context.Context) bool {
+	c.giveUp(reason == givenUpBroken, server, f.endedUnannounced(s))
+}
+
+// endedUnannounced returns a function that reports whether a server has ended without having
+// announced that it leaves.
+func (f *Forwarder) endedUnannounced(s registry.Server) func(context.Context) bool {
+	return func(ctx context.Context) bool {
 		return !f.o.Servers.Blocked(time.Now(), s.Name) && f.hasEnded(ctx, s)
-	})
+	}
 }
 
 // incarnation returns the identity of a server's incarnation.
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -201,6 +201,7 @@
 		outcome = schedule.Outcome{NotRun: err.Execution == api.NotRun, Refused: err.Code == fault.BackendRefused}
 		if err.Execution != api.NotRun {
 			outcome.EngineLost = r.engineLost(ctx)
+			r.noteGivenUp(outcome, err)
 		}
 		if err.Code == fault.BackendLost && err.Execution == api.Unknown && ctx.Err() == nil && !r.f.o.Servers.Leaving(r.server.Name) {
 			r.f.o.Servers.NoteBroken(time.Now(), r.server.Name)
@@ -214,9 +215,20 @@
 	if err != nil && err.Code == fault.BackendLost {
 		outcome.EngineLost = r.engineLost(ctx)
 	}
+	if err != nil {
+		r.noteGivenUp(outcome, err)
+	}
 	return err
 }
 
+// noteGivenUp records that the stream ended although its engine has neither ended nor answered.
+func (r *run) noteGivenUp(outcome schedule.Outcome, err *fault.Error) {
+	if outcome.EngineLost || err.Code == fault.BackendRefused || err.Code == codeAnswered {
+		return
+	}
+	r.f.o.CrashGuard.GiveUpGeneration(r.grant.ID, r.f.endedUnannounced(r.server))
+}
+
 // engineLost reports whether the engine of a broken stream stopped without having
 // announced that it leaves or asked for a pause. In that case the request may have crashed it.
 func (r *run) engineLost(ctx context.Context) bool {
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -214,7 +214,8 @@
 	Release(grantID string, o schedule.Outcome)
 }
 
-// CrashGuard refuses calls that crash the servers that run them.
+// CrashGuard refuses requests that crash the servers that run them. Generations are admitted by the
+// Scheduler.
 type CrashGuard interface {
 	// AdmitCall returns when the call may be sent, and EndCall records its end.
 	AdmitCall(ctx context.Context, c crashguard.Call) (trial []uint64, err error)
@@ -222,6 +223,9 @@
 	// GiveUpCall ends a call without an answer that a server may still be running. broken states
 	// that the server closed the connection, and ended reports whether it has ended since.
 	GiveUpCall(c crashguard.Call, trial []uint64, broken bool, server crashguard.Loss, ended func(context.Context) bool)
+	// GiveUpGeneration records, before its grant is released, that a generation was given up while the
+	// engine may still be running it.
+	GiveUpGeneration(grantID string, ended func(context.Context) bool)
 }
 
 // Servers is the registry of backend servers.
