Count given-up calls and generations at the product's own front end

Cause and effect as on the users' platform: a call whose caller's time ran out, or a generation that ended without an event, was forgotten before its server ended. A refused connection also tells that a server has ended. Checks of one server come 0.1 s apart at first and 0.4 s later, as each takes a new connection here.

Tests that failed before: the two given-up cases of TestCallThatCrashesServersIsRefused (all calls reach servers) and TestGivenUpGenerationsAreReported.

--- a/internal/process/gateway/deps.go
+++ b/internal/process/gateway/deps.go
@@ -18,6 +18,9 @@
 	Acquire(ctx context.Context, r schedule.Request) (schedule.Grant, error)
 	Progress(grantID string, generated int)
 	Release(grantID string, o schedule.Outcome)
+	// GiveUpGeneration records, before its grant is released, that a generation was given up while the
+	// engine may still be running it. ended reports whether the engine has ended since.
+	GiveUpGeneration(grantID string, ended func(context.Context) bool)
 	// ReportLost reports that an engine crashed or became unreachable. It returns
 	// when the other gateways know which requests ran there, or after a timeout.
 	ReportLost(backend string)
@@ -45,7 +48,7 @@
 // Services calls application servers. Errors are *fault.Error.
 type Services interface {
 	Do(ctx context.Context, name, address string, r service.Request) (service.Response, error)
-	// Ended reports whether nothing listens at a server's address any more.
+	// Ended reports whether nothing listens at a backend server's address any more.
 	Ended(ctx context.Context, address string) bool
 }
 
@@ -54,6 +57,9 @@
 	// AdmitCall returns when the call may be sent, and EndCall records its end.
 	AdmitCall(ctx context.Context, c crashguard.Call) (trial []uint64, err error)
 	EndCall(c crashguard.Call, trial []uint64, o crashguard.CallOutcome)
+	// GiveUpCall ends a call without an answer that a server may still be running. broken states
+	// that the server closed the connection, and ended reports whether it has ended since.
+	GiveUpCall(c crashguard.Call, trial []uint64, broken bool, server crashguard.Loss, ended func(context.Context) bool)
 }
 
 // Claims ensures that a non-idempotent call runs at most once. Begin returns either a
--- a/internal/process/gateway/fakes_test.go
+++ b/internal/process/gateway/fakes_test.go
@@ -47,6 +47,8 @@
 	waiting  int
 	lost     []string
 	outcomes []schedule.Outcome
+	// givenUp lists the grants of generations that were given up.
+	givenUp []string
 	// refusal, if set, is returned to every request. If blocked is set, requests wait
 	// until it is closed or their context ends.
 	refusal *schedule.Refusal
@@ -118,6 +120,12 @@
 	f.outcomes = append(f.outcomes, o)
 }
 
+func (f *fakeScheduler) GiveUpGeneration(grantID string, _ func(context.Context) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.givenUp = append(f.givenUp, grantID)
+}
+
 func (f *fakeScheduler) ReportLost(backend string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -164,6 +164,9 @@
 	lost := err.Code == fault.EngineLost && ctx.Err() == nil
 	ran := err.Execution != api.NotRun
 	refused := err.Code == fault.EngineRefused && !ran
+	if ran && !lost && err.Code != fault.EngineRefused && err.Code != fault.BadRequest {
+		n.giveUp(grant)
+	}
 	n.g.scheduler.Release(grant.ID, schedule.Outcome{NotRun: !ran, Refused: refused, EngineLost: lost && ran})
 	if lost {
 		n.recordEngineLost(grant)
@@ -182,6 +185,9 @@
 func (n *generation) relayFailed(ctx context.Context, grant schedule.Grant, result relay.Result, err *fault.Error) attemptResult {
 	n.mergeExecution(err.Execution)
 	lost := err.Code == fault.EngineLost
+	if !lost {
+		n.giveUp(grant)
+	}
 	n.g.scheduler.Release(grant.ID, schedule.Outcome{Generated: result.Tokens, EngineLost: lost})
 	if lost {
 		n.recordEngineLost(grant)
@@ -195,6 +201,11 @@
 	return attemptResult{fault: err, retry: lost && nothingSent && ctx.Err() == nil}
 }
 
+// giveUp records that the generation ended although its engine has neither ended nor finished it.
+func (n *generation) giveUp(grant schedule.Grant) {
+	n.g.scheduler.GiveUpGeneration(grant.ID, func(ctx context.Context) bool { return n.g.services.Ended(ctx, grant.Address) })
+}
+
 // mergeExecution updates n.execution to the stronger of itself and x.
 func (n *generation) mergeExecution(x api.Execution) { n.execution = strongest(n.execution, x) }
 
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -249,13 +250,40 @@
 	if err != nil {
 		return service.Response{}, "", err
 	}
-	var outcome crashguard.CallOutcome
+	var end callEnd
 	defer func() {
-		if s.g.crashGuard != nil {
-			s.g.crashGuard.EndCall(admitted, trial, outcome)
+		switch {
+		case s.g.crashGuard == nil:
+		case end.ended != nil:
+			s.g.crashGuard.GiveUpCall(admitted, trial, end.broken, end.outcome.Loss, end.ended)
+		default:
+			s.g.crashGuard.EndCall(admitted, trial, end.outcome)
 		}
 	}()
-	return s.send(ctx, &outcome)
+	return s.send(ctx, &end)
+}
+
+// callEnd is the end of a send for the crash guard. ended is set if the replica may still be running the call: it
+// reports whether the replica has ended since. broken is set if the replica closed the connection.
+type callEnd struct {
+	outcome crashguard.CallOutcome
+	ended   func(context.Context) bool
+	broken  bool
+}
+
+// note records a failed send to a replica.
+func (e *callEnd) note(ctx context.Context, services Services, b membership.Backend, failed *fault.Error) {
+	e.outcome.Loss = crashguard.Loss{Engine: b.Name}
+	e.broken = failed.Code == fault.BackendLost && ctx.Err() == nil
+	switch {
+	case failed.Execution == api.NotRun:
+		e.outcome.NotListening = errors.Is(failed, syscall.ECONNREFUSED)
+	case failed.Code == fault.BackendRefused: // the replica has answered
+	case e.broken && services.Ended(ctx, b.Address):
+		e.outcome.Lost = true
+	default:
+		e.ended = func(ctx context.Context) bool { return services.Ended(ctx, b.Address) }
+	}
 }
 
 // admit waits until the crash guard admits a send.
@@ -279,7 +307,7 @@
 }
 
 // send sends an admitted call once to a healthy replica.
-func (s *serviceCall) send(ctx context.Context, outcome *crashguard.CallOutcome) (service.Response, string, *fault.Error) {
+func (s *serviceCall) send(ctx context.Context, end *callEnd) (service.Response, string, *fault.Error) {
 	candidates := s.candidates()
 	b, done, ok := s.g.serviceSets.get(s.call.entry.Service).Pick(time.Now(), candidates, s.exclude)
 	if !ok {
@@ -289,16 +317,13 @@
 	s.call.record.Step("dispatch", b.Name, "")
 	response, err := s.g.services.Do(ctx, b.Name, b.Address, s.request)
 	if err == nil {
-		outcome.Answered = true
+		end.outcome.Answered = true
 		done(time.Now(), health.Success)
 		s.g.retryBudget.Success(b.Name)
 		return response, b.Name, nil
 	}
 	ferr := fault.From(err)
-	if ferr.Code == fault.BackendLost && ferr.Execution != api.NotRun && ctx.Err() == nil {
-		outcome.Lost = s.g.services.Ended(ctx, b.Address)
-		outcome.Loss = crashguard.Loss{Engine: b.Name}
-	}
+	end.note(ctx, s.g.services, b, ferr)
 	if ctx.Err() != nil {
 		done(time.Now(), health.Abandoned)
 	} else {
--- a/internal/process/loadgen/capacity/datapath.go
+++ b/internal/process/loadgen/capacity/datapath.go
@@ -31,6 +31,8 @@
 func (instantScheduler) Progress(string, int)             {}
 func (instantScheduler) Release(string, schedule.Outcome) {}
 func (instantScheduler) ReportLost(string)                {}
+func (instantScheduler) GiveUpGeneration(string, func(context.Context) bool) {
+}
 
 type fixedCatalogue struct{ s *catalogue.Snapshot }
 
--- a/internal/process/owner/givenup.go
+++ b/internal/process/owner/givenup.go
@@ -11,9 +11,12 @@
 	"persimmonwing/internal/request/pause"
 )
 
-// givenUpCheckPeriod is the time between two checks whether a server has ended at which a request
-// was given up.
-const givenUpCheckPeriod = 100 * time.Millisecond
+// minGivenUpCheck and maxGivenUpCheck bound the time between two checks whether a server has ended at which a
+// request was given up. It doubles, as a check may take a new connection.
+const (
+	minGivenUpCheck = 100 * time.Millisecond
+	maxGivenUpCheck = 400 * time.Millisecond
+)
 
 // GiveUpCall ends an admitted call that was given up, or whose connection broke, while the server
 // may still be running it. ended reports whether the server has ended since, and is called until the
@@ -71,8 +74,8 @@
 
 // watchServer checks a server until it has ended, or no request is left that was given up there.
 func (m *Manager) watchServer(server crashguard.Loss, ended func(context.Context) bool) {
-	for {
-		_ = pause.For(context.Background(), givenUpCheckPeriod)
+	for wait := minGivenUpCheck; ; wait = min(2*wait, maxGivenUpCheck) {
+		_ = pause.For(context.Background(), wait)
 		m.mu.Lock()
 		survived := m.givenUp.Expire(time.Now())
 		var stopped []crashguard.GivenUpSend
