Try a request that goes on crashing servers three times at most

A refused part was tried again after 1, 2, 4 and 8 minutes: five lost trials in all, where the promise is three retries after the third crash. The bound now counts lost trials, as given-up ones weigh less. TestVerdictOnParts, 'tried three times', failed before (another trial after the third).

--- a/internal/process/crashguard/parts.go
+++ b/internal/process/crashguard/parts.go
@@ -41,9 +41,9 @@
 	// would stay so as long as callers send it.
 	minRetrial = time.Minute
 	maxRetrial = 10 * time.Minute
-	// maxRetrials bounds the trials of a refused part after the first one. A part that goes on
-	// crashing engines is then refused until callers have not sent it for suspectTTL.
-	maxRetrials = 4
+	// maxLostTrials bounds the trials in which engines are lost. A part that goes on crashing them is then
+	// refused until callers have not sent it for suspectTTL.
+	maxLostTrials = 3
 )
 
 // noRetrial is a time after the end of all suspicions.
@@ -275,6 +275,17 @@
 	return weight
 }
 
+// lostTrials returns the number of trials in which engines were lost, but for doubtful ones.
+func (p *Parts) lostTrials(s *suspectPart) int {
+	n := 0
+	for _, l := range s.losses {
+		if l.trial && !p.isDoubtful(s, l.loss) {
+			n++
+		}
+	}
+	return n
+}
+
 // judge sets the time of the next trial after the evidence has changed.
 func (p *Parts) judge(now time.Time, s *suspectPart) {
 	excess := p.weight(s) - refusePartAt
@@ -282,7 +293,7 @@
 		s.retrialAt = time.Time{}
 		return
 	}
-	if excess >= maxRetrials*trialWeight {
+	if p.lostTrials(s) >= maxLostTrials {
 		s.retrialAt = now.Add(noRetrial)
 		return
 	}
--- a/internal/process/crashguard/parts_test.go
+++ b/internal/process/crashguard/parts_test.go
@@ -42,6 +42,8 @@
 		"silent engine":                 {{lost: 1, want: AwaitTrial}, {survived: 1, want: Clear}},
 		"silent engine after its trial": {{lost: 1, want: AwaitTrial}, {after: time.Second, lost: 2, trial: true, want: Refuse}, {survived: 2, want: AwaitTrial}},
 		"forgotten":                     {{lost: 1, want: AwaitTrial}, {after: suspectTTL + time.Second, want: Clear}},
+		"tried three times": {{lost: 1, want: AwaitTrial}, {after: time.Second, lost: 2, trial: true, want: Refuse}, {after: minRetrial, lost: 3, trial: true, want: Refuse},
+			{after: 2 * minRetrial, lost: 4, trial: true, want: Refuse}, {after: 9 * time.Minute, want: Refuse}},
 		"tried again": {{lost: 1, want: AwaitTrial}, {after: time.Second, lost: 2, trial: true, want: Refuse}, {after: minRetrial - time.Second, want: Refuse},
 			{after: time.Second, want: AwaitTrial}, {lost: 3, trial: true, want: Refuse}, {after: 2*minRetrial - time.Second, want: Refuse}, {after: time.Second, want: AwaitTrial}},
 	} {
