--- a/internal/connection/service/client_test.go
+++ b/internal/connection/service/client_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -247,3 +249,58 @@
 		is.Equal(string(resp.Body), "own")
 	}
 }
+
+// Guards against responses without end, many at once, that fill the memory of the gateway and end the calls to other servers.
+func TestMemoryOfResponsesWithoutEnd(t *testing.T) {
+	const calls, limit = 100, 64 << 20
+	is := is.New(t)
+	chunk := make([]byte, 64<<10)
+	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(endless.Close)
+	_, sound := start(t)
+	c := newClient(t)
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	runtime.GC()
+	idle, most := heap(), uint64(0)
+	var work sync.WaitGroup
+	var failed atomic.Int64
+	for range calls {
+		work.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := c.Do(ctx, "endless", strings.TrimPrefix(endless.URL, "http://"), post("endless"))
+			if f := fault.From(err); err != nil && f.Execution == api.Ran && ctx.Err() == nil {
+				failed.Add(1)
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		work.Wait()
+		close(done)
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(2 * time.Millisecond):
+			most = max(most, heap())
+		}
+	}
+	t.Logf("%.1f MB more on the heap", float64(most-min(idle, most))/1e6)
+	is.True(most < idle+limit)
+	is.Equal(failed.Load(), int64(calls))
+	response, err := c.Do(t.Context(), "app", sound, post("sound"))
+	is.NoErr(err)
+	is.Equal(response.Status, http.StatusOK)
+}
