Bound the memory of answers of engines at the product's own front end

As for calls: 100 requests at once to an engine whose error bodies, JSON responses or events have no end took 205 to 455 MB of the heap. TestMemoryOfResponsesWithoutEnd of package engine failed before.

--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"persimmonwing/internal/connection/bodies"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
 )
@@ -61,7 +62,10 @@
 }
 
 // Client calls engines. It is safe for concurrent use.
-type Client struct{ http http.Client }
+type Client struct {
+	http   http.Client
+	bodies bodies.Reader
+}
 
 // New returns a client that sends its requests through c. It doesn't follow redirects,
 // because the redirect target would be dialled after the engine had received the request.
--- a/internal/connection/engine/errors.go
+++ b/internal/connection/engine/errors.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"persimmonwing/internal/connection/bodies"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
 )
@@ -21,6 +22,9 @@
 // cancellation from an engine that includes the output text, which has up to 30,000 tokens.
 const maxBodyBytes = 4 << 20
 
+// maxErrorBytes is the maximum size of a typed error body.
+const maxErrorBytes = 64 << 10
+
 // Refused is the cause of an error for which the engine returned a typed error body.
 type Refused struct {
 	Status int
@@ -65,7 +69,7 @@
 func isProtocolError(err error) bool {
 	var syntax *json.SyntaxError
 	var kind *json.UnmarshalTypeError
-	tooLong := errors.Is(err, bufio.ErrTooLong)
+	tooLong := errors.Is(err, bufio.ErrTooLong) || errors.Is(err, bodies.ErrTooLarge) || errors.Is(err, bodies.ErrNoMemory)
 	return tooLong || errors.As(err, &syntax) || errors.As(err, &kind)
 }
 
@@ -76,7 +80,10 @@
 func (c *call) statusFault(resp *http.Response, reused bool) *fault.Error {
 	defer resp.Body.Close()
 	var body api.ErrorBody
-	err := decode(resp, &body)
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err == nil {
+		err = json.Unmarshal(raw, &body)
+	}
 	if err != nil || body.Error.Code == "" {
 		cause := eris.Errorf("engine answered %s without a typed body", resp.Status)
 		return c.fault(cause, untypedErrorCode(resp.StatusCode), api.Unknown)
@@ -126,18 +133,14 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if err := decode(resp, v); err != nil {
-		return k.fault(err, transportCode(ctx, err), api.Unknown)
+	raw, err := c.bodies.ReadAll(resp.Body, maxBodyBytes)
+	if err == nil {
+		err = json.Unmarshal(raw, v)
 	}
-	return nil
-}
-
-func decode(resp *http.Response, v any) error {
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	if err != nil {
-		return err
+		return k.fault(err, transportCode(ctx, err), api.Unknown)
 	}
-	return json.Unmarshal(raw, v)
+	return nil
 }
 
 // isEventStream reports whether the response has the media type of server-sent events.
--- a/internal/connection/service/client.go
+++ b/internal/connection/service/client.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"persimmonwing/internal/connection/bodies"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
 )
@@ -27,14 +27,8 @@
 	stepLoad     = "load"
 )
 
-const (
-	// maxBodyBytes is the maximum size of a response body.
-	maxBodyBytes = 8 << 20
-	// maxReadBytes bounds the bodies that are being read, beyond the first readStep bytes of each, so that
-	// responses without end leave memory to other calls.
-	maxReadBytes = 16 << 20
-	readStep     = 64 << 10
-)
+// maxBodyBytes is the maximum size of a response body.
+const maxBodyBytes = 8 << 20
 
 // Request is one call. Path begins with a slash and is unescaped.
 type Request struct {
@@ -60,8 +54,7 @@
 // Client calls application servers. It is safe for concurrent use.
 type Client struct {
 	kept, single *http.Client
-	// reading is the number of bytes of bodies that are being read.
-	reading atomic.Int64
+	bodies       bodies.Reader
 }
 
 // New returns a client that uses the transport of c. Redirects are not followed but returned as
@@ -95,7 +88,7 @@
 		return Response{}, fault.Wrap(withoutURL(err), faultCode(err), stepDispatch, name, sent.execution())
 	}
 	defer resp.Body.Close()
-	body, err := c.readBody(resp.Body)
+	body, err := c.bodies.ReadAll(resp.Body, maxBodyBytes)
 	if err != nil {
 		return Response{}, fault.Wrap(err, faultCode(err), stepDispatch, name, bodyExecution(resp.StatusCode))
 	}
@@ -190,46 +183,6 @@
 // body is absent or can be rewound.
 func nonRewindableBody(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
 
-var errTooLarge = fmt.Errorf("response is larger than %d bytes", maxBodyBytes)
-
-// errNoMemory is returned if the responses that are being read take maxReadBytes.
-var errNoMemory = fmt.Errorf("responses to other calls take all memory for them, %d bytes", maxReadBytes)
-
-// readFull fills b. Unlike io.ReadFull, it returns io.EOF at the end of a body that does not fill b, so that a
-// body which is cut off can be told from it.
-func readFull(r io.Reader, b []byte) (n int, err error) {
-	for n < len(b) && err == nil {
-		var more int
-		more, err = r.Read(b[n:])
-		n += more
-	}
-	return n, err
-}
-
-// readBody reads a body of at most maxBodyBytes.
-func (c *Client) readBody(r io.Reader) ([]byte, error) {
-	var parts [][]byte
-	var held int64
-	defer func() { c.reading.Add(-held) }()
-	for {
-		part := make([]byte, readStep)
-		n, err := readFull(r, part)
-		parts = append(parts, part[:n])
-		held += readStep
-		reading := c.reading.Add(readStep)
-		switch {
-		case held-int64(readStep-n) > maxBodyBytes:
-			return nil, errTooLarge
-		case errors.Is(err, io.EOF):
-			return bytes.Join(parts, nil), nil
-		case err != nil:
-			return nil, err
-		case reading > maxReadBytes && held > readStep:
-			return nil, errNoMemory
-		}
-	}
-}
-
 // bodyExecution returns the execution of a call whose response has a status but no complete body. It
 // is unknown for status 503, because the body may have stated a refusal.
 func bodyExecution(status int) api.Execution {
@@ -254,7 +207,7 @@
 
 func faultCode(err error) fault.Code {
 	switch {
-	case errors.Is(err, errTooLarge), errors.Is(err, errNoMemory):
+	case errors.Is(err, bodies.ErrTooLarge), errors.Is(err, bodies.ErrNoMemory):
 		return fault.BackendRefused
 	case errors.Is(err, context.DeadlineExceeded):
 		return fault.DeadlineExceeded
