Count a server as surviving a given-up request only if it was checked meanwhile

A gateway that is frozen while it watches a server found the send expired when it woke, and took that for a survival, which outweighs a loss.

--- a/internal/process/crashguard/givenup.go
+++ b/internal/process/crashguard/givenup.go
@@ -13,6 +13,9 @@
 	// brokenLifetime is the same for a send whose connection broke: a process that crashes may close its
 	// listener after its connections.
 	brokenLifetime = 200 * time.Millisecond
+	// maxCheckGap is the time before the end of the lifetime after which a server must have been seen alive to
+	// have survived a send: a gateway that was frozen meanwhile has not seen whether it ended.
+	maxCheckGap = time.Second
 	// maxGivenUp bounds the table.
 	maxGivenUp = 2048
 )
@@ -29,6 +32,13 @@
 	// Broken is set if the server closed the connection, and not set if the request was given up.
 	Broken bool
 	At     time.Time
+	// aliveAt is the time of the last check that has not found the server ended.
+	aliveAt time.Time
+}
+
+// Survived reports whether the server was checked until the end of the lifetime of a send that was given up.
+func (s GivenUpSend) Survived() bool {
+	return !s.Broken && s.aliveAt.Sub(s.At) >= givenUpLifetime-maxCheckGap
 }
 
 func (s GivenUpSend) lifetime() time.Duration {
@@ -67,7 +77,15 @@
 	return true
 }
 
-// Expire removes the sends that a server has survived, and returns them.
+// Alive records a check that has not found an incarnation of a server ended.
+func (g *GivenUp) Alive(now time.Time, server Loss) {
+	sends := g.sends[server]
+	for i := range sends {
+		sends[i].aliveAt = now
+	}
+}
+
+// Expire removes the sends to which the end of their server is no longer attributed, and returns them.
 func (g *GivenUp) Expire(now time.Time) []GivenUpSend {
 	return g.remove(func(_ Loss, s GivenUpSend) bool { return now.Sub(s.At) > s.lifetime() })
 }
--- a/internal/process/owner/givenup.go
+++ b/internal/process/owner/givenup.go
@@ -77,15 +77,15 @@
 	for wait := minGivenUpCheck; ; wait = min(2*wait, maxGivenUpCheck) {
 		_ = pause.For(context.Background(), wait)
 		m.mu.Lock()
-		survived := m.givenUp.Expire(time.Now())
+		expired := m.givenUp.Expire(time.Now())
 		var stopped []crashguard.GivenUpSend
 		if m.stopping {
 			stopped = m.givenUp.Ended(server)
 		}
 		waiting := m.givenUp.Waiting(server)
 		m.mu.Unlock()
-		for _, s := range survived {
-			m.trialSurvived(s)
+		for _, s := range expired {
+			m.endGivenUp(s)
 		}
 		for _, s := range stopped {
 			m.endTrials(s.ID, s.Trial)
@@ -97,13 +97,16 @@
 			m.givenUpLost(server)
 			return
 		}
+		m.mu.Lock()
+		m.givenUp.Alive(time.Now(), server)
+		m.mu.Unlock()
 	}
 }
 
-// trialSurvived ends the trial of a send whose server has survived it. The other gateways learn of it
-// before another trial begins, or within 200 ms.
-func (m *Manager) trialSurvived(s crashguard.GivenUpSend) {
-	if !s.Broken && len(s.Trial) > 0 && m.guard.trialSurvived(s.Trial) {
+// endGivenUp ends the trial of a send that has expired. If the server has survived it, the other gateways
+// learn of that before another trial begins, or within 200 ms.
+func (m *Manager) endGivenUp(s crashguard.GivenUpSend) {
+	if s.Survived() && len(s.Trial) > 0 && m.guard.trialSurvived(s.Trial) {
 		level.Info(m.opt.Logger).Log("msg", "server survived a trial that was given up", "id", s.ID, "parts", formatParts(s.Trial))
 		m.broadcast(crashguard.Report{SurvivedTrials: s.Trial})
 	}
