--- a/internal/process/crashguard/parts.go
+++ b/internal/process/crashguard/parts.go
@@ -107,7 +107,7 @@
 // ServerEnded records that an application server has ended, whether or not a call is suspected
 // of that, and reports whether that is new.
 func (p *Parts) ServerEnded(now time.Time, service string, loss Loss) bool {
-	if p.ends.Contains(loss) {
+	if known, ok := p.ends.Peek(loss); ok && (loss.Incarnation != "" || now.Sub(known.at) < sameLossWindow) {
 		return false
 	}
 	p.ends.Add(loss, serverEnd{service, now})
@@ -125,7 +125,8 @@
 	}
 }
 
-// isDoubtful reports whether the end of a server with a trial may have another cause, because another server of the service, without the part, ended at about the same time.
+// isDoubtful reports whether the end of a server with a trial may have another cause, because another
+// server of the service, without the part, ended at about the same time.
 func (p *Parts) isDoubtful(s *suspectPart, loss Loss) bool {
 	end, ok := p.ends.Peek(loss)
 	if !ok {
@@ -207,7 +208,8 @@
 }
 
 // TrialSurvived records that a server has survived a trial of these parts that was given up there. It
-// returns the parts that this has changed. Each survival outweighs one loss in a trial that was given up, too, or is doubtful.
+// returns the parts that this has changed. Each survival outweighs one loss in a trial that was given
+// up, too, or is doubtful.
 func (p *Parts) TrialSurvived(now time.Time, parts []uint64) []uint64 {
 	var changed []uint64
 	for _, part := range parts {
--- a/internal/process/owner/givenup.go
+++ b/internal/process/owner/givenup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -22,9 +21,11 @@
 // may still be running it. ended reports whether the server has ended since, and is called until the
 // server has ended or survived the call. The trial of the call goes on until then.
 func (m *Manager) GiveUpCall(c crashguard.Call, trial []uint64, broken bool, server crashguard.Loss, ended func(context.Context) bool) {
-	// Other suspects need not wait for the trial of this one: the crashguard weighs that.
-	m.endTrials(c.ID, []uint64{c.TrialSlot()})
-	trial = slices.DeleteFunc(slices.Clone(trial), func(part uint64) bool { return part == c.TrialSlot() })
+	if len(trial) > 0 {
+		// Other suspects need not wait for the trial of this one: the crashguard weighs that.
+		m.endTrials(c.ID, []uint64{c.TrialSlot()})
+		trial = []uint64{c.Part}
+	}
 	m.giveUp(server, crashguard.GivenUpSend{ID: c.ID, Service: c.Service, Parts: []uint64{c.Part}, Trial: trial, Broken: broken}, ended)
 }
 
