Count a server as announced only by what was known while it could be reached

Traced: not the load. The entry of a crashed server lapses after some beats, so that only an early removal shows it on the platform. Now only what was known while the server could be reached is an announcement.

--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -180,10 +180,16 @@
 }
 
 // endedUnannounced returns a function that reports whether a server has ended without having
-// announced that it leaves.
+// announced that it leaves. The entry of a server that has ended may be gone, too: only what was known
+// while the server could still be reached counts as an announcement.
 func (f *Forwarder) endedUnannounced(s registry.Server) func(context.Context) bool {
+	announced := false
 	return func(ctx context.Context) bool {
-		return !f.o.Servers.Blocked(time.Now(), s.Name) && f.hasEnded(ctx, s)
+		if f.hasEnded(ctx, s) {
+			return !announced
+		}
+		announced = announced || f.o.Servers.Blocked(time.Now(), s.Name)
+		return false
 	}
 }
 
