Attribute no end to a request that was given up at an engine that leaves

Streams that ended with an engine which had announced its end were watched, and the first check counted the end, as it asked for an announcement only while the engine could be reached. Each planned reclaim would have made the parts of its streams suspects. TestAnnouncedEndsProveNothing, first case, failed before.

--- a/internal/process/crashguard/givenup.go
+++ b/internal/process/crashguard/givenup.go
@@ -27,7 +27,7 @@
 	// Service is set for a call to an application server.
 	Service string
 	Parts   []uint64
-	// Trial holds the parts whose trial the request still is, with the trial slots.
+	// Trial holds the parts whose trial the request still is.
 	Trial []uint64
 	// Broken is set if the server closed the connection, and not set if the request was given up.
 	Broken bool
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -183,7 +183,7 @@
 // announced that it leaves. The entry of a server that has ended may be gone, too: only what was known
 // while the server could still be reached counts as an announcement.
 func (f *Forwarder) endedUnannounced(s registry.Server) func(context.Context) bool {
-	announced := false
+	announced := f.o.Servers.Blocked(time.Now(), s.Name)
 	return func(ctx context.Context) bool {
 		if f.hasEnded(ctx, s) {
 			return !announced
--- a/internal/request/forward/crash_test.go
+++ b/internal/request/forward/crash_test.go
@@ -167,6 +167,46 @@
 	}
 }
 
+// Guards against suspecting what was given up at a server that ended after it had announced that it leaves, before or after that.
+func TestAnnouncedEndsProveNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaves, ends time.Duration
+		leavesAtAll  bool
+		want         bool
+	}{
+		"announced before it was given up": {leavesAtAll: true, ends: 50 * time.Millisecond},
+		"announced later":                  {leavesAtAll: true, leaves: 500 * time.Millisecond, ends: time.Second},
+		"not announced":                    {ends: time.Second, want: true},
+		"entry gone with the server":       {leavesAtAll: true, leaves: 1050 * time.Millisecond, ends: time.Second, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFakeFleet("s")
+				s, _ := w.Get("s")
+				if c.leavesAtAll && c.leaves == 0 {
+					w.leave("s")
+				} else if c.leavesAtAll {
+					time.AfterFunc(c.leaves, func() { w.leave("s") })
+				}
+				ended := w.f.endedUnannounced(s)
+				time.AfterFunc(c.ends, func() {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					w.servers["s"].downUntil = time.Now().Add(downTime)
+				})
+				got := false
+				for range 8 { // checks come 0.4 s apart
+					time.Sleep(400 * time.Millisecond)
+					got = got || ended(t.Context())
+				}
+				if got != c.want {
+					t.Errorf("the end counts: %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
 func hasLine(log string, parts []string) bool {
 	for line := range strings.Lines(log) {
 		all := true
