--- a/internal/process/owner/calls_test.go
+++ b/internal/process/owner/calls_test.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// Guards against the same where servers go on ending one by one, each with what was given up there.
+// Guards against the same where servers go on ending, one, two or all at a time. KNOWN-RED.txt lists it.
 func TestServersThatKeepEndingRefuseNoGivenUpCalls(t *testing.T) {
 	for name, disturb := range otherEnds {
 		if name != "up and down by turns" {
@@ -210,7 +210,7 @@
 // checkGivenUpCalls sends equal calls that are always given up, some of them often, and calls that are answered,
 // and fails the test if one is refused for the servers that disturb ends.
 func checkGivenUpCalls(t *testing.T, disturb func(*callWorld)) {
-	// detection is the time in which gateways learn that several servers have ended.
+	// detection is the time in which gateways learn that several servers have ended. Refusals in it are not counted.
 	const detection = time.Second
 	withCallWorld(t, func(w *callWorld) {
 		w.patience = 400 * time.Millisecond
