Bound the memory of events that a product gateway is reading from engines

Traced, not chance: each event was bounded by 256 KiB, but the buffers of all streams together by nothing, and bodies that were discarded left garbage faster than it was collected. With 400 streams whose engine stalls in the middle of an event the live heap grows by 117 MB in 3 of 3 runs (TestMemoryOfEventsThatStall, new).

The buffers now count towards the same 16 MiB as JSON responses, twice the size of an event beyond the first 64 KiB, and the parts of bodies are used again. Sound streams with events under 32 KiB are never affected; 50 streams that are in the middle of an event of 150 KiB at the same time go on (TestLargeEventsOfManyStreams). Ruled out: a tighter limit of one event, since the last one holds the output.

--- a/internal/connection/engine/endless_test.go
+++ b/internal/connection/engine/endless_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,11 +40,6 @@
 					}
 				}
 			})
-			heap := func() uint64 {
-				var m runtime.MemStats
-				runtime.ReadMemStats(&m)
-				return m.HeapAlloc
-			}
 			runtime.GC()
 			idle, most := heap(), uint64(0)
 			done := make(chan struct{})
@@ -82,3 +80,94 @@
 		})
 	}
 }
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Guards against a faulty engine that begins a large event in each of many streams, and doesn't go on: each is within
+// the size of one event, but the buffers of all fill the memory.
+func TestMemoryOfEventsThatStall(t *testing.T) {
+	const streams, limit = 400, 64 << 20
+	var sent atomic.Int64
+	var sound atomic.Bool
+	begun := "data: " + strings.Repeat("t", maxEventBytes*9/10)
+	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if sound.Load() {
+			_, _ = io.WriteString(w, createdEvent)
+			return
+		}
+		_, _ = io.WriteString(w, begun)
+		_ = http.NewResponseController(w).Flush()
+		sent.Add(1)
+		<-r.Context().Done()
+	})
+	runtime.GC()
+	runtime.GC() // also empties pools
+	idle := heap()
+	ctx, cancel := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	for range streams {
+		work.Go(func() {
+			if s, err := client.Create(ctx, "e", address, api.CreateRequest{}); err == nil {
+				_, _ = s.Next()
+				s.Close()
+			}
+		})
+	}
+	for began := time.Now(); sent.Load() < streams && time.Since(began) < 5*time.Second; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	runtime.GC()
+	grown := heap() - min(idle, heap())
+	sound.Store(true)
+	if s, err := client.Create(t.Context(), "e", address, api.CreateRequest{}); err != nil {
+		t.Error(err)
+	} else if _, err := s.Next(); err != nil {
+		t.Error(err)
+	} else {
+		s.Close()
+	}
+	cancel()
+	work.Wait()
+	t.Logf("%.1f MB more on the heap", float64(grown)/1e6)
+	if grown > limit {
+		t.Errorf("%.1f MB more on the heap", float64(grown)/1e6)
+	}
+}
+
+// Guards against sound streams that fail because their last events, which hold the whole output, take the memory that
+// bounds events without end, or don't give it back.
+func TestLargeEventsOfManyStreams(t *testing.T) {
+	const streams, rounds = 50, 4
+	event := `data: {"type":"response.completed","sequence_number":1,"text":"` + strings.Repeat("t", 150<<10) + "\"}\n\n"
+	client, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		half := len(event) * 3 / 4
+		_, _ = io.WriteString(w, event[:half])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(w, event[half:])
+	})
+	for range rounds {
+		var work sync.WaitGroup
+		for range streams {
+			work.Go(func() {
+				s, err := client.Create(t.Context(), "e", address, api.CreateRequest{})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer s.Close()
+				if _, err := s.Next(); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		work.Wait()
+	}
+}
--- a/internal/connection/engine/stream.go
+++ b/internal/connection/engine/stream.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/tmaxmax/go-sse"
 
+	"persimmonwing/internal/connection/bodies"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
 )
@@ -31,6 +32,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	body   io.Closer
+	events *bodies.EventStream
 	closed atomic.Bool
 
 	mu       sync.Mutex
@@ -55,9 +57,9 @@
 		cause := eris.Errorf("response has content type %q, want text/event-stream", resp.Header.Get("Content-Type"))
 		return nil, k.fault(cause, fault.EngineProtocol, api.Unknown)
 	}
-	s := &Stream{call: k, ctx: ctx, cancel: cancel, body: resp.Body}
+	s := &Stream{call: k, ctx: ctx, cancel: cancel, body: resp.Body, events: c.bodies.Events(resp.Body)}
 	s.call.step = StepStream
-	events := sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes})
+	events := sse.Read(s.events, &sse.ReadConfig{MaxEventSize: maxEventBytes})
 	s.next, s.stop = iter.Pull2(iter.Seq2[sse.Event, error](events))
 	return s, nil
 }
@@ -91,6 +93,7 @@
 	case !ok:
 		return api.Event{}, io.EOF
 	}
+	s.events.NextEvent()
 	var event api.Event
 	if err := json.Unmarshal([]byte(raw.Data), &event); err != nil {
 		return api.Event{}, s.call.fault(err, fault.EngineProtocol, api.Unknown)
@@ -127,6 +130,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stop()
+	s.events.Release()
 }
 
 // drain reads to the end of the body after the terminal event, so that the connection can be
