Bound the memory of responses that the product's platform client is reading

Each response of the platform's object store, table, weight store and host list was read up to 64 MiB, any number at a time.

The responses of all clients now share 16 MiB beyond the first 64 KiB of each, read by the code of calls and engines. Ruled out: a limit below 64 MiB for one response, as a published catalogue could then not be read.

--- a/internal/connection/bodies/bodies.go
+++ b/internal/connection/bodies/bodies.go
@@ -37,30 +37,32 @@
 	reading atomic.Int64
 }
 
-// ReadAll reads a body of at most limit bytes.
+// ReadAll reads a body of at most limit bytes. A body that is larger than maxReadBytes is read as long as
+// it is the only large one.
 func (m *Reader) ReadAll(r io.Reader, limit int) ([]byte, error) {
 	var read [][]byte
-	held := 0
+	held := int64(0)
 	defer func() {
-		m.reading.Add(-int64(held))
+		m.reading.Add(-held)
 		for _, part := range read {
 			parts.Put((*[readStep]byte)(part[:readStep]))
 		}
 	}()
-	for {
+	for size := 0; ; {
 		part := parts.Get().(*[readStep]byte)
 		n, err := readFull(r, part[:])
 		read = append(read, part[:n])
-		held += readStep
-		reading := m.reading.Add(readStep)
+		size += n
 		switch {
-		case held-readStep+n > limit:
+		case size > limit:
 			return nil, ErrTooLarge
 		case errors.Is(err, io.EOF):
 			return bytes.Join(read, nil), nil
 		case err != nil:
 			return nil, err
-		case reading > maxReadBytes && held > readStep:
+		}
+		held += readStep
+		if reading := m.reading.Add(readStep); reading > maxReadBytes && reading > held {
 			return nil, ErrNoMemory
 		}
 	}
--- a/internal/connection/platform/http.go
+++ b/internal/connection/platform/http.go
@@ -12,11 +12,16 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"persimmonwing/internal/connection/bodies"
 )
 
 // maxResponseBytes is the maximum size of a response body that is read into memory.
 const maxResponseBytes = 64 << 20
 
+// responses bounds the memory of the responses that the clients of this process are reading.
+var responses bodies.Reader
+
 // maxErrorTextBytes is the maximum length of the part of an error response that is included in the
 // error.
 const maxErrorTextBytes = 512
@@ -60,10 +65,7 @@
 		return 0, nil, nil, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = fmt.Errorf("response is larger than %d bytes", maxResponseBytes)
-	}
+	body, err := responses.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return 0, nil, nil, NewError(k.step, c.base, k.outcome(true), err)
 	}
