Measure the peak of the heap in one place

Four tests of responses without end had a copy each, and platform/ a fifth. The idle heap is measured after pools are empty; the bounds are the same.

--- a/internal/connection/backend/endless_test.go
+++ b/internal/connection/backend/endless_test.go
@@ -6,11 +6,12 @@
 	"errors"
 	"io"
 	"net"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"persimmonwing/internal/connection/bodies/bodiestest"
 )
 
 // endlessHeads are the beginnings of responses whose head has no end, and what follows
@@ -88,38 +89,21 @@
 	}
 	p := NewPool(nil)
 	defer p.Close()
-	heap := func() uint64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
-	runtime.GC()
-	idle, most := heap(), uint64(0)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	var wait sync.WaitGroup
-	for i := range connections {
-		wait.Go(func() {
-			if _, err := p.Send(ctx, addresses[i%len(addresses)], request("a")); err == nil {
-				t.Error("a head without end was accepted")
-			}
-		})
-	}
-	done := make(chan struct{})
-	go func() {
-		wait.Wait()
-		close(done)
-	}()
-	for running := true; running; {
-		select {
-		case <-done:
-			running = false
-		case <-time.After(2 * time.Millisecond):
-			most = max(most, heap())
+	grown := bodiestest.PeakHeap(func() {
+		var wait sync.WaitGroup
+		for i := range connections {
+			wait.Go(func() {
+				if _, err := p.Send(ctx, addresses[i%len(addresses)], request("a")); err == nil {
+					t.Error("a head without end was accepted")
+				}
+			})
 		}
-	}
-	if most > idle+limit {
-		t.Errorf("%d connections took %.1f MB", connections, float64(most-idle)/1e6)
+		wait.Wait()
+	})
+	if grown > limit {
+		t.Errorf("%d connections took %.1f MB", connections, float64(grown)/1e6)
 	}
 	if ctx.Err() != nil {
 		t.Error("a head was read until the caller's deadline")
--- a/internal/connection/engine/endless_test.go
+++ b/internal/connection/engine/endless_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"persimmonwing/internal/connection/bodies/bodiestest"
 	"persimmonwing/internal/request/api"
 )
 
@@ -40,11 +40,7 @@
 					}
 				}
 			})
-			runtime.GC()
-			idle, most := heap(), uint64(0)
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
+			grown := bodiestest.PeakHeap(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
 				var work sync.WaitGroup
@@ -64,29 +60,15 @@
 				if ctx.Err() != nil {
 					t.Error("responses were read until the deadline")
 				}
-			}()
-			for running := true; running; {
-				select {
-				case <-done:
-					running = false
-				case <-time.After(2 * time.Millisecond):
-					most = max(most, heap())
-				}
-			}
-			t.Logf("%.1f MB more on the heap", float64(most-min(idle, most))/1e6)
-			if most > idle+limit {
-				t.Errorf("%.1f MB more on the heap", float64(most-idle)/1e6)
+			})
+			t.Logf("%.1f MB more on the heap", float64(grown)/1e6)
+			if grown > limit {
+				t.Errorf("%.1f MB more on the heap", float64(grown)/1e6)
 			}
 		})
 	}
 }
 
-func heap() uint64 {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
 // Guards against a faulty engine that begins a large event in each of many streams, and doesn't go on: each is within
 // the size of one event, but the buffers of all fill the memory.
 func TestMemoryOfEventsThatStall(t *testing.T) {
@@ -105,9 +87,7 @@
 		sent.Add(1)
 		<-r.Context().Done()
 	})
-	runtime.GC()
-	runtime.GC() // also empties pools
-	idle := heap()
+	idle := bodiestest.Heap()
 	ctx, cancel := context.WithCancel(t.Context())
 	var work sync.WaitGroup
 	for range streams {
@@ -122,8 +102,8 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(100 * time.Millisecond)
-	runtime.GC()
-	grown := heap() - min(idle, heap())
+	held := bodiestest.Heap()
+	grown := held - min(idle, held)
 	sound.Store(true)
 	if s, err := client.Create(t.Context(), "e", address, api.CreateRequest{}); err != nil {
 		t.Error(err)
--- a/internal/connection/platform/endless_test.go
+++ b/internal/connection/platform/endless_test.go
@@ -3,13 +3,14 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"persimmonwing/internal/connection/bodies/bodiestest"
 )
 
 // Guards against a faulty store whose responses have no end: each is bounded by maxResponseBytes, but several at a time
@@ -33,36 +34,19 @@
 	}))
 	t.Cleanup(server.Close)
 	objects := NewObjects(server.URL, server.Client(), 10*time.Second)
-	heap := func() uint64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
-	runtime.GC()
-	idle, most := heap(), uint64(0)
-	var work sync.WaitGroup
-	for range calls {
-		work.Go(func() {
-			if _, err := objects.Get(t.Context(), "b", "endless"); err == nil {
-				t.Error("a response without end was read")
-			}
-		})
-	}
-	done := make(chan struct{})
-	go func() {
-		work.Wait()
-		close(done)
-	}()
-	for running := true; running; {
-		select {
-		case <-done:
-			running = false
-		case <-time.After(2 * time.Millisecond):
-			most = max(most, heap())
+	grown := bodiestest.PeakHeap(func() {
+		var work sync.WaitGroup
+		for range calls {
+			work.Go(func() {
+				if _, err := objects.Get(t.Context(), "b", "endless"); err == nil {
+					t.Error("a response without end was read")
+				}
+			})
 		}
-	}
-	t.Logf("%.1f MB more on the heap", float64(most-min(idle, most))/1e6)
-	is.True(most < idle+limit)
+		work.Wait()
+	})
+	t.Logf("%.1f MB more on the heap", float64(grown)/1e6)
+	is.True(grown < limit)
 	body, err := objects.Get(t.Context(), "b", "sound") // larger than what several may take together
 	is.NoErr(err)
 	is.Equal(len(body), 20<<20)
--- a/internal/connection/service/client_test.go
+++ b/internal/connection/service/client_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonwing/internal/connection/bodies/bodiestest"
 	"persimmonwing/internal/connection/service"
 	"persimmonwing/internal/process/standin/app"
 	"persimmonwing/internal/request/api"
@@ -265,40 +265,23 @@
 	t.Cleanup(endless.Close)
 	_, sound := start(t)
 	c := newClient(t)
-	heap := func() uint64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
-	runtime.GC()
-	idle, most := heap(), uint64(0)
-	var work sync.WaitGroup
 	var failed atomic.Int64
-	for range calls {
-		work.Go(func() {
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-			defer cancel()
-			_, err := c.Do(ctx, "endless", strings.TrimPrefix(endless.URL, "http://"), post("endless"))
-			if f := fault.From(err); err != nil && f.Execution == api.Ran && ctx.Err() == nil {
-				failed.Add(1)
-			}
-		})
-	}
-	done := make(chan struct{})
-	go func() {
-		work.Wait()
-		close(done)
-	}()
-	for running := true; running; {
-		select {
-		case <-done:
-			running = false
-		case <-time.After(2 * time.Millisecond):
-			most = max(most, heap())
+	grown := bodiestest.PeakHeap(func() {
+		var work sync.WaitGroup
+		for range calls {
+			work.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_, err := c.Do(ctx, "endless", strings.TrimPrefix(endless.URL, "http://"), post("endless"))
+				if f := fault.From(err); err != nil && f.Execution == api.Ran && ctx.Err() == nil {
+					failed.Add(1)
+				}
+			})
 		}
-	}
-	t.Logf("%.1f MB more on the heap", float64(most-min(idle, most))/1e6)
-	is.True(most < idle+limit)
+		work.Wait()
+	})
+	t.Logf("%.1f MB more on the heap", float64(grown)/1e6)
+	is.True(grown < limit)
 	is.Equal(failed.Load(), int64(calls))
 	response, err := c.Do(t.Context(), "app", sound, post("sound"))
 	is.NoErr(err)
