Count the end of another server as doubt once

Ruled out: evidence that did not reach the other gateways (all logged it).

Now each end of another server makes one loss doubtful, an end in the trial of another part none, and a doubtful loss of a given-up trial still has a sixth of the weight that refuses a call, unless two other servers ended with it. Weights are doubled for that; what they were relative to each other is unchanged.

--- a/internal/process/crashguard/parts.go
+++ b/internal/process/crashguard/parts.go
@@ -29,13 +29,19 @@
 	// lossInterval is the time within which losses count once. Engines that stop at the
 	// same moment have a common cause more often than a part that is run on all of them.
 	lossInterval = time.Second
-	// trialWeight is the weight of a loss during a trial: other suspects that also ran there
-	// are ruled out. weakTrialWeight is the weight if the server may have ended for another reason: the
-	// trial, or that of another part, was given up before, or other servers ended at the time.
-	trialWeight     = 2
-	weakTrialWeight = 1
+	// lossWeight is the weight of a loss outside of trials, and trialWeight that of one during a trial: other
+	// suspects that also ran there are ruled out. weakTrialWeight is the weight if the server may have
+	// ended for another reason: the trial, or that of another part, was given up before, or another server
+	// ended at the time. doubtfulTrialWeight is the weight if both are the case.
+	lossWeight          = 2
+	trialWeight         = 4
+	weakTrialWeight     = 2
+	doubtfulTrialWeight = 1
+	// maxOtherEnds is the number of other servers that end with one that ran a given-up trial at which the loss
+	// proves nothing.
+	maxOtherEnds = 2
 	// refusePartAt is the weight of losses at which a part is refused.
-	refusePartAt = 3
+	refusePartAt = 6
 	// minRetrial and maxRetrial bound the time after which a refused part is tried once more. It
 	// doubles with each loss. Without another trial, a part that was refused by mistake
 	// would stay so as long as callers send it.
@@ -125,27 +131,42 @@
 	}
 }
 
-// isDoubtful reports whether the end of a server with a trial may have another cause, because another
-// server of the service, without the part, ended at about the same time.
-func (p *Parts) isDoubtful(s *suspectPart, loss Loss) bool {
-	end, ok := p.ends.Peek(loss)
-	if !ok {
-		return false
-	}
-	for _, other := range p.ends.Keys() {
-		o, _ := p.ends.Peek(other)
-		if o.service == end.service && !s.has(other) && o.at.Sub(end.at).Abs() < otherEndInterval {
-			return true
+// otherEnds returns, for each loss of a part in a trial, the number of other servers of the service that ended
+// at about the same time without a request with the part, maxOtherEnds at most. Each of them makes one loss doubtful,
+// so that a part which goes on crashing servers is refused although others end from time to time.
+func (p *Parts) otherEnds(s *suspectPart) []int {
+	count := make([]int, len(s.losses))
+	counted := map[Loss]bool{}
+	for i, l := range s.losses {
+		end, ok := p.ends.Peek(l.loss)
+		if !ok || !l.trial {
+			continue
+		}
+		for _, other := range p.ends.Keys() {
+			o, _ := p.ends.Peek(other)
+			if count[i] < maxOtherEnds && !counted[other] && o.service == end.service && !s.has(other) &&
+				o.at.Sub(end.at).Abs() < otherEndInterval && !p.hasTrial(other) {
+				counted[other] = true
+				count[i]++
+			}
 		}
 	}
-	return false
+	return count
+}
+
+// hasTrial reports whether a server ended in the trial of a part, which explains its end.
+func (p *Parts) hasTrial(loss Loss) bool {
+	return p.anyLoss(func(l partLoss) bool { return l.loss == loss && l.trial })
 }
 
 // hasGivenUpTrial reports whether a trial was given up at a server before its loss.
 func (p *Parts) hasGivenUpTrial(loss Loss) bool {
+	return p.anyLoss(func(l partLoss) bool { return l.loss == loss && l.trial && l.givenUp })
+}
+
+func (p *Parts) anyLoss(matches func(partLoss) bool) bool {
 	for _, part := range p.suspects.Keys() {
-		s, _ := p.suspects.Peek(part)
-		if slices.ContainsFunc(s.losses, func(l partLoss) bool { return l.loss == loss && l.trial && l.givenUp }) {
+		if s, _ := p.suspects.Peek(part); slices.ContainsFunc(s.losses, matches) {
 			return true
 		}
 	}
@@ -219,9 +240,9 @@
 		}
 		changed = append(changed, part)
 		s.survivals++
-		last := -1
+		last, others := -1, p.otherEnds(s)
 		for i, l := range s.losses {
-			if l.trial && (l.givenUp || p.isDoubtful(s, l.loss)) {
+			if l.trial && (l.givenUp || others[i] > 0) {
 				last = i
 			}
 		}
@@ -256,32 +277,44 @@
 	weight := 0
 	var counted time.Time
 	givenUp := false
-	for _, l := range s.losses {
+	others := p.otherEnds(s)
+	for i, l := range s.losses {
 		switch {
 		case l.givenUp && !l.trial:
 			givenUp = true
-		case l.givenUp && p.isDoubtful(s, l.loss):
-		case l.trial && (l.givenUp || p.isDoubtful(s, l.loss) || p.hasGivenUpTrial(l.loss)):
-			weight += weakTrialWeight
 		case l.trial:
-			weight += trialWeight
+			weight += p.trialLossWeight(l, others[i])
 		case counted.IsZero() || l.at.Sub(counted) >= lossInterval:
-			weight++
+			weight += lossWeight
 			counted = l.at
 		}
 	}
 	if givenUp && counted.IsZero() {
 		// Such sends are at several servers at the same time, of which some may end for other reasons.
-		weight++
+		weight += lossWeight
 	}
 	return weight
 }
 
+// trialLossWeight returns the weight of a loss in a trial, at the time of which a number of other servers ended.
+func (p *Parts) trialLossWeight(l partLoss, otherEnds int) int {
+	switch {
+	case l.givenUp && otherEnds >= maxOtherEnds:
+		return 0
+	case l.givenUp && otherEnds > 0:
+		return doubtfulTrialWeight
+	case l.givenUp || otherEnds > 0 || p.hasGivenUpTrial(l.loss):
+		return weakTrialWeight
+	default:
+		return trialWeight
+	}
+}
+
 // lostTrials returns the number of trials in which engines were lost, but for doubtful ones.
 func (p *Parts) lostTrials(s *suspectPart) int {
-	n := 0
-	for _, l := range s.losses {
-		if l.trial && !p.isDoubtful(s, l.loss) {
+	n, others := 0, p.otherEnds(s)
+	for i, l := range s.losses {
+		if l.trial && others[i] == 0 {
 			n++
 		}
 	}
--- a/internal/process/owner/calls_test.go
+++ b/internal/process/owner/calls_test.go
@@ -102,6 +102,44 @@
 	}
 }
 
+// Guards against calls that are given up before they crash servers and reach servers without end because other servers
+// end meanwhile, which makes each crash doubtful: two such calls, or one beside servers that end for other reasons.
+func TestGivenUpCallsThatCrashServersBesideOtherEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		calls  []uint64
+		others time.Duration
+	}{
+		"two calls":               {[]uint64{deadlyCall, otherDeadlyCall}, 0},
+		"a server ends every 2 s": {[]uint64{deadlyCall}, 2 * time.Second},
+		"a server ends every 4 s": {[]uint64{deadlyCall}, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCallWorld(t, func(w *callWorld) {
+				w.makeDeadly(c.calls...)
+				w.crashDelay, w.patience = 800*time.Millisecond, 400*time.Millisecond
+				traffic := soundCalls(fourGateways...)
+				for i, part := range c.calls {
+					traffic = append(traffic, repeated(part, time.Duration(1300+400*i)*time.Millisecond, fourGateways...))
+				}
+				if c.others > 0 {
+					w.work.Go(func() {
+						for i := range int(50 * time.Second / c.others) {
+							time.Sleep(c.others)
+							w.end(fmt.Sprint("s", i%4))
+						}
+					})
+				}
+				w.sendCalls(50*time.Second, traffic...)
+				time.Sleep(5 * time.Second)
+				for _, part := range c.calls {
+					w.checkDeadly(part, 9) // seven, and two made doubtful by other ends
+				}
+				w.checkSound()
+			})
+		})
+	}
+}
+
 // otherEnds are ends of servers that no call has caused.
 var otherEnds = map[string]func(*callWorld){
 	"all at once, again and again": func(w *callWorld) {
