Count comments of an event stream not as the size of an event

A stream with 24 MB of comments between two events failed with "bodies of other responses take all memory" (TestCommentsTakeNoMemory, failed before), and others with it. The count is now bounded by the size to which the parser's buffer grows. Only the product's own front end reads engines so; platform/ has a client of its own.

--- a/internal/connection/bodies/bodies.go
+++ b/internal/connection/bodies/bodies.go
@@ -73,18 +73,22 @@
 type EventStream struct {
 	reader *Reader
 	body   io.Reader
+	// limit is the maximum size of an event, to which the parser's buffer grows.
+	limit int
 	// event is the number of bytes read since the last event, and held the part of the buffer's size that
 	// is counted. The buffer doesn't shrink.
 	event, held int
 }
 
-// Events returns a reader of the events in body. Release must be called at the end.
-func (m *Reader) Events(body io.Reader) *EventStream { return &EventStream{reader: m, body: body} }
+// Events returns a reader of the events in body, each of at most limit bytes. Release must be called at the end.
+func (m *Reader) Events(body io.Reader, limit int) *EventStream {
+	return &EventStream{reader: m, body: body, limit: limit}
+}
 
 // Read implements io.Reader. It returns ErrNoMemory if the buffers take too much memory.
 func (s *EventStream) Read(b []byte) (int, error) {
 	n, err := s.body.Read(b)
-	s.event += n
+	s.event = min(s.event+n, s.limit) // more if it has comments, which are no events
 	if grown := bufferGrowth*s.event - readStep - s.held; grown > 0 {
 		s.held += grown
 		if s.reader.reading.Add(int64(grown)) > maxReadBytes {
--- a/internal/connection/engine/endless_test.go
+++ b/internal/connection/engine/endless_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// Guards against a stream of which the engine has sent many comments between two events, and that fails as if the
+// parser had to keep them.
+func TestCommentsTakeNoMemory(t *testing.T) {
+	comments := strings.Repeat(": ping\n\n", 1<<20)
+	client, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for range 3 {
+			_, _ = io.WriteString(w, comments)
+		}
+		_, _ = io.WriteString(w, completedEvent)
+	})
+	s, err := client.Create(t.Context(), "e", address, api.CreateRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := s.Next(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against sound streams that fail because their last events, which hold the whole output, take the memory that
 // bounds events without end, or don't give it back.
 func TestLargeEventsOfManyStreams(t *testing.T) {
--- a/internal/connection/engine/stream.go
+++ b/internal/connection/engine/stream.go
@@ -57,7 +57,7 @@
 		cause := eris.Errorf("response has content type %q, want text/event-stream", resp.Header.Get("Content-Type"))
 		return nil, k.fault(cause, fault.EngineProtocol, api.Unknown)
 	}
-	s := &Stream{call: k, ctx: ctx, cancel: cancel, body: resp.Body, events: c.bodies.Events(resp.Body)}
+	s := &Stream{call: k, ctx: ctx, cancel: cancel, body: resp.Body, events: c.bodies.Events(resp.Body, maxEventBytes)}
 	s.call.step = StepStream
 	events := sse.Read(s.events, &sse.ReadConfig{MaxEventSize: maxEventBytes})
 	s.next, s.stop = iter.Pull2(iter.Seq2[sse.Event, error](events))
