--- a/internal/connection/bodies/bodies.go
+++ b/internal/connection/bodies/bodies.go
@@ -88,7 +88,7 @@
 // Read implements io.Reader. It returns ErrNoMemory if the buffers take too much memory.
 func (s *EventStream) Read(b []byte) (int, error) {
 	n, err := s.body.Read(b)
-	s.event = min(s.event+n, s.limit) // more if it has comments, which are no events
+	s.event = min(s.event+n, s.limit) // the parser does not keep comments between events
 	if grown := bufferGrowth*s.event - readStep - s.held; grown > 0 {
 		s.held += grown
 		if s.reader.reading.Add(int64(grown)) > maxReadBytes {
