Dial to check whether a server has ended that has just closed a connection

An ending process closes its connections one by one. The loss then counts 100 ms later, and a repeat in between is tried at the servers that have ended.

--- a/internal/connection/backend/pool.go
+++ b/internal/connection/backend/pool.go
@@ -77,9 +77,10 @@
 
 // Refuses reports whether nothing listens at an address, which proves that the process that did
 // has ended. It sends nothing. It dials only if no idle connection to the address is open, and keeps that
-// connection, so that frequent checks of one server don't take new connections each.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	if p.hasOpenIdle(address) {
+// connection, so that frequent checks of one server don't take new connections each. broken states that
+// a connection has just been closed: an ending process closes them one by one, so that it dials then.
+func (p *Pool) Refuses(ctx context.Context, address string, broken bool) bool {
+	if !broken && p.hasOpenIdle(address) {
 		return false
 	}
 	n, err := p.dial(ctx, address)
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -169,7 +169,7 @@
 	}
 	server := incarnation(s)
 	reason := givenUpReason(request, attempt)
-	if reason == givenUpBroken && f.hasEnded(attempt, s) {
+	if reason == givenUpBroken && f.hasEnded(attempt, s, true) {
 		c.end(crashguard.CallOutcome{Lost: true, Loss: server})
 		return
 	}
@@ -185,7 +185,7 @@
 func (f *Forwarder) endedUnannounced(s registry.Server) func(context.Context) bool {
 	announced := f.o.Servers.Blocked(time.Now(), s.Name)
 	return func(ctx context.Context) bool {
-		if f.hasEnded(ctx, s) {
+		if f.hasEnded(ctx, s, false) {
 			return !announced
 		}
 		announced = announced || f.o.Servers.Blocked(time.Now(), s.Name)
@@ -213,12 +213,12 @@
 	return givenUpCaller
 }
 
-// hasEnded reports whether a server has certainly ended.
-func (f *Forwarder) hasEnded(ctx context.Context, s registry.Server) bool {
+// hasEnded reports whether a server has certainly ended. broken states that it has just closed a connection.
+func (f *Forwarder) hasEnded(ctx context.Context, s registry.Server, broken bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	now, _ := f.o.Servers.Get(s.Name)
-	return now.StartedMS > s.StartedMS || f.o.Client.Ended(ctx, s)
+	return now.StartedMS > s.StartedMS || f.o.Client.Ended(ctx, s, broken)
 }
 
 // callOnce sends a request to one server. final is true if the request must not be
--- a/internal/request/forward/halt.go
+++ b/internal/request/forward/halt.go
@@ -65,7 +65,7 @@
 				f.o.Metrics.Counter("generations_halted", at.Service).Inc(1)
 				_ = level.Info(logger).Log("msg", "generation stopped at an engine that worked on", "backend", at.Name, "took_ms", elapsed.Milliseconds(), "tries", try+1)
 				return
-			case err == nil && (!mayBegin || elapsed >= lateBeginTime), err != nil && f.hasEnded(context.Background(), at):
+			case err == nil && (!mayBegin || elapsed >= lateBeginTime), err != nil && f.hasEnded(context.Background(), at, true):
 				return
 			case elapsed >= maxHaltTime || !time.Now().Before(deadline):
 				_ = level.Warn(logger).Log("msg", "engine may work on a generation that goes on elsewhere", "backend", at.Name, "tries", try+1, "err", err)
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -203,8 +203,9 @@
 	Stop(ctx context.Context, at, receiver registry.Server, id string) (running bool, err error)
 	// Alive reports whether the engine still runs in the same incarnation.
 	Alive(ctx context.Context, s registry.Server) bool
-	// Ended reports whether the server's process has certainly ended.
-	Ended(ctx context.Context, s registry.Server) bool
+	// Ended reports whether the server's process has certainly ended. broken states that it has just closed
+	// a connection.
+	Ended(ctx context.Context, s registry.Server, broken bool) bool
 }
 
 // Scheduler grants permission to run generations on engines.
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -447,7 +447,7 @@
 func (w *fakeFleet) Alive(context.Context, registry.Server) bool { return true }
 
 // Ended reports whether the server has crashed, which breaks all its connections.
-func (w *fakeFleet) Ended(_ context.Context, s registry.Server) bool {
+func (w *fakeFleet) Ended(_ context.Context, s registry.Server, _ bool) bool {
 	server := w.servers[s.Name]
 	w.mu.Lock()
 	defer w.mu.Unlock()
