--- a/internal/process/crashguard/parts.go
+++ b/internal/process/crashguard/parts.go
@@ -37,8 +37,8 @@
 	trialWeight         = 4
 	weakTrialWeight     = 2
 	doubtfulTrialWeight = 1
-	// maxOtherEnds is the number of other servers that end with one that ran a given-up trial at which the loss
-	// proves nothing.
+	// maxOtherEnds is the number of other servers of the service whose ends, close to that of the server with a
+	// given-up trial, leave the loss in this trial without weight.
 	maxOtherEnds = 2
 	// refusePartAt is the weight of losses at which a part is refused.
 	refusePartAt = 6
