Stop a generation at its source as soon as the destination has begun

By what evidence the first run counted as stopped: by none. The destination's answer was handled by the goroutine that relays events, and only there was the source's connection closed and its run ended. While that goroutine writes to a caller that does not read, or waits for a congested link, nothing ended the source.

Now the goroutine that has asked the destination ends the source itself. What the source has sent and the relay not read comes again from the destination, since that goes on after the newest event that the caller has.

--- a/internal/request/forward/halt_test.go
+++ b/internal/request/forward/halt_test.go
@@ -24,26 +24,29 @@
 		setup func(w *fakeFleet)
 		// servers lists the servers that ran the generation, in order.
 		servers string
+		// readsNothingAt is the event after which the caller reads nothing for a second, or 0.
+		readsNothingAt int
 	}{
-		{"the generation moves", plan, func(*fakeFleet) {}, "a b"},
-		{"the source is not reached at first", plan, func(w *fakeFleet) { w.servers["a"].unreachable = 2 }, "a b"},
-		{"the destination has no room for the rest", plan, func(w *fakeFleet) { w.servers["b"].noRoom = true }, "a b"},
+		{"the generation moves", plan, func(*fakeFleet) {}, "a b", 0},
+		{"the source is not reached at first", plan, func(w *fakeFleet) { w.servers["a"].unreachable = 2 }, "a b", 0},
+		{"the destination has no room for the rest", plan, func(w *fakeFleet) { w.servers["b"].noRoom = true }, "a b", 0},
 		{"the source's connection breaks during the copy", plan, func(w *fakeFleet) {
 			w.servers["a"].diesAfter = 8
 			w.servers["a"].copyTime = 100 * time.Millisecond
-		}, "a b"},
+		}, "a b", 0},
 		{"the source's connection breaks while the destination is asked", plan, func(w *fakeFleet) {
 			w.servers["a"].diesAfter = 9
 			w.servers["b"].openTime = 200 * time.Millisecond
-		}, "a b"},
-		{"the destination begins too late", plan, func(w *fakeFleet) { w.servers["b"].beginsLate = 350 * time.Millisecond }, "a b"},
-		{"the destination begins long after", plan, func(w *fakeFleet) { w.servers["b"].beginsLate = 2 * time.Second }, "a b"},
+		}, "a b", 0},
+		{"the destination begins too late", plan, func(w *fakeFleet) { w.servers["b"].beginsLate = 350 * time.Millisecond }, "a b", 0},
+		{"the destination begins long after", plan, func(w *fakeFleet) { w.servers["b"].beginsLate = 2 * time.Second }, "a b", 0},
 		{"a resumable generation breaks after a move that was given up", resumablePlan, func(w *fakeFleet) {
 			w.servers["b"].beginsLate = 350 * time.Millisecond
 			w.servers["a"].diesAfter = 50
-		}, "a b c"},
-		{"a resumable stream breaks", check, func(w *fakeFleet) { w.servers["a"].diesAfter = 5 }, "a b"},
-		{"a resumable stream is silent", check, func(w *fakeFleet) { w.servers["a"].gap = 10 * time.Second }, "a b"},
+		}, "a b c", 0},
+		{"a resumable stream breaks", check, func(w *fakeFleet) { w.servers["a"].diesAfter = 5 }, "a b", 0},
+		{"a resumable stream is silent", check, func(w *fakeFleet) { w.servers["a"].gap = 10 * time.Second }, "a b", 0},
+		{"the caller reads nothing while the destination begins", plan, func(w *fakeFleet) { w.servers["b"].openTime = 50 * time.Millisecond }, "a b", 8},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -59,6 +62,9 @@
 					if n == 5 && q.Class != catalogue.Urgent {
 						w.leave("a")
 					}
+					if n == c.readsNothingAt {
+						time.Sleep(time.Second)
+					}
 				}}
 				_, err := w.f.Serve(context.Background(), q, r)
 				if err != nil {
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -35,10 +35,12 @@
 // source is not stopped to copy the remainder: that second copy would queue on the
 // network link behind the first copies of other generations, and pause the stream.
 type move struct {
-	r       *run
-	from    registry.Server
-	started time.Time
-	cancel  context.CancelFunc
+	r    *run
+	from registry.Server
+	// closeSource closes the connection on which the source sends its stream.
+	closeSource context.CancelFunc
+	started     time.Time
+	cancel      context.CancelFunc
 
 	// copied is closed when the copying has ended. The fields ok, grant, to and handle
 	// are valid after that.
@@ -119,11 +121,11 @@
 }
 
 // startMove starts copying the generation's KV cache to another engine while the
-// generation runs.
-func (r *run) startMove(ctx context.Context) *move {
+// generation runs. src is the stream of the present engine.
+func (r *run) startMove(ctx context.Context, src *engineStream) *move {
 	// The relay may end before the move does.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveTimeout)
-	m := &move{r: r, from: r.server, cancel: cancel, copied: make(chan struct{}), started: time.Now()}
+	m := &move{r: r, from: r.server, closeSource: src.stop, cancel: cancel, copied: make(chan struct{}), started: time.Now()}
 	request := r.f.schedulingRequest(r.q)
 	request.Class = catalogue.Urgent
 	request.PromptTokens += r.generatedTokens()
@@ -180,10 +182,22 @@
 	r.f.o.Budget.Allow(time.Now(), r.q.Service, 0)
 	go func() {
 		src, err := r.open(ctx, m.to, kvCopy, after, resumes, switchTimeout)
+		if err == nil {
+			m.endSource()
+		}
 		m.opened <- openResult{src, err}
 	}()
 }
 
+// endSource ends the generation at the source, because the destination has begun. The relay may be
+// writing to a caller that reads slowly, so this does not wait for it. What the source had sent and the
+// relay has not read is sent again by the destination.
+func (m *move) endSource() {
+	// Most engines drop a generation whose connection closes.
+	m.closeSource()
+	m.r.f.halt(m.r.q, m.from, m.to.Name, false)
+}
+
 // switchTo makes the destination of the move the run's engine.
 func (r *run) switchTo(m *move) {
 	_ = level.Info(r.f.logger(r.q)).Log("msg", "moved", "from", m.from.Name, "to", m.to.Name, "events", r.events, "took_ms", time.Since(m.started).Milliseconds(), "since_event_ms", time.Since(r.lastEventAt).Milliseconds())
@@ -199,7 +213,7 @@
 // copied handles the end of the copying: it starts the stream at the destination, or
 // abandons the move if the copying failed. If the destination accepts no requests any more, it starts
 // another move.
-func (r *run) copied(ctx context.Context) {
+func (r *run) copied(ctx context.Context, src *engineStream) {
 	m := r.moving
 	// The destination may have begun to leave, or asked for a pause, while the memory was copied.
 	blocked := m.ok && r.f.o.Servers.Blocked(time.Now(), m.to.Name)
@@ -210,7 +224,7 @@
 	m.abandon()
 	r.moving = nil
 	if blocked {
-		r.moving = r.startMove(ctx)
+		r.moving = r.startMove(ctx, src)
 	}
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -403,10 +403,10 @@
 		case <-leavingC:
 			leavingC = nil
 			if r.movable() {
-				r.moving = r.startMove(ctx)
+				r.moving = r.startMove(ctx, src)
 			}
 		case <-r.moving.copiedC():
-			r.copied(ctx)
+			r.copied(ctx, src)
 		case o := <-r.moving.openedC():
 			next = r.opened(o)
 		case <-silence.C:
@@ -420,9 +420,7 @@
 		if next != nil {
 			silence.Reset(patience)
 			r.switchTo(r.moving)
-			// Most engines drop a generation whose connection closes.
 			src.close()
-			r.f.halt(r.q, r.moving.from, r.moving.to.Name, false)
 			src, r.moving, leavingC = next, nil, r.leaving
 		}
 	}
