Wait once for the arbiters of a data centre that is cut off

When a data centre is cut off, each gateway elsewhere called one of its gateways after the other for confirmations, 0.2 s each and two for a request, until membership had dropped them.

A call without an answer now marks the other data centre as cut off for 3 s unless one of its gateways has answered since the call began. Within a data centre a single gateway is avoided as before (TestHerdWithoutItsArbiter). Ruled out: a shorter timeout, since arbiters on small hosts decide 60 reservations in 50 ms after a start.

--- a/internal/process/owner/confirm.go
+++ b/internal/process/owner/confirm.go
@@ -19,8 +19,8 @@
 	// confirmAttempts is the number of arbiters tried. If none answers, the grant is
 	// valid without confirmation, since only efficiency depends on the arbiter.
 	confirmAttempts = 2
-	// cutOffThreshold is the minimum number of gateways with a recently failed call for
-	// this gateway to assume that it is cut off itself and to call no arbiter.
+	// cutOffThreshold is the minimum number of gateways with a recently failed call, in data
+	// centres that answer, for this gateway to assume that it is cut off itself and to call no arbiter.
 	cutOffThreshold = 3
 	// ignoreLoadAfter is the number of refusals of a request after which its
 	// reservations no longer depend on the load that its gateway assumed on the engine.
@@ -95,10 +95,12 @@
 		var reply ConfirmReply
 		for try := 0; try < confirmAttempts && ok; try++ {
 			var err error
+			began := time.Now()
 			if reply, err = m.callConfirm(arbiter, ConfirmArgs{Group: r.key, Reservation: p.reservation}); err == nil {
+				m.noteAnswer(arbiter)
 				break
 			}
-			m.avoid(arbiter.Name)
+			m.noteNoAnswer(arbiter, began)
 			level.Info(m.opt.Logger).Log("msg", "arbiter does not answer", "id", p.grant.ID, "engine", p.grant.Backend, "arbiter", arbiter.Name, "err", err)
 			arbiter, ok = m.arbiter(p.grant.Backend)
 		}
@@ -119,8 +121,8 @@
 }
 
 // arbiter returns the gateway that decides the reservations on an engine: the first in
-// rank of the live gateways that are not avoided. It returns false if that is this
-// gateway or if this gateway seems to be cut off.
+// rank of the live gateways that are not avoided and not in a data centre that seems cut off. It
+// returns false if that is this gateway or if this gateway seems to be cut off.
 func (m *Manager) arbiter(engine string) (membership.Gateway, bool) {
 	if m.opt.Policy != PolicyShared {
 		return membership.Gateway{}, false
@@ -129,7 +131,10 @@
 	var names []string
 	unavailable := 0
 	for _, g := range m.opt.View.Live() {
-		if m.isAvoided(g.Name) {
+		switch {
+		case m.seemsCut(g.DataCentre):
+			continue
+		case m.isAvoided(g.Name):
 			unavailable++
 			continue
 		}
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -57,10 +57,12 @@
 	held       map[string]*held
 	engines    map[string]*engine
 	avoidUntil map[string]time.Time
-	ticks      int
-	lastTick   time.Time
-	missed     missedReports
-	spills     spills
+	// reach holds what calls show of data centres.
+	reach    map[string]reach
+	ticks    int
+	lastTick time.Time
+	missed   missedReports
+	spills   spills
 	// owners holds the last known owners of the groups of this data centre.
 	owners        map[schedule.GroupKey]string
 	ownersChanged chan struct{}
@@ -83,6 +85,7 @@
 		held:          map[string]*held{},
 		engines:       map[string]*engine{},
 		avoidUntil:    map[string]time.Time{},
+		reach:         map[string]reach{},
 		ownersChanged: make(chan struct{}, 1),
 		unsentReports: map[string]*unsentReports{},
 	}
--- a/internal/process/owner/shared_test.go
+++ b/internal/process/owner/shared_test.go
@@ -364,3 +364,42 @@
 		})
 	}
 }
+
+// Guards against requests of a data centre that wait for one arbiter after the other of a data centre that is cut
+// off: each call without an answer takes 0.2 s, and there is another gateway to call for each engine.
+func TestCutDataCentreCostsOneWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 64)
+		f.slowStart = time.Millisecond
+		engines := engineList("e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7")
+		var near, far []*gateway
+		for i := range 12 {
+			name := string(rune('a' + i))
+			f.remote[name] = i >= 6
+			g, r := f.startShared(name)
+			r.Sync(time.Now(), engines)
+			if f.remote[name] {
+				far = append(far, g)
+			} else {
+				near = append(near, g)
+			}
+		}
+		defer f.stop()
+		time.Sleep(15 * time.Second)
+		g := near[0]
+		_, err := g.acquire("first", 0, 2*time.Second)
+		is.NoErr(err)
+		for _, other := range far {
+			f.network.Cut([]string{g.address}, []string{other.address})
+		}
+		started := time.Now()
+		for i := range 16 {
+			_, err := g.acquire(fmt.Sprint("r", i), 0, 2*time.Second)
+			is.NoErr(err)
+		}
+		if took := time.Since(started); took > 300*time.Millisecond {
+			t.Errorf("16 grants took %v", took)
+		}
+	})
+}
