Find room for generations that move before new work, and count their tokens once

Three causes, each shown by TestMovingGenerationsUseTheReserve or TestMovingGenerationCountsOnce: - A moving generation waited behind the new requests of its workspace. Now there is a class of its own, served first. - The memory that is kept free for it was closed to workspaces over their share, and on engines without background work to all. - What it had generated before was counted twice at each destination, once as prompt and once as progress, and charged to its workspace's share of urgent work. A move also waits for as long as engines usually run after a notice (1.8 instead of 0.8 s), and ends at once when the source is gone before anything is copied.

--- a/internal/process/owner/confirm.go
+++ b/internal/process/owner/confirm.go
@@ -173,7 +173,7 @@
 		p.ticket.end(result{moved: true})
 		return
 	}
-	r.admitAfter(refusalDelay(p.ticket.request.Class, p.ticket.refusals), p.ticket)
+	r.admitAfter(refusalDelay(&p.ticket.request, p.ticket.refusals), p.ticket)
 }
 
 // refusalDelay returns the time after which a request is placed again after a number of
@@ -184,8 +184,8 @@
 // by one arbiter after the other, up to 27 in 0.1 s, and the arbiters had no time for
 // anything else. Urgent requests do not wait: with the delay they were overtaken, and
 // 327 instead of 265 of 1,488 were late.
-func refusalDelay(class catalogue.Class, refusals int) time.Duration {
-	if class == catalogue.Urgent || refusals < firstDelayedRefusal {
+func refusalDelay(q *schedule.Request, refusals int) time.Duration {
+	if q.Class == catalogue.Urgent || q.Moving || refusals < firstDelayedRefusal {
 		return 0
 	}
 	return min(maxRefusalDelay, minRefusalDelay<<min(refusals-firstDelayedRefusal, 8))
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -83,19 +83,23 @@
 	return q.Class == catalogue.Background || g.overShare(now, q)
 }
 
-// overShare reports whether a request is urgent and its workspace is over its share.
+// overShare reports whether a request is urgent and its workspace is over its share. A generation that
+// moves was admitted before and is lost if it finds no room.
 func (g *Group) overShare(now time.Time, q *Request) bool {
-	return q.Class == catalogue.Urgent && !g.o.NoFairness && g.shares.exceeded(now, q.Workspace)
+	return q.Class == catalogue.Urgent && !q.Moving && !g.o.NoFairness && g.shares.exceeded(now, q.Workspace)
 }
 
-// nextClass returns the class to serve next: background work while it is below its
-// floor, else urgent work, and background work if no urgent request lacks room. It
+// nextClass returns the class to serve next: generations that move, then background work while it is
+// below its floor, else urgent work, and background work if no urgent request lacks room. It
 // returns false if there is nothing to serve.
 func (g *Group) nextClass(p *pass) (catalogue.Class, bool) {
 	g.reservedTokens = p.urgent.tokens
 	urgent := !p.closed[rankUrgent] && g.queue.Next(catalogue.Urgent) != nil
 	background := !p.closed[rankBackground] && g.queue.Next(catalogue.Background) != nil
 	switch {
+	case !p.closed[rankMoving] && g.queue.Next(fairqueue.Moving) != nil:
+		g.reservedTokens = 0
+		return fairqueue.Moving, true
 	case g.o.NoClasses:
 		g.reservedTokens = 0
 		return catalogue.Urgent, urgent
@@ -131,11 +135,12 @@
 		g.reservedTokens = p.fair.tokens
 	}
 	g.entitled = rank == rankUrgent && !g.o.NoClasses
-	if !g.entitled && g.saturated() {
+	g.moving = rank == rankMoving
+	if !g.entitled && !g.moving && g.saturated() {
 		g.skip(p, e, rank, noRoom)
 		return
 	}
-	s := memory.NewSequence(g.lengthEstimate(q), q.PromptTokens, 0, q.MaxOutputTokens)
+	s := memory.NewSequence(g.lengthEstimate(q), q.PromptTokens, q.Generated, q.MaxOutputTokens)
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
 		g.grant(p, e, r, reason, s)
@@ -152,6 +157,8 @@
 // rankOf returns the rank of a request that is queued in a class.
 func (g *Group) rankOf(now time.Time, q *Request, class catalogue.Class) rank {
 	switch {
+	case class == fairqueue.Moving:
+		return rankMoving
 	case class == catalogue.Background:
 		return rankBackground
 	case g.overShare(now, q):
@@ -163,21 +170,17 @@
 // grant grants a replica to the queued request e.
 func (g *Group) grant(p *pass, e *fairqueue.Entry[queuedRequest], r *replica, reason string, s memory.Sequence) {
 	tokens := g.expectedTokens(&e.Value.request)
-	t := g.queue.Take(e, tokens)
+	// The replica that a moving generation leaves has charged what it has used so far.
+	t := g.queue.Take(e, tokens-chargedBefore(&e.Value.request))
 	q := &t.request
 	yields := g.yields(p.now, q)
 	g.addGrant(p.now, q, r, s, tokens, yields)
-	g.updateMeanUrgentSize(q.Class, tokens)
-	if q.Class == catalogue.Urgent {
-		g.shares.add(p.now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens)
-	}
 	p.urgent.spare--
 	p.fair.spare--
 	g.prefixes.remember(q.PrefixHashes, r)
-	// Only work that is granted while background requests wait counts towards the
-	// floor, so that background work accumulates no credit while it has no requests.
-	counted := g.queue.Len(catalogue.Background) > 0 || q.Class == catalogue.Background
-	g.admitted.add(p.now, q.Class, tokens, counted)
+	if !q.Moving {
+		g.countAdmission(p.now, q, tokens)
+	}
 	p.decisions = append(p.decisions, Decision{
 		Request: *q,
 		Grant: Grant{
@@ -193,6 +196,19 @@
 	})
 }
 
+// countAdmission records a grant for the shares of workspaces and classes. A generation that moves was
+// counted when it was first granted.
+func (g *Group) countAdmission(now time.Time, q *Request, tokens float64) {
+	if q.Class == catalogue.Urgent {
+		g.updateMeanUrgentSize(tokens)
+		g.shares.add(now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens)
+	}
+	// Only work that is granted while background requests wait counts towards the
+	// floor, so that background work accumulates no credit while it has no requests.
+	counted := g.queue.Len(catalogue.Background) > 0 || q.Class == catalogue.Background
+	g.admitted.add(now, q.Class, tokens, counted)
+}
+
 // skip leaves a request queued and lets other workspaces go first in this Dispatch.
 func (g *Group) skip(p *pass, e *fairqueue.Entry[queuedRequest], rank rank, why placement) {
 	limit := maxIsolatedSkips
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -127,9 +127,10 @@
 	// reservedTokens is the memory in tokens that the request being placed must leave
 	// free on each replica.
 	reservedTokens int
-	// entitled is set while the request being placed is entitled.
-	entitled bool
-	shares   shares
+	// entitled is set while the request being placed is entitled, and moving while it is a
+	// generation that moves.
+	entitled, moving bool
+	shares           shares
 	// numbers holds the sequence number of the newest loads of each other gateway.
 	numbers map[string]uint64
 	pass    pass
@@ -192,7 +193,7 @@
 	item := fairqueue.Item[queuedRequest]{
 		ID:        r.ID,
 		Workspace: r.Workspace,
-		Class:     r.Class,
+		Class:     queueClass(&r),
 		Isolated:  r.Suspect && g.o.Policy != PolicyBaseline,
 		Weight:    r.Weight,
 		Deadline:  r.Deadline,
@@ -249,14 +250,30 @@
 // expectedTokens returns the sum of the prompt and the expected output of a request
 // in tokens.
 func (g *Group) expectedTokens(r *Request) float64 {
-	output := g.lengthEstimate(r).Mean(0)
+	output := float64(r.Generated) + g.lengthEstimate(r).Mean(r.Generated)
 	if r.MaxOutputTokens > 0 {
 		output = min(output, float64(r.MaxOutputTokens))
 	}
 	return float64(r.PromptTokens) + output
 }
 
-// waiting returns the number of waiting requests of both classes.
+// chargedBefore returns the tokens of a request that another replica has charged to its workspace.
+func chargedBefore(r *Request) float64 {
+	if !r.Moving {
+		return 0
+	}
+	return float64(r.PromptTokens + r.Generated)
+}
+
+// queueClass returns the class in which a request waits.
+func queueClass(r *Request) catalogue.Class {
+	if r.Moving {
+		return fairqueue.Moving
+	}
+	return r.Class
+}
+
+// waiting returns the number of all waiting requests.
 func (g *Group) waiting() int {
-	return g.queue.Len(catalogue.Urgent) + g.queue.Len(catalogue.Background)
+	return g.queue.Len(fairqueue.Moving) + g.queue.Len(catalogue.Urgent) + g.queue.Len(catalogue.Background)
 }
--- a/internal/process/schedule/headroom.go
+++ b/internal/process/schedule/headroom.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"persimmonwing/internal/version/catalogue"
 )
 
 const (
@@ -65,13 +63,10 @@
 }
 
 // updateMeanUrgentSize adds an urgent grant to the mean size of urgent grants in tokens.
-// Other grants are ignored.
-func (g *Group) updateMeanUrgentSize(class catalogue.Class, tokens float64) {
-	switch {
-	case class != catalogue.Urgent:
-	case g.meanUrgentSize == 0:
+func (g *Group) updateMeanUrgentSize(tokens float64) {
+	if g.meanUrgentSize == 0 {
 		g.meanUrgentSize = tokens
-	default:
-		g.meanUrgentSize += urgentSizeWeight * (tokens - g.meanUrgentSize)
+		return
 	}
+	g.meanUrgentSize += urgentSizeWeight * (tokens - g.meanUrgentSize)
 }
--- a/internal/process/schedule/reservation.go
+++ b/internal/process/schedule/reservation.go
@@ -37,8 +37,9 @@
 	// MaxBatch and KVCapacityTokens are the limits of the replica that the gateway
 	// knows. The arbiter needs them if the replica is not listed there yet.
 	MaxBatch, KVCapacityTokens int
-	// Entitled is set for entitled work, to which other work yields.
-	Entitled bool
+	// Entitled is set for entitled work, to which other work yields, and Moving for a generation that
+	// moves.
+	Entitled, Moving bool
 	// Seen is the pressure on the replica in the gateway's view, including the grant.
 	Seen float64
 	// Insists is set if the arbiter must check only slots and memory, without comparing
@@ -108,7 +109,7 @@
 	}
 	// A request with Spread needs room but not the least loaded replica, so Seen is
 	// not compared.
-	c := Reservation{ID: id, Gateway: g.o.Owner, Entitled: !h.yields, Seen: g.pressure(h.replica), Insists: h.request.Spread}
+	c := Reservation{ID: id, Gateway: g.o.Owner, Entitled: !h.yields, Moving: h.request.Moving, Seen: g.pressure(h.replica), Insists: h.request.Spread}
 	c.MaxBatch, c.KVCapacityTokens = h.replica.maxBatch(), h.replica.capacity()
 	c.Load = ReplicaLoad{Replica: h.replica.Name, Running: 1, Unread: h.unread()}
 	if h.yields {
@@ -126,7 +127,7 @@
 	if !r.listed {
 		r.MaxBatch, r.KVCapacityTokens = c.MaxBatch, c.KVCapacityTokens
 	}
-	if r.listed && !r.accepting() || !g.hasSlot(now, r) || !g.hasMemoryFor(r, &c.Load.Memory, c.Entitled) {
+	if r.listed && !r.accepting() || !g.hasSlot(now, r) || !g.hasMemoryFor(r, &c.Load.Memory, c.Entitled, c.Moving) {
 		return false
 	}
 	g.addReservation(now, r, c)
@@ -255,16 +256,16 @@
 	g.updateUnavailableSince(now)
 }
 
-// hasMemoryFor reports whether the replica has memory for a load. Entitled work may use
-// the memory that is kept free for moved generations, if the replica runs work that
-// yields to it.
-func (g *Group) hasMemoryFor(r *replica, l *memory.Load, entitled bool) bool {
+// hasMemoryFor reports whether the replica has memory for a load. A generation that moves may use
+// the memory that is kept free for it: it is lost without room, while one that grows too large
+// later only pauses. Entitled work may use that memory if the replica runs work that yields to it.
+func (g *Group) hasMemoryFor(r *replica, l *memory.Load, entitled, moving bool) bool {
 	// An empty replica accepts any request, because one that is too large for every
 	// replica would otherwise never run.
 	if !g.limitsMemory(r) || g.empty(r) {
 		return true
 	}
-	if entitled && r.runsYielding() {
+	if moving || entitled && r.runsYielding() {
 		return r.projection.FitsEntitledLoad(l, g.capacityFor(r))
 	}
 	moveReserve := int(g.o.MoveReserve * float64(g.capacityFor(r)))
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -62,6 +62,11 @@
 	PartHashes []uint64
 	// PrefixHashes are hashes of the input's prefixes in whole blocks, shortest first.
 	PrefixHashes []uint64
+	// Moving is set for a generation that goes on from a copy of its KV memory because its replica
+	// leaves. Generated is the number of tokens that it has produced so far. It may use the memory
+	// that is kept free for such generations, whatever its workspace uses.
+	Moving    bool
+	Generated int
 	// Spread selects a pseudo-random replica with room, preferably in DataCentre,
 	// instead of the least loaded one. It is set for generations that leave an engine
 	// together: their KV caches are copied over the network links of their
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -11,15 +12,14 @@
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
-	"persimmonwing/internal/version/catalogue"
 )
 
 const (
 	// maxMoveDestinations is the maximum number of destinations tried for one generation.
 	maxMoveDestinations = 5
-	// destinationTimeout bounds the wait for a destination. An engine stops about 1.5 s
-	// after it announces that it leaves, and the copy takes up to 0.4 s.
-	destinationTimeout = 800 * time.Millisecond
+	// destinationTimeout bounds the wait for a destination. A generation without one is lost with
+	// its engine, so it waits for as long as an engine usually runs after its notice.
+	destinationTimeout = 1800 * time.Millisecond
 	// moveTimeout bounds the copying. Copies queue behind each other on the network
 	// links.
 	moveTimeout = 3 * time.Second
@@ -40,6 +40,8 @@
 	started time.Time
 	cancel  context.CancelFunc
 
+	// copying is set once an engine has been asked to copy.
+	copying atomic.Bool
 	// copied is closed when the copying has ended. The fields ok, grant, to and handle
 	// are valid after that.
 	copied chan struct{}
@@ -125,8 +127,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveTimeout)
 	m := &move{r: r, from: r.server, cancel: cancel, copied: make(chan struct{}), started: time.Now()}
 	request := r.f.schedulingRequest(r.q)
-	request.Class = catalogue.Urgent
-	request.PromptTokens += r.generatedTokens()
+	request.Moving, request.Generated = true, r.generatedTokens()
 	request.Fingerprint, request.PartHashes = 0, nil // a generation with events has cleared both
 	request.DataCentre = r.server.DataCentre
 	request.Spread = true
@@ -156,6 +157,7 @@
 			f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
 			continue
 		}
+		m.copying.Store(true)
 		c := f.o.Client.Copy(ctx, m.from, to, q.ID)
 		if c.Outcome == Copied {
 			m.grant, m.to, m.handle, m.ok = grant, to, c.Handle, true
@@ -235,6 +237,10 @@
 	if m == nil {
 		return nil, fault.Wrap(src.readErr, linkErrorCode(ctx), stepStream, r.server.Name, api.Ran)
 	}
+	if !m.copying.Load() {
+		// There is nothing to copy any more.
+		m.cancel()
+	}
 	select {
 	case <-m.copied:
 	case <-ctx.Done():
