--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -174,6 +174,7 @@
 	t := g.queue.Take(e, tokens-chargedBefore(&e.Value.request))
 	q := &t.request
 	yields := g.yields(p.now, q)
+	running, unread, used := r.occupied(), r.unread(), r.projection.Used()
 	g.addGrant(p.now, q, r, s, tokens, yields)
 	p.urgent.spare--
 	p.fair.spare--
@@ -191,6 +192,9 @@
 			Owner:     g.o.Owner,
 			QueuedFor: p.now.Sub(t.enqueued),
 			Reason:    reason,
+			Running:   running,
+			Unread:    unread,
+			Used:      used,
 			Yields:    q.Class == catalogue.Urgent && yields,
 		},
 	})
--- a/internal/process/schedule/reservation.go
+++ b/internal/process/schedule/reservation.go
@@ -257,15 +257,17 @@
 }
 
 // hasMemoryFor reports whether the replica has memory for a load. A generation that moves may use
-// the memory that is kept free for it: it is lost without room, while one that grows too large
-// later only pauses. Entitled work may use that memory if the replica runs work that yields to it.
+// the memory that is kept free for it. Entitled work may use that memory if the replica runs work that yields to it.
 func (g *Group) hasMemoryFor(r *replica, l *memory.Load, entitled, moving bool) bool {
 	// An empty replica accepts any request, because one that is too large for every
 	// replica would otherwise never run.
 	if !g.limitsMemory(r) || g.empty(r) {
 		return true
 	}
-	if moving || entitled && r.runsYielding() {
+	if moving {
+		return r.projection.FitsLoad(l, g.capacityFor(r), 0)
+	}
+	if entitled && r.runsYielding() {
 		return r.projection.FitsEntitledLoad(l, g.capacityFor(r))
 	}
 	moveReserve := int(g.o.MoveReserve * float64(g.capacityFor(r)))
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -89,6 +89,10 @@
 	QueuedFor time.Duration
 	// Reason is the reason why this replica was chosen, such as "prefix".
 	Reason string
+	// Running is the number of sequences on the replica that its group knew of before the grant,
+	// Unread the number of their prompt tokens that had yet to be prefilled, and Used the KV memory
+	// in use in tokens.
+	Running, Unread, Used int
 	// Yields makes the engine preempt this generation before others of its class,
 	// because its workspace uses more than its share.
 	Yields bool
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -65,6 +65,8 @@
 	exclude []string
 
 	lastEventAt time.Time
+	// firstEvent is the time from the arrival of the request to its first event.
+	firstEvent time.Duration
 	// stalled is the total time by which gaps between events exceeded the route's
 	// target.
 	stalled time.Duration
@@ -178,7 +180,7 @@
 		server, ok := r.f.o.Servers.Get(grant.Backend)
 		if ok && !r.f.o.Servers.Blocked(time.Now(), grant.Backend) {
 			r.grant, r.server = grant, server
-			_ = level.Info(r.f.logger(r.q)).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
+			_ = level.Info(r.f.logger(r.q)).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "running", grant.Running, "unread_tokens", grant.Unread, "used_tokens", grant.Used, "prompt_tokens", r.q.PromptTokens, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
 			r.f.o.Metrics.Observe(telemetry.QueueTime, r.q.Workspace, string(r.q.Class), time.Since(began))
 			return nil
 		}
@@ -477,7 +479,8 @@
 		if err := r.w.Begin(src.answer.Status, src.answer.Header, -1); err != nil {
 			return fault.Wrap(err, fault.Cancelled, stepStream, r.server.Name, api.Ran)
 		}
-		r.f.o.Metrics.Observe(telemetry.FirstToken, r.q.Workspace, string(r.q.Class), time.Since(r.q.Arrived))
+		r.firstEvent = time.Since(r.q.Arrived)
+		r.f.o.Metrics.Observe(telemetry.FirstToken, r.q.Workspace, string(r.q.Class), r.firstEvent)
 	}
 	if err := r.w.Write(e.Raw); err != nil {
 		return fault.Wrap(err, fault.Cancelled, stepStream, r.server.Name, api.Ran)
@@ -514,7 +517,7 @@
 			return fault.Wrap(err, fault.Cancelled, stepStream, r.server.Name, api.Ran)
 		}
 	}
-	_ = level.Info(r.f.logger(r.q)).Log("msg", "answered", "backend", r.server.Name, "events", r.events, "stalled_ms", r.stalled.Milliseconds(), "took_ms", time.Since(r.q.Arrived).Milliseconds())
+	_ = level.Info(r.f.logger(r.q)).Log("msg", "answered", "backend", r.server.Name, "events", r.events, "first_ms", r.firstEvent.Milliseconds(), "stalled_ms", r.stalled.Milliseconds(), "took_ms", time.Since(r.q.Arrived).Milliseconds())
 	r.f.o.Metrics.Observe(telemetry.StallTime, r.q.Workspace, string(r.q.Class), r.stalled)
 	r.f.o.Metrics.Counter("answers", r.q.Route.Name).Inc(1)
 	return nil
