--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -26,6 +26,7 @@
 // accepted work within noReplicaTimeout.
 func (g *Group) Dispatch(now time.Time) []Decision {
 	p := g.newPass(now)
+	g.prefillBlocked = false
 	g.refuseDisplaced(p)
 	g.refuseExpired(p)
 	g.refuseUnplaceable(p)
@@ -251,9 +252,16 @@
 	if at := now.Add(slowStartInterval); len(g.slowStarting) > 0 && at.Before(wake) {
 		wake = at
 	}
+	if at := now.Add(prefillInterval); g.prefillBlocked && at.Before(wake) {
+		wake = at
+	}
 	return wake
 }
 
+// prefillInterval is the time between two tries to place a request that waits for prompts to be
+// prefilled. An engine reads a short prompt in about this time.
+const prefillInterval = 50 * time.Millisecond
+
 // slowStartInterval is the time between two updates of the bounds of replicas in slow
 // start.
 const slowStartInterval = 250 * time.Millisecond
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -16,6 +16,10 @@
 	position int
 	// yields is set for work that engines preempt first.
 	yields bool
+	// grantedAt is the time of the grant, and backlog the number of prompt tokens that the replica had to
+	// prefill then, its own included.
+	grantedAt time.Time
+	backlog   float64
 	// charged is the number of tokens charged to the workspace so far.
 	charged   float64
 	renewedAt time.Time
@@ -54,6 +58,7 @@
 	h.yields = yields
 	h.charged = charged
 	h.renewedAt = now
+	h.grantedAt, h.backlog = now, g.backlogOf(now, r)+float64(q.PromptTokens)
 	g.grants[q.ID] = h
 	r.running = append(r.running, h)
 	r.projection.Add(&h.sequence)
@@ -122,6 +127,9 @@
 	if generated <= before {
 		return
 	}
+	if before == 0 {
+		g.prefill.observe(h.backlog, now.Sub(h.grantedAt))
+	}
 	e := g.lengthEstimate(&h.request)
 	e.Expose(before, generated)
 	h.replica.projection.Advance(&h.sequence, e, generated)
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -121,6 +121,7 @@
 	// prefixes maps prefixes to the replicas to which they were last granted.
 	prefixes prefixTable
 	lengths  map[string]*survival.Estimator
+	prefill  prefill
 	admitted window
 	// meanUrgentSize is the mean size of urgent grants in tokens.
 	meanUrgentSize float64
@@ -140,6 +141,9 @@
 	// blockedSince is the time at which the oldest of the entitled requests was
 	// queued that found no room in the last Dispatch.
 	blockedSince time.Time
+	// prefillBlocked is set if the last Dispatch passed over a replica with room because of the
+	// prompts that it has yet to prefill.
+	prefillBlocked bool
 	// unavailableSince is the time since which no replica accepts work.
 	unavailableSince time.Time
 	started          bool
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -57,7 +57,7 @@
 		return g.spread(now, q, s)
 	}
 	if p, pinned := g.pinned[q.Fingerprint]; pinned && q.Fingerprint != 0 {
-		if g.eligible(p.replica, q) && g.hasRoom(now, p.replica, s) {
+		if g.eligible(p.replica, q) && g.hasRoom(now, p.replica, q, s) {
 			return p.replica, ReasonFingerprint, placed
 		}
 		return nil, "", isolated
@@ -94,6 +94,9 @@
 		case !g.hasMemory(r, s):
 			why = noRoom
 			misses++
+		case !g.hasPrefillRoom(now, r, q):
+			why = noRoom
+			g.prefillBlocked = true
 		default:
 			best = r
 		}
@@ -144,7 +147,7 @@
 		if !g.eligible(r, q) {
 			continue
 		}
-		if !g.hasRoom(now, r, s) {
+		if !g.hasRoom(now, r, q, s) {
 			why = noRoom
 			continue
 		}
@@ -167,9 +170,10 @@
 	return !q.Suspect || r.suspects == 0
 }
 
-// hasRoom reports whether the replica has a free slot and memory for the request.
-func (g *Group) hasRoom(now time.Time, r *replica, s *memory.Sequence) bool {
-	return g.hasSlot(now, r) && g.hasMemory(r, s)
+// hasRoom reports whether the replica has a free slot and memory for the request, and can read its
+// prompt in time.
+func (g *Group) hasRoom(now time.Time, r *replica, q *Request, s *memory.Sequence) bool {
+	return g.hasSlot(now, r) && g.hasMemory(r, s) && g.hasPrefillRoom(now, r, q)
 }
 
 func (g *Group) hasSlot(now time.Time, r *replica) bool {
@@ -195,7 +199,7 @@
 		if r == nil || !g.eligible(r, q) {
 			continue
 		}
-		if float64(len(r.running)) < affinityLoadFactor*mean && g.hasRoom(now, r, s) {
+		if float64(len(r.running)) < affinityLoadFactor*mean && g.hasRoom(now, r, q, s) {
 			return r
 		}
 	}
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -29,6 +29,8 @@
 	yielding int
 	// projection is the projected memory use of all sequences.
 	projection memory.Projection
+	// backlog is the estimate of the prompt tokens that the replica has yet to prefill.
+	backlog backlog
 	// external is the number of running sequences that this group did not grant.
 	external int
 	// peers holds the loads of other gateways' grants by gateway name. reservations
--- a/internal/process/schedule/reservation.go
+++ b/internal/process/schedule/reservation.go
@@ -42,6 +42,8 @@
 	Entitled, Moving bool
 	// Seen is the pressure on the replica in the gateway's view, including the grant.
 	Seen float64
+	// StartWithin is the time within which the first token is on time, or 0 if that does not matter.
+	StartWithin time.Duration
 	// Insists is set if the arbiter must check only slots and memory, without comparing
 	// Seen with the load that it knows. It is set after refusals have corrected the
 	// gateway's view, and for requests with Spread.
@@ -116,6 +118,9 @@
 		c.Load.Yielding = 1
 	}
 	c.Load.Memory.Add(&h.sequence)
+	if by := h.request.FirstTokenBy; !by.IsZero() && c.Load.Unread > 0 {
+		c.StartWithin = max(1, by.Sub(h.grantedAt))
+	}
 	return c, true
 }
 
@@ -130,6 +135,9 @@
 	if r.listed && !r.accepting() || !g.hasSlot(now, r) || !g.hasMemoryFor(r, &c.Load.Memory, c.Entitled, c.Moving) {
 		return false
 	}
+	if !c.Insists && c.StartWithin > 0 && !g.startsInTime(now, r, c.Load.Unread, c.StartWithin) {
+		return false
+	}
 	g.addReservation(now, r, c)
 	if !c.Insists && g.pressure(r) > c.Seen+staleTolerance {
 		g.dropReservation(now, r, c.ID)
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -73,8 +73,11 @@
 	// destinations, and otherwise all gateways would choose the same destination.
 	Spread bool
 	// Exclude names replicas that already failed this request.
-	Exclude  []string
-	Deadline time.Time
+	Exclude []string
+	// FirstTokenBy is the time by which the first token is on time, or zero if the entry has no target.
+	// Under the shared policy the request is placed where its first token is expected by then.
+	FirstTokenBy time.Time
+	Deadline     time.Time
 }
 
 // Grant is the permission to run one generation on one replica.
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -17,9 +17,9 @@
 const (
 	// maxMoveDestinations is the maximum number of destinations tried for one generation.
 	maxMoveDestinations = 5
-	// destinationTimeout bounds the wait for a destination. A generation without one is lost with
-	// its engine, so it waits for as long as an engine usually runs after its notice.
-	destinationTimeout = 1800 * time.Millisecond
+	// destinationTimeout bounds the wait for a destination. An engine stops about 1.5 s
+	// after it announces that it leaves, and the copy takes up to 0.4 s.
+	destinationTimeout = 800 * time.Millisecond
 	// moveTimeout bounds the copying. Copies queue behind each other on the network
 	// links.
 	moveTimeout = 3 * time.Second
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -132,9 +132,19 @@
 		Workspace: q.Workspace, Weight: 1, Entry: q.Route.Name, Class: q.Class, Model: q.Service,
 		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, ExpectedOutputTokens: q.HintTokens,
 		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PartHashes: partHashes(q.Service, q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
+		FirstTokenBy: firstTokenBy(q),
 	}
 }
 
+// firstTokenBy returns the time by which the first token of a request is on time, or the zero time if its
+// route has no target.
+func firstTokenBy(q *Request) time.Time {
+	if q.Route.Target <= 0 {
+		return time.Time{}
+	}
+	return q.Arrived.Add(q.Route.Target)
+}
+
 // place acquires a grant for an engine that is not leaving, and stores it in the run. It returns
 // an error if the request may not be sent, or no longer after its wait. In a planned stop, a request
 // that has not started stops waiting when it can no longer end in time, because another gateway can
