--- a/internal/process/fairqueue/queue.go
+++ b/internal/process/fairqueue/queue.go
@@ -1,6 +1,5 @@
-// Package fairqueue queues requests of two classes, urgent and background, and generations that
-// move to another replica, which have a queue of their own. It selects the next one of a class by
-// start-time fair queueing across workspaces.
+// Package fairqueue queues requests of two classes, urgent and background, and
+// selects the next one of a class by start-time fair queueing across workspaces.
 package fairqueue
 
 import (
@@ -21,16 +20,12 @@
 // MinWeight is the smallest weight of a workspace; Push raises lower weights to it.
 const MinWeight = 0.01
 
-// Moving is the class of the generations that move, whatever the class of their entry. It has no
-// bound: there are no more of them than run.
-const Moving catalogue.Class = "moving"
-
 // Options configures a Queue.
 type Options struct {
 	// ClassBound limits the number of waiting requests of a class, and
 	// WorkspaceBound that of a workspace within a class; 0 means unlimited.
 	ClassBound, WorkspaceBound int
-	// Classless puts the urgent and the background class into one queue.
+	// Classless puts both classes into one queue.
 	Classless bool
 	// Unfair serves requests first come, first served, whatever their workspace.
 	Unfair bool
@@ -64,9 +59,9 @@
 	deadlineIndex int
 }
 
-const classes = 3
+const classes = 2
 
-// Queue holds the waiting requests of all classes. It is not safe for concurrent
+// Queue holds the waiting requests of both classes. It is not safe for concurrent
 // use.
 type Queue[T any] struct {
 	o            Options
@@ -87,10 +82,7 @@
 }
 
 func (q *Queue[T]) classOf(c catalogue.Class) *classQueue[T] {
-	switch {
-	case c == Moving:
-		return &q.class[2]
-	case c == catalogue.Background && !q.o.Classless:
+	if c == catalogue.Background && !q.o.Classless {
 		return &q.class[1]
 	}
 	return &q.class[0]
@@ -110,12 +102,11 @@
 	if _, queued := q.byID[it.ID]; queued {
 		return ErrDuplicate
 	}
-	bounded := it.Class != Moving
-	if bounded && q.o.ClassBound > 0 && c.length >= q.o.ClassBound {
+	if q.o.ClassBound > 0 && c.length >= q.o.ClassBound {
 		return ErrClassFull
 	}
 	f := c.flow(q.flowKeyOf(it.Workspace, it.Isolated))
-	if bounded && q.o.WorkspaceBound > 0 && !q.o.Unfair && f.length >= q.o.WorkspaceBound {
+	if q.o.WorkspaceBound > 0 && !q.o.Unfair && f.length >= q.o.WorkspaceBound {
 		return ErrWorkspaceFull
 	}
 	e := q.newEntry()
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -90,17 +90,14 @@
 	return q.Class == catalogue.Urgent && !q.Moving && !g.o.NoFairness && g.shares.exceeded(now, q.Workspace)
 }
 
-// nextClass returns the class to serve next: generations that move, then background work while it is
-// below its floor, else urgent work, and background work if no urgent request lacks room. It
+// nextClass returns the class to serve next: background work while it is below its
+// floor, else urgent work, and background work if no urgent request lacks room. It
 // returns false if there is nothing to serve.
 func (g *Group) nextClass(p *pass) (catalogue.Class, bool) {
 	g.reservedTokens = p.urgent.tokens
 	urgent := !p.closed[rankUrgent] && g.queue.Next(catalogue.Urgent) != nil
 	background := !p.closed[rankBackground] && g.queue.Next(catalogue.Background) != nil
 	switch {
-	case !p.closed[rankMoving] && g.queue.Next(fairqueue.Moving) != nil:
-		g.reservedTokens = 0
-		return fairqueue.Moving, true
 	case g.o.NoClasses:
 		g.reservedTokens = 0
 		return catalogue.Urgent, urgent
@@ -136,8 +133,7 @@
 		g.reservedTokens = p.fair.tokens
 	}
 	g.entitled = rank == rankUrgent && !g.o.NoClasses
-	g.moving = rank == rankMoving
-	if !g.entitled && !g.moving && g.saturated() {
+	if !g.entitled && g.saturated() {
 		g.skip(p, e, rank, noRoom)
 		return
 	}
@@ -158,8 +154,6 @@
 // rankOf returns the rank of a request that is queued in a class.
 func (g *Group) rankOf(now time.Time, q *Request, class catalogue.Class) rank {
 	switch {
-	case class == fairqueue.Moving:
-		return rankMoving
 	case class == catalogue.Background:
 		return rankBackground
 	case g.overShare(now, q):
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -128,10 +128,9 @@
 	// reservedTokens is the memory in tokens that the request being placed must leave
 	// free on each replica.
 	reservedTokens int
-	// entitled is set while the request being placed is entitled, and moving while it is a
-	// generation that moves.
-	entitled, moving bool
-	shares           shares
+	// entitled is set while the request being placed is entitled.
+	entitled bool
+	shares   shares
 	// numbers holds the sequence number of the newest loads of each other gateway.
 	numbers map[string]uint64
 	pass    pass
@@ -269,15 +268,16 @@
 	return float64(r.PromptTokens + r.Generated)
 }
 
-// queueClass returns the class in which a request waits.
+// queueClass returns the class in which a request waits. A generation that moves waits with the urgent
+// requests, because its engine leaves.
 func queueClass(r *Request) catalogue.Class {
 	if r.Moving {
-		return fairqueue.Moving
+		return catalogue.Urgent
 	}
 	return r.Class
 }
 
-// waiting returns the number of all waiting requests.
+// waiting returns the number of waiting requests of both classes.
 func (g *Group) waiting() int {
-	return g.queue.Len(fairqueue.Moving) + g.queue.Len(catalogue.Urgent) + g.queue.Len(catalogue.Background)
+	return g.queue.Len(catalogue.Urgent) + g.queue.Len(catalogue.Background)
 }
--- a/internal/process/schedule/pass.go
+++ b/internal/process/schedule/pass.go
@@ -26,14 +26,11 @@
 	urgent, fair headroom
 }
 
-// rank is the priority of a request, the highest first.
+// rank is the priority of a request; rankUrgent, for entitled work, is the highest.
 type rank int
 
 const (
-	// rankMoving is for generations that move: without room they are lost.
-	rankMoving rank = iota
-	// rankUrgent is entitled work.
-	rankUrgent
+	rankUrgent rank = iota
 	// rankOverShare is urgent work of workspaces that use more than their share.
 	rankOverShare
 	rankBackground
@@ -102,7 +99,7 @@
 	if g.unavailableSince.IsZero() || p.now.Sub(g.unavailableSince) < noReplicaTimeout {
 		return
 	}
-	for _, class := range [...]catalogue.Class{fairqueue.Moving, catalogue.Urgent, catalogue.Background} {
+	for _, class := range [...]catalogue.Class{catalogue.Urgent, catalogue.Background} {
 		for e := g.queue.Next(class); e != nil; e = g.queue.Next(class) {
 			p.refuse(g.queue.Take(e, 0), ReasonNoReplica)
 		}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -182,7 +182,7 @@
 
 func (g *Group) hasMemory(r *replica, s *memory.Sequence) bool {
 	l := s.Load()
-	return g.hasMemoryFor(r, &l, g.entitled, g.moving)
+	return g.hasMemoryFor(r, &l, g.entitled)
 }
 
 // prefixReplica returns the replica that has probably cached the longest known prefix
--- a/internal/process/schedule/reservation.go
+++ b/internal/process/schedule/reservation.go
@@ -37,9 +37,8 @@
 	// MaxBatch and KVCapacityTokens are the limits of the replica that the gateway
 	// knows. The arbiter needs them if the replica is not listed there yet.
 	MaxBatch, KVCapacityTokens int
-	// Entitled is set for entitled work, to which other work yields, and Moving for a generation that
-	// moves.
-	Entitled, Moving bool
+	// Entitled is set for entitled work, to which other work yields.
+	Entitled bool
 	// Seen is the pressure on the replica in the gateway's view, including the grant.
 	Seen float64
 	// StartWithin is the time within which the first token is on time, or 0 if that does not matter.
@@ -111,7 +110,7 @@
 	}
 	// A request with Spread needs room but not the least loaded replica, so Seen is
 	// not compared.
-	c := Reservation{ID: id, Gateway: g.o.Owner, Entitled: !h.yields, Moving: h.request.Moving, Seen: g.pressure(h.replica), Insists: h.request.Spread}
+	c := Reservation{ID: id, Gateway: g.o.Owner, Entitled: !h.yields || h.request.Moving, Seen: g.pressure(h.replica), Insists: h.request.Spread}
 	c.MaxBatch, c.KVCapacityTokens = h.replica.maxBatch(), h.replica.capacity()
 	c.Load = ReplicaLoad{Replica: h.replica.Name, Running: 1, Unread: h.unread()}
 	if h.yields {
@@ -132,7 +131,7 @@
 	if !r.listed {
 		r.MaxBatch, r.KVCapacityTokens = c.MaxBatch, c.KVCapacityTokens
 	}
-	if r.listed && !r.accepting() || !g.hasSlot(now, r) || !g.hasMemoryFor(r, &c.Load.Memory, c.Entitled, c.Moving) {
+	if r.listed && !r.accepting() || !g.hasSlot(now, r) || !g.hasMemoryFor(r, &c.Load.Memory, c.Entitled) {
 		return false
 	}
 	if !c.Insists && c.StartWithin > 0 && !g.startsInTime(now, r, c.Load.Unread, c.StartWithin) {
@@ -264,17 +263,15 @@
 	g.updateUnavailableSince(now)
 }
 
-// hasMemoryFor reports whether the replica has memory for a load. A generation that moves may use
-// the memory that is kept free for it. Entitled work may use that memory if the replica runs work that yields to it.
-func (g *Group) hasMemoryFor(r *replica, l *memory.Load, entitled, moving bool) bool {
+// hasMemoryFor reports whether the replica has memory for a load. Entitled work may use
+// the memory that is kept free for moved generations, if the replica runs work that
+// yields to it.
+func (g *Group) hasMemoryFor(r *replica, l *memory.Load, entitled bool) bool {
 	// An empty replica accepts any request, because one that is too large for every
 	// replica would otherwise never run.
 	if !g.limitsMemory(r) || g.empty(r) {
 		return true
 	}
-	if moving {
-		return r.projection.FitsLoad(l, g.capacityFor(r), 0)
-	}
 	if entitled && r.runsYielding() {
 		return r.projection.FitsEntitledLoad(l, g.capacityFor(r))
 	}
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -63,8 +63,8 @@
 	// PrefixHashes are hashes of the input's prefixes in whole blocks, shortest first.
 	PrefixHashes []uint64
 	// Moving is set for a generation that goes on from a copy of its KV memory because its replica
-	// leaves. Generated is the number of tokens that it has produced so far. It may use the memory
-	// that is kept free for such generations, whatever its workspace uses.
+	// leaves, and Generated is the number of tokens that it has produced so far. Its workspace was
+	// charged for it before, and it counts as within its share.
 	Moving    bool
 	Generated int
 	// Spread selects a pseudo-random replica with room, preferably in DataCentre,
