--- a/internal/process/schedule/firsttoken_test.go
+++ b/internal/process/schedule/firsttoken_test.go
@@ -26,13 +26,13 @@
 	g := sharedGroup(2)
 	g.SetReplicas(start, testReplicas(2, 64, 100_000))
 	busy := testRequest("busy", "w", catalogue.Background)
-	busy.PromptTokens = 40_000
+	busy.PromptTokens = 60_000
 	g.Enqueue(start, busy)
 	is.Equal(len(grantsAt(g, start)), 1)
 	full := g.grants["busy"].replica.Name
 	g.Progress(start.Add(10*time.Second), "busy", 1)
 	now := start.Add(11 * time.Second)
-	for i := range 8 {
+	for i := range 16 {
 		g.Enqueue(now, promptRequest(fmt.Sprint("p", i), 2_000, now.Add(1500*time.Millisecond)))
 	}
 	on := map[string]int{}
