--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -132,8 +132,10 @@
 		}
 		g.reservedTokens = p.fair.tokens
 	}
-	g.entitled = rank == rankUrgent && !g.o.NoClasses
-	if !g.entitled && g.saturated() {
+	// A moving generation that finds room only with the smaller margin would soon be preempted, or
+	// make another one be.
+	g.entitled = rank == rankUrgent && !g.o.NoClasses && !q.Moving
+	if !g.entitled && !q.Moving && g.saturated() {
 		g.skip(p, e, rank, noRoom)
 		return
 	}
--- a/internal/process/schedule/reservation.go
+++ b/internal/process/schedule/reservation.go
@@ -110,7 +110,7 @@
 	}
 	// A request with Spread needs room but not the least loaded replica, so Seen is
 	// not compared.
-	c := Reservation{ID: id, Gateway: g.o.Owner, Entitled: !h.yields || h.request.Moving, Seen: g.pressure(h.replica), Insists: h.request.Spread}
+	c := Reservation{ID: id, Gateway: g.o.Owner, Entitled: !h.yields, Seen: g.pressure(h.replica), Insists: h.request.Spread}
 	c.MaxBatch, c.KVCapacityTokens = h.replica.maxBatch(), h.replica.capacity()
 	c.Load = ReplicaLoad{Replica: h.replica.Name, Running: 1, Unread: h.unread()}
 	if h.yields {
