--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -26,6 +26,7 @@
 // accepted work within noReplicaTimeout.
 func (g *Group) Dispatch(now time.Time) []Decision {
 	p := g.newPass(now)
+	g.prefillBlocked = false
 	g.refuseDisplaced(p)
 	g.refuseExpired(p)
 	g.refuseUnplaceable(p)
@@ -83,9 +84,10 @@
 	return q.Class == catalogue.Background || g.overShare(now, q)
 }
 
-// overShare reports whether a request is urgent and its workspace is over its share.
+// overShare reports whether a request is urgent and its workspace is over its share. A generation that
+// moves was admitted before and is lost if it finds no room.
 func (g *Group) overShare(now time.Time, q *Request) bool {
-	return q.Class == catalogue.Urgent && !g.o.NoFairness && g.shares.exceeded(now, q.Workspace)
+	return q.Class == catalogue.Urgent && !q.Moving && !g.o.NoFairness && g.shares.exceeded(now, q.Workspace)
 }
 
 // nextClass returns the class to serve next: background work while it is below its
@@ -130,12 +132,14 @@
 		}
 		g.reservedTokens = p.fair.tokens
 	}
-	g.entitled = rank == rankUrgent && !g.o.NoClasses
-	if !g.entitled && g.saturated() {
+	// A moving generation that finds room only with the smaller margin would soon be preempted, or
+	// make another one be.
+	g.entitled = rank == rankUrgent && !g.o.NoClasses && !q.Moving
+	if !g.entitled && !q.Moving && g.saturated() {
 		g.skip(p, e, rank, noRoom)
 		return
 	}
-	s := memory.NewSequence(g.lengthEstimate(q), q.PromptTokens, 0, q.MaxOutputTokens)
+	s := memory.NewSequence(g.lengthEstimate(q), q.PromptTokens, q.Generated, q.MaxOutputTokens)
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
 		g.grant(p, e, r, reason, s)
@@ -163,21 +167,18 @@
 // grant grants a replica to the queued request e.
 func (g *Group) grant(p *pass, e *fairqueue.Entry[queuedRequest], r *replica, reason string, s memory.Sequence) {
 	tokens := g.expectedTokens(&e.Value.request)
-	t := g.queue.Take(e, tokens)
+	// The replica that a moving generation leaves has charged what it has used so far.
+	t := g.queue.Take(e, tokens-chargedBefore(&e.Value.request))
 	q := &t.request
 	yields := g.yields(p.now, q)
+	running, unread, used := r.occupied(), r.unread(), r.projection.Used()
 	g.addGrant(p.now, q, r, s, tokens, yields)
-	g.updateMeanUrgentSize(q.Class, tokens)
-	if q.Class == catalogue.Urgent {
-		g.shares.add(p.now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens)
-	}
 	p.urgent.spare--
 	p.fair.spare--
 	g.prefixes.remember(q.PrefixHashes, r)
-	// Only work that is granted while background requests wait counts towards the
-	// floor, so that background work accumulates no credit while it has no requests.
-	counted := g.queue.Len(catalogue.Background) > 0 || q.Class == catalogue.Background
-	g.admitted.add(p.now, q.Class, tokens, counted)
+	if !q.Moving {
+		g.countAdmission(p.now, q, tokens)
+	}
 	p.decisions = append(p.decisions, Decision{
 		Request: *q,
 		Grant: Grant{
@@ -188,11 +189,27 @@
 			Owner:     g.o.Owner,
 			QueuedFor: p.now.Sub(t.enqueued),
 			Reason:    reason,
+			Running:   running,
+			Unread:    unread,
+			Used:      used,
 			Yields:    q.Class == catalogue.Urgent && yields,
 		},
 	})
 }
 
+// countAdmission records a grant for the shares of workspaces and classes. A generation that moves was
+// counted when it was first granted.
+func (g *Group) countAdmission(now time.Time, q *Request, tokens float64) {
+	if q.Class == catalogue.Urgent {
+		g.updateMeanUrgentSize(tokens)
+		g.shares.add(now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens)
+	}
+	// Only work that is granted while background requests wait counts towards the
+	// floor, so that background work accumulates no credit while it has no requests.
+	counted := g.queue.Len(catalogue.Background) > 0 || q.Class == catalogue.Background
+	g.admitted.add(now, q.Class, tokens, counted)
+}
+
 // skip leaves a request queued and lets other workspaces go first in this Dispatch.
 func (g *Group) skip(p *pass, e *fairqueue.Entry[queuedRequest], rank rank, why placement) {
 	limit := maxIsolatedSkips
@@ -231,9 +248,16 @@
 	if at := now.Add(slowStartInterval); len(g.slowStarting) > 0 && at.Before(wake) {
 		wake = at
 	}
+	if at := now.Add(prefillInterval); g.prefillBlocked && at.Before(wake) {
+		wake = at
+	}
 	return wake
 }
 
+// prefillInterval is the time between two tries to place a request that waits for prompts to be
+// prefilled. An engine reads a short prompt in about this time.
+const prefillInterval = 50 * time.Millisecond
+
 // slowStartInterval is the time between two updates of the bounds of replicas in slow
 // start.
 const slowStartInterval = 250 * time.Millisecond
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -121,6 +121,7 @@
 	// prefixes maps prefixes to the replicas to which they were last granted.
 	prefixes prefixTable
 	lengths  map[string]*survival.Estimator
+	prefill  prefill
 	admitted window
 	// meanUrgentSize is the mean size of urgent grants in tokens.
 	meanUrgentSize float64
@@ -139,6 +140,9 @@
 	// blockedSince is the time at which the oldest of the entitled requests was
 	// queued that found no room in the last Dispatch.
 	blockedSince time.Time
+	// prefillBlocked is set if the last Dispatch passed over a replica with room because of the
+	// prompts that it has yet to prefill.
+	prefillBlocked bool
 	// unavailableSince is the time since which no replica accepts work.
 	unavailableSince time.Time
 	started          bool
@@ -192,7 +196,7 @@
 	item := fairqueue.Item[queuedRequest]{
 		ID:        r.ID,
 		Workspace: r.Workspace,
-		Class:     r.Class,
+		Class:     queueClass(&r),
 		Isolated:  r.Suspect && g.o.Policy != PolicyBaseline,
 		Weight:    r.Weight,
 		Deadline:  r.Deadline,
@@ -249,13 +253,30 @@
 // expectedTokens returns the sum of the prompt and the expected output of a request
 // in tokens.
 func (g *Group) expectedTokens(r *Request) float64 {
-	output := g.lengthEstimate(r).Mean(0)
+	output := float64(r.Generated) + g.lengthEstimate(r).Mean(r.Generated)
 	if r.MaxOutputTokens > 0 {
 		output = min(output, float64(r.MaxOutputTokens))
 	}
 	return float64(r.PromptTokens) + output
 }
 
+// chargedBefore returns the tokens of a request that another replica has charged to its workspace.
+func chargedBefore(r *Request) float64 {
+	if !r.Moving {
+		return 0
+	}
+	return float64(r.PromptTokens + r.Generated)
+}
+
+// queueClass returns the class in which a request waits. A generation that moves waits with the urgent
+// requests, because its engine leaves.
+func queueClass(r *Request) catalogue.Class {
+	if r.Moving {
+		return catalogue.Urgent
+	}
+	return r.Class
+}
+
 // waiting returns the number of waiting requests of both classes.
 func (g *Group) waiting() int {
 	return g.queue.Len(catalogue.Urgent) + g.queue.Len(catalogue.Background)
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -62,14 +62,22 @@
 	PartHashes []uint64
 	// PrefixHashes are hashes of the input's prefixes in whole blocks, shortest first.
 	PrefixHashes []uint64
+	// Moving is set for a generation that goes on from a copy of its KV memory because its replica
+	// leaves, and Generated is the number of tokens that it has produced so far. Its workspace was
+	// charged for it before, and it counts as within its share.
+	Moving    bool
+	Generated int
 	// Spread selects a pseudo-random replica with room, preferably in DataCentre,
 	// instead of the least loaded one. It is set for generations that leave an engine
 	// together: their KV caches are copied over the network links of their
 	// destinations, and otherwise all gateways would choose the same destination.
 	Spread bool
 	// Exclude names replicas that already failed this request.
-	Exclude  []string
-	Deadline time.Time
+	Exclude []string
+	// FirstTokenBy is the time by which the first token is on time, or zero if the entry has no target.
+	// Under the shared policy the request is placed where its first token is expected by then.
+	FirstTokenBy time.Time
+	Deadline     time.Time
 }
 
 // Grant is the permission to run one generation on one replica.
@@ -84,6 +92,10 @@
 	QueuedFor time.Duration
 	// Reason is the reason why this replica was chosen, such as "prefix".
 	Reason string
+	// Running is the number of sequences on the replica that its group knew of before the grant,
+	// Unread the number of their prompt tokens that had yet to be prefilled, and Used the KV memory
+	// in use in tokens.
+	Running, Unread, Used int
 	// Yields makes the engine preempt this generation before others of its class,
 	// because its workspace uses more than its share.
 	Yields bool
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -11,7 +12,6 @@
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
-	"persimmonwing/internal/version/catalogue"
 )
 
 const (
@@ -42,6 +42,8 @@
 	started     time.Time
 	cancel      context.CancelFunc
 
+	// copying is set once an engine has been asked to copy.
+	copying atomic.Bool
 	// copied is closed when the copying has ended. The fields ok, grant, to and handle
 	// are valid after that.
 	copied chan struct{}
@@ -127,8 +129,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveTimeout)
 	m := &move{r: r, from: r.server, closeSource: src.stop, cancel: cancel, copied: make(chan struct{}), started: time.Now()}
 	request := r.f.schedulingRequest(r.q)
-	request.Class = catalogue.Urgent
-	request.PromptTokens += r.generatedTokens()
+	request.Moving, request.Generated = true, r.generatedTokens()
 	request.Fingerprint, request.PartHashes = 0, nil // a generation with events has cleared both
 	request.DataCentre = r.server.DataCentre
 	request.Spread = true
@@ -158,6 +159,7 @@
 			f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
 			continue
 		}
+		m.copying.Store(true)
 		c := f.o.Client.Copy(ctx, m.from, to, q.ID)
 		if c.Outcome == Copied {
 			m.grant, m.to, m.handle, m.ok = grant, to, c.Handle, true
@@ -249,6 +251,10 @@
 	if m == nil {
 		return nil, fault.Wrap(src.readErr, linkErrorCode(ctx), stepStream, r.server.Name, api.Ran)
 	}
+	if !m.copying.Load() {
+		// There is nothing to copy any more.
+		m.cancel()
+	}
 	select {
 	case <-m.copied:
 	case <-ctx.Done():
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -65,6 +65,8 @@
 	exclude []string
 
 	lastEventAt time.Time
+	// firstEvent is the time from the arrival of the request to its first event.
+	firstEvent time.Duration
 	// stalled is the total time by which gaps between events exceeded the route's
 	// target.
 	stalled time.Duration
@@ -130,9 +132,19 @@
 		Workspace: q.Workspace, Weight: 1, Entry: q.Route.Name, Class: q.Class, Model: q.Service,
 		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, ExpectedOutputTokens: q.HintTokens,
 		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PartHashes: partHashes(q.Service, q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
+		FirstTokenBy: firstTokenBy(q),
 	}
 }
 
+// firstTokenBy returns the time by which the first token of a request is on time, or the zero time if its
+// route has no target.
+func firstTokenBy(q *Request) time.Time {
+	if q.Route.Target <= 0 {
+		return time.Time{}
+	}
+	return q.Arrived.Add(q.Route.Target)
+}
+
 // place acquires a grant for an engine that is not leaving, and stores it in the run. It returns
 // an error if the request may not be sent, or no longer after its wait. In a planned stop, a request
 // that has not started stops waiting when it can no longer end in time, because another gateway can
@@ -178,7 +190,7 @@
 		server, ok := r.f.o.Servers.Get(grant.Backend)
 		if ok && !r.f.o.Servers.Blocked(time.Now(), grant.Backend) {
 			r.grant, r.server = grant, server
-			_ = level.Info(r.f.logger(r.q)).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
+			_ = level.Info(r.f.logger(r.q)).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "running", grant.Running, "unread_tokens", grant.Unread, "used_tokens", grant.Used, "prompt_tokens", r.q.PromptTokens, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
 			r.f.o.Metrics.Observe(telemetry.QueueTime, r.q.Workspace, string(r.q.Class), time.Since(began))
 			return nil
 		}
@@ -475,7 +487,8 @@
 		if err := r.w.Begin(src.answer.Status, src.answer.Header, -1); err != nil {
 			return fault.Wrap(err, fault.Cancelled, stepStream, r.server.Name, api.Ran)
 		}
-		r.f.o.Metrics.Observe(telemetry.FirstToken, r.q.Workspace, string(r.q.Class), time.Since(r.q.Arrived))
+		r.firstEvent = time.Since(r.q.Arrived)
+		r.f.o.Metrics.Observe(telemetry.FirstToken, r.q.Workspace, string(r.q.Class), r.firstEvent)
 	}
 	if err := r.w.Write(e.Raw); err != nil {
 		return fault.Wrap(err, fault.Cancelled, stepStream, r.server.Name, api.Ran)
@@ -512,7 +525,7 @@
 			return fault.Wrap(err, fault.Cancelled, stepStream, r.server.Name, api.Ran)
 		}
 	}
-	_ = level.Info(r.f.logger(r.q)).Log("msg", "answered", "backend", r.server.Name, "events", r.events, "stalled_ms", r.stalled.Milliseconds(), "took_ms", time.Since(r.q.Arrived).Milliseconds())
+	_ = level.Info(r.f.logger(r.q)).Log("msg", "answered", "backend", r.server.Name, "events", r.events, "first_ms", r.firstEvent.Milliseconds(), "stalled_ms", r.stalled.Milliseconds(), "took_ms", time.Since(r.q.Arrived).Milliseconds())
 	r.f.o.Metrics.Observe(telemetry.StallTime, r.q.Workspace, string(r.q.Class), r.stalled)
 	r.f.o.Metrics.Counter("answers", r.q.Route.Name).Inc(1)
 	return nil
