Send nothing new to servers of evacuated data centres

An evacuation is a set of data centres in the registry, replaced as a whole. Every choice of a server, every check before a send and every destination of a move asks the registry, so that one state there binds all of them. Calls that running generations need still reach their servers: an evacuation has no announced end, so that moving them all would cost more than to let them end.

If no other server of a service is left, requests are refused at once as not run. Serving them from the evacuated servers was ruled out: the operator may switch those off at any moment.

--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -97,6 +97,13 @@
 	return b, func(at time.Time, r Result) { s.finish(at, b.Name, r, total) }, true
 }
 
+// Return begins the slow start of a replica that gets work again after a planned break.
+func (s *Set) Return(now time.Time, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replica(name).returnedAt = now
+}
+
 // IsEjected reports whether a replica is ejected at now.
 func (s *Set) IsEjected(now time.Time, name string) bool {
 	s.mu.Lock()
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -81,6 +81,8 @@
 	// responding, and brokenUntil is the end of the exclusion for the last of them.
 	brokenLinks int
 	brokenUntil time.Time
+	// evacuated is set while the data centre is evacuated.
+	evacuated bool
 	// crashes counts the crashes before this start, as long as the uptime between two
 	// of them was below shortUptime.
 	crashes int
@@ -114,6 +116,7 @@
 
 	mu         sync.Mutex
 	servers    map[string]*record
+	evacuated  map[string]Evacuation // by data centre
 	graceUntil time.Time
 	synced     bool
 	// changes holds the changes of state that onState has not been called for, and lapsed the
@@ -202,7 +205,7 @@
 		g.servers[s.Name] = r
 	}
 	before := r.isLeaving()
-	r.Server = s
+	r.Server, r.evacuated = s, g.isEvacuated(s)
 	r.removed, r.removalPending, r.confirmed = false, false, false
 	if !before && r.isLeaving() {
 		leaving = append(leaving, s.Name)
@@ -497,7 +500,7 @@
 }
 
 func (r *record) accepting(now time.Time) bool {
-	return !r.isLeaving() && !now.Before(r.excludedUntil) && r.pause.remaining(now) == 0
+	return !r.evacuated && !r.isLeaving() && !now.Before(r.excludedUntil) && r.pause.remaining(now) == 0
 }
 
 // backend returns the server as a backend. An unconfirmed one accepts work only if no other server
--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -91,12 +91,15 @@
 }
 
 // Admit reports whether something may be sent to a server now, whatever its incarnation: a request, or
-// a control call. first is not 0 for the first request after a pause; it must be passed to
+// a control call. Generations that run in an evacuated data centre still need control calls. first is not 0 for the first request after a pause; it must be passed to
 // NoteStatement or to Unanswered.
 func (g *Registry) Admit(now time.Time, s Server, control bool) (admitted bool, first uint64) {
 	g.mu.Lock()
 	r := g.servers[s.Name]
 	switch {
+	case !control && (g.isEvacuated(s) || r != nil && r.evacuated):
+		g.mu.Unlock()
+		return false, 0
 	case r == nil:
 		g.mu.Unlock()
 		return true, 0
@@ -208,13 +211,13 @@
 	return true
 }
 
-// Blocked reports whether a server accepts no new request from this gateway, because it
-// leaves or has asked for a pause.
+// Blocked reports whether a server accepts no new request from this gateway, because its data
+// centre is evacuated, it leaves, or it has asked for a pause.
 func (g *Registry) Blocked(now time.Time, name string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.servers[name]
-	return r == nil || r.isLeaving() || r.pause.remaining(now) > 0
+	return r == nil || r.evacuated || r.isLeaving() || r.pause.remaining(now) > 0
 }
 
 // Paused reports whether a server has asked for a pause that has not ended.
@@ -232,7 +235,7 @@
 	defer g.mu.Unlock()
 	var earliest time.Duration
 	for _, r := range g.servers {
-		if r.Service != service || r.isLeaving() {
+		if r.Service != service || r.isLeaving() || r.evacuated {
 			continue
 		}
 		remaining := r.pause.remaining(now)
--- a/internal/request/forward/paused.go
+++ b/internal/request/forward/paused.go
@@ -10,11 +10,24 @@
 	"persimmonwing/internal/request/fault"
 )
 
-// pauseSpread is the time over which callers are spread that return after a pause.
-const pauseSpread = 500 * time.Millisecond
+const (
+	// pauseSpread is the time over which callers are spread that return after a pause.
+	pauseSpread = 500 * time.Millisecond
+	// evacuatedRetryAfter is the shortest time after which callers return while all servers of
+	// a service are evacuated. Evacuations last for longer, and callers repeat rarely.
+	evacuatedRetryAfter = 5 * time.Second
+	// evacuatedSpread spreads their return, so that servers that were taken back get their load
+	// in a ramp.
+	evacuatedSpread = 5 * time.Second
+)
 
-// pausedError returns an error if all servers that could serve a request have asked for a pause.
+// pausedError returns an error if all servers that could serve a request are evacuated or have asked
+// for a pause.
 func (f *Forwarder) pausedError(q *Request) *fault.Error {
+	if f.o.Servers.AllEvacuated(q.Service) {
+		wait := evacuatedRetryAfter + time.Duration(random.Shared.Int64N(int64(evacuatedSpread)))
+		return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "the data centres of all servers of service %s are evacuated", q.Service).WithRetryAfter(wait)
+	}
 	left, paused := f.o.Servers.AllPaused(time.Now(), q.Service)
 	if !paused {
 		return nil
@@ -27,13 +40,15 @@
 	return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "all servers of service %s have asked for a pause", q.Service).WithRetryAfter(left)
 }
 
-// errPaused is the cause of the end of a wait for an engine when all of them have asked for a pause.
-var errPaused = errors.New("all servers have asked for a pause")
+// errPaused is the cause of the end of a wait for an engine when all of them are evacuated or have
+// asked for a pause.
+var errPaused = errors.New("all servers are evacuated or have asked for a pause")
 
 // wait is a request's wait for an engine.
 type wait struct{ end context.CancelCauseFunc }
 
-// boundByPauses returns a copy of ctx that ends when all servers of a service have asked for a pause.
+// boundByPauses returns a copy of ctx that ends when all servers of a service are evacuated or have asked
+// for a pause.
 func (f *Forwarder) boundByPauses(ctx context.Context, service string) (context.Context, context.CancelFunc) {
 	ctx, end := context.WithCancelCause(ctx)
 	w := &wait{end}
@@ -55,9 +70,10 @@
 }
 
 // ServerPaused refuses the requests that wait for an engine of a service, one of whose servers has
-// asked for a pause, if all of them have.
+// asked for a pause or is evacuated, if none is left.
 func (f *Forwarder) ServerPaused(service string) {
-	if _, paused := f.o.Servers.AllPaused(time.Now(), service); !paused {
+	_, paused := f.o.Servers.AllPaused(time.Now(), service)
+	if !paused && !f.o.Servers.AllEvacuated(service) {
 		return
 	}
 	f.mu.Lock()
@@ -66,3 +82,18 @@
 		w.end(errPaused)
 	}
 }
+
+// ServersChanged refuses the requests that wait for an engine of a service whose last servers
+// outside evacuated data centres have left.
+func (f *Forwarder) ServersChanged() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for service, waits := range f.waits {
+		if !f.o.Servers.AllEvacuated(service) {
+			continue
+		}
+		for w := range waits {
+			w.end(errPaused)
+		}
+	}
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -161,8 +161,10 @@
 			case errors.Is(context.Cause(ctx), daemon.ErrStopping):
 				return r.f.stoppingError(stepPlace, "", api.NotRun)
 			case errors.Is(context.Cause(ctx), errPaused):
-				left, _ := r.f.o.Servers.AllPaused(time.Now(), r.q.Service)
-				return allPausedError(r.q, left)
+				if paused := r.f.pausedError(r.q); paused != nil {
+					return paused
+				}
+				return allPausedError(r.q, 0) // the pause has just ended
 			case ctx.Err() != nil:
 				return fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepPlace, "", api.NotRun)
 			}
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -233,10 +233,12 @@
 type Servers interface {
 	Get(name string) (registry.Server, bool)
 	Leaving(name string) bool
-	// Blocked reports whether a server leaves or has asked for a pause, and AllPaused how
+	// Blocked reports whether a server is evacuated, leaves or has asked for a pause, and AllPaused how
 	// long all servers of a service that could serve a request want none.
 	Blocked(now time.Time, name string) bool
 	AllPaused(now time.Time, service string) (time.Duration, bool)
+	// AllEvacuated reports whether all servers of a service are in evacuated data centres.
+	AllEvacuated(service string) bool
 	Service(now time.Time, service, dataCentre string) []membership.Backend
 	NoteReplaced(name string)
 	NoteUnreachable(now time.Time, name string)
