--- a/internal/process/registry/evacuation_test.go
+++ b/internal/process/registry/evacuation_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"persimmonwing/internal/process/evacuation"
 	"persimmonwing/internal/process/membership"
 )
 
@@ -38,16 +39,16 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"evacuate": func(t *rapid.T) {
-				var set []Evacuation
+				var set []evacuation.Evacuation
 				clear(evacuated)
 				for _, d := range rapid.SliceOfDistinct(dataCentres, func(d string) string { return d }).Draw(t, "evacuated") {
 					evacuated[d] = true
-					set = append(set, Evacuation{DataCentre: d, Revision: rapid.Int64Range(1, 3).Draw(t, "revision")})
+					set = append(set, evacuation.Evacuation{DataCentre: d, Revision: rapid.Int64Range(1, 3).Draw(t, "revision")})
 				}
 				before := g.Evacuations()
 				changes := g.SetEvacuated(now, set)
 				for _, c := range changes {
-					same := func(e Evacuation) bool { return e.DataCentre == c.DataCentre && e.Revision == c.Revision }
+					same := func(e evacuation.Evacuation) bool { return e.DataCentre == c.DataCentre && e.Revision == c.Revision }
 					if c.Began != slices.ContainsFunc(g.Evacuations(), same) || c.Began == slices.ContainsFunc(before, same) {
 						t.Fatalf("%v to %v is reported as %+v", before, set, changes)
 					}
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"persimmonwing/internal/process/evacuation"
 	"persimmonwing/internal/process/membership"
 )
 
@@ -116,7 +117,7 @@
 
 	mu         sync.Mutex
 	servers    map[string]*record
-	evacuated  map[string]Evacuation // by data centre
+	evacuated  evacuation.Set
 	graceUntil time.Time
 	synced     bool
 	// changes holds the changes of state that onState has not been called for, and lapsed the
@@ -205,7 +206,7 @@
 		g.servers[s.Name] = r
 	}
 	before := r.isLeaving()
-	r.Server, r.evacuated = s, g.isEvacuated(s)
+	r.Server, r.evacuated = s, g.evacuated.Contains(s.DataCentre)
 	r.removed, r.removalPending, r.confirmed = false, false, false
 	if !before && r.isLeaving() {
 		leaving = append(leaving, s.Name)
--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -97,7 +97,7 @@
 	g.mu.Lock()
 	r := g.servers[s.Name]
 	switch {
-	case !control && (g.isEvacuated(s) || r != nil && r.evacuated):
+	case !control && (g.evacuated.Contains(s.DataCentre) || r != nil && r.evacuated):
 		g.mu.Unlock()
 		return false, 0
 	case r == nil:
--- a/internal/version/catalogue/diff.go
+++ b/internal/version/catalogue/diff.go
@@ -24,6 +24,7 @@
 const (
 	PartSetting   Part = "setting"
 	PartDraining  Part = "draining"
+	PartEvacuated Part = "evacuated"
 	PartModel     Part = "model"
 	PartWorkspace Part = "workspace"
 	PartEntry     Part = "entry"
@@ -74,6 +75,7 @@
 	out = append(out, setting("urgent_reserve", a.UrgentReserve, b.UrgentReserve)...)
 	self := func(s string) string { return s }
 	out = append(out, diffNamed(PartDraining, a.Draining, b.Draining, self)...)
+	out = append(out, diffNamed(PartEvacuated, a.Evacuated, b.Evacuated, self)...)
 	out = append(out, diffNamed(PartModel, a.Models, b.Models, func(m Model) string { return m.Name })...)
 	out = append(out, diffNamed(PartWorkspace, a.Workspaces, b.Workspaces, func(w Workspace) string { return w.Name })...)
 	out = append(out, diffNamed(PartEntry, a.Entries, b.Entries, func(e Entry) string { return e.Name })...)
@@ -141,6 +143,6 @@
 // entry or model.
 func Dangerous(changes []Change) []Change {
 	return slices.DeleteFunc(slices.Clone(changes), func(c Change) bool {
-		return c.Op != Removed || c.Part == PartDraining
+		return c.Op != Removed || c.Part == PartDraining || c.Part == PartEvacuated
 	})
 }
--- a/internal/version/catalogue/drain.go
+++ b/internal/version/catalogue/drain.go
@@ -12,18 +12,28 @@
 // draining list. Comments and the order of keys are preserved. changed is false if the
 // list already has the requested state.
 func SetDraining(body []byte, name string, drain bool) (edited []byte, changed bool, err error) {
+	return setListed(body, "draining", func(c *Catalogue) []string { return c.Draining }, name, drain)
+}
+
+// SetEvacuated is like SetDraining for a data centre and the list of evacuated ones.
+func SetEvacuated(body []byte, dataCentre string, evacuate bool) (edited []byte, changed bool, err error) {
+	return setListed(body, "evacuated", func(c *Catalogue) []string { return c.Evacuated }, dataCentre, evacuate)
+}
+
+// setListed adds a name to the list with a key, or removes it.
+func setListed(body []byte, key string, list func(*Catalogue) []string, name string, listed bool) (edited []byte, changed bool, err error) {
 	c, err := Parse("catalogue", body)
 	if err != nil {
 		return nil, false, err
 	}
-	if slices.Contains(c.Draining, name) == drain {
+	if slices.Contains(list(c), name) == listed {
 		return body, false, nil
 	}
-	names := slices.DeleteFunc(slices.Clone(c.Draining), func(n string) bool { return n == name })
-	if drain {
+	names := slices.DeleteFunc(slices.Clone(list(c)), func(n string) bool { return n == name })
+	if listed {
 		names = append(names, name)
 	}
-	edited, err = replaceDraining(body, names)
+	edited, err = replaceList(body, key, names)
 	if err != nil {
 		return nil, false, err
 	}
@@ -33,17 +43,17 @@
 	return edited, true, nil
 }
 
-func replaceDraining(body []byte, names []string) ([]byte, error) {
+func replaceList(body []byte, key string, names []string) ([]byte, error) {
 	var doc yaml.Node
 	if err := yaml.Unmarshal(body, &doc); err != nil {
 		return nil, fmt.Errorf("read catalogue: %w", err)
 	}
 	var list yaml.Node
 	if err := list.Encode(names); err != nil {
-		return nil, fmt.Errorf("encode draining list: %w", err)
+		return nil, fmt.Errorf("encode list %s: %w", key, err)
 	}
 	list.Style = yaml.FlowStyle
-	setKey(doc.Content[0], "draining", &list)
+	setKey(doc.Content[0], key, &list)
 	var b bytes.Buffer
 	enc := yaml.NewEncoder(&b)
 	enc.SetIndent(2)
--- a/internal/version/catalogue/types.go
+++ b/internal/version/catalogue/types.go
@@ -31,7 +31,9 @@
 	// may not use, from 0 to 0.5.
 	UrgentReserve float64 `yaml:"urgent_reserve"`
 	// Draining lists the backend servers that must not receive new work.
-	Draining   []string    `yaml:"draining,omitempty"`
+	Draining []string `yaml:"draining,omitempty"`
+	// Evacuated lists the data centres whose backend servers must not receive new work.
+	Evacuated  []string    `yaml:"evacuated,omitempty"`
 	Models     []Model     `yaml:"models"`
 	Workspaces []Workspace `yaml:"workspaces"`
 	Entries    []Entry     `yaml:"entries"`
--- a/internal/version/catalogue/validate.go
+++ b/internal/version/catalogue/validate.go
@@ -42,6 +42,7 @@
 	v := &validator{c: c, pos: pos, models: map[string]*Model{}, workspaces: map[string]*Workspace{}}
 	v.fractions()
 	v.draining()
+	v.evacuated()
 	v.checkModels()
 	v.checkWorkspaces()
 	v.checkEntries()
@@ -66,6 +67,10 @@
 	v.names("draining", v.c.Draining)
 }
 
+func (v *validator) evacuated() {
+	v.names("evacuated", v.c.Evacuated)
+}
+
 func (v *validator) checkModels() {
 	for i := range v.c.Models {
 		m := &v.c.Models[i]
