Evacuate data centres in the catalogue, and describe evacuations

evacuated lists data centres in the catalogue; persimmonctl evacuate and unevacuate edit it, and ask for a confirmation if nothing is known there or a model or service would be left without a server. An owner that does not know of an evacuation may still grant there; the gateway that asked releases such a grant. If all engines of a model are evacuated, requests are refused at once.

The list of subcommands in TestBashCompletion has two more words, and "un" is the begin of two of them now.

--- a/internal/process/adminapi/adminapi.go
+++ b/internal/process/adminapi/adminapi.go
@@ -23,6 +23,8 @@
 	// ReasonDraining: the catalogue lists the server as draining, or the server reports
 	// that it drains.
 	ReasonDraining Reason = "draining"
+	// ReasonEvacuated: the catalogue lists the server's data centre as evacuated.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonEjected: consecutive calls from this gateway failed.
 	ReasonEjected Reason = "ejected"
 	// ReasonResting: the engine refused several requests in a row.
--- a/internal/process/fleet/engines.go
+++ b/internal/process/fleet/engines.go
@@ -182,3 +182,28 @@
 	}
 	return sum
 }
+
+// RunsIn returns the number of generations and service calls that the backend servers of a data centre
+// have run.
+func (f *Fleet) RunsIn(ctx context.Context, dataCentre string) (total int, err error) {
+	for i, h := range f.engines {
+		if f.opts.dataCentre(i) != dataCentre {
+			continue
+		}
+		runs, err := h.engine.Runs(ctx)
+		if err != nil {
+			return 0, err
+		}
+		for _, n := range runs {
+			total += n
+		}
+	}
+	for i, a := range f.apps {
+		if f.opts.dataCentre(i) == dataCentre {
+			for _, n := range a.Runs() {
+				total += n
+			}
+		}
+	}
+	return total, nil
+}
--- a/internal/process/gateway/acquire.go
+++ b/internal/process/gateway/acquire.go
@@ -74,6 +74,7 @@
 	schedule.ReasonQueueFull: fault.QueueFull,
 	schedule.ReasonDeadline:  fault.DeadlineExceeded,
 	schedule.ReasonNoReplica: fault.NoCapacity,
+	schedule.ReasonEvacuated: fault.NoCapacity,
 	schedule.ReasonCrashes:   fault.RequestCrashes,
 	schedule.ReasonStopping:  fault.ShuttingDown,
 }
--- a/internal/process/gateway/admin.go
+++ b/internal/process/gateway/admin.go
@@ -5,6 +5,7 @@
 
 	"github.com/gorilla/mux"
 
+	"persimmonwing/internal/process/evacuation"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
 )
@@ -24,6 +25,8 @@
 	Groups            []string `json:"groups,omitempty"`
 	PlatformReachable bool     `json:"platform_reachable"`
 	InProgress        int64    `json:"in_progress"`
+	// Evacuated are the evacuated data centres, with the revision in which this gateway saw them first.
+	Evacuated []evacuation.Evacuation `json:"evacuated,omitempty"`
 }
 
 // StatusSource fills in the fields of a Status that another component provides.
--- a/internal/process/gateway/backends.go
+++ b/internal/process/gateway/backends.go
@@ -101,6 +101,8 @@
 	switch {
 	case slices.Contains(draining, b.Name) || reportsDraining:
 		return adminapi.ReasonDraining
+	case p.evacuations.contains(b.DataCentre):
+		return adminapi.ReasonEvacuated
 	case !b.Accepting && p.hostObserver.leaving(b.Name):
 		return adminapi.ReasonLeaving
 	case s.Unreachable:
@@ -129,6 +131,8 @@
 	case b.Accepting:
 	case slices.Contains(draining, b.Name):
 		view.Reason = adminapi.ReasonDraining
+	case p.evacuations.contains(b.DataCentre):
+		view.Reason = adminapi.ReasonEvacuated
 	case p.hostObserver.leaving(b.Name):
 		view.Reason = adminapi.ReasonLeaving
 	case polled && lastProbe != "":
--- a/internal/process/gateway/report.go
+++ b/internal/process/gateway/report.go
@@ -33,6 +33,7 @@
 	s.LivePeers = p.gossiper.Gateways()
 	_, age, confirmed := p.syncer.Confirmed()
 	s.PlatformReachable = confirmed && age < platformStaleAfter
+	s.Evacuated = p.evacuations.list()
 	for _, g := range p.gossiper.Summaries() {
 		if g.Owner == p.opts.Name {
 			s.GroupsOwned++
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -60,6 +60,7 @@
 	hostObserver *hostObserver
 	loads        *engine.Loads
 	gateway      *Gateway
+	evacuations  evacuations
 	// discoveryDone is set once engines have been discovered or discoveryTimeout has
 	// passed.
 	discoveryDone atomic.Bool
@@ -112,7 +113,11 @@
 		StatusSources: []StatusSource{p.status},
 		BackendSource: p.backends,
 	})
-	return p, err
+	if err != nil {
+		return nil, err
+	}
+	p.holder.Subscribe(p.applyEvacuations)
+	return p, nil
 }
 
 func (p *process) newServer() error {
--- a/internal/process/gateway/wiring.go
+++ b/internal/process/gateway/wiring.go
@@ -36,7 +36,8 @@
 			}
 			return nil
 		},
-		Started: p.pool.ResetBackoff,
+		Evacuated: p.evacuations.contains,
+		Started:   p.pool.ResetBackoff,
 		Changed: func() {
 			p.fetchAnnouncedRevision()
 			p.manager.OwnersChanged()
@@ -128,6 +129,7 @@
 		PickGroup:  pickGroup,
 		ShardCount: schedule.ShardCount,
 		ShardOf:    schedule.ShardOf,
+		Evacuated:  p.evacuations.contains,
 		Floors: func() (backgroundFloor, urgentReserve float64) {
 			s := p.holder.Current()
 			if s == nil {
--- a/internal/process/membership/backends.go
+++ b/internal/process/membership/backends.go
@@ -120,8 +120,8 @@
 }
 
 // backends returns the listed backend servers that keep selects. A server isn't
-// accepting if any one of the host list, its report, the catalogue's draining list or
-// failed calls says so.
+// accepting if any one of the host list, its report, the catalogue's draining list, an
+// evacuation or failed calls says so.
 func (g *Gossiper) backends(keep func(Fact) bool) []Backend {
 	draining := g.opt.Draining()
 	g.mu.Lock()
@@ -133,7 +133,8 @@
 			continue
 		}
 		report, _ := g.state.facts.Get(FactKey{FactReport, k.Name})
-		stopped := f.Leaving || report.Leaving || g.failed[k.Name] || slices.Contains(draining, k.Name)
+		stopped := f.Leaving || report.Leaving || g.failed[k.Name] || slices.Contains(draining, k.Name) ||
+			g.opt.Evacuated != nil && g.opt.Evacuated(f.DataCentre)
 		out = append(out, Backend{
 			Name: k.Name, Address: f.Address, DataCentre: f.DataCentre,
 			Service: f.Service, Accepting: !stopped,
--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -57,6 +57,8 @@
 	Confirm func(revision int64, at time.Time)
 	// Draining returns the catalogue's list of draining backend servers.
 	Draining func() []string
+	// Evacuated reports whether a data centre is evacuated. It may be nil.
+	Evacuated func(dataCentre string) bool
 	// Started is called, without locks held and before Changed, with the peer address
 	// of a gateway that is new or has restarted. It may be nil.
 	Started func(address string)
--- a/internal/process/operator/completion_test.go
+++ b/internal/process/operator/completion_test.go
@@ -39,8 +39,9 @@
 		words []string
 		want  string
 	}{
-		{[]string{""}, "catalogue status workspaces explain drain undrain completion"},
-		{[]string{"un"}, "undrain"},
+		{[]string{""}, "catalogue status workspaces explain drain undrain evacuate unevacuate completion"},
+		{[]string{"un"}, "undrain unevacuate"},
+		{[]string{"und"}, "undrain"},
 		{[]string{"catalogue", ""}, "validate diff apply get history rollback"},
 		{[]string{"-gateways", "a:1", "catalogue", "r"}, "rollback"},
 		{[]string{"catalogue", "-author", "ann", "ap"}, "apply"},
--- a/internal/process/operator/gateways.go
+++ b/internal/process/operator/gateways.go
@@ -16,6 +16,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"persimmonwing/internal/process/evacuation"
 	"persimmonwing/internal/request/explain"
 )
 
@@ -35,6 +36,8 @@
 	LivePeers         int    `json:"live_peers"`
 	GroupsOwned       int    `json:"groups_owned"`
 	PlatformReachable bool   `json:"platform_reachable"`
+	// Evacuated are the data centres whose backend servers get no new work.
+	Evacuated []evacuation.Evacuation `json:"evacuated,omitempty"`
 }
 
 // gatewayStatus is one line of the output of "status".
@@ -48,8 +51,9 @@
 	fs := flag.NewFlagSet("status", flag.ContinueOnError)
 	backends := fs.Bool("backends", false, "show the backend servers as the gateways see them")
 	leases := fs.Bool("leases", false, "show which controllers hold the leases of the gateways' data centres")
+	evacuations := fs.Bool("evacuations", false, "show which data centres are evacuated, as the gateways see them")
 	return &ffcli.Command{
-		Name: "status", ShortUsage: "persimmonctl status [-backends | -leases]", ShortHelp: "show the state of the gateways, backend servers or controllers",
+		Name: "status", ShortUsage: "persimmonctl status [-backends | -leases | -evacuations]", ShortHelp: "show the state of the gateways, backend servers, controllers or data centres",
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if err := noArguments("status", args); err != nil {
@@ -60,8 +64,10 @@
 				return err
 			}
 			switch {
-			case *backends && *leases:
-				return usagef("status: -backends and -leases exclude each other")
+			case *backends && *leases, *backends && *evacuations, *leases && *evacuations:
+				return usagef("status: -backends, -leases and -evacuations exclude each other")
+			case *evacuations:
+				return c.showEvacuations(ctx, addresses)
 			case *backends:
 				return c.showBackends(ctx, addresses)
 			case *leases:
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -168,7 +168,8 @@
 		},
 		Subcommands: []*ffcli.Command{
 			c.catalogueCommand(), c.statusCommand(), c.workspacesCommand(), c.explainCommand(),
-			c.drainCommand("drain", true), c.drainCommand("undrain", false), c.completionCommand(),
+			c.drainCommand("drain", true), c.drainCommand("undrain", false),
+			c.evacuateCommand("evacuate", true), c.evacuateCommand("unevacuate", false), c.completionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -148,7 +148,8 @@
 	gateway := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/status":
-			w.Write([]byte(`{"name":"gw1","data_centre":"hobart","revision":7,"ready":true,"live_peers":5,"groups_owned":2,"platform_reachable":true}`))
+			w.Write([]byte(`{"name":"gw1","data_centre":"hobart","revision":7,"ready":true,"live_peers":5,"groups_owned":2,"platform_reachable":true,` +
+				`"evacuated":[{"data_centre":"burnie","revision":6,"since":"2026-12-04T10:00:00Z"}]}`))
 		case "/backends":
 			w.Write([]byte(gatewayBackends))
 		case "/usage":
@@ -229,6 +230,14 @@
 		{"drain", "", 2, "one backend server"},
 		{"catalogue history -limit 9", "", 0, "rollback to revision 1\n"},
 		{"catalogue history -output json", "", 0, `"revision": 11`},
+		{"evacuate hobart", "", 0, "accepted as revision 12"},
+		{"evacuate hobart", "", 0, "no changes: revision 12"},
+		{"unevacuate hobart -gateways " + address, "", 0, "- evacuated hobart"},
+		{"evacuate hobart -gateways " + address, "", 1, "no other backend server that accepts work serves guide"},
+		{"evacuate burnie -gateways " + address, "", 1, "none of the 1 gateways that answered knows a backend server in data centre burnie"},
+		{"evacuate burnie -gateways 127.0.0.1:1", "", 1, "none of the 1 gateways answered"},
+		{"evacuate Not_A_Name", "", 1, "evacuated[0]"},
+		{"evacuate", "", 2, "one data centre"},
 		{"workspaces", "", 0, "care-guide,letter-sorting"},
 		{"status", "", 2, "-gateways must be set"},
 		{"status -gateways localhost", "", 2, "use host:port"},
@@ -241,6 +250,8 @@
 		{"-gateways 127.0.0.1:1," + address + " status", "", 1, "1 of 2 gateways didn't answer; check -gateways"},
 		{"status -leases -gateways " + address, "", 0, "hobart       -       -                     0        0"},
 		{"status -backends -leases -gateways " + address, "", 2, "exclude each other"},
+		{"status -backends -evacuations -gateways " + address, "", 2, "exclude each other"},
+		{"status -evacuations -gateways " + address, "", 0, "burnie       gw1      2026-12-04T10:00:00Z  6"},
 		{"status -backends -gateways " + address, "", 0, "engine-1  engine  hobart       guide   resting  4        16     900 of 20000"},
 		{"status -backends -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer; check -gateways"},
 		{"workspaces -gateways " + address + "," + address, "", 0, "hobart-shop      1       1     9.1 of 10   0 of unlimited  4 of 40     requests_per_second  "},
--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -102,7 +102,7 @@
 		return schedule.Grant{}, nil, false
 	}
 	if !ok {
-		return schedule.Grant{}, s.finalRefusal(), true
+		return schedule.Grant{}, m.finalRefusal(s), true
 	}
 	gateway := m.nextGateway(s, k)
 	if gateway == "" {
@@ -136,6 +136,13 @@
 		}
 	default:
 		m.addHeld(s.request, s.trial, reply, gateway)
+		if m.evacuated(k.DataCentre) {
+			// The owner didn't know it yet, or it began while this gateway waited for the reply.
+			m.Release(reply.Grant.ID, schedule.Outcome{NotRun: true})
+			s.skipGroup(k)
+			s.refusal = &schedule.Refusal{Reason: schedule.ReasonNoReplica, RetryAfter: time.Second}
+			return schedule.Grant{}, nil, false
+		}
 		// This process may have been paused while it waited for the reply.
 		m.fetchMissed(ctx)
 		switch m.guard.check(&s.request) {
@@ -188,14 +195,6 @@
 	return a
 }
 
-// finalRefusal returns the refusal of a request for which no group is left to try.
-func (s *acquisition) finalRefusal() *schedule.Refusal {
-	if s.refusal != nil {
-		return s.refusal
-	}
-	return &schedule.Refusal{Reason: schedule.ReasonNoReplica, RetryAfter: time.Second}
-}
-
 // waitError returns the error of a wait that ctx ended: a refusal if the request's own
 // deadline has passed, else the error of ctx.
 func (m *Manager) waitError(ctx context.Context, r schedule.Request) error {
--- a/internal/process/owner/groups.go
+++ b/internal/process/owner/groups.go
@@ -109,7 +109,7 @@
 	seen := map[schedule.GroupKey]bool{}
 	var out []schedule.Summary
 	add := func(s schedule.Summary) {
-		if s.Group.Model == model && !seen[s.Group] && !skip[s.Group] {
+		if s.Group.Model == model && !seen[s.Group] && !skip[s.Group] && !m.evacuated(s.Group.DataCentre) {
 			seen[s.Group] = true
 			out = append(out, s)
 		}
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -105,6 +105,8 @@
 	// Paused reports whether an engine has asked this gateway for a pause, during which it
 	// is not polled, under the shared policy. It may be nil.
 	Paused func(engine string) bool
+	// Evacuated reports whether a data centre is evacuated. Its groups get no requests. It may be nil.
+	Evacuated func(dataCentre string) bool
 
 	// NewGroup returns an empty group.
 	NewGroup func(schedule.GroupKey) Group
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -107,6 +107,8 @@
 	ReasonNoReplica = "no_replica"
 	ReasonCrashes   = "crashes_servers"
 	ReasonStopping  = "stopping"
+	// ReasonEvacuated means that all replicas are in evacuated data centres.
+	ReasonEvacuated = "evacuated"
 	// ReasonTrial means that the request has to become the trial of suspect parts of its
 	// prompt first.
 	ReasonTrial = "suspect_part"
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -205,6 +205,19 @@
 	}
 }
 
+// RunningAt returns the number of streams that run on servers that selected chooses by name.
+func (f *Forwarder) RunningAt(selected func(server string) bool) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for server, runs := range f.runs {
+		if selected(server) {
+			n += len(runs)
+		}
+	}
+	return n
+}
+
 func (f *Forwarder) untrack(name string, r *run) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
