Place requests elsewhere whose equal runs in an evacuated data centre

They waited for the end of the first run, because equal requests share an engine. For an engine that leaves that is a matter of seconds, and stays so.

--- a/internal/process/membership/backends.go
+++ b/internal/process/membership/backends.go
@@ -133,11 +133,11 @@
 			continue
 		}
 		report, _ := g.state.facts.Get(FactKey{FactReport, k.Name})
-		stopped := f.Leaving || report.Leaving || g.failed[k.Name] || slices.Contains(draining, k.Name) ||
-			g.opt.Evacuated != nil && g.opt.Evacuated(f.DataCentre)
+		evacuated := g.opt.Evacuated != nil && g.opt.Evacuated(f.DataCentre)
+		stopped := evacuated || f.Leaving || report.Leaving || g.failed[k.Name] || slices.Contains(draining, k.Name)
 		out = append(out, Backend{
 			Name: k.Name, Address: f.Address, DataCentre: f.DataCentre,
-			Service: f.Service, Accepting: !stopped,
+			Service: f.Service, Accepting: !stopped, Evacuated: evacuated,
 		})
 	}
 	return out
--- a/internal/process/membership/types.go
+++ b/internal/process/membership/types.go
@@ -10,8 +10,10 @@
 	DataCentre string
 	// Service is the service of an application server. It is empty for an engine.
 	Service string
-	// Accepting is false while the server is draining, leaving or unreachable.
+	// Accepting is false while the server is draining, leaving, evacuated or unreachable.
 	Accepting bool
+	// Evacuated is set while the data centre is evacuated.
+	Evacuated bool
 }
 
 // Gateway is another gateway.
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -509,6 +509,6 @@
 func (r *record) backend(now time.Time, listed map[string]bool) membership.Backend {
 	return membership.Backend{
 		Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Service: r.Service,
-		Accepting: r.accepting(now) && !(r.unconfirmed() && listed[r.Service]),
+		Accepting: r.accepting(now) && !(r.unconfirmed() && listed[r.Service]), Evacuated: r.evacuated,
 	}
 }
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -56,7 +56,8 @@
 	if q.Spread {
 		return g.spread(now, q, s)
 	}
-	if p, pinned := g.pinned[q.Fingerprint]; pinned && q.Fingerprint != 0 {
+	// An engine is evacuated for longer than requests can wait.
+	if p, pinned := g.pinned[q.Fingerprint]; pinned && q.Fingerprint != 0 && !p.replica.Evacuated {
 		if g.eligible(p.replica, q) && g.hasRoom(now, p.replica, s) {
 			return p.replica, ReasonFingerprint, placed
 		}
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -140,6 +140,8 @@
 	KVCapacityTokens int
 	// Accepting is false while the engine is draining, leaving, ejected or unreachable.
 	Accepting bool
+	// Evacuated is set while the engine accepts nothing because its data centre is evacuated.
+	Evacuated bool
 }
 
 // Summary describes the load of a group for gateways that do not own it.
