--- a/internal/process/health/health_test.go
+++ b/internal/process/health/health_test.go
@@ -72,6 +72,31 @@
 	is.True(counts["app-0"] > 0)
 }
 
+// Guards against a replica that gets its whole share at once when it returns, and against one that gets none
+// although the others are busy.
+func TestReturnInARamp(t *testing.T) {
+	s, list := NewSet(DefaultOptions()), backends(2)
+	s.Return(start, "app-0")
+	picked := func(after time.Duration) (n int) {
+		var ends []func(time.Time, Result)
+		for range 22 {
+			b, done, _ := s.Pick(start.Add(after), list, nil)
+			ends = append(ends, done)
+			if b.Name == "app-0" {
+				n++
+			}
+		}
+		for _, done := range ends {
+			done(start.Add(after), Success)
+		}
+		return n
+	}
+	is := is.New(t)
+	is.Equal(picked(0), 2)             // a tenth of the other one's weight
+	is.Equal(picked(5*time.Second), 7) // half of it
+	is.Equal(picked(10*time.Second), 11)
+}
+
 // Guards against a retry storm: without successes the budget is used up.
 func TestBudgetEnds(t *testing.T) {
 	is := is.New(t)
