--- a/internal/process/owner/groups.go
+++ b/internal/process/owner/groups.go
@@ -93,7 +93,7 @@
 func (m *Manager) replica(b membership.Backend) schedule.Replica {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := schedule.Replica{Name: b.Name, Address: b.Address, DataCentre: b.DataCentre}
+	r := schedule.Replica{Name: b.Name, Address: b.Address, DataCentre: b.DataCentre, Evacuated: b.Evacuated}
 	if e := m.engines[b.Name]; e != nil {
 		r.MaxBatch = e.report.MaxBatch
 		r.KVCapacityTokens = e.report.KVCapacityTokens
@@ -109,7 +109,7 @@
 	seen := map[schedule.GroupKey]bool{}
 	var out []schedule.Summary
 	add := func(s schedule.Summary) {
-		if s.Group.Model == model && !seen[s.Group] && !skip[s.Group] {
+		if s.Group.Model == model && !seen[s.Group] && !skip[s.Group] && !m.evacuated(s.Group.DataCentre) {
 			seen[s.Group] = true
 			out = append(out, s)
 		}
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -119,6 +119,8 @@
 	ReasonNoReplica = "no_replica"
 	ReasonCrashes   = "crashes_servers"
 	ReasonStopping  = "stopping"
+	// ReasonEvacuated means that all replicas are in evacuated data centres.
+	ReasonEvacuated = "evacuated"
 	// ReasonTrial means that the request has to become the trial of suspect parts of its
 	// prompt first.
 	ReasonTrial = "suspect_part"
@@ -150,6 +152,8 @@
 	KVCapacityTokens int
 	// Accepting is false while the engine is draining, leaving, ejected or unreachable.
 	Accepting bool
+	// Evacuated is set while the engine accepts nothing because its data centre is evacuated.
+	Evacuated bool
 }
 
 // Summary describes the load of a group for gateways that do not own it.
