Apply servers that are listed together as one change

A list of n engines replaced the replicas of their group n times, each time in proportion to n, and each row of a response of the store once more. With 300 gateways and 3,000 engines no gateway served anything.

Engines of the first list no longer slow-start when a gateway starts, as the documentation of schedule.Group says: only the first one did not.

--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -168,12 +168,22 @@
 // applyReport applies a report that this gateway or another one has polled, or that is
 // assumed.
 func (m *Manager) applyReport(name string, report api.LoadReport) {
+	if m.storeReport(name, report) {
+		m.updateReplicas()
+		// The report may reveal a group that was not known before.
+		m.OwnersChanged()
+	}
+	m.reportToGroups(name, report)
+}
+
+// storeReport keeps a report and returns true if replicas of groups have changed by it.
+func (m *Manager) storeReport(name string, report api.LoadReport) bool {
 	m.mu.Lock()
 	e := m.engines[name]
 	if e == nil {
 		// The engine has left the list since the report was chosen.
 		m.mu.Unlock()
-		return
+		return false
 	}
 	old := e.report
 	restarted := e.polled && old.Incarnation != report.Incarnation
@@ -187,11 +197,10 @@
 	}
 	m.opt.View.SetFailed(name, false)
 	m.opt.View.SetReport(name, report.Draining, report.Models, report.Incarnation)
-	if changed {
-		m.updateReplicas()
-		// The report may reveal a group that was not known before.
-		m.OwnersChanged()
-	}
+	return changed
+}
+
+func (m *Manager) reportToGroups(name string, report api.LoadReport) {
 	for _, r := range m.allRunners() {
 		r.report(time.Now(), name, report)
 	}
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -222,6 +222,8 @@
 	// default.
 	slowStart time.Duration
 	created   func(*gateway)
+	// changeOptions, if set, changes the options of the next gateway under the shared policy.
+	changeOptions func(owner.Options) owner.Options
 	// wrapCaller, if set, wraps the caller with which the Manager of the next gateway calls
 	// its peers.
 	wrapCaller func(membership.Caller) membership.Caller
--- a/internal/process/owner/reader.go
+++ b/internal/process/owner/reader.go
@@ -63,16 +63,28 @@
 	if m.opt.AssumedReport == nil {
 		return
 	}
+	var reports []api.LoadReport
+	m.mu.Lock()
 	for _, b := range engines {
-		m.mu.Lock()
-		_, known := m.engines[b.Name]
-		if !known {
+		if _, known := m.engines[b.Name]; !known {
 			m.engines[b.Name] = &engine{}
+			reports = append(reports, api.LoadReport{Name: b.Name})
 		}
-		m.mu.Unlock()
-		if !known {
-			m.applyReport(b.Name, m.opt.AssumedReport(b.Name))
-		}
+	}
+	m.mu.Unlock()
+	if len(reports) == 0 {
+		return
+	}
+	for i := range reports {
+		name := reports[i].Name
+		reports[i] = m.opt.AssumedReport(name)
+		m.storeReport(name, reports[i])
+		reports[i].Name = name
+	}
+	m.updateReplicas()
+	m.OwnersChanged()
+	for _, r := range reports {
+		m.reportToGroups(r.Name, r)
 	}
 }
 
--- a/internal/process/owner/shared_test.go
+++ b/internal/process/owner/shared_test.go
@@ -33,6 +33,9 @@
 			return schedule.NewGroup(k, schedule.Options{Owner: name, Policy: schedule.PolicyShared, NoBatchBound: true, NoMemoryAdmission: true, SlowStart: f.slowStart})
 		}
 		o.ShardCount = func(int) int { return 1 }
+		if f.changeOptions != nil {
+			o = f.changeOptions(o)
+		}
 		return o
 	}
 	f.created = func(n *gateway) { g = n }
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -167,17 +167,22 @@
 }
 
 // Put adds or updates one entry of the list.
-func (g *Registry) Put(s Server) {
-	g.mu.Lock()
-	leaving := g.put(s, nil)
-	g.mu.Unlock()
-	g.notify(leaving)
-}
+func (g *Registry) Put(s Server) { g.Change(time.Time{}, []Server{s}, nil) }
 
 // Remove records that the list no longer contains an entry.
-func (g *Registry) Remove(now time.Time, name string) {
+func (g *Registry) Remove(now time.Time, name string) { g.Change(now, nil, []string{name}) }
+
+// Change adds or updates some entries of the list and removes others. onChange is called once for all of
+// them: it takes time in proportion to the engines, and thousands of servers start at the same time.
+func (g *Registry) Change(now time.Time, put []Server, remove []string) {
+	var leaving []string
 	g.mu.Lock()
-	leaving := g.drop(now, name, nil)
+	for _, s := range put {
+		leaving = g.put(s, leaving)
+	}
+	for _, name := range remove {
+		leaving = g.drop(now, name, leaving)
+	}
 	g.mu.Unlock()
 	g.notify(leaving)
 }
--- a/internal/process/storefeed/copies_test.go
+++ b/internal/process/storefeed/copies_test.go
@@ -194,10 +194,12 @@
 					m.rows[r.Key] = true
 				}
 			},
-			Change: func(_ time.Time, r Row) {
+			Change: func(_ time.Time, rows []Row) {
 				m.mu.Lock()
 				defer m.mu.Unlock()
-				m.rows[r.Key] = !r.Tombstone
+				for _, r := range rows {
+					m.rows[r.Key] = !r.Tombstone
+				}
 			},
 			Confirmed: func(at time.Duration) {
 				m.mu.Lock()
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -56,9 +56,9 @@
 	// Newest is the highest revision that any watcher of this process has seen. A
 	// whole table with a lower revision is out of date.
 	Newest *atomic.Int64
-	// Sync is called with the whole table and Change with one changed row.
+	// Sync is called with the whole table, and Change with the changed rows of one response.
 	Sync   func(now time.Time, rows []Row)
-	Change func(now time.Time, r Row)
+	Change func(now time.Time, rows []Row)
 	// Confirmed is called after each response that confirms the table. The response was
 	// current at time at, measured since boot.
 	Confirmed func(at time.Duration)
@@ -205,8 +205,8 @@
 		w.Sync(now, res.Rows.Rows)
 		return
 	}
-	for _, r := range res.Rows.Rows {
-		w.Change(now, r)
+	if len(res.Rows.Rows) > 0 {
+		w.Change(now, res.Rows.Rows)
 	}
 }
 
