Bound the polls of engines that a gateway starts at once

A gateway that knows no other one, as right after its start, is the reader of all engines and polled all of them twice a second: with 1,000 engines more than a host with a sixth of a core can do, so that it did not serve either. It starts 32 at each tick now, those first that have waited longest. A gateway alone with 56 engines starts 112 in a second as before.

--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -17,6 +17,10 @@
 	// lostAfterFailures is the number of consecutive failed polls after which an engine
 	// is considered lost.
 	lostAfterFailures = 3
+	// maxPollsPerTick bounds the polls of engines that start at one tick, 128 in a second. A gateway that
+	// does not hear of others, as at its start, is due to poll all engines of its cell, which takes a host
+	// with a sixth of a core longer than the time between two polls.
+	maxPollsPerTick = 32
 )
 
 // engine is the polling state of one engine.
@@ -62,6 +66,7 @@
 		m.applyAssumedReports(engines)
 		reader = m.readerSelector()
 	}
+	var polls []membership.Backend
 	for _, b := range engines {
 		listed[b.Name] = true
 		if shared && m.opt.Paused != nil && m.opt.Paused(b.Name) {
@@ -70,13 +75,35 @@
 		if shared && !m.pollDue(time.Now(), b.Name, reader(b.Name) == m.self()) {
 			continue
 		}
-		if (due[b.Name] || shared) && m.startPoll(b.Name) {
+		if due[b.Name] || shared {
+			polls = append(polls, b)
+		}
+	}
+	if shared && len(polls) > maxPollsPerTick {
+		polls = m.longestUnpolled(polls, maxPollsPerTick)
+	}
+	for _, b := range polls {
+		if m.startPoll(b.Name) {
 			m.inBackground(func() { m.pollEngine(ctx, b) })
 		}
 	}
 	m.removeUnlistedEngines(listed)
 }
 
+// longestUnpolled returns the n engines whose last poll started first.
+func (m *Manager) longestUnpolled(engines []membership.Backend, n int) []membership.Backend {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := func(b membership.Backend) time.Time {
+		if e := m.engines[b.Name]; e != nil {
+			return e.pollStartedAt
+		}
+		return time.Time{}
+	}
+	slices.SortStableFunc(engines, func(a, b membership.Backend) int { return at(a).Compare(at(b)) })
+	return engines[:n]
+}
+
 // enginesOfGroups returns the engines of the groups that this gateway runs.
 func (m *Manager) enginesOfGroups() map[string]bool {
 	out := map[string]bool{}
