Divide large fleets into cells

Each gateway scheduled all engines, received the report of each from its relay twice a second and the loads of all gateways, and polled each engine of which it had no report for 2 s. That grows with gateways times engines. With more than 128 engines the fleet is now divided into cells: a gateway schedules the engines of its cell, and exchanges loads, reports and confirmations with the gateways of its cell. Fleets of up to 128 engines are one cell and are served as before.

--- a/internal/process/membership/rank.go
+++ b/internal/process/membership/rank.go
@@ -9,8 +9,8 @@
 // pollers is the number of gateways per data centre that are elected to poll a source.
 const pollers = 2
 
-// score returns the rendezvous hash of a gateway for a key.
-func score(gateway, key string) uint64 {
+// Score returns the rendezvous hash of a gateway for a key.
+func Score(gateway, key string) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(gateway)
 	_, _ = d.Write([]byte{0})
@@ -23,7 +23,7 @@
 	out := append([]string(nil), names...)
 	scores := make(map[string]uint64, len(out))
 	for _, n := range out {
-		scores[n] = score(n, key)
+		scores[n] = Score(n, key)
 	}
 	sort.Slice(out, func(i, j int) bool {
 		a, b := scores[out[i]], scores[out[j]]
@@ -34,7 +34,7 @@
 
 // RanksBefore reports whether gateway a has a higher rendezvous hash for key than b.
 func RanksBefore(a, b, key string) bool {
-	x, y := score(a, key), score(b, key)
+	x, y := Score(a, key), Score(b, key)
 	return x > y || (x == y && a < b)
 }
 
@@ -43,9 +43,13 @@
 func HighestRanked(names []string, key string) string {
 	best, high := "", uint64(0)
 	for _, n := range names {
-		if s := score(n, key); best == "" || s > high || (s == high && n < best) {
+		if s := Score(n, key); best == "" || s > high || (s == high && n < best) {
 			best, high = n, s
 		}
 	}
 	return best
 }
+
+// ReaderKey returns the key by which gateways are ranked to read the reports of an engine and to decide the
+// reservations on it.
+func ReaderKey(engine string) string { return "read/" + engine }
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -35,6 +35,9 @@
 	return out
 }
 
+// Peers returns the live gateways, all of which schedule the same engines.
+func (g *Gossiper) Peers() []Gateway { return g.Live() }
+
 // Known returns all other gateways that have not left, live or not. After a pause of
 // this process none of them is live until the next exchange.
 func (g *Gossiper) Known() []Gateway {
--- a/internal/process/owner/confirm.go
+++ b/internal/process/owner/confirm.go
@@ -128,7 +128,7 @@
 	gateways := map[string]membership.Gateway{}
 	var names []string
 	unavailable := 0
-	for _, g := range m.opt.View.Live() {
+	for _, g := range m.opt.View.Peers() {
 		if m.isAvoided(g.Name) {
 			unavailable++
 			continue
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -66,6 +66,8 @@
 type View interface {
 	Self() membership.Host
 	Live() []membership.Gateway
+	// Peers returns the live gateways, this one included, that schedule the engines of Engines.
+	Peers() []membership.Gateway
 	// Known returns all known gateways, live or not.
 	Known() []membership.Gateway
 	Peer(name string) (address string, live bool)
--- a/internal/process/owner/reader.go
+++ b/internal/process/owner/reader.go
@@ -46,7 +46,7 @@
 // reader of an engine.
 func (m *Manager) readerSelector() func(engine string) string {
 	var names []string
-	for _, g := range m.opt.View.Live() {
+	for _, g := range m.opt.View.Peers() {
 		names = append(names, g.Name)
 	}
 	return func(engine string) string { return readerAmong(names, engine) }
@@ -54,7 +54,7 @@
 
 // readerAmong returns the gateway that is the reader of an engine.
 func readerAmong(gateways []string, engine string) string {
-	return membership.HighestRanked(gateways, "read/"+engine)
+	return membership.HighestRanked(gateways, membership.ReaderKey(engine))
 }
 
 // applyAssumedReports applies, to engines that have not been polled yet, the report
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -116,6 +116,8 @@
 	servers    map[string]*record
 	graceUntil time.Time
 	synced     bool
+	// listing changes whenever the names of listed servers may have changed.
+	listing uint64
 	// changes holds the changes of state that onState has not been called for, and lapsed the
 	// servers that onLapsed has not been called for.
 	changes []StateChange
@@ -190,6 +192,7 @@
 // put stores an entry. Like drop, it returns leaving with the server's name appended if
 // the server has begun to leave. The caller holds the lock.
 func (g *Registry) put(s Server, leaving []string) []string {
+	g.listing++
 	r := g.servers[s.Name]
 	// The entry of an older incarnation may arrive after that of a newer one.
 	if r != nil && s.StartedMS < r.StartedMS {
@@ -228,6 +231,7 @@
 		return leaving
 	}
 	before := r.isLeaving()
+	g.listing++
 	r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
 	if !before {
 		leaving = append(leaving, name)
@@ -281,6 +285,7 @@
 func (g *Registry) NoteEnded(now time.Time, s Server) {
 	g.update(s.Name, func(r *record) {
 		if r.StartedMS == s.StartedMS && r.removalPending {
+			g.listing++
 			r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
 		}
 	})
@@ -465,19 +470,48 @@
 	return out
 }
 
-// engines returns all engines, sorted by name.
-func (g *Registry) engines(now time.Time) []membership.Backend {
+// engineNames returns the names of all engines in no particular order, unless they are the same as at the
+// listing that it returned before.
+func (g *Registry) engineNames(before uint64) (out []string, listing uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.listing == before {
+		return nil, before
+	}
+	for name, r := range g.servers {
+		if r.isEngine() {
+			out = append(out, name)
+		}
+	}
+	return out, g.listing
+}
+
+// isEngine reports whether the record is that of a listed engine.
+func (r *record) isEngine() bool { return len(r.Models) > 0 && !r.removed }
+
+// engines returns the engines with the given names, or all engines if names is nil, sorted by name.
+func (g *Registry) engines(now time.Time, names map[string]bool) []membership.Backend {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []membership.Backend
 	listed := g.listedServices(now)
-	for _, r := range g.servers {
-		if len(r.Models) > 0 && !r.removed {
+	add := func(r *record) {
+		if r.isEngine() {
 			b := r.backend(now, listed)
 			b.Service = ""
 			out = append(out, b)
 		}
 	}
+	if names == nil {
+		for _, r := range g.servers {
+			add(r)
+		}
+	}
+	for name := range names {
+		if r := g.servers[name]; r != nil {
+			add(r)
+		}
+	}
 	slices.SortFunc(out, func(a, b membership.Backend) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
--- a/internal/process/registry/view.go
+++ b/internal/process/registry/view.go
@@ -10,10 +10,12 @@
 
 // View combines the gateways known from gossip with the engines of a Registry. It
 // implements owner.View for the shared policy, under which each gateway schedules all
-// engines.
+// engines of its cell.
 type View struct {
 	*membership.Gossiper
 	Registry *Registry
+	// Cells may be nil, for a fleet of one cell.
+	Cells *Cells
 }
 
 // Owner returns this gateway, because each gateway schedules every group itself.
@@ -26,8 +28,19 @@
 // entries.
 func (v View) BackendsToPoll([]membership.Backend) []membership.Backend { return nil }
 
-// Engines returns the engines of all data centres.
-func (v View) Engines(string) []membership.Backend { return v.Registry.engines(time.Now()) }
+// Engines returns the engines of this gateway's cell in all data centres.
+func (v View) Engines(string) []membership.Backend {
+	now := time.Now()
+	return v.Registry.engines(now, v.Cells.engines(now))
+}
+
+// Peers returns the live gateways that schedule the engines of this gateway's cell.
+func (v View) Peers() []membership.Gateway {
+	if v.Cells == nil {
+		return v.Live()
+	}
+	return v.Cells.Gateways()
+}
 
 // Reported returns the group of an engine, which is its service, and the incarnation
 // given by its list entry. It returns zero values for an unknown engine.
