Pass on loads that change nothing without ending the wait of followers

Traced the entry of TestCallsForLoadsDoNotGrowWithGateways: each gateway confirms its loads once a second, in a phase that each grant moves, and each confirmation ended the wait of all followers of the relay. The calls of a follower therefore grew with the number of phases, up to one each 50 ms, and chance decided which of two runs had more.

--- a/internal/process/owner/export_test.go
+++ b/internal/process/owner/export_test.go
@@ -56,3 +56,6 @@
 }
 func (b *RelayBuffer) Expire(now time.Time) { b.expire(now) }
 func (b *RelayBuffer) Sequence() uint64     { return b.sequence }
+
+// ChangedSince exposes changedSince for a caller of this data centre.
+func (b *RelayBuffer) ChangedSince(s uint64) bool { return b.changedSince(s, "follower", false) }
--- a/internal/process/owner/loadcodec.go
+++ b/internal/process/owner/loadcodec.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"bytes"
 	"encoding/binary"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,20 @@
 	return e
 }
 
+// sameLoads reports whether two encodings of one gateway's loads differ in their numbers at most.
+func sameLoads(a, b []byte) bool {
+	return bytes.Equal(withoutNumber(a), withoutNumber(b))
+}
+
+// withoutNumber returns the part of encoded loads after the number of the message.
+func withoutNumber(encoded []byte) []byte {
+	d := loadDecoder{left: encoded}
+	d.text()
+	d.number()
+	d.number()
+	return d.left
+}
+
 // loadEncoder holds the bytes encoded so far.
 type loadEncoder []byte
 
--- a/internal/process/owner/relay.go
+++ b/internal/process/owner/relay.go
@@ -82,7 +82,8 @@
 }
 
 // FetchLoads returns what is new for a gateway of this data centre, or for the relay of another
-// one. It returns after fetchHold if there is nothing.
+// one, as soon as it holds a change. Loads and reports that only confirm the ones before do not end the wait,
+// or the calls would grow with the gateways that send them. It returns after fetchHold at the latest.
 func (s *Service) FetchLoads(in *FetchLoadsArgs, out *FetchLoadsReply) error {
 	deadline := time.NewTimer(fetchHold)
 	defer deadline.Stop()
@@ -99,7 +100,7 @@
 	}
 }
 
-// readBuffer fills out and reports whether it holds anything new for the caller. changed is
+// readBuffer fills out and reports whether it holds a change for the caller. changed is
 // closed at the next change of the buffer.
 func (m *Manager) readBuffer(now time.Time, in *FetchLoadsArgs, out *FetchLoadsReply) (changed <-chan struct{}, done bool) {
 	self := m.opt.View.Self()
@@ -119,7 +120,7 @@
 	if l.changed == nil {
 		l.changed = make(chan struct{})
 	}
-	return l.changed, len(out.Loads)+len(out.Reports) > 0
+	return l.changed, l.buffer.changedSince(since, in.Gateway, !local)
 }
 
 // bufferLoads keeps the loads of a gateway of this data centre for the others.
--- a/internal/process/owner/relay_test.go
+++ b/internal/process/owner/relay_test.go
@@ -15,6 +15,7 @@
 	"persimmonwing/internal/process/owner"
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/api"
 )
 
 // loadCalls counts the calls with which gateways exchange their loads, by caller.
@@ -188,6 +189,35 @@
 	is.Equal(names(0, "c", false, now.Add(3500*time.Millisecond)), "a10")
 }
 
+// Guards against calls that grow with the gateways because each message that confirms old loads ends the wait of all
+// followers, and against a change that does not end it.
+func TestOnlyChangesEndTheWaitOfFollowers(t *testing.T) {
+	is := is.New(t)
+	var b owner.RelayBuffer
+	number := uint64(0)
+	changes := func(running, used int, broken time.Duration) bool {
+		since := b.Sequence()
+		number++
+		in := owner.LoadsArgs{Gateway: "a", Incarnation: 1, Number: number, Reports: []api.LoadReport{{Name: "e1", Models: []string{"m"}, KVUsedTokens: used, ReportedAtMS: int64(number)}}}
+		in.Groups = []owner.GroupLoads{{Group: schedule.GroupKey{Model: "m"}, Loads: []schedule.ReplicaLoad{{Replica: "e1", Running: running}}}}
+		if broken > 0 {
+			in.Broken = map[string]time.Duration{"e1": broken}
+		}
+		b.Add(time.Unix(1000, 0), &in, true)
+		loads, reports := b.Since(time.Unix(1000, 0), since, "follower", false)
+		is.Equal(len(loads)+len(reports), 2) // passed on with the next change, or after the wait
+		return b.ChangedSince(since)
+	}
+	is.True(changes(1, 10, 0))
+	is.True(!changes(1, 10, 0))
+	is.True(changes(2, 10, 0))
+	is.True(changes(2, 11, 0))
+	is.True(!changes(2, 11, 0))
+	is.True(changes(2, 11, time.Second))
+	is.True(changes(2, 11, 0)) // the engine is used again
+	is.True(!changes(2, 11, 0))
+}
+
 // Guards against a relay on a host with a fifth of a core while a larger one is live: such
 // relays answered their own callers late.
 func TestRelaysRunOnTheLargestHosts(t *testing.T) {
--- a/internal/process/owner/relaybuffer.go
+++ b/internal/process/owner/relaybuffer.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"reflect"
+	"slices"
 	"time"
 
 	"persimmonwing/internal/request/api"
@@ -25,7 +27,9 @@
 	number      uint64
 	broken      map[string]time.Duration
 	sequence    uint64
-	receivedAt  time.Time
+	// changedAt is the sequence number at which the loads last differed from those before.
+	changedAt  uint64
+	receivedAt time.Time
 	// local is set for the gateways of this data centre. Only their loads are passed on to
 	// relays of other data centres.
 	local bool
@@ -36,32 +40,47 @@
 	report     api.LoadReport
 	from       string
 	sequence   uint64
+	changedAt  uint64
 	receivedAt time.Time
 	local      bool
 }
 
-// add replaces the loads of a gateway, unless the buffer holds newer ones.
+// add replaces the loads of a gateway, unless the buffer holds newer ones. Loads that only confirm the ones
+// before do not count as a change.
 func (b *relayBuffer) add(now time.Time, in *LoadsArgs, local bool) {
-	if old, known := b.loads[in.Gateway]; known && !in.newerThan(old.incarnation, old.number) {
+	old, known := b.loads[in.Gateway]
+	if known && !in.newerThan(old.incarnation, old.number) {
 		return
 	}
 	if b.loads == nil {
 		b.loads = map[string]bufferedLoads{}
 	}
 	b.sequence++
-	b.loads[in.Gateway] = bufferedLoads{encodeLoads(in), in.Incarnation, in.Number, in.Broken, b.sequence, now, local}
+	next := bufferedLoads{encoded: encodeLoads(in), incarnation: in.Incarnation, number: in.Number, broken: in.Broken, sequence: b.sequence, changedAt: b.sequence, receivedAt: now, local: local}
+	if known && old.incarnation == next.incarnation && sameLoads(old.encoded, next.encoded) && len(old.broken)+len(next.broken) == 0 {
+		next.changedAt = old.changedAt
+	}
+	b.loads[in.Gateway] = next
 	b.addReports(now, in.Reports, in.Gateway, local)
 }
 
 // addReports replaces the reports of engines. from is the gateway that has polled them, or
 // "" if a relay has passed them on.
 func (b *relayBuffer) addReports(now time.Time, reports []api.LoadReport, from string, local bool) {
+	if len(reports) == 0 {
+		return
+	}
 	if b.reports == nil {
 		b.reports = map[string]bufferedReport{}
 	}
 	b.sequence++
 	for _, r := range reports {
-		b.reports[r.Name] = bufferedReport{r, from, b.sequence, now, local}
+		old, known := b.reports[r.Name]
+		changedAt := b.sequence
+		if known && sameReport(old.report, r) {
+			changedAt = old.changedAt
+		}
+		b.reports[r.Name] = bufferedReport{r, from, b.sequence, changedAt, now, local}
 	}
 }
 
@@ -82,6 +101,29 @@
 	return loads, reports
 }
 
+// sameReport reports whether two reports of an engine differ in their time at most.
+func sameReport(a, b api.LoadReport) bool {
+	models := slices.Equal(a.Models, b.Models)
+	a.Models, b.Models, a.ReportedAtMS, b.ReportedAtMS = nil, nil, 0, 0
+	return models && reflect.DeepEqual(a, b)
+}
+
+// changedSince reports whether since would return a change for the caller, and not only loads and reports
+// that confirm the ones before.
+func (b *relayBuffer) changedSince(sequence uint64, caller string, onlyLocal bool) bool {
+	for gateway, l := range b.loads {
+		if l.changedAt > sequence && gateway != caller && (l.local || !onlyLocal) {
+			return true
+		}
+	}
+	for _, r := range b.reports {
+		if r.changedAt > sequence && r.from != caller && (r.local || !onlyLocal) {
+			return true
+		}
+	}
+	return false
+}
+
 // expire removes what is older than loadsTTL, so that a gateway that calls for the first
 // time does not receive the loads of gateways that have ended.
 func (b *relayBuffer) expire(now time.Time) {
