Look up servers by index instead of searching the whole list

A request, a tick and a poll took time in proportion to all listed servers. A reader of the store no longer searches its copy for a follower that has all of it.

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -116,8 +116,9 @@
 	servers    map[string]*record
 	graceUntil time.Time
 	synced     bool
-	// listing changes whenever the names of listed servers may have changed.
+	// listing changes whenever the list may have changed, and index is that of a listing.
 	listing uint64
+	index   index
 	// changes holds the changes of state that onState has not been called for, and lapsed the
 	// servers that onLapsed has not been called for.
 	changes []StateChange
@@ -227,6 +228,7 @@
 		if !r.removalPending && !r.isLeaving() {
 			g.lapsed = append(g.lapsed, r.Server)
 		}
+		g.listing++
 		r.removalPending = true
 		return leaving
 	}
@@ -312,6 +314,7 @@
 		}
 		if r.removed && now.Sub(r.removedAt) > retention {
 			g.endStatements(now, r, "removed")
+			g.listing++
 			delete(g.servers, name)
 		}
 	}
@@ -433,17 +436,11 @@
 	return r == nil || r.isLeaving()
 }
 
-// Addresses returns the addresses of all servers that have not been removed.
+// Addresses returns the addresses of all servers that have not been removed. The caller must not change the map.
 func (g *Registry) Addresses() map[string]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := map[string]bool{}
-	for _, r := range g.servers {
-		if !r.removed {
-			out[r.Address] = true
-		}
-	}
-	return out
+	return g.indexed().addresses
 }
 
 // Service returns the servers of a service, those in dataCentre first, each part sorted by
@@ -453,10 +450,8 @@
 	defer g.mu.Unlock()
 	var out []membership.Backend
 	listed := g.listedServices(now)
-	for _, r := range g.servers {
-		if r.Service == service && !r.removed {
-			out = append(out, r.backend(now, listed))
-		}
+	for _, r := range g.indexed().services[service] {
+		out = append(out, r.backend(now, listed))
 	}
 	slices.SortFunc(out, func(a, b membership.Backend) int {
 		if (a.DataCentre == dataCentre) != (b.DataCentre == dataCentre) {
@@ -478,10 +473,8 @@
 	if g.listing == before {
 		return nil, before
 	}
-	for name, r := range g.servers {
-		if r.isEngine() {
-			out = append(out, name)
-		}
+	for _, r := range g.indexed().engines {
+		out = append(out, r.Name)
 	}
 	return out, g.listing
 }
@@ -496,19 +489,17 @@
 	var out []membership.Backend
 	listed := g.listedServices(now)
 	add := func(r *record) {
-		if r.isEngine() {
-			b := r.backend(now, listed)
-			b.Service = ""
-			out = append(out, b)
-		}
+		b := r.backend(now, listed)
+		b.Service = ""
+		out = append(out, b)
 	}
 	if names == nil {
-		for _, r := range g.servers {
+		for _, r := range g.indexed().engines {
 			add(r)
 		}
 	}
 	for name := range names {
-		if r := g.servers[name]; r != nil {
+		if r := g.servers[name]; r != nil && r.isEngine() {
 			add(r)
 		}
 	}
@@ -519,11 +510,7 @@
 // listedServices returns the services that have a server which accepts work and is not
 // unconfirmed, if any server is unconfirmed. The caller holds the lock.
 func (g *Registry) listedServices(now time.Time) map[string]bool {
-	any := false
-	for _, r := range g.servers {
-		any = any || r.unconfirmed()
-	}
-	if !any {
+	if !slices.ContainsFunc(g.indexed().lapsed, (*record).unconfirmed) {
 		return nil
 	}
 	out := map[string]bool{}
--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -231,8 +231,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var earliest time.Duration
-	for _, r := range g.servers {
-		if r.Service != service || r.isLeaving() {
+	for _, r := range g.indexed().services[service] {
+		if r.isLeaving() {
 			continue
 		}
 		remaining := r.pause.remaining(now)
--- a/internal/process/storefeed/copies.go
+++ b/internal/process/storefeed/copies.go
@@ -165,6 +165,10 @@
 		out.SinceReturn = max(1, time.Since(t.recoveredAt))
 	}
 	out.Whole = in.Since < t.historyStart && !t.unread
+	if !out.Whole && in.Since >= t.revision {
+		// A reader answers this for each of its followers several times a second.
+		return t.changed, t.lost && !t.unread
+	}
 	for _, r := range t.rows {
 		if out.Whole && !r.Tombstone || !out.Whole && r.Revision > in.Since {
 			out.Rows = append(out.Rows, r)
