Pack the rows of large tables that readers pass on

A reader sends the list of 3,000 servers to each of its followers, up to 32, when they start together. Followers of an older build get plain rows. Also mends two races in new tests: a counter, and a reply that was read after an error.

--- a/internal/process/owner/knowledge_test.go
+++ b/internal/process/owner/knowledge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,11 +20,11 @@
 // countingGroup counts the replacements of its list of replicas.
 type countingGroup struct {
 	owner.Group
-	replaced int
+	replaced atomic.Int64
 }
 
 func (g *countingGroup) SetReplicas(now time.Time, r []schedule.Replica) {
-	g.replaced++
+	g.replaced.Add(1)
 	g.Group.SetReplicas(now, r)
 }
 
@@ -51,13 +52,13 @@
 				time.Sleep(time.Second)
 				r.Change(time.Now(), engineList("first"), nil)
 				time.Sleep(time.Second) // the group exists
-				before := group.replaced
+				before := group.replaced.Load()
 				names := []string{"first"}
 				for i := range 200 {
 					names = append(names, fmt.Sprint("e", i))
 				}
 				start(r, engineList(names...))
-				if n := group.replaced - before; n > 4 {
+				if n := group.replaced.Load() - before; n > 4 {
 					t.Errorf("the replicas were replaced %d times for %d engines", n, len(names))
 				}
 			})
@@ -78,7 +79,9 @@
 }
 
 func (c exchangeCaller) Call(ctx context.Context, address, method string, args, reply any) error {
-	err := c.Caller.Call(ctx, address, method, args, reply)
+	if err := c.Caller.Call(ctx, address, method, args, reply); err != nil {
+		return err
+	}
 	c.sum.mu.Lock()
 	defer c.sum.mu.Unlock()
 	switch a := args.(type) {
@@ -92,7 +95,7 @@
 		c.sum.loads += len(r.Loads)
 		c.sum.reports += len(r.Reports)
 	}
-	return err
+	return nil
 }
 
 // startCellFleet starts gateways, with ten engines each, that divide their fleet into cells.
--- a/internal/process/storefeed/copies.go
+++ b/internal/process/storefeed/copies.go
@@ -98,6 +98,14 @@
 	recoveredAt  time.Time
 	// changed is closed and replaced at the next change.
 	changed chan struct{}
+	// packed is the last packed reply. Followers mostly ask for the same rows at the same time.
+	packed packedReply
+}
+
+// packedReply holds the packed rows of a table at a revision that followers with revision since need.
+type packedReply struct {
+	since, revision int64
+	rows            []byte
 }
 
 // NewCopies returns empty copies.
@@ -116,6 +124,8 @@
 type Args struct {
 	Table string
 	Since int64
+	// Packs is set by followers that read Reply.Packed.
+	Packs bool
 }
 
 // Reply contains the called gateway's copy of a table.
@@ -123,8 +133,10 @@
 	// Lost is set if the called gateway has not read the table yet or cannot read it now.
 	Lost bool
 	// Whole is set if the rows are the whole table.
-	Whole    bool
-	Rows     []Row
+	Whole bool
+	Rows  []Row
+	// Packed holds the rows in place of Rows if they are large.
+	Packed   []byte
 	Revision int64
 	// Age is the time since the call that last confirmed the copy was sent to the store.
 	Age time.Duration
@@ -175,7 +187,33 @@
 		}
 	}
 	slices.SortFunc(out.Rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
-	return t.changed, t.lost && !t.unread || out.Whole || len(out.Rows) > 0
+	done = t.lost && !t.unread || out.Whole || len(out.Rows) > 0
+	if in.Packs {
+		t.pack(in.Since, out)
+	}
+	return t.changed, done
+}
+
+// pack replaces the rows of a reply by packed ones if they are large.
+func (t *tableCopy) pack(since int64, out *Reply) {
+	size := 0
+	for _, r := range out.Rows {
+		size += len(r.Value)
+	}
+	if size <= packAbove {
+		return
+	}
+	if out.Whole {
+		since = needsList
+	}
+	if t.packed.rows == nil || t.packed.since != since || t.packed.revision != t.revision {
+		rows, err := packRows(out.Rows)
+		if err != nil {
+			return
+		}
+		t.packed = packedReply{since, t.revision, rows}
+	}
+	out.Rows, out.Packed = nil, t.packed.rows
 }
 
 // table returns the copy of a table, creating it if needed. A new copy is marked as lost
@@ -297,13 +335,20 @@
 	defer cancel()
 	sentAt := boottime.Now()
 	var r Reply
-	if err := c.caller.Call(callCtx, reader.PeerAddress, ServiceName+".Feed", &Args{Table: table, Since: since}, &r); err != nil {
+	if err := c.caller.Call(callCtx, reader.PeerAddress, ServiceName+".Feed", &Args{Table: table, Since: since, Packs: true}, &r); err != nil {
 		if ctx.Err() == nil {
 			_ = level.Info(c.logger).Log("msg", "reader of the store does not respond", "reader", reader.Name, "table", table, "err", err)
 			c.avoid(reader.Name, time.Now().Add(avoidFor))
 		}
 		return result{}, copyNone
 	}
+	if len(r.Packed) > 0 {
+		var err error
+		if r.Rows, err = unpackRows(r.Packed); err != nil {
+			_ = level.Warn(c.logger).Log("msg", "ignoring a copy from a reader of the store", "reader", reader.Name, "table", table, "err", err)
+			return result{}, copyNone
+		}
+	}
 	return r.result(since, minRevision, sentAt)
 }
 
