--- a/internal/process/owner/relay.go
+++ b/internal/process/owner/relay.go
@@ -15,6 +15,8 @@
 	// maxMeshGateways is the number of gateways up to which each sends its loads to all
 	// others. With more, a relay in each data centre collects and distributes them: 83
 	// gateways with 0.2 of a core each spent two thirds of their processor time on the mesh.
+	// Cells always have relays: a cell has a few gateways in each data centre, and a mesh would send each
+	// report to all of them in the other data centres.
 	maxMeshGateways = 16
 	// relayedLoadsPeriod is the time after which unchanged loads are sent to the relay
 	// again. Three of them fit into loadsTTL.
@@ -82,7 +84,8 @@
 }
 
 // FetchLoads returns what is new for a gateway of this data centre, or for the relay of another
-// one. It returns after fetchHold if there is nothing.
+// one, as soon as it holds a change. Loads and reports that only confirm the ones before do not end the wait,
+// or the calls would grow with the gateways that send them. It returns after fetchHold at the latest.
 func (s *Service) FetchLoads(in *FetchLoadsArgs, out *FetchLoadsReply) error {
 	deadline := time.NewTimer(fetchHold)
 	defer deadline.Stop()
@@ -99,7 +102,7 @@
 	}
 }
 
-// readBuffer fills out and reports whether it holds anything new for the caller. changed is
+// readBuffer fills out and reports whether it holds a change for the caller. changed is
 // closed at the next change of the buffer.
 func (m *Manager) readBuffer(now time.Time, in *FetchLoadsArgs, out *FetchLoadsReply) (changed <-chan struct{}, done bool) {
 	self := m.opt.View.Self()
@@ -119,7 +122,7 @@
 	if l.changed == nil {
 		l.changed = make(chan struct{})
 	}
-	return l.changed, len(out.Loads)+len(out.Reports) > 0
+	return l.changed, l.buffer.changedSince(since, in.Gateway, !local)
 }
 
 // bufferLoads keeps the loads of a gateway of this data centre for the others.
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -120,6 +120,9 @@
 	evacuated  evacuation.Set
 	graceUntil time.Time
 	synced     bool
+	// listing changes whenever the list may have changed, and index is that of a listing.
+	listing uint64
+	index   index
 	// changes holds the changes of state that onState has not been called for, and lapsed the
 	// servers that onLapsed has not been called for.
 	changes []StateChange
@@ -171,17 +174,22 @@
 }
 
 // Put adds or updates one entry of the list.
-func (g *Registry) Put(s Server) {
-	g.mu.Lock()
-	leaving := g.put(s, nil)
-	g.mu.Unlock()
-	g.notify(leaving)
-}
+func (g *Registry) Put(s Server) { g.Change(time.Time{}, []Server{s}, nil) }
 
 // Remove records that the list no longer contains an entry.
-func (g *Registry) Remove(now time.Time, name string) {
+func (g *Registry) Remove(now time.Time, name string) { g.Change(now, nil, []string{name}) }
+
+// Change adds or updates some entries of the list and removes others. onChange is called once for all of
+// them: it takes time in proportion to the engines, and thousands of servers start at the same time.
+func (g *Registry) Change(now time.Time, put []Server, remove []string) {
+	var leaving []string
 	g.mu.Lock()
-	leaving := g.drop(now, name, nil)
+	for _, s := range put {
+		leaving = g.put(s, leaving)
+	}
+	for _, name := range remove {
+		leaving = g.drop(now, name, leaving)
+	}
 	g.mu.Unlock()
 	g.notify(leaving)
 }
@@ -189,6 +197,7 @@
 // put stores an entry. Like drop, it returns leaving with the server's name appended if
 // the server has begun to leave. The caller holds the lock.
 func (g *Registry) put(s Server, leaving []string) []string {
+	g.listing++
 	r := g.servers[s.Name]
 	// The entry of an older incarnation may arrive after that of a newer one.
 	if r != nil && s.StartedMS < r.StartedMS {
@@ -223,10 +232,12 @@
 		if !r.removalPending && !r.isLeaving() {
 			g.lapsed = append(g.lapsed, r.Server)
 		}
+		g.listing++
 		r.removalPending = true
 		return leaving
 	}
 	before := r.isLeaving()
+	g.listing++
 	r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
 	if !before {
 		leaving = append(leaving, name)
@@ -280,6 +291,7 @@
 func (g *Registry) NoteEnded(now time.Time, s Server) {
 	g.update(s.Name, func(r *record) {
 		if r.StartedMS == s.StartedMS && r.removalPending {
+			g.listing++
 			r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
 		}
 	})
@@ -306,6 +318,7 @@
 		}
 		if r.removed && now.Sub(r.removedAt) > retention {
 			g.endStatements(now, r, "removed")
+			g.listing++
 			delete(g.servers, name)
 		}
 	}
@@ -427,17 +440,11 @@
 	return r == nil || r.isLeaving()
 }
 
-// Addresses returns the addresses of all servers that have not been removed.
+// Addresses returns the addresses of all servers that have not been removed. The caller must not change the map.
 func (g *Registry) Addresses() map[string]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := map[string]bool{}
-	for _, r := range g.servers {
-		if !r.removed {
-			out[r.Address] = true
-		}
-	}
-	return out
+	return g.indexed().addresses
 }
 
 // Service returns the servers of a service, those in dataCentre first, each part sorted by
@@ -447,10 +454,8 @@
 	defer g.mu.Unlock()
 	var out []membership.Backend
 	listed := g.listedServices(now)
-	for _, r := range g.servers {
-		if r.Service == service && !r.removed {
-			out = append(out, r.backend(now, listed))
-		}
+	for _, r := range g.indexed().services[service] {
+		out = append(out, r.backend(now, listed))
 	}
 	slices.SortFunc(out, func(a, b membership.Backend) int {
 		if (a.DataCentre == dataCentre) != (b.DataCentre == dataCentre) {
@@ -464,17 +469,42 @@
 	return out
 }
 
-// engines returns all engines, sorted by name.
-func (g *Registry) engines(now time.Time) []membership.Backend {
+// engineNames returns the names of all engines in no particular order, unless they are the same as at the
+// listing that it returned before.
+func (g *Registry) engineNames(before uint64) (out []string, listing uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.listing == before {
+		return nil, before
+	}
+	for _, r := range g.indexed().engines {
+		out = append(out, r.Name)
+	}
+	return out, g.listing
+}
+
+// isEngine reports whether the record is that of a listed engine.
+func (r *record) isEngine() bool { return len(r.Models) > 0 && !r.removed }
+
+// engines returns the engines with the given names, or all engines if names is nil, sorted by name.
+func (g *Registry) engines(now time.Time, names map[string]bool) []membership.Backend {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []membership.Backend
 	listed := g.listedServices(now)
-	for _, r := range g.servers {
-		if len(r.Models) > 0 && !r.removed {
-			b := r.backend(now, listed)
-			b.Service = ""
-			out = append(out, b)
+	add := func(r *record) {
+		b := r.backend(now, listed)
+		b.Service = ""
+		out = append(out, b)
+	}
+	if names == nil {
+		for _, r := range g.indexed().engines {
+			add(r)
+		}
+	}
+	for name := range names {
+		if r := g.servers[name]; r != nil && r.isEngine() {
+			add(r)
 		}
 	}
 	slices.SortFunc(out, func(a, b membership.Backend) int { return strings.Compare(a.Name, b.Name) })
@@ -484,11 +514,7 @@
 // listedServices returns the services that have a server which accepts work and is not
 // unconfirmed, if any server is unconfirmed. The caller holds the lock.
 func (g *Registry) listedServices(now time.Time) map[string]bool {
-	any := false
-	for _, r := range g.servers {
-		any = any || r.unconfirmed()
-	}
-	if !any {
+	if !slices.ContainsFunc(g.indexed().lapsed, (*record).unconfirmed) {
 		return nil
 	}
 	out := map[string]bool{}
