--- a/internal/process/registry/evacuation_test.go
+++ b/internal/process/registry/evacuation_test.go
@@ -78,7 +78,7 @@
 					if control == paused {
 						t.Fatalf("control call to %+v admitted %v, paused %v", s, control, paused)
 					}
-					service, engines := accepts(g.Service(now, "model", "a"), name), accepts(g.engines(now), name)
+					service, engines := accepts(g.Service(now, "model", "a"), name), accepts(g.engines(now, nil), name)
 					admitted := false
 					if evacuated[s.DataCentre] {
 						// In the other case the request would be the first one after a pause.
