--- a/internal/process/membership/types.go
+++ b/internal/process/membership/types.go
@@ -12,6 +12,9 @@
 	Service string
 	// Accepting is false while the server is draining, leaving or unreachable.
 	Accepting bool
+	// MaxStarts is the number of requests that may start on the server within a second, or 0 without a
+	// bound. Servers that are cold have one.
+	MaxStarts int
 }
 
 // Gateway is another gateway.
--- a/internal/process/owner/groups.go
+++ b/internal/process/owner/groups.go
@@ -93,7 +93,7 @@
 func (m *Manager) replica(b membership.Backend) schedule.Replica {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := schedule.Replica{Name: b.Name, Address: b.Address, DataCentre: b.DataCentre}
+	r := schedule.Replica{Name: b.Name, Address: b.Address, DataCentre: b.DataCentre, MaxStarts: b.MaxStarts}
 	if e := m.engines[b.Name]; e != nil {
 		r.MaxBatch = e.report.MaxBatch
 		r.KVCapacityTokens = e.report.KVCapacityTokens
--- /dev/null
+++ b/internal/process/registry/cold.go
@@ -0,0 +1,191 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmonwing/internal/process/coldbound"
+)
+
+// StateCold is the State of a StateChange by which a server becomes cold.
+const StateCold = "cold"
+
+// coldState is what a server has said of how long it is cold, in the entries of the list and in answers.
+// A word replaces earlier ones only if it is newer for certain: an entry those of entries with a lower
+// number, and an answer all that was known when its request was sent. Of other words the longer one holds.
+type coldState struct {
+	// listed is the end by the entry with the highest number, which was received at listedAt.
+	listed, listedAt time.Time
+	entry            int64
+	hasEntry         bool
+	listedLeft       time.Duration
+	// answered is the end by the answer to the request that was sent last, at answeredSent.
+	answered, answeredSent time.Time
+	// began is the time since which this gateway knows that the server is cold, or zero.
+	began time.Time
+	// deniedUntil is the time until which this gateway has no right to send to the server.
+	deniedUntil time.Time
+}
+
+func (c *coldState) until() time.Time {
+	if c.answered.After(c.listed) {
+		return c.answered
+	}
+	return c.listed
+}
+
+func (c *coldState) remaining(now time.Time) time.Duration { return max(0, c.until().Sub(now)) }
+
+// ColdServer is a server that is cold.
+type ColdServer struct {
+	Server
+	// Left is how much longer it is cold, and Age for how long this gateway has known that it is.
+	Left, Age time.Duration
+}
+
+// Incarnation returns the server's identity for package coldbound.
+func (s Server) Incarnation() coldbound.Incarnation {
+	return coldbound.Incarnation{Server: s.Name, StartedMS: s.StartedMS}
+}
+
+// BoundCold sets a function that returns the number of requests that a cold server of a service may
+// get within a second, or 0 without a bound. It must be called before the registry is used.
+func (g *Registry) BoundCold(rights func(service string) int) { g.coldRights = rights }
+
+// noteListedCold records what an entry says. The same entry may be read again much later. The caller
+// holds the lock.
+func (g *Registry) noteListedCold(r *record) {
+	s, c := &r.Server, &r.cold
+	known := c.hasEntry && (s.Entry < c.entry || s.Entry == c.entry && (s.Entry != 0 || s.Cold == c.listedLeft))
+	if !s.HasCold || known {
+		return
+	}
+	now := g.now()
+	c.entry, c.hasEntry, c.listedLeft = s.Entry, true, s.Cold
+	c.listed, c.listedAt = now.Add(s.Cold), now
+	g.updateCold(now, r, "list")
+}
+
+// NoteCold records that the incarnation s of a server has stated in an answer how much longer it is
+// cold. sent is the time at which the request was sent.
+func (g *Registry) NoteCold(now, sent time.Time, s Server, left time.Duration) {
+	if !g.noteAnsweredCold(now, sent, s, left) {
+		return
+	}
+	g.onChange()
+	g.reportChanges()
+}
+
+func (g *Registry) noteAnsweredCold(now, sent time.Time, s Server, left time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.servers[s.Name]
+	if r == nil || r.StartedMS != s.StartedMS || sent.Before(r.cold.answeredSent) {
+		return false
+	}
+	c := &r.cold
+	c.answered, c.answeredSent = now.Add(left), sent
+	if sent.After(c.listedAt) {
+		c.listed = time.Time{}
+	}
+	return g.updateCold(now, r, "answer")
+}
+
+// updateCold records that a server has become cold or is no longer, and reports whether that changed.
+// The caller holds the lock.
+func (g *Registry) updateCold(now time.Time, r *record, source string) bool {
+	switch left := r.cold.remaining(now); {
+	case left > 0 && r.cold.began.IsZero():
+		r.cold.began = now
+		g.changes = append(g.changes, StateChange{Server: r.Name, State: StateCold, Source: source, Began: true, Length: left})
+		return true
+	case left == 0 && !r.cold.began.IsZero():
+		g.endCold(now, r, source)
+		return true
+	}
+	return false
+}
+
+func (g *Registry) endCold(now time.Time, r *record, reason string) {
+	if !r.cold.began.IsZero() {
+		g.changes = append(g.changes, StateChange{Server: r.Name, State: StateCold, Source: reason, Length: now.Sub(r.cold.began)})
+	}
+	r.cold.began, r.cold.deniedUntil = time.Time{}, time.Time{}
+}
+
+// noticeColdEnd reports whether a server's cold time, or the time without a right, has ended since the last
+// call. The caller holds the lock.
+func (g *Registry) noticeColdEnd(now time.Time, r *record) bool {
+	denied := !r.cold.deniedUntil.IsZero() && !now.Before(r.cold.deniedUntil)
+	if denied {
+		r.cold.deniedUntil = time.Time{}
+	}
+	return g.updateCold(now, r, "elapsed") || denied
+}
+
+// Cold returns how much longer a server is cold, or 0, and its present incarnation.
+func (g *Registry) Cold(now time.Time, name string) (Server, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.servers[name]
+	if r == nil {
+		return Server{}, 0
+	}
+	return r.Server, r.cold.remaining(now)
+}
+
+// NoteColdDenied records that there is no right to send to a cold server before wait has passed. It then gets
+// no new work from this gateway.
+func (g *Registry) NoteColdDenied(now time.Time, name string, wait time.Duration) {
+	g.update(name, func(r *record) {
+		r.cold.deniedUntil = now.Add(min(wait, r.cold.remaining(now)))
+	})
+}
+
+// ColdWait returns the time until the first of the servers of a service may get a request, if all that
+// could serve one are cold and have got as many as they may.
+func (g *Registry) ColdWait(now time.Time, service string) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var earliest time.Duration
+	for _, r := range g.servers {
+		if r.Service != service || r.isLeaving() {
+			continue
+		}
+		wait := r.cold.deniedUntil.Sub(now)
+		if wait <= 0 {
+			return 0, false
+		}
+		if earliest == 0 || wait < earliest {
+			earliest = wait
+		}
+	}
+	return earliest, earliest > 0
+}
+
+// ColdServers returns the servers that are cold, sorted by name.
+func (g *Registry) ColdServers(now time.Time) []ColdServer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []ColdServer
+	for _, r := range g.servers {
+		if left := r.cold.remaining(now); left > 0 && !r.isLeaving() {
+			out = append(out, ColdServer{Server: r.Server, Left: left, Age: now.Sub(r.cold.began)})
+		}
+	}
+	slices.SortFunc(out, func(a, b ColdServer) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// maxColdStarts returns the number of requests that may be placed on a server within a second, or 0
+// without a bound: as many as its keeper issues rights from the first second on. The caller holds the lock.
+func (g *Registry) maxColdStarts(now time.Time, r *record) int {
+	if g.coldRights == nil || r.cold.remaining(now) == 0 {
+		return 0
+	}
+	if rights := g.coldRights(r.Service); rights > 0 {
+		return coldbound.FirstWindow(rights)
+	}
+	return 0
+}
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -51,6 +51,11 @@
 	Leaving bool
 	// StartedMS is the start of this incarnation in Unix milliseconds, or 0 if unknown.
 	StartedMS int64
+	// Cold is how much longer the server is cold as its entry says, and Entry the number of the entry, which
+	// increases within an incarnation. HasCold is set if the entry says it.
+	Cold    time.Duration
+	HasCold bool
+	Entry   int64
 }
 
 // record is a server's list entry plus the state that this gateway keeps for it.
@@ -84,6 +89,7 @@
 	// crashes counts the crashes before this start, as long as the uptime between two
 	// of them was below shortUptime.
 	crashes int
+	cold    coldState
 }
 
 // crashesBefore returns the value of crashes for the server's next incarnation. An
@@ -122,6 +128,8 @@
 	lapsed  []Server
 	// pauses is the number of the last pause.
 	pauses uint64
+	// coldRights is set by BoundCold.
+	coldRights func(service string) int
 }
 
 // New returns an empty registry that calls onChange and onLeaving as described at their
@@ -203,6 +211,7 @@
 	}
 	before := r.isLeaving()
 	r.Server = s
+	g.noteListedCold(r)
 	r.removed, r.removalPending, r.confirmed = false, false, false
 	if !before && r.isLeaving() {
 		leaving = append(leaving, s.Name)
@@ -293,6 +302,7 @@
 	g.mu.Lock()
 	for name, r := range g.servers {
 		changed = r.pause.noticeEnd(now) || changed
+		changed = g.noticeColdEnd(now, r) || changed
 		if r.removalPending && !now.Before(g.graceUntil) {
 			leaving = g.drop(now, name, leaving)
 		}
@@ -445,7 +455,7 @@
 	listed := g.listedServices(now)
 	for _, r := range g.servers {
 		if r.Service == service && !r.removed {
-			out = append(out, r.backend(now, listed))
+			out = append(out, g.backend(now, r, listed))
 		}
 	}
 	slices.SortFunc(out, func(a, b membership.Backend) int {
@@ -468,7 +478,7 @@
 	listed := g.listedServices(now)
 	for _, r := range g.servers {
 		if len(r.Models) > 0 && !r.removed {
-			b := r.backend(now, listed)
+			b := g.backend(now, r, listed)
 			b.Service = ""
 			out = append(out, b)
 		}
@@ -497,14 +507,15 @@
 }
 
 func (r *record) accepting(now time.Time) bool {
-	return !r.isLeaving() && !now.Before(r.excludedUntil) && r.pause.remaining(now) == 0
+	return !r.isLeaving() && !now.Before(r.excludedUntil) && r.pause.remaining(now) == 0 && !now.Before(r.cold.deniedUntil)
 }
 
 // backend returns the server as a backend. An unconfirmed one accepts work only if no other server
-// of its service does.
-func (r *record) backend(now time.Time, listed map[string]bool) membership.Backend {
+// of its service does. The caller holds the lock.
+func (g *Registry) backend(now time.Time, r *record, listed map[string]bool) membership.Backend {
 	return membership.Backend{
 		Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Service: r.Service,
 		Accepting: r.accepting(now) && !(r.unconfirmed() && listed[r.Service]),
+		MaxStarts: g.maxColdStarts(now, r),
 	}
 }
--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -25,13 +25,13 @@
 
 // StateChange describes the begin or the end of a state that a server stated itself.
 type StateChange struct {
-	// Server is the name of the server and State "leaving" or "paused".
+	// Server is the name of the server and State "leaving", "paused" or "cold".
 	Server, State string
 	// Source is the kind of response by which the state began, or the reason why it ended.
 	Source string
 	Began  bool
-	// Length is the length of the requested pause at the begin, and the age of the state at
-	// the end.
+	// Length is the length of the requested pause or of the cold time at the begin, and the age of
+	// the state at the end.
 	Length time.Duration
 }
 
@@ -183,6 +183,7 @@
 // endStatements records the end of an incarnation's own statements.
 func (g *Registry) endStatements(now time.Time, r *record, reason string) {
 	g.endPause(now, r, reason)
+	g.endCold(now, r, reason)
 	if r.stated {
 		g.changes = append(g.changes, StateChange{Server: r.Name, State: stateLeaving, Source: reason, Length: now.Sub(r.statedAt)})
 	}
@@ -204,7 +205,7 @@
 	if old.StartedMS != s.StartedMS {
 		return false
 	}
-	r.stated, r.statedAt, r.pause = old.stated, old.statedAt, old.pause
+	r.stated, r.statedAt, r.pause, r.cold = old.stated, old.statedAt, old.pause, old.cold
 	return true
 }
 
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -31,6 +31,7 @@
 	g.refuseUnplaceable(p)
 	g.endCooldowns(now)
 	g.updateSlowStarts(now)
+	g.startsExhausted = false
 	p.urgent, p.fair = g.urgentHeadroom(now), g.fairHeadroom(now)
 	for g.open() {
 		class, open := g.nextClass(p)
@@ -228,7 +229,7 @@
 		}
 		return wake
 	}
-	if at := now.Add(slowStartInterval); len(g.slowStarting) > 0 && at.Before(wake) {
+	if at := now.Add(slowStartInterval); (len(g.slowStarting) > 0 || g.startsExhausted) && at.Before(wake) {
 		wake = at
 	}
 	return wake
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -56,6 +56,7 @@
 	h.renewedAt = now
 	g.grants[q.ID] = h
 	r.running = append(r.running, h)
+	r.noteStart(now)
 	r.projection.Add(&h.sequence)
 	if r.index >= 0 {
 		g.inFlight++
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -141,7 +141,9 @@
 	blockedSince time.Time
 	// unavailableSince is the time since which no replica accepts work.
 	unavailableSince time.Time
-	started          bool
+	// startsExhausted is set if the last Dispatch passed over a replica because of its MaxStarts.
+	startsExhausted bool
+	started         bool
 }
 
 // NewGroup returns a group without replicas.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -173,7 +173,7 @@
 }
 
 func (g *Group) hasSlot(now time.Time, r *replica) bool {
-	return r.occupied() < g.slots(r, now)
+	return r.occupied() < g.slots(r, now) && g.mayStart(now, r)
 }
 
 func (g *Group) hasMemory(r *replica, s *memory.Sequence) bool {
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -53,6 +53,8 @@
 	refusals      int
 	coolingDown   bool
 	cooldownUntil time.Time
+	// starts are the times of the requests placed within the last second, while MaxStarts bounds them.
+	starts []time.Time
 	// postponed is set while the replica cools down because of a refused
 	// reservation.
 	postponed bool
--- a/internal/process/schedule/reservation.go
+++ b/internal/process/schedule/reservation.go
@@ -143,6 +143,7 @@
 		r.reservations = map[string]reservation{}
 	}
 	r.reservations[c.ID] = reservation{c, now}
+	r.noteStart(now)
 	r.external += c.Load.Running
 	r.projection.AddLoad(&c.Load.Memory)
 	g.update(r, now)
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -138,6 +138,9 @@
 	KVCapacityTokens int
 	// Accepting is false while the engine is draining, leaving, ejected or unreachable.
 	Accepting bool
+	// MaxStarts is the number of requests that may be placed on the replica within a second, or 0 without
+	// a bound.
+	MaxStarts int
 }
 
 // Summary describes the load of a group for gateways that do not own it.
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -60,7 +60,7 @@
 			if last != nil {
 				return last
 			}
-			return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "no server of service %s accepts work", q.Service).WithRetryAfter(defaultRetryAfter)
+			return f.noServerError(q)
 		}
 		retryable := sends+1 < maxSends && q.mayRepeat(runs+1)
 		final, err := f.callOnce(ctx, q, w, b.Name, admitted, done, retryable)
@@ -83,6 +83,15 @@
 	return last
 }
 
+// noServerError is the error for a call that no server accepts. If all of them are cold and have got as many
+// requests as they may, it tells when the first may get another.
+func (f *Forwarder) noServerError(q *Request) *fault.Error {
+	if wait, cold := f.o.Servers.ColdWait(time.Now(), q.Service); cold {
+		return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "all servers of service %s are cold", q.Service).WithRetryAfter(wait)
+	}
+	return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "no server of service %s accepts work", q.Service).WithRetryAfter(defaultRetryAfter)
+}
+
 // attemptTimeout returns the time after which an idempotent request of a route with a
 // latency target is retried on another server.
 func attemptTimeout(r *routing.Route) time.Duration {
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -237,6 +237,9 @@
 	// long all servers of a service that could serve a request want none.
 	Blocked(now time.Time, name string) bool
 	AllPaused(now time.Time, service string) (time.Duration, bool)
+	// ColdWait returns the time until the first server of a service may get a request, if all that could
+	// serve one are cold and may get none now.
+	ColdWait(now time.Time, service string) (time.Duration, bool)
 	Service(now time.Time, service, dataCentre string) []membership.Backend
 	NoteReplaced(name string)
 	NoteUnreachable(now time.Time, name string)
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -197,6 +197,7 @@
 func (w *fakeFleet) Blocked(_ time.Time, name string) bool { return w.Leaving(name) }
 
 func (w *fakeFleet) AllPaused(time.Time, string) (time.Duration, bool) { return 0, false }
+func (w *fakeFleet) ColdWait(time.Time, string) (time.Duration, bool)  { return 0, false }
 
 func (w *fakeFleet) NoteReplaced(string)               {}
 func (w *fakeFleet) NoteUnreachable(time.Time, string) {}
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -88,6 +88,9 @@
 	HealthPath string
 	// Engine is set if the backend servers are inference engines, and is nil otherwise.
 	Engine *EngineSpec
+	// ColdRate is the number of requests a second that a server bears while it is cold, or 0 if it is
+	// never cold.
+	ColdRate float64
 }
 
 // EngineSpec describes the engines of a service.
