--- a/internal/process/coldkeeper/coldkeeper.go
+++ b/internal/process/coldkeeper/coldkeeper.go
@@ -35,6 +35,8 @@
 	upkeepPeriod = 250 * time.Millisecond
 	// deniedWait is how long a server gets nothing from this gateway if no keeper answered.
 	deniedWait = 250 * time.Millisecond
+	// minWait is the least time after which a request that found no right may come back.
+	minWait = 50 * time.Millisecond
 	// maxIncarnations bounds the servers of a service for which a keeper holds accounts.
 	maxIncarnations = 4096
 )
@@ -157,8 +159,9 @@
 	if wait <= 0 {
 		wait = deniedWait
 	}
+	wait = min(max(wait, minWait), coldbound.Window+coldbound.PartTTL)
 	k.o.Metrics.Counter("cold_refusals", name).Inc(1)
-	return coldbound.Right{}, min(wait, coldbound.Window+coldbound.PartTTL), false
+	return coldbound.Right{}, wait, false
 }
 
 func (k *Keeper) noteDemand(server coldbound.Incarnation) (want int) {
--- a/internal/process/registry/cold.go
+++ b/internal/process/registry/cold.go
@@ -40,8 +40,8 @@
 // ColdServer is a server that is cold.
 type ColdServer struct {
 	Server
-	// Left is how much longer it is cold, and Age for how long this gateway has known that it is.
-	Left, Age time.Duration
+	// Left is how much longer it is cold.
+	Left time.Duration
 }
 
 // Incarnation returns the server's identity for package coldbound.
@@ -95,6 +95,9 @@
 // updateCold records that a server has become cold or is no longer, and reports whether that changed.
 // The caller holds the lock.
 func (g *Registry) updateCold(now time.Time, r *record, source string) bool {
+	if until := r.cold.until(); r.cold.deniedUntil.After(until) {
+		r.cold.deniedUntil = until
+	}
 	switch left := r.cold.remaining(now); {
 	case left > 0 && r.cold.began.IsZero():
 		r.cold.began = now
@@ -171,7 +174,7 @@
 	var out []ColdServer
 	for _, r := range g.servers {
 		if left := r.cold.remaining(now); left > 0 && !r.isLeaving() {
-			out = append(out, ColdServer{Server: r.Server, Left: left, Age: now.Sub(r.cold.began)})
+			out = append(out, ColdServer{Server: r.Server, Left: left})
 		}
 	}
 	slices.SortFunc(out, func(a, b ColdServer) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -14,6 +14,7 @@
 	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/health"
+	"persimmonwing/internal/process/random"
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
@@ -84,10 +85,10 @@
 }
 
 // noServerError is the error for a call that no server accepts. If all of them are cold and have got as many
-// requests as they may, it tells when the first may get another.
+// requests as they may, it tells when the first may get another, at different times for different callers.
 func (f *Forwarder) noServerError(q *Request) *fault.Error {
 	if wait, cold := f.o.Servers.ColdWait(time.Now(), q.Service); cold {
-		return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "all servers of service %s are cold", q.Service).WithRetryAfter(wait)
+		return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "all servers of service %s are cold", q.Service).WithRetryAfter(wait + time.Duration(random.Shared.Int64N(int64(pauseSpread))))
 	}
 	return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "no server of service %s accepts work", q.Service).WithRetryAfter(defaultRetryAfter)
 }
