--- a/internal/process/adminapi/adminapi.go
+++ b/internal/process/adminapi/adminapi.go
@@ -84,3 +84,17 @@
 	TokensPerSecond   float64 `json:"tokens_per_second"`
 	Concurrent        int     `json:"concurrent"`
 }
+
+// ColdServer is one server that is cold, in the response to GET /cold.
+type ColdServer struct {
+	Name       string `json:"name"`
+	Service    string `json:"service"`
+	DataCentre string `json:"data_centre"`
+	// LeftMS is how much longer it is cold, and AgeMS for how long the gateway has known that it is.
+	LeftMS int64 `json:"left_ms"`
+	AgeMS  int64 `json:"age_ms"`
+	// Rights is the number of requests that it may get within a second from all gateways, or 0 without a
+	// bound, and Issued the number of these that this gateway has issued and that still count.
+	Rights int `json:"rights"`
+	Issued int `json:"issued"`
+}
--- a/internal/process/coldbound/coldbound.go
+++ b/internal/process/coldbound/coldbound.go
@@ -100,6 +100,16 @@
 	return n, 0
 }
 
+// Issued returns the number of rights to a server that count in a window now.
+func (l *Ledger) Issued(now time.Duration, s Incarnation) int {
+	a := l.accounts[s]
+	if a == nil {
+		return 0
+	}
+	a.prune(now)
+	return a.used
+}
+
 // Len returns the number of servers with rights that may count in a window.
 func (l *Ledger) Len() int { return len(l.accounts) }
 
--- a/internal/process/coldkeeper/coldkeeper.go
+++ b/internal/process/coldkeeper/coldkeeper.go
@@ -182,6 +182,13 @@
 	return k.parts.Take(k.o.Now(), server)
 }
 
+// Issued returns the number of rights to a server that this gateway has issued and that still count.
+func (k *Keeper) Issued(name string, server coldbound.Incarnation) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.service(name).ledger.Issued(k.o.Now(), server)
+}
+
 // Return gives back a right that was not used.
 func (k *Keeper) Return(server coldbound.Incarnation, r coldbound.Right) {
 	k.mu.Lock()
--- a/internal/process/operator/gateways.go
+++ b/internal/process/operator/gateways.go
@@ -48,8 +48,9 @@
 	fs := flag.NewFlagSet("status", flag.ContinueOnError)
 	backends := fs.Bool("backends", false, "show the backend servers as the gateways see them")
 	leases := fs.Bool("leases", false, "show which controllers hold the leases of the gateways' data centres")
+	cold := fs.Bool("cold", false, "show the servers that are cold; -gateways then lists the metrics addresses of gateways on the users' platform")
 	return &ffcli.Command{
-		Name: "status", ShortUsage: "persimmonctl status [-backends | -leases]", ShortHelp: "show the state of the gateways, backend servers or controllers",
+		Name: "status", ShortUsage: "persimmonctl status [-backends | -leases | -cold]", ShortHelp: "show the state of the gateways, backend servers or controllers",
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if err := noArguments("status", args); err != nil {
@@ -60,8 +61,10 @@
 				return err
 			}
 			switch {
-			case *backends && *leases:
-				return usagef("status: -backends and -leases exclude each other")
+			case *backends && *leases || *cold && (*backends || *leases):
+				return usagef("status: -backends, -leases and -cold exclude each other")
+			case *cold:
+				return c.showCold(ctx, addresses)
 			case *backends:
 				return c.showBackends(ctx, addresses)
 			case *leases:
--- a/internal/process/registry/cold.go
+++ b/internal/process/registry/cold.go
@@ -40,8 +40,8 @@
 // ColdServer is a server that is cold.
 type ColdServer struct {
 	Server
-	// Left is how much longer it is cold.
-	Left time.Duration
+	// Left is how much longer it is cold, and Age for how long this gateway has known that it is.
+	Left, Age time.Duration
 }
 
 // Incarnation returns the server's identity for package coldbound.
@@ -174,7 +174,7 @@
 	var out []ColdServer
 	for _, r := range g.servers {
 		if left := r.cold.remaining(now); left > 0 && !r.isLeaving() {
-			out = append(out, ColdServer{Server: r.Server, Left: left})
+			out = append(out, ColdServer{Server: r.Server, Left: left, Age: now.Sub(r.cold.began)})
 		}
 	}
 	slices.SortFunc(out, func(a, b ColdServer) int { return cmp.Compare(a.Name, b.Name) })
