Count rights by server, not by incarnation, and learn cold starts from reports

Gateways learn of a restart at different times: with an account for each incarnation a server could get twice its bound. TestSumOverAllGateways finds that when askers name either incarnation.

--- a/internal/process/coldbound/coldbound.go
+++ b/internal/process/coldbound/coldbound.go
@@ -51,11 +51,13 @@
 	n  int
 }
 
-// account holds the rights to one server that were issued and may count in a window.
+// account holds the rights to one server that were issued and may count in a window. It outlives the server's
+// incarnations, since gateways learn of a restart at different times.
 type account struct {
-	openedAt time.Duration
-	issued   []issued
-	used     int
+	openedAt  time.Duration
+	startedMS int64
+	issued    []issued
+	used      int
 }
 
 // prune drops the rights that no window still contains.
@@ -68,7 +70,7 @@
 
 // Ledger holds the rights that a keeper has issued.
 type Ledger struct {
-	accounts map[Incarnation]*account
+	accounts map[string]*account
 	// lastIssued is the time of the last issue.
 	lastIssued time.Duration
 }
@@ -77,12 +79,15 @@
 // some are.
 func (l *Ledger) Issue(now time.Duration, s Incarnation, rights, want int) (n int, wait time.Duration) {
 	if l.accounts == nil {
-		l.accounts = map[Incarnation]*account{}
+		l.accounts = map[string]*account{}
 	}
-	a := l.accounts[s]
+	a := l.accounts[s.Server]
 	if a == nil {
-		a = &account{openedAt: now}
-		l.accounts[s] = a
+		a = &account{}
+		l.accounts[s.Server] = a
+	}
+	if a.openedAt == 0 || s.StartedMS > a.startedMS {
+		a.openedAt, a.startedMS = now, s.StartedMS
 	}
 	a.prune(now)
 	limit := rights
@@ -101,8 +106,8 @@
 }
 
 // Issued returns the number of rights to a server that count in a window now.
-func (l *Ledger) Issued(now time.Duration, s Incarnation) int {
-	a := l.accounts[s]
+func (l *Ledger) Issued(now time.Duration, server string) int {
+	a := l.accounts[server]
 	if a == nil {
 		return 0
 	}
@@ -158,21 +163,21 @@
 func (r Right) Valid(now time.Duration) bool { return now < r.until }
 
 // Parts holds the rights of one gateway that are not used yet.
-type Parts map[Incarnation][]Right
+type Parts map[string][]Right
 
 // Add adds rights that were asked for at the time sent. Counted from there, a gateway that was frozen or
 // whose call took long doesn't use them after their time.
-func (p Parts) Add(sent time.Duration, s Incarnation, n int) {
+func (p Parts) Add(sent time.Duration, s string, n int) {
 	for range n {
 		p[s] = append(p[s], Right{sent + PartTTL})
 	}
 }
 
 // Return gives back a right that was not used.
-func (p Parts) Return(s Incarnation, r Right) { p[s] = append(p[s], r) }
+func (p Parts) Return(s string, r Right) { p[s] = append(p[s], r) }
 
 // Take takes a right that can be used now.
-func (p Parts) Take(now time.Duration, s Incarnation) (Right, bool) {
+func (p Parts) Take(now time.Duration, s string) (Right, bool) {
 	for rights := p[s]; len(rights) > 0; {
 		r := rights[len(rights)-1]
 		rights = rights[:len(rights)-1]
--- a/internal/process/coldbound/machine_test.go
+++ b/internal/process/coldbound/machine_test.go
@@ -44,7 +44,7 @@
 
 const testRights = 5
 
-var testServer = Incarnation{Server: "s", StartedMS: 1}
+const testServer = "s"
 
 func (w *world) clock(n *node) time.Duration { return w.now + n.offset }
 
@@ -118,7 +118,9 @@
 	if !keeper.tenure.MayIssue(w.clock(keeper)) {
 		return
 	}
-	issued, _ := keeper.ledger.Issue(w.clock(keeper), testServer, testRights, rapid.IntRange(1, 3).Draw(w.t, "want"))
+	// The asker may not have learnt of a restart.
+	incarnation := Incarnation{Server: testServer, StartedMS: rapid.Int64Range(1, 2).Draw(w.t, "started")}
+	issued, _ := keeper.ledger.Issue(w.clock(keeper), incarnation, testRights, rapid.IntRange(1, 3).Draw(w.t, "want"))
 	n.asked = append(n.asked, call{sent, issued})
 }
 
--- a/internal/process/coldkeeper/coldkeeper.go
+++ b/internal/process/coldkeeper/coldkeeper.go
@@ -37,8 +37,8 @@
 	deniedWait = 250 * time.Millisecond
 	// minWait is the least time after which a request that found no right may come back.
 	minWait = 50 * time.Millisecond
-	// maxIncarnations bounds the servers of a service for which a keeper holds accounts.
-	maxIncarnations = 4096
+	// maxServers bounds the servers of a service for which a keeper holds accounts.
+	maxServers = 4096
 )
 
 // Store holds a row for each service. Both calls are linearizable.
@@ -72,7 +72,7 @@
 
 	mu       sync.Mutex
 	parts    coldbound.Parts
-	demand   map[coldbound.Incarnation]*coldbound.Demand
+	demand   map[string]*coldbound.Demand
 	services map[string]*service
 	// avoided holds the addresses that are not asked, with the end of that time.
 	avoided map[string]time.Duration
@@ -92,7 +92,7 @@
 
 // New returns a Keeper.
 func New(o Options) *Keeper {
-	return &Keeper{o: o, parts: coldbound.Parts{}, demand: map[coldbound.Incarnation]*coldbound.Demand{}, services: map[string]*service{}, avoided: map[string]time.Duration{}}
+	return &Keeper{o: o, parts: coldbound.Parts{}, demand: map[string]*coldbound.Demand{}, services: map[string]*service{}, avoided: map[string]time.Duration{}}
 }
 
 // TakeArgs asks for rights to a server.
@@ -127,8 +127,8 @@
 // Acquire gets a right to send one request to a server. If there is none, ok is false and wait is the time
 // after which to ask again.
 func (k *Keeper) Acquire(ctx context.Context, name string, server coldbound.Incarnation) (right coldbound.Right, wait time.Duration, ok bool) {
-	want := k.noteDemand(server)
-	if r, ok := k.Take(server); ok {
+	want := k.noteDemand(server.Server)
+	if r, ok := k.Take(server.Server); ok {
 		return r, 0, true
 	}
 	addresses := k.addresses(name)
@@ -150,9 +150,9 @@
 		}
 		k.mu.Lock()
 		k.service(name).holder = addresses[try]
-		k.parts.Add(sent, server, reply.Issued)
+		k.parts.Add(sent, server.Server, reply.Issued)
 		k.mu.Unlock()
-		if r, ok := k.Take(server); ok {
+		if r, ok := k.Take(server.Server); ok {
 			return r, 0, true
 		}
 	}
@@ -164,7 +164,7 @@
 	return coldbound.Right{}, wait, false
 }
 
-func (k *Keeper) noteDemand(server coldbound.Incarnation) (want int) {
+func (k *Keeper) noteDemand(server string) (want int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	d := k.demand[server]
@@ -176,21 +176,21 @@
 }
 
 // Take takes a right to a server that this gateway already has.
-func (k *Keeper) Take(server coldbound.Incarnation) (coldbound.Right, bool) {
+func (k *Keeper) Take(server string) (coldbound.Right, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.parts.Take(k.o.Now(), server)
 }
 
 // Issued returns the number of rights to a server that this gateway has issued and that still count.
-func (k *Keeper) Issued(name string, server coldbound.Incarnation) int {
+func (k *Keeper) Issued(name, server string) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.service(name).ledger.Issued(k.o.Now(), server)
 }
 
 // Return gives back a right that was not used.
-func (k *Keeper) Return(server coldbound.Incarnation, r coldbound.Right) {
+func (k *Keeper) Return(server string, r coldbound.Right) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.parts.Return(server, r)
@@ -323,7 +323,7 @@
 	defer k.mu.Unlock()
 	s := k.service(in.Service)
 	now := k.o.Now()
-	if !s.tenure.MayIssue(now) || s.ledger.Len() >= maxIncarnations {
+	if !s.tenure.MayIssue(now) || s.ledger.Len() >= maxServers {
 		return TakeReply{}, false
 	}
 	n, wait := s.ledger.Issue(now, in.Server, rights, in.Want)
--- a/internal/process/registry/cold.go
+++ b/internal/process/registry/cold.go
@@ -22,6 +22,8 @@
 	listedLeft       time.Duration
 	// answered is the end by the answer to the request that was sent last, at answeredSent.
 	answered, answeredSent time.Time
+	// started is the newest start of the server that was learnt of before its entry showed it.
+	started int64
 	// began is the time since which this gateway knows that the server is cold, or zero.
 	began time.Time
 	// deniedUntil is the time until which this gateway has no right to send to the server.
@@ -49,9 +51,37 @@
 	return coldbound.Incarnation{Server: s.Name, StartedMS: s.StartedMS}
 }
 
-// BoundCold sets a function that returns the number of requests that a cold server of a service may
-// get within a second, or 0 without a bound. It must be called before the registry is used.
-func (g *Registry) BoundCold(rights func(service string) int) { g.coldRights = rights }
+// BoundCold sets functions that return the number of requests that a cold server of a service may
+// get within a second, or 0 without a bound, and how long a server is cold after its start. It must be called
+// before the registry is used.
+func (g *Registry) BoundCold(rights func(service string) int, afterStart func(service string) time.Duration) {
+	g.coldRights, g.coldAfterStart = rights, afterStart
+}
+
+// NoteStarted records that a server has started at startedMS, as its report says. While the list is away,
+// nothing else tells that it is cold.
+func (g *Registry) NoteStarted(name string, startedMS int64) {
+	if !g.noteStartedCold(name, startedMS) {
+		return
+	}
+	g.onChange()
+	g.reportChanges()
+}
+
+func (g *Registry) noteStartedCold(name string, startedMS int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.servers[name]
+	if r == nil || g.coldAfterStart == nil || r.StartedMS == 0 || startedMS <= max(r.StartedMS, r.cold.started) {
+		return false
+	}
+	now := g.now()
+	r.cold.started = startedMS
+	if end := now.Add(g.coldAfterStart(r.Service)); end.After(r.cold.until()) {
+		r.cold.answered = end
+	}
+	return g.updateCold(now, r, "report")
+}
 
 // noteListedCold records what an entry says. The same entry may be read again much later. The caller
 // holds the lock.
--- a/internal/process/registry/cold_test.go
+++ b/internal/process/registry/cold_test.go
@@ -47,6 +47,14 @@
 	listed(3, 5*time.Second)
 	is.Equal(left(), time.Duration(0))
 	listed(4, 7*time.Second)
+	g.BoundCold(func(string) int { return 0 }, func(string) time.Duration { return 9 * time.Second })
+	g.NoteStarted("x", 1000) // the incarnation of the entry
+	is.Equal(left(), 7*time.Second)
+	g.NoteStarted("x", 2000) // known before the entry shows it
+	is.Equal(left(), 9*time.Second)
+	now = now.Add(time.Second)
+	g.NoteStarted("x", 2000)
+	is.Equal(left(), 8*time.Second)
 	restarted := Server{Name: "x", Service: "s", StartedMS: 2000, Entry: 1, HasCold: true}
 	g.Put(restarted)
 	is.Equal(left(), time.Duration(0))
@@ -61,7 +69,7 @@
 		now := start
 		g := newTestRegistry()
 		g.now = func() time.Time { return now }
-		g.BoundCold(func(service string) int { return map[string]int{"s": 10}[service] })
+		g.BoundCold(func(service string) int { return map[string]int{"s": 10}[service] }, func(string) time.Duration { return time.Second })
 		open := map[string]int{}
 		g.ObserveStates(func(c StateChange) {
 			if c.Began {
@@ -90,6 +98,7 @@
 				s := draw(t)
 				g.NoteCold(now, now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "took"))*time.Millisecond), s, s.Cold)
 			},
+			"report": func(t *rapid.T) { g.NoteStarted(names.Draw(t, "name"), rapid.Int64Range(0, 4).Draw(t, "started")) },
 			"denied": func(t *rapid.T) {
 				g.NoteColdDenied(now, names.Draw(t, "name"), time.Duration(ms.Draw(t, "wait"))*time.Millisecond)
 			},
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -128,8 +128,9 @@
 	lapsed  []Server
 	// pauses is the number of the last pause.
 	pauses uint64
-	// coldRights is set by BoundCold.
-	coldRights func(service string) int
+	// coldRights and coldAfterStart are set by BoundCold.
+	coldRights     func(service string) int
+	coldAfterStart func(service string) time.Duration
 }
 
 // New returns an empty registry that calls onChange and onLeaving as described at their
--- a/internal/process/registry/view.go
+++ b/internal/process/registry/view.go
@@ -39,14 +39,14 @@
 	return []string{s.Service}, strconv.FormatInt(s.StartedMS, 10)
 }
 
-// SetReport records that an engine drains if its report says so.
+// SetReport records that an engine has started again, and that it drains, if its report says so.
 func (v View) SetReport(engine string, draining bool, _ []string, incarnation string) {
-	if !draining {
-		return
-	}
 	// A report without a start time applies to the incarnation of the list entry.
 	started, _ := strconv.ParseInt(incarnation, 10, 64)
-	v.Registry.NoteDraining(engine, started)
+	v.Registry.NoteStarted(engine, started)
+	if draining {
+		v.Registry.NoteDraining(engine, started)
+	}
 }
 
 // SetFailed does nothing, because the scheduler itself excludes engines whose polls fail.
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -88,8 +88,9 @@
 	HealthPath string
 	// Engine is set if the backend servers are inference engines, and is nil otherwise.
 	Engine *EngineSpec
-	// ColdRate is the number of requests a second that a server bears while it is cold, or 0 if it is
-	// never cold.
+	// ColdFor is how long a server is cold after its start, and ColdRate the number of requests a second
+	// that it bears meanwhile. Both are 0 if servers are never cold.
+	ColdFor  time.Duration
 	ColdRate float64
 }
 
