--- a/internal/process/coldkeeper/coldkeeper.go
+++ b/internal/process/coldkeeper/coldkeeper.go
@@ -84,7 +84,7 @@
 	calls  sync.Mutex
 	tenure *coldbound.Tenure
 	ledger coldbound.Ledger
-	// lastClaim is the time of the last attempt to become the keeper, and holder the address of the gateway
+	// lastClaim is the time of the last attempt to become the keeper or to end its tenure, and holder the address of the gateway
 	// that issued rights last.
 	lastClaim time.Duration
 	holder    string
@@ -201,8 +201,7 @@
 
 // Expect prepares for a cold server of a service: the first in rank becomes the keeper.
 func (k *Keeper) Expect(name string) {
-	first := k.addresses(name)
-	if len(first) == 0 || first[0] != k.o.PeerAddress {
+	if !k.isFirst(name) {
 		return
 	}
 	go func() {
@@ -405,30 +404,34 @@
 	return false
 }
 
-// maintain renews the tenure of a service while rights are in use, and sets its row free afterwards.
+// maintain renews the tenure of a service while rights are in use, and sets its row free afterwards. The first in
+// rank also frees the row of a keeper that has not done so, so that it need not wait when servers are cold again.
 func (k *Keeper) maintain(ctx context.Context, name string) {
+	first := k.isFirst(name)
 	k.mu.Lock()
 	s := k.services[name]
 	now := k.o.Now()
-	idle, held := s.tenure.MayRelease(now, s.ledger.LastIssued()), s.tenure.MayIssue(now)
-	renew := held && !idle && s.tenure.MustRenew(now)
+	idle := s.tenure.MayRelease(now, s.ledger.LastIssued())
+	renew := !idle && s.tenure.MayIssue(now) && s.tenure.MustRenew(now)
+	_, held := s.tenure.Holder()
+	_, ended := s.tenure.MayClaim(now)
+	// A keeper may have claimed the row for servers that are about to get requests.
+	rested := now-s.lastClaim >= coldbound.PartTTL+coldbound.Window
 	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	switch {
-	case renew:
+	case renew, rested && first && held && ended:
 		k.claim(ctx, name)
-	case held && idle && k.idleLongEnough(s, now):
+	case rested && idle:
 		k.release(ctx, name, s)
 	}
 }
 
-// idleLongEnough reports whether a keeper has been without requests for long enough to set the row free. It
-// may have claimed it for servers that are about to get requests.
-func (k *Keeper) idleLongEnough(s *service, now time.Duration) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return now-s.lastClaim >= coldbound.PartTTL+coldbound.Window
+// isFirst reports whether this gateway is the first in rank for a service.
+func (k *Keeper) isFirst(name string) bool {
+	candidates := k.o.Candidates(name)
+	return len(candidates) > 0 && candidates[0].PeerAddress == k.o.PeerAddress
 }
 
 func (k *Keeper) release(ctx context.Context, name string, s *service) {
@@ -440,6 +443,7 @@
 		return
 	}
 	s.tenure.Release()
+	s.lastClaim = k.o.Now()
 	expect, _ := s.tenure.MayClaim(k.o.Now())
 	k.mu.Unlock()
 	revision, current, replaced, err := k.o.Store.Replace(ctx, name, expect, coldbound.Row{})
