--- a/internal/process/coldbound/coldbound.go
+++ b/internal/process/coldbound/coldbound.go
@@ -1,5 +1,5 @@
 // Package coldbound bounds the requests that all gateways together send to a server that is
-// cold. One gateway, the keeper of the server's service, issues the rights to send. It holds a
+// cold. One gateway, the issuer of the server's service, issues the rights to send. It holds a
 // tenure that a row of the platform's store proves, so that no two gateways issue rights at a time.
 // Load pattern: an empty server looks least loaded to every gateway, and all of them send to it at once.
 //
@@ -11,7 +11,7 @@
 const (
 	// Window is the time in which a server gets at most as many requests as it has rights.
 	Window = time.Second
-	// PartTTL is how long a right can be used. It covers the answer of the keeper and the connection to
+	// PartTTL is how long a right can be used. It covers the answer of the issuer and the connection to
 	// the server. A right that nobody has used comes back when it and the window after it have ended.
 	PartTTL = 250 * time.Millisecond
 	// controlReserve is the number of requests that are kept for control calls, which need no right: two
@@ -68,7 +68,7 @@
 	}
 }
 
-// Ledger holds the rights that a keeper has issued.
+// Ledger holds the rights that a issuer has issued.
 type Ledger struct {
 	accounts map[string]*account
 	// lastIssued is the time of the last issue.
--- a/internal/process/coldbound/machine_test.go
+++ b/internal/process/coldbound/machine_test.go
@@ -33,7 +33,7 @@
 	ledger Ledger
 	parts  Parts
 	starts int
-	// asked are the calls to keepers without an answer yet.
+	// asked are the calls to issuers without an answer yet.
 	asked []call
 }
 
@@ -112,15 +112,15 @@
 	}
 }
 
-// ask lets one node ask another, whichever it takes for the keeper.
-func (w *world) ask(n, keeper *node) {
+// ask lets one node ask another, whichever it takes for the issuer.
+func (w *world) ask(n, issuer *node) {
 	sent := w.clock(n)
-	if !keeper.tenure.MayIssue(w.clock(keeper)) {
+	if !issuer.tenure.MayIssue(w.clock(issuer)) {
 		return
 	}
 	// The asker may not have learnt of a restart.
 	incarnation := Incarnation{Server: testServer, StartedMS: rapid.Int64Range(1, 2).Draw(w.t, "started")}
-	issued, _ := keeper.ledger.Issue(w.clock(keeper), incarnation, testRights, rapid.IntRange(1, 3).Draw(w.t, "want"))
+	issued, _ := issuer.ledger.Issue(w.clock(issuer), incarnation, testRights, rapid.IntRange(1, 3).Draw(w.t, "want"))
 	n.asked = append(n.asked, call{sent, issued})
 }
 
@@ -138,9 +138,9 @@
 }
 
 // burst lets all gateways ask the same one and send, so that rights run out.
-func (w *world) burst(keeper *node) {
+func (w *world) burst(issuer *node) {
 	for _, n := range w.gateways {
-		w.ask(n, keeper)
+		w.ask(n, issuer)
 		w.answer(n)
 		w.send(n)
 	}
@@ -165,7 +165,7 @@
 }
 
 // run plays actions of gateways that are cut off from the store or from each other whenever they don't act,
-// frozen while time advances, and restarted. Their views of who is the keeper are arbitrary.
+// frozen while time advances, and restarted. Their views of who is the issuer are arbitrary.
 func run(t *rapid.T) {
 	w := &world{t: t}
 	for i := range rapid.IntRange(2, 5).Draw(t, "gateways") {
@@ -177,16 +177,16 @@
 		"claim":   func(*rapid.T) { w.claim(w.node("claims")) },
 		"release": func(*rapid.T) { w.release(w.node("releases")) },
 		"restart": func(*rapid.T) { w.restart(w.node("restarts")) },
-		"ask":     func(*rapid.T) { w.ask(w.node("asks"), w.node("keeper")) },
-		"burst":   func(*rapid.T) { w.burst(w.node("keeper")) },
+		"ask":     func(*rapid.T) { w.ask(w.node("asks"), w.node("issuer")) },
+		"burst":   func(*rapid.T) { w.burst(w.node("issuer")) },
 		"handover": func(t *rapid.T) {
-			// A keeper is cut off from the store when its tenure is about to end.
-			keeper, next := w.node("keeper"), w.node("next")
-			w.claim(keeper)
-			w.burst(keeper)
+			// A issuer is cut off from the store when its tenure is about to end.
+			issuer, next := w.node("issuer"), w.node("next")
+			w.claim(issuer)
+			w.burst(issuer)
 			next.tenure.Observe(w.clock(next), w.revision, w.row)
 			w.advance(rapid.IntRange(1000, 2200).Draw(t, "until the end"))
-			w.burst(keeper)
+			w.burst(issuer)
 			w.advance(rapid.IntRange(0, 300).Draw(t, "after the end"))
 			w.claim(next)
 			w.burst(next)
--- a/internal/process/coldbound/tenure.go
+++ b/internal/process/coldbound/tenure.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// TenureTTL is how long a gateway is the keeper after it has sent the write that made it so. It is
+	// TenureTTL is how long a gateway is the issuer after it has sent the write that made it so. It is
 	// about as long as servers are cold.
 	TenureTTL = 2 * time.Second
 	// clockTolerance covers clocks of hosts that run at different rates.
--- a/internal/process/coldkeeper/coldkeeper.go
+++ b/internal/process/coldrights/coldrights.go
@@ -1,6 +1,6 @@
-// Package coldkeeper gets this gateway the rights to send to cold servers, and issues them while it is the
-// keeper of a service. The decisions are those of package coldbound.
-package coldkeeper
+// Package coldrights gets this gateway the rights to send to cold servers, and issues them while it is the
+// issuer of a service. The decisions are those of package coldbound.
+package coldrights
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"persimmonwing/internal/request/pause"
 )
 
-// ServiceName is the name under which gateways call the keeper.
+// ServiceName is the name under which gateways call the issuer.
 const ServiceName = "ColdServers"
 
 const (
@@ -25,19 +25,19 @@
 	// the holder that is known, the first in rank, and the next.
 	askTimeout  = 100 * time.Millisecond
 	askAttempts = 3
-	// storeTimeout bounds a call to the store. A keeper whose store is slower has no use for its tenure.
+	// storeTimeout bounds a call to the store. A issuer whose store is slower has no use for its tenure.
 	storeTimeout = 500 * time.Millisecond
 	// avoidPeriod is how long a gateway that did not answer is not asked.
 	avoidPeriod = time.Second
-	// claimPause is the least time between two attempts to become the keeper.
+	// claimPause is the least time between two attempts to become the issuer.
 	claimPause = 100 * time.Millisecond
 	// upkeepPeriod is the time between two checks whether a tenure is to be renewed or ended.
 	upkeepPeriod = 250 * time.Millisecond
-	// deniedWait is how long a server gets nothing from this gateway if no keeper answered.
+	// deniedWait is how long a server gets nothing from this gateway if no issuer answered.
 	deniedWait = 250 * time.Millisecond
 	// minWait is the least time after which a request that found no right may come back.
 	minWait = 50 * time.Millisecond
-	// maxServers bounds the servers of a service for which a keeper holds accounts.
+	// maxServers bounds the servers of a service for which a issuer holds accounts.
 	maxServers = 4096
 )
 
@@ -50,13 +50,13 @@
 	Replace(ctx context.Context, service string, expect int64, row coldbound.Row) (revision int64, current coldbound.Row, replaced bool, err error)
 }
 
-// Options configures a Keeper.
+// Options configures a Issuer.
 type Options struct {
 	// Self names this process, and PeerAddress is its address for other gateways.
 	Self, PeerAddress string
 	Store             Store
 	Caller            membership.Caller
-	// Candidates returns the live gateways that may become the keeper of a service, the first in rank first.
+	// Candidates returns the live gateways that may become the issuer of a service, the first in rank first.
 	Candidates func(service string) []membership.Gateway
 	// Rights returns the number of rights to a cold server of a service, or 0 without a bound.
 	Rights func(service string) int
@@ -66,8 +66,8 @@
 	Metrics *telemetry.Metrics
 }
 
-// Keeper gets and issues rights. It is safe for concurrent use.
-type Keeper struct {
+// Issuer gets and issues rights. It is safe for concurrent use.
+type Issuer struct {
 	o Options
 
 	mu       sync.Mutex
@@ -84,15 +84,15 @@
 	calls  sync.Mutex
 	tenure *coldbound.Tenure
 	ledger coldbound.Ledger
-	// lastClaim is the time of the last attempt to become the keeper or to end its tenure, and holder the address of the gateway
+	// lastClaim is the time of the last attempt to become the issuer or to end its tenure, and holder the address of the gateway
 	// that issued rights last.
 	lastClaim time.Duration
 	holder    string
 }
 
-// New returns a Keeper.
-func New(o Options) *Keeper {
-	return &Keeper{o: o, parts: coldbound.Parts{}, demand: map[string]*coldbound.Demand{}, services: map[string]*service{}, avoided: map[string]time.Duration{}}
+// New returns a Issuer.
+func New(o Options) *Issuer {
+	return &Issuer{o: o, parts: coldbound.Parts{}, demand: map[string]*coldbound.Demand{}, services: map[string]*service{}, avoided: map[string]time.Duration{}}
 }
 
 // TakeArgs asks for rights to a server.
@@ -111,33 +111,33 @@
 }
 
 // RPC is the service for other gateways.
-type RPC struct{ k *Keeper }
+type RPC struct{ i *Issuer }
 
 // RPC returns the service to register under ServiceName.
-func (k *Keeper) RPC() *RPC { return &RPC{k} }
+func (i *Issuer) RPC() *RPC { return &RPC{i} }
 
 // Take issues rights.
 func (s *RPC) Take(in *TakeArgs, out *TakeReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	*out = s.k.issue(ctx, *in)
+	*out = s.i.issue(ctx, *in)
 	return nil
 }
 
 // Acquire gets a right to send one request to a server. If there is none, ok is false and wait is the time
 // after which to ask again.
-func (k *Keeper) Acquire(ctx context.Context, name string, server coldbound.Incarnation) (right coldbound.Right, wait time.Duration, ok bool) {
-	want := k.noteDemand(server.Server)
-	if r, ok := k.Take(server.Server); ok {
+func (i *Issuer) Acquire(ctx context.Context, name string, server coldbound.Incarnation) (right coldbound.Right, wait time.Duration, ok bool) {
+	want := i.noteDemand(server.Server)
+	if r, ok := i.Take(server.Server); ok {
 		return r, 0, true
 	}
-	addresses := k.addresses(name)
+	addresses := i.addresses(name)
 	for try := 0; try < min(askAttempts, len(addresses)) && ctx.Err() == nil; try++ {
-		sent := k.o.Now()
-		reply, err := k.ask(ctx, addresses[try], TakeArgs{Service: name, Server: server, Want: want})
+		sent := i.o.Now()
+		reply, err := i.ask(ctx, addresses[try], TakeArgs{Service: name, Server: server, Want: want})
 		if err != nil {
-			k.avoid(addresses[try])
-			level.Debug(k.o.Logger).Log("msg", "keeper of cold servers does not answer", "service", name, "keeper", addresses[try], "err", err)
+			i.avoid(addresses[try])
+			level.Debug(i.o.Logger).Log("msg", "issuer of cold servers does not answer", "service", name, "issuer", addresses[try], "err", err)
 			continue
 		}
 		if reply.Issued == 0 {
@@ -148,11 +148,11 @@
 			wait = reply.Wait
 			break
 		}
-		k.mu.Lock()
-		k.service(name).holder = addresses[try]
-		k.parts.Add(sent, server.Server, reply.Issued)
-		k.mu.Unlock()
-		if r, ok := k.Take(server.Server); ok {
+		i.mu.Lock()
+		i.service(name).holder = addresses[try]
+		i.parts.Add(sent, server.Server, reply.Issued)
+		i.mu.Unlock()
+		if r, ok := i.Take(server.Server); ok {
 			return r, 0, true
 		}
 	}
@@ -160,101 +160,101 @@
 		wait = deniedWait
 	}
 	wait = min(max(wait, minWait), coldbound.Window+coldbound.PartTTL)
-	k.o.Metrics.Counter("cold_refusals", name).Inc(1)
+	i.o.Metrics.Counter("cold_refusals", name).Inc(1)
 	return coldbound.Right{}, wait, false
 }
 
-func (k *Keeper) noteDemand(server string) (want int) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	d := k.demand[server]
+func (i *Issuer) noteDemand(server string) (want int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	d := i.demand[server]
 	if d == nil {
 		d = &coldbound.Demand{}
-		k.demand[server] = d
+		i.demand[server] = d
 	}
-	return d.Note(k.o.Now())
+	return d.Note(i.o.Now())
 }
 
 // Take takes a right to a server that this gateway already has.
-func (k *Keeper) Take(server string) (coldbound.Right, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.parts.Take(k.o.Now(), server)
+func (i *Issuer) Take(server string) (coldbound.Right, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.parts.Take(i.o.Now(), server)
 }
 
 // Issued returns the number of rights to a server that this gateway has issued and that still count.
-func (k *Keeper) Issued(name, server string) int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.service(name).ledger.Issued(k.o.Now(), server)
+func (i *Issuer) Issued(name, server string) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.service(name).ledger.Issued(i.o.Now(), server)
 }
 
 // Return gives back a right that was not used.
-func (k *Keeper) Return(server string, r coldbound.Right) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.parts.Return(server, r)
+func (i *Issuer) Return(server string, r coldbound.Right) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.parts.Return(server, r)
 }
 
 // Valid reports whether a right can be used now.
-func (k *Keeper) Valid(r coldbound.Right) bool { return r.Valid(k.o.Now()) }
+func (i *Issuer) Valid(r coldbound.Right) bool { return r.Valid(i.o.Now()) }
 
-// Expect prepares for a cold server of a service: the first in rank becomes the keeper.
-func (k *Keeper) Expect(name string) {
-	if !k.isFirst(name) {
+// Expect prepares for a cold server of a service: the first in rank becomes the issuer.
+func (i *Issuer) Expect(name string) {
+	if !i.isFirst(name) {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		k.claim(ctx, name)
+		i.claim(ctx, name)
 	}()
 }
 
 // Run renews the tenures that are in use and ends the others, until ctx ends.
-func (k *Keeper) Run(ctx context.Context) error {
+func (i *Issuer) Run(ctx context.Context) error {
 	for pause.For(ctx, upkeepPeriod) == nil {
-		now := k.o.Now()
-		k.mu.Lock()
+		now := i.o.Now()
+		i.mu.Lock()
 		var names []string
-		for name, s := range k.services {
-			k.o.Metrics.Gauge("cold_rights_issued", name).Update(int64(s.ledger.InUse(now)))
+		for name, s := range i.services {
+			i.o.Metrics.Gauge("cold_rights_issued", name).Update(int64(s.ledger.InUse(now)))
 			names = append(names, name)
 		}
-		k.o.Metrics.Gauge("cold_rights_held").Update(int64(k.parts.Prune(now)))
-		for server, d := range k.demand {
+		i.o.Metrics.Gauge("cold_rights_held").Update(int64(i.parts.Prune(now)))
+		for server, d := range i.demand {
 			if d.Ended(now) {
-				delete(k.demand, server)
+				delete(i.demand, server)
 			}
 		}
-		k.mu.Unlock()
+		i.mu.Unlock()
 		for _, name := range names {
-			k.maintain(ctx, name)
+			i.maintain(ctx, name)
 		}
 	}
 	return nil
 }
 
 // service returns the state of a service. The caller holds the lock.
-func (k *Keeper) service(name string) *service {
-	s := k.services[name]
+func (i *Issuer) service(name string) *service {
+	s := i.services[name]
 	if s == nil {
-		s = &service{tenure: coldbound.NewTenure(k.o.Self)}
-		k.services[name] = s
+		s = &service{tenure: coldbound.NewTenure(i.o.Self)}
+		i.services[name] = s
 	}
 	return s
 }
 
 // addresses returns the gateways to ask, in order, without those that did not answer.
-func (k *Keeper) addresses(name string) []string {
-	candidates := k.o.Candidates(name)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.o.Now()
+func (i *Issuer) addresses(name string) []string {
+	candidates := i.o.Candidates(name)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.o.Now()
 	var out []string
 	add := func(address string) {
-		if until, avoided := k.avoided[address]; avoided && now >= until {
-			delete(k.avoided, address)
+		if until, avoided := i.avoided[address]; avoided && now >= until {
+			delete(i.avoided, address)
 		} else if avoided || address == "" {
 			return
 		}
@@ -265,7 +265,7 @@
 		}
 		out = append(out, address)
 	}
-	if s := k.services[name]; s != nil {
+	if s := i.services[name]; s != nil {
 		add(s.holder)
 	}
 	for _, g := range candidates {
@@ -274,54 +274,54 @@
 	return out
 }
 
-func (k *Keeper) avoid(address string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.avoided[address] = k.o.Now() + avoidPeriod
-	for _, s := range k.services {
+func (i *Issuer) avoid(address string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.avoided[address] = i.o.Now() + avoidPeriod
+	for _, s := range i.services {
 		if s.holder == address {
 			s.holder = ""
 		}
 	}
 }
 
-func (k *Keeper) ask(ctx context.Context, address string, args TakeArgs) (reply TakeReply, err error) {
+func (i *Issuer) ask(ctx context.Context, address string, args TakeArgs) (reply TakeReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if address == k.o.PeerAddress {
-		return k.issue(ctx, args), nil
+	if address == i.o.PeerAddress {
+		return i.issue(ctx, args), nil
 	}
-	err = k.o.Caller.Call(ctx, address, ServiceName+".Take", &args, &reply)
+	err = i.o.Caller.Call(ctx, address, ServiceName+".Take", &args, &reply)
 	return reply, err
 }
 
-// issue issues rights if this gateway is the keeper or can become it.
-func (k *Keeper) issue(ctx context.Context, in TakeArgs) TakeReply {
-	rights := k.o.Rights(in.Service)
+// issue issues rights if this gateway is the issuer or can become it.
+func (i *Issuer) issue(ctx context.Context, in TakeArgs) TakeReply {
+	rights := i.o.Rights(in.Service)
 	if rights == 0 {
 		return TakeReply{Wait: deniedWait}
 	}
-	if reply, ok := k.issueAsKeeper(in, rights); ok {
+	if reply, ok := i.issueAsIssuer(in, rights); ok {
 		return reply
 	}
-	k.claim(ctx, in.Service)
-	if reply, ok := k.issueAsKeeper(in, rights); ok {
+	i.claim(ctx, in.Service)
+	if reply, ok := i.issueAsIssuer(in, rights); ok {
 		return reply
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	address, held := k.service(in.Service).tenure.Holder()
-	if !held || address == k.o.PeerAddress {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	address, held := i.service(in.Service).tenure.Holder()
+	if !held || address == i.o.PeerAddress {
 		return TakeReply{Wait: deniedWait}
 	}
 	return TakeReply{Wait: deniedWait, Holder: address}
 }
 
-func (k *Keeper) issueAsKeeper(in TakeArgs, rights int) (TakeReply, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	s := k.service(in.Service)
-	now := k.o.Now()
+func (i *Issuer) issueAsIssuer(in TakeArgs, rights int) (TakeReply, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	s := i.service(in.Service)
+	now := i.o.Now()
 	if !s.tenure.MayIssue(now) || s.ledger.Len() >= maxServers {
 		return TakeReply{}, false
 	}
@@ -329,24 +329,24 @@
 	return TakeReply{Issued: n, Wait: wait}, true
 }
 
-// claim makes this gateway the keeper of a service, or renews its tenure, if the row allows that.
-func (k *Keeper) claim(ctx context.Context, name string) {
-	k.mu.Lock()
-	s := k.service(name)
-	k.mu.Unlock()
+// claim makes this gateway the issuer of a service, or renews its tenure, if the row allows that.
+func (i *Issuer) claim(ctx context.Context, name string) {
+	i.mu.Lock()
+	s := i.service(name)
+	i.mu.Unlock()
 	s.calls.Lock()
 	defer s.calls.Unlock()
-	k.mu.Lock()
-	now := k.o.Now()
+	i.mu.Lock()
+	now := i.o.Now()
 	if s.tenure.MayIssue(now) && !s.tenure.MustRenew(now) || s.lastClaim > 0 && now-s.lastClaim < claimPause {
-		k.mu.Unlock()
+		i.mu.Unlock()
 		return
 	}
 	s.lastClaim = now
-	k.mu.Unlock()
+	i.mu.Unlock()
 	// The row that is known may be an old one, whose condition fails and shows the present one.
 	for range 2 {
-		if !k.read(ctx, name, s) || k.write(ctx, name, s) {
+		if !i.read(ctx, name, s) || i.write(ctx, name, s) {
 			return
 		}
 	}
@@ -354,107 +354,107 @@
 
 // read reads the row if it is not known, or held by another gateway. It returns false if the row can't be
 // claimed.
-func (k *Keeper) read(ctx context.Context, name string, s *service) bool {
-	k.mu.Lock()
+func (i *Issuer) read(ctx context.Context, name string, s *service) bool {
+	i.mu.Lock()
 	_, held := s.tenure.Holder()
 	known := s.tenure.Seen() && !held
-	k.mu.Unlock()
+	i.mu.Unlock()
 	if known {
 		return true
 	}
-	revision, row, err := k.o.Store.Read(ctx, name)
+	revision, row, err := i.o.Store.Read(ctx, name)
 	if err != nil {
-		level.Info(k.o.Logger).Log("msg", "cannot read who keeps the cold servers", "service", name, "err", err)
+		level.Info(i.o.Logger).Log("msg", "cannot read who keeps the cold servers", "service", name, "err", err)
 		return false
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	s.tenure.Observe(k.o.Now(), revision, row)
-	_, ok := s.tenure.MayClaim(k.o.Now())
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	s.tenure.Observe(i.o.Now(), revision, row)
+	_, ok := s.tenure.MayClaim(i.o.Now())
 	return ok
 }
 
 // write writes this gateway into the row. It returns true if there is nothing left to try.
-func (k *Keeper) write(ctx context.Context, name string, s *service) bool {
-	row := coldbound.Row{Holder: k.o.Self, PeerAddress: k.o.PeerAddress}
-	k.mu.Lock()
-	sent := k.o.Now()
+func (i *Issuer) write(ctx context.Context, name string, s *service) bool {
+	row := coldbound.Row{Holder: i.o.Self, PeerAddress: i.o.PeerAddress}
+	i.mu.Lock()
+	sent := i.o.Now()
 	expect, ok := s.tenure.MayClaim(sent)
 	renewal := s.tenure.MayIssue(sent)
-	k.mu.Unlock()
+	i.mu.Unlock()
 	if !ok {
 		return true
 	}
-	revision, current, replaced, err := k.o.Store.Replace(ctx, name, expect, row)
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	revision, current, replaced, err := i.o.Store.Replace(ctx, name, expect, row)
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	switch {
 	case err != nil:
-		level.Info(k.o.Logger).Log("msg", "cannot become the keeper of cold servers", "service", name, "err", err)
+		level.Info(i.o.Logger).Log("msg", "cannot become the issuer of cold servers", "service", name, "err", err)
 		return true
 	case replaced:
-		s.tenure.Claimed(k.o.Now(), sent, revision, row)
+		s.tenure.Claimed(i.o.Now(), sent, revision, row)
 		if !renewal {
-			k.o.Metrics.Counter("cold_tenures", name).Inc(1)
-			level.Info(k.o.Logger).Log("msg", "keeper of cold servers", "service", name, "revision", revision)
+			i.o.Metrics.Counter("cold_tenures", name).Inc(1)
+			level.Info(i.o.Logger).Log("msg", "issuer of cold servers", "service", name, "revision", revision)
 		}
 		return true
 	}
-	s.tenure.Observe(k.o.Now(), revision, current)
+	s.tenure.Observe(i.o.Now(), revision, current)
 	return false
 }
 
 // maintain renews the tenure of a service while rights are in use, and sets its row free afterwards. The first in
-// rank also frees the row of a keeper that has not done so, so that it need not wait when servers are cold again.
-func (k *Keeper) maintain(ctx context.Context, name string) {
-	first := k.isFirst(name)
-	k.mu.Lock()
-	s := k.services[name]
-	now := k.o.Now()
+// rank also frees the row of a issuer that has not done so, so that it need not wait when servers are cold again.
+func (i *Issuer) maintain(ctx context.Context, name string) {
+	first := i.isFirst(name)
+	i.mu.Lock()
+	s := i.services[name]
+	now := i.o.Now()
 	idle := s.tenure.MayRelease(now, s.ledger.LastIssued())
 	renew := !idle && s.tenure.MayIssue(now) && s.tenure.MustRenew(now)
 	_, held := s.tenure.Holder()
 	_, ended := s.tenure.MayClaim(now)
-	// A keeper may have claimed the row for servers that are about to get requests.
+	// A issuer may have claimed the row for servers that are about to get requests.
 	rested := now-s.lastClaim >= coldbound.PartTTL+coldbound.Window
-	k.mu.Unlock()
+	i.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	switch {
 	case renew, rested && first && held && ended:
-		k.claim(ctx, name)
+		i.claim(ctx, name)
 	case rested && idle:
-		k.release(ctx, name, s)
+		i.release(ctx, name, s)
 	}
 }
 
 // isFirst reports whether this gateway is the first in rank for a service.
-func (k *Keeper) isFirst(name string) bool {
-	candidates := k.o.Candidates(name)
-	return len(candidates) > 0 && candidates[0].PeerAddress == k.o.PeerAddress
+func (i *Issuer) isFirst(name string) bool {
+	candidates := i.o.Candidates(name)
+	return len(candidates) > 0 && candidates[0].PeerAddress == i.o.PeerAddress
 }
 
-func (k *Keeper) release(ctx context.Context, name string, s *service) {
+func (i *Issuer) release(ctx context.Context, name string, s *service) {
 	s.calls.Lock()
 	defer s.calls.Unlock()
-	k.mu.Lock()
-	if !s.tenure.MayRelease(k.o.Now(), s.ledger.LastIssued()) {
-		k.mu.Unlock()
+	i.mu.Lock()
+	if !s.tenure.MayRelease(i.o.Now(), s.ledger.LastIssued()) {
+		i.mu.Unlock()
 		return
 	}
 	s.tenure.Release()
-	s.lastClaim = k.o.Now()
-	expect, _ := s.tenure.MayClaim(k.o.Now())
-	k.mu.Unlock()
-	revision, current, replaced, err := k.o.Store.Replace(ctx, name, expect, coldbound.Row{})
+	s.lastClaim = i.o.Now()
+	expect, _ := s.tenure.MayClaim(i.o.Now())
+	i.mu.Unlock()
+	revision, current, replaced, err := i.o.Store.Replace(ctx, name, expect, coldbound.Row{})
 	if err != nil {
-		level.Info(k.o.Logger).Log("msg", "cannot end the tenure of cold servers", "service", name, "err", eris.ToString(err, false))
+		level.Info(i.o.Logger).Log("msg", "cannot end the tenure of cold servers", "service", name, "err", eris.ToString(err, false))
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if replaced {
 		current = coldbound.Row{}
 	}
-	s.tenure.Observe(k.o.Now(), revision, current)
+	s.tenure.Observe(i.o.Now(), revision, current)
 }
--- a/internal/process/coldkeeper/coldkeeper_test.go
+++ b/internal/process/coldrights/coldrights_test.go
@@ -1,4 +1,4 @@
-package coldkeeper
+package coldrights
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 	revision int64
 	row      coldbound.Row
 	calls    int
-	keepers  map[string]*Keeper
+	issuers  map[string]*Issuer
 }
 
 func (f *fakeRow) Read(context.Context, string) (int64, coldbound.Row, error) {
@@ -38,15 +38,15 @@
 }
 
 func (f *fakeRow) Call(_ context.Context, address, _ string, args, reply any) error {
-	k := f.keepers[address]
+	k := f.issuers[address]
 	if k == nil {
 		return context.DeadlineExceeded
 	}
 	return k.RPC().Take(args.(*TakeArgs), reply.(*TakeReply))
 }
 
-// keeper adds a gateway; the gateways are ranked as in names.
-func (f *fakeRow) keeper(name string, names ...string) *Keeper {
+// issuer adds a gateway; the gateways are ranked as in names.
+func (f *fakeRow) issuer(name string, names ...string) *Issuer {
 	k := New(Options{
 		Self: name + "/1", PeerAddress: name, Store: f, Caller: f, Logger: log.NewNopLogger(), Metrics: telemetry.New(),
 		Candidates: func(string) (out []membership.Gateway) {
@@ -57,14 +57,14 @@
 		},
 		Rights: func(string) int { return 44 }, Now: func() time.Duration { return f.now },
 	})
-	f.keepers[name] = k
+	f.issuers[name] = k
 	return k
 }
 
 // pass lets time pass, in which the gateways do their periodic work.
-func (f *fakeRow) pass(d time.Duration, keepers ...*Keeper) {
+func (f *fakeRow) pass(d time.Duration, issuers ...*Issuer) {
 	for end := f.now + d; f.now < end; f.now += upkeepPeriod {
-		for _, k := range keepers {
+		for _, k := range issuers {
 			if k.services["s"] != nil {
 				k.maintain(context.Background(), "s")
 			}
@@ -73,13 +73,13 @@
 }
 
 // Guards against a tenure that is kept, with calls to the store, after the last right, against one that ends while
-// rights are issued, and against cold servers that get nothing because a lost keeper has not freed the row.
+// rights are issued, and against cold servers that get nothing because a lost issuer has not freed the row.
 func TestTenure(t *testing.T) {
 	is := is.New(t)
-	f := &fakeRow{now: time.Hour, keepers: map[string]*Keeper{}}
-	a, b := f.keeper("a", "a", "b"), f.keeper("b", "a", "b")
+	f := &fakeRow{now: time.Hour, issuers: map[string]*Issuer{}}
+	a, b := f.issuer("a", "a", "b"), f.issuer("b", "a", "b")
 	server := coldbound.Incarnation{Server: "x", StartedMS: 1}
-	acquire := func(k *Keeper) bool {
+	acquire := func(k *Issuer) bool {
 		_, _, ok := k.Acquire(context.Background(), "s", server)
 		return ok
 	}
@@ -97,9 +97,9 @@
 	is.True(f.calls <= calls+2)
 
 	is.True(acquire(b))
-	delete(f.keepers, "a")
+	delete(f.issuers, "a")
 	is.Equal(f.row.Holder, "a/1")
-	restarted := f.keeper("a", "a", "b")
+	restarted := f.issuer("a", "a", "b")
 	restarted.o.Self = "a/2"
 	is.True(!acquire(restarted)) // the rights that a/1 has issued may be in use
 	f.pass(6*time.Second, restarted)
--- a/internal/process/registry/cold.go
+++ b/internal/process/registry/cold.go
@@ -212,7 +212,7 @@
 }
 
 // maxColdStarts returns the number of requests that may be placed on a server within a second, or 0
-// without a bound: as many as its keeper issues rights from the first second on. The caller holds the lock.
+// without a bound: as many as its issuer issues rights from the first second on. The caller holds the lock.
 func (g *Registry) maxColdStarts(now time.Time, r *record) int {
 	if g.coldRights == nil || r.cold.remaining(now) == 0 {
 		return 0
