--- a/internal/process/coldbound/coldbound.go
+++ b/internal/process/coldbound/coldbound.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// Ledger holds the rights that a issuer has issued.
+// Ledger holds the rights that an issuer has issued.
 type Ledger struct {
 	accounts map[string]*account
 	// lastIssued is the time of the last issue.
--- a/internal/process/coldrights/coldrights.go
+++ b/internal/process/coldrights/coldrights.go
@@ -37,7 +37,7 @@
 	deniedWait = 250 * time.Millisecond
 	// minWait is the least time after which a request that found no right may come back.
 	minWait = 50 * time.Millisecond
-	// maxServers bounds the servers of a service for which a issuer holds accounts.
+	// maxServers bounds the servers of a service for which an issuer holds accounts.
 	maxServers = 4096
 )
 
@@ -50,7 +50,7 @@
 	Replace(ctx context.Context, service string, expect int64, row coldbound.Row) (revision int64, current coldbound.Row, replaced bool, err error)
 }
 
-// Options configures a Issuer.
+// Options configures an Issuer.
 type Options struct {
 	// Self names this process, and PeerAddress is its address for other gateways.
 	Self, PeerAddress string
@@ -90,7 +90,7 @@
 	holder    string
 }
 
-// New returns a Issuer.
+// New returns an Issuer.
 func New(o Options) *Issuer {
 	return &Issuer{o: o, parts: coldbound.Parts{}, demand: map[string]*coldbound.Demand{}, services: map[string]*service{}, avoided: map[string]time.Duration{}}
 }
@@ -405,7 +405,7 @@
 }
 
 // maintain renews the tenure of a service while rights are in use, and sets its row free afterwards. The first in
-// rank also frees the row of a issuer that has not done so, so that it need not wait when servers are cold again.
+// rank also frees the row of an issuer that has not done so, so that it need not wait when servers are cold again.
 func (i *Issuer) maintain(ctx context.Context, name string) {
 	first := i.isFirst(name)
 	i.mu.Lock()
