--- a/internal/process/registry/cold.go
+++ b/internal/process/registry/cold.go
@@ -122,14 +122,20 @@
 	return g.updateCold(now, r, "answer")
 }
 
-// updateCold records that a server has become cold or is no longer, and reports whether that changed.
+// boundsCold reports whether a server's requests are bounded while it is cold. The caller holds the lock.
+func (g *Registry) boundsCold(r *record) bool {
+	return g.coldRights != nil && g.coldRights(r.Service) > 0
+}
+
+// updateCold records that a server whose requests are bounded has become cold or is no longer, and reports
+// whether that changed.
 // The caller holds the lock.
 func (g *Registry) updateCold(now time.Time, r *record, source string) bool {
 	if until := r.cold.until(); r.cold.deniedUntil.After(until) {
 		r.cold.deniedUntil = until
 	}
 	switch left := r.cold.remaining(now); {
-	case left > 0 && r.cold.began.IsZero():
+	case left > 0 && r.cold.began.IsZero() && g.boundsCold(r):
 		r.cold.began = now
 		g.changes = append(g.changes, StateChange{Server: r.Name, State: StateCold, Source: source, Began: true, Length: left})
 		return true
@@ -197,13 +203,13 @@
 	return earliest, earliest > 0
 }
 
-// ColdServers returns the servers that are cold, sorted by name.
+// ColdServers returns the servers that are cold and whose requests are bounded, sorted by name.
 func (g *Registry) ColdServers(now time.Time) []ColdServer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []ColdServer
 	for _, r := range g.servers {
-		if left := r.cold.remaining(now); left > 0 && !r.isLeaving() {
+		if left := r.cold.remaining(now); left > 0 && !r.cold.began.IsZero() && !r.isLeaving() {
 			out = append(out, ColdServer{Server: r.Server, Left: left, Age: now.Sub(r.cold.began)})
 		}
 	}
@@ -214,11 +220,8 @@
 // maxColdStarts returns the number of requests that may be placed on a server within a second, or 0
 // without a bound: as many as its issuer issues rights from the first second on. The caller holds the lock.
 func (g *Registry) maxColdStarts(now time.Time, r *record) int {
-	if g.coldRights == nil || r.cold.remaining(now) == 0 {
+	if r.cold.remaining(now) == 0 || !g.boundsCold(r) {
 		return 0
 	}
-	if rights := g.coldRights(r.Service); rights > 0 {
-		return coldbound.FirstWindow(rights)
-	}
-	return 0
+	return coldbound.FirstWindow(g.coldRights(r.Service))
 }
--- a/internal/process/registry/cold_test.go
+++ b/internal/process/registry/cold_test.go
@@ -72,6 +72,9 @@
 		g.BoundCold(func(service string) int { return map[string]int{"s": 10}[service] }, func(string) time.Duration { return time.Second })
 		open := map[string]int{}
 		g.ObserveStates(func(c StateChange) {
+			if c.Server == "y" {
+				t.Fatalf("a change of a server whose requests are not bounded: %+v", c)
+			}
 			if c.Began {
 				open[c.Server]++
 			} else {
