--- a/internal/process/membership/types.go
+++ b/internal/process/membership/types.go
@@ -14,6 +14,9 @@
 	Accepting bool
 	// Evacuated is set while the data centre is evacuated.
 	Evacuated bool
+	// MaxStarts is the number of requests that may start on the server within a second, or 0 without a
+	// bound. Servers that are cold have one.
+	MaxStarts int
 }
 
 // Gateway is another gateway.
--- a/internal/process/operator/gateways.go
+++ b/internal/process/operator/gateways.go
@@ -52,8 +52,9 @@
 	backends := fs.Bool("backends", false, "show the backend servers as the gateways see them")
 	leases := fs.Bool("leases", false, "show which controllers hold the leases of the gateways' data centres")
 	evacuations := fs.Bool("evacuations", false, "show which data centres are evacuated, as the gateways see them")
+	cold := fs.Bool("cold", false, "show the servers that are cold; -gateways then lists the metrics addresses of gateways on the users' platform")
 	return &ffcli.Command{
-		Name: "status", ShortUsage: "persimmonctl status [-backends | -leases | -evacuations]", ShortHelp: "show the state of the gateways, backend servers, controllers or data centres",
+		Name: "status", ShortUsage: "persimmonctl status [-backends | -leases | -evacuations | -cold]", ShortHelp: "show the state of the gateways, backend servers, controllers or data centres",
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if err := noArguments("status", args); err != nil {
@@ -63,11 +64,19 @@
 			if err != nil {
 				return err
 			}
+			exclusive := 0
+			for _, set := range []bool{*backends, *leases, *evacuations, *cold} {
+				if set {
+					exclusive++
+				}
+			}
 			switch {
-			case *backends && *leases, *backends && *evacuations, *leases && *evacuations:
-				return usagef("status: -backends, -leases and -evacuations exclude each other")
+			case exclusive > 1:
+				return usagef("status: -backends, -leases, -evacuations and -cold exclude each other")
 			case *evacuations:
 				return c.showEvacuations(ctx, addresses)
+			case *cold:
+				return c.showCold(ctx, addresses)
 			case *backends:
 				return c.showBackends(ctx, addresses)
 			case *leases:
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -251,6 +251,7 @@
 		{"status -leases -gateways " + address, "", 0, "hobart       -       -                     0        0"},
 		{"status -backends -leases -gateways " + address, "", 2, "exclude each other"},
 		{"status -backends -evacuations -gateways " + address, "", 2, "exclude each other"},
+		{"status -cold -evacuations -gateways " + address, "", 2, "exclude each other"},
 		{"status -evacuations -gateways " + address, "", 0, "burnie       gw1      2026-12-04T10:00:00Z  6"},
 		{"status -backends -gateways " + address, "", 0, "engine-1  engine  hobart       guide   resting  4        16     900 of 20000"},
 		{"status -backends -gateways 127.0.0.1:1," + address, "", 1, "1 of 2 gateways didn't answer; check -gateways"},
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -61,6 +61,7 @@
 	h.grantedAt, h.backlog = now, g.backlogOf(now, r)+float64(q.PromptTokens)
 	g.grants[q.ID] = h
 	r.running = append(r.running, h)
+	r.noteStart(now)
 	r.projection.Add(&h.sequence)
 	if r.index >= 0 {
 		g.inFlight++
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -145,7 +145,9 @@
 	prefillBlocked bool
 	// unavailableSince is the time since which no replica accepts work.
 	unavailableSince time.Time
-	started          bool
+	// startsExhausted is set if the last Dispatch passed over a replica because of its MaxStarts.
+	startsExhausted bool
+	started         bool
 }
 
 // NewGroup returns a group without replicas.
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -154,6 +154,9 @@
 	Accepting bool
 	// Evacuated is set while the engine accepts nothing because its data centre is evacuated.
 	Evacuated bool
+	// MaxStarts is the number of requests that may be placed on the replica within a second, or 0 without
+	// a bound.
+	MaxStarts int
 }
 
 // Summary describes the load of a group for gateways that do not own it.
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -239,6 +239,9 @@
 	AllPaused(now time.Time, service string) (time.Duration, bool)
 	// AllEvacuated reports whether all servers of a service are in evacuated data centres.
 	AllEvacuated(service string) bool
+	// ColdWait returns the time until the first server of a service may get a request, if all that could
+	// serve one are cold and may get none now.
+	ColdWait(now time.Time, service string) (time.Duration, bool)
 	Service(now time.Time, service, dataCentre string) []membership.Backend
 	NoteReplaced(name string)
 	NoteUnreachable(now time.Time, name string)
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -198,6 +198,7 @@
 
 func (w *fakeFleet) AllPaused(time.Time, string) (time.Duration, bool) { return 0, false }
 func (w *fakeFleet) AllEvacuated(string) bool                          { return false }
+func (w *fakeFleet) ColdWait(time.Time, string) (time.Duration, bool)  { return 0, false }
 
 func (w *fakeFleet) NoteReplaced(string)               {}
 func (w *fakeFleet) NoteUnreachable(time.Time, string) {}
