Choose application servers by the loads that they state

Servers that state their load in their responses are chosen at random in proportion to the square of their expected free capacity: the last statement, drawn towards the usual load as it ages, plus this gateway's own requests, over the time that a request takes there. The own data centre is kept while it has room and is fast enough for the route's target. A request in flight for longer than the average tells of a slow server before it answers. Services whose servers state nothing are served as before. Calls that would outlast their deadline in each stated queue are refused at once; others queue, since a full queue of 24 takes a fraction of the deadlines.

--- a/internal/connection/service/client.go
+++ b/internal/connection/service/client.go
@@ -49,6 +49,8 @@
 	Body   []byte
 	// UntilClose is set for a body that ended with its connection, so that it may be truncated.
 	UntilClose bool
+	// Load is the load that the server states, or empty. It is also set with the error of a refusal.
+	Load string
 }
 
 // Client calls application servers. It is safe for concurrent use.
@@ -93,11 +95,13 @@
 		return Response{}, fault.Wrap(err, faultCode(err), stepDispatch, name, bodyExecution(resp.StatusCode))
 	}
 	if refusal := refusalBeforeExecution(resp, body); refusal != nil {
-		return Response{}, fault.New(fault.BackendRefused, stepDispatch, name, sent.refusalExecution(),
+		return Response{Load: resp.Header.Get(api.HeaderServerLoad)}, fault.New(fault.BackendRefused, stepDispatch, name, sent.refusalExecution(),
 			"%s: %s", refusal.Code, refusal.Message).WithRetryAfter(time.Duration(refusal.RetryAfterMS) * time.Millisecond)
 	}
 	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead
-	return Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body, UntilClose: untilClose}, nil
+	response := Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body, UntilClose: untilClose, Load: resp.Header.Get(api.HeaderServerLoad)}
+	response.Header.Del(api.HeaderServerLoad)
+	return response, nil
 }
 
 // endedTimeout bounds the check whether a server listens.
--- a/internal/process/gateway/backends_test.go
+++ b/internal/process/gateway/backends_test.go
@@ -96,7 +96,7 @@
 		return []adminapi.Backend{{Name: "app-1", Service: "shop", Accepting: true}, {Name: "app-2", Service: "shop", Accepting: true}}
 	}
 	for range health.DefaultOptions().FailuresToEject {
-		_, done, ok := w.gateway.serviceSets.get("shop").Pick(time.Now(), w.backends, []string{"app-2"})
+		_, done, ok := w.gateway.serviceSets.get("shop").Pick(time.Now(), w.backends, []string{"app-2"}, nil)
 		is.True(ok)
 		done(time.Now(), health.Failure)
 	}
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"path"
 	"slices"
@@ -17,10 +18,13 @@
 	"github.com/gorilla/mux"
 
 	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/balance"
 	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/random"
 	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/process/telemetry"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/claim"
 	"persimmonwing/internal/request/fault"
@@ -36,10 +40,26 @@
 // being tried.
 const maxTrialWait = time.Second
 
-// serviceSets tracks the health of the replicas of each service.
+// serviceSets tracks the health and the loads of the replicas of each service.
 type serviceSets struct {
-	mu   sync.Mutex
-	sets map[string]*health.Set
+	mu    sync.Mutex
+	sets  map[string]*health.Set
+	loads map[string]*balance.Loads
+}
+
+// loadsOf returns what is known of the loads of a service's replicas.
+func (s *serviceSets) loadsOf(name string) *balance.Loads {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loads == nil {
+		s.loads = make(map[string]*balance.Loads)
+	}
+	l := s.loads[name]
+	if l == nil {
+		l = balance.NewLoads()
+		s.loads[name] = l
+	}
+	return l
 }
 
 func (s *serviceSets) get(name string) *health.Set {
@@ -308,15 +328,34 @@
 
 // send sends an admitted call once to a healthy replica.
 func (s *serviceCall) send(ctx context.Context, end *callEnd) (service.Response, string, *fault.Error) {
-	candidates := s.candidates()
-	b, done, ok := s.g.serviceSets.get(s.call.entry.Service).Pick(time.Now(), candidates, s.exclude)
+	now := time.Now()
+	loads := s.g.serviceSets.loadsOf(s.call.entry.Service)
+	candidates := s.candidates(len(loads.Stated(now)) > 0)
+	var choice balance.Choice
+	b, done, ok := s.g.serviceSets.get(s.call.entry.Service).Pick(now, candidates, s.exclude, func(eligible []health.Eligible) int {
+		var known bool
+		choice, known = loads.Choose(now, s.loadCandidates(eligible), s.need(ctx, now), random.Shared.Float64())
+		if !known {
+			return -1
+		}
+		return choice.Index
+	})
 	if !ok {
 		return service.Response{}, "", fault.New(fault.NoBackend, "pick", s.call.entry.Service, api.NotRun,
 			"none of %d backend servers of the service takes new work", len(candidates)).WithRetryAfter(minRetryAfter)
 	}
-	s.call.record.Step("dispatch", b.Name, "")
+	if choice.Hopeless {
+		done(now, health.Abandoned)
+		s.g.metrics.Counter("choices_hopeless", s.call.entry.Service).Inc(1)
+		return service.Response{}, "", fault.New(fault.NoCapacity, "pick", s.call.entry.Service, api.NotRun,
+			"all backend servers of the service have stated queues that outlast the deadline").WithRetryAfter(minRetryAfter)
+	}
+	s.call.record.Step("dispatch", b.Name, s.noteChoice(choice))
+	ended := loads.Sent(now, b.Name, noIncarnation)
 	response, err := s.g.services.Do(ctx, b.Name, b.Address, s.request)
+	s.noteLoad(loads, b.Name, response.Load)
 	if err == nil {
+		ended(time.Since(now))
 		end.outcome.Answered = true
 		done(time.Now(), health.Success)
 		s.g.retryBudget.Success(b.Name)
@@ -324,6 +363,11 @@
 	}
 	ferr := fault.From(err)
 	end.note(ctx, s.g.services, b, ferr)
+	if ferr.Execution == api.NotRun {
+		ended(0)
+	} else {
+		ended(time.Since(now)) // it would have taken longer
+	}
 	if ctx.Err() != nil {
 		done(time.Now(), health.Abandoned)
 	} else {
@@ -334,10 +378,54 @@
 	return response, b.Name, ferr
 }
 
+// noIncarnation is used for replicas, whose host list doesn't tell one start from another.
+const noIncarnation = 0
+
+// need returns what the call needs of its replica.
+func (s *serviceCall) need(ctx context.Context, now time.Time) balance.Need {
+	var need balance.Need
+	if deadline, ok := ctx.Deadline(); ok {
+		need.Left = deadline.Sub(now)
+	}
+	return need
+}
+
+func (s *serviceCall) loadCandidates(eligible []health.Eligible) []balance.Candidate {
+	out := make([]balance.Candidate, len(eligible))
+	for i, e := range eligible {
+		out[i] = balance.Candidate{Name: e.Name, Incarnation: noIncarnation, Home: e.DataCentre == s.g.opts.DataCentre, Share: e.Share}
+	}
+	return out
+}
+
+// noteChoice counts what was known at a choice and returns it for the call's record.
+func (s *serviceCall) noteChoice(c balance.Choice) string {
+	if c.AllFull {
+		s.g.metrics.Counter("choices_all_full", s.call.entry.Service).Inc(1)
+	}
+	if !c.Known {
+		return ""
+	}
+	s.g.metrics.Observe(telemetry.LoadAge, s.call.entry.Service, "call", c.Age)
+	return fmt.Sprintf("%.0f of %d slots expected in use, stated %d ms ago", c.Busy, c.Slots, c.Age.Milliseconds())
+}
+
+// noteLoad records the load that a replica states in a response, if it states any.
+func (s *serviceCall) noteLoad(loads *balance.Loads, name, value string) {
+	if value == "" {
+		return
+	}
+	outcome := balance.Ignored
+	if st, ok := balance.Parse(value); ok && loads.Learn(time.Now(), name, noIncarnation, st) {
+		outcome = balance.Used
+	}
+	s.g.metrics.Counter("load_statements", outcome).Inc(1)
+}
+
 // candidates returns the replicas to choose from: those of this data centre that
 // accept new work and have not failed, or all replicas of the service if there are
-// none.
-func (s *serviceCall) candidates() []membership.Backend {
+// none, or if statements of load tell where there is room.
+func (s *serviceCall) candidates(stated bool) []membership.Backend {
 	all := s.g.backends.Services(s.call.entry.Service)
 	var local []membership.Backend
 	for _, b := range all {
@@ -345,7 +433,7 @@
 			local = append(local, b)
 		}
 	}
-	if len(local) > 0 {
+	if len(local) > 0 && !stated {
 		return local
 	}
 	return all
--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -1,5 +1,5 @@
-// Package health selects replicas of a service by fewest requests in flight. It ejects
-// replicas after consecutive failures, up to a maximum fraction, and lets them return
+// Package health selects replicas of a service by fewest requests in flight, or lets its
+// caller select one of the eligible ones. It ejects replicas after consecutive failures, up to a maximum fraction, and lets them return
 // with a slow start. Budget limits retries.
 package health
 
@@ -71,27 +71,47 @@
 	Abandoned
 )
 
+// Eligible is a replica that may be selected.
+type Eligible struct {
+	membership.Backend
+	// Share is its slow-start weight: 1 or less.
+	Share float64
+}
+
+// Chooser selects one of the eligible replicas by its index. It returns a negative number to leave the choice to
+// the numbers of requests in flight.
+type Chooser func(eligible []Eligible) int
+
 // Pick selects the accepting replica with the lowest weighted number of requests in
-// flight that is neither ejected nor excluded, and counts one more request in flight
-// to it. The caller must call done once. Pick returns false if no replica is eligible.
-func (s *Set) Pick(now time.Time, candidates []membership.Backend, exclude []string) (b membership.Backend, done func(time.Time, Result), ok bool) {
+// flight that is neither ejected nor excluded, unless choose, which may be nil, selects
+// another one. It counts one more request in flight to it. The caller must call done
+// once. Pick returns false if no replica is eligible.
+func (s *Set) Pick(now time.Time, candidates []membership.Backend, exclude []string, choose Chooser) (b membership.Backend, done func(time.Time, Result), ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var eligible []Eligible
 	best := -1
 	var bestLoad float64
-	for i, c := range candidates {
+	for _, c := range candidates {
 		if !c.Accepting || slices.Contains(exclude, c.Name) || s.ejected(now, c.Name) {
 			continue
 		}
-		load := s.load(now, c.Name)
+		share := s.share(now, c.Name)
+		load := float64(s.replica(c.Name).inFlight+1) / share
 		if best < 0 || load < bestLoad {
-			best, bestLoad = i, load
+			best, bestLoad = len(eligible), load
 		}
+		eligible = append(eligible, Eligible{Backend: c, Share: share})
 	}
 	if best < 0 {
 		return membership.Backend{}, nil, false
 	}
-	b = candidates[best]
+	if choose != nil {
+		if i := choose(eligible); i >= 0 {
+			best = i
+		}
+	}
+	b = eligible[best].Backend
 	s.replica(b.Name).inFlight++
 	total := len(candidates)
 	return b, func(at time.Time, r Result) { s.finish(at, b.Name, r, total) }, true
@@ -135,15 +155,13 @@
 	return r != nil && now.Before(r.ejectedUntil)
 }
 
-// load returns the number of requests in flight if one more is sent, divided by the
-// replica's slow-start weight.
-func (s *Set) load(now time.Time, name string) float64 {
+// share returns a replica's slow-start weight.
+func (s *Set) share(now time.Time, name string) float64 {
 	r := s.replica(name)
-	weight := 1.0
 	if since := now.Sub(r.returnedAt); !r.returnedAt.IsZero() && since < s.opts.SlowStart {
-		weight = max(minSlowStartWeight, float64(since)/float64(s.opts.SlowStart))
+		return max(minSlowStartWeight, float64(since)/float64(s.opts.SlowStart))
 	}
-	return float64(r.inFlight+1) / weight
+	return 1
 }
 
 // finish records the result of a call and ejects the replica if necessary. The limit on
--- a/internal/process/health/health_test.go
+++ b/internal/process/health/health_test.go
@@ -30,7 +30,7 @@
 		now := start
 		for range 100 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-			_, done, ok := s.Pick(now, list, nil)
+			_, done, ok := s.Pick(now, list, nil, nil)
 			if !ok {
 				t.Fatal("no replica left")
 			}
@@ -54,18 +54,18 @@
 	s := NewSet(DefaultOptions())
 	list := backends(2)
 	list[1].Accepting = false
-	_, _, ok := s.Pick(start, list, []string{"app-0"})
+	_, _, ok := s.Pick(start, list, []string{"app-0"}, nil)
 	is.True(!ok)
 	list[1].Accepting = true
 	for range DefaultOptions().FailuresToEject {
-		_, done, _ := s.Pick(start, list, []string{"app-1"})
+		_, done, _ := s.Pick(start, list, []string{"app-1"}, nil)
 		done(start, Failure)
 	}
 	is.Equal(s.Ejected(start), 1)
 	back := start.Add(6 * time.Second)
 	counts := map[string]int{}
 	for range 12 {
-		b, _, _ := s.Pick(back, list, nil)
+		b, _, _ := s.Pick(back, list, nil, nil)
 		counts[b.Name]++
 	}
 	is.True(counts["app-0"] < counts["app-1"])
--- a/internal/process/standin/app/server.go
+++ b/internal/process/standin/app/server.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
 
+	"persimmonwing/internal/process/balance"
 	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/standin/serve"
@@ -142,15 +143,18 @@
 		serve.Abort()
 	}
 	if fault == errorWithBody {
+		s.stateLoad(w)
 		writeNotRun(w, "overloaded")
 		return
 	}
 	if code := s.beginCall(); code != "" {
+		s.stateLoad(w)
 		writeNotRun(w, code)
 		return
 	}
 	defer s.endCall()
 	a := s.run(r)
+	s.stateLoad(w)
 	switch fault {
 	case resetAfter:
 		serve.Abort()
@@ -176,6 +180,17 @@
 	return ""
 }
 
+// stateLoad states the load in the response's header, unless the server runs any number of calls at once.
+func (s *Server) stateLoad(w http.ResponseWriter) {
+	if s.settings.MaxConcurrent == 0 {
+		return
+	}
+	s.mu.Lock()
+	load := balance.Statement{Running: s.running, Slots: s.settings.MaxConcurrent, Slowdown: 1}
+	s.mu.Unlock()
+	w.Header().Set(api.HeaderServerLoad, load.Format())
+}
+
 func (s *Server) endCall() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/telemetry/telemetry.go
+++ b/internal/process/telemetry/telemetry.go
@@ -28,6 +28,8 @@
 	TokenGap   Measure = "token_gap_us"
 	StallTime  Measure = "stall_us"
 	QueueTime  Measure = "queue_us"
+	// LoadAge is the age of what was known of a server's load when a call was sent to it.
+	LoadAge Measure = "load_age_us"
 )
 
 // Metrics contains the metrics of one process.
@@ -36,6 +38,9 @@
 // New returns an empty registry.
 func New() *Metrics { return &Metrics{registry: metrics.NewRegistry()} }
 
+// Remove removes a counter or gauge, so that names of servers that have gone don't accumulate.
+func (m *Metrics) Remove(parts ...string) { m.registry.Unregister(strings.Join(parts, ".")) }
+
 // Counter returns the counter whose name consists of parts joined by dots. It is
 // created on first use.
 func (m *Metrics) Counter(parts ...string) metrics.Counter {
--- a/internal/request/api/api.go
+++ b/internal/request/api/api.go
@@ -33,6 +33,11 @@
 	Metadata map[string]string `json:"metadata,omitempty"`
 }
 
+// HeaderServerLoad is the response header in which an application server states its load: the numbers of
+// requests running and waiting and of its slots, and optionally the time that work takes at the moment as a
+// percentage of the usual time, separated by commas.
+const HeaderServerLoad = "Server-Load"
+
 // MetadataAttempt is the metadata key of a gateway's attempt id. The engine echoes it in
 // the created event.
 const MetadataAttempt = "attempt"
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/process/crashguard"
@@ -50,9 +51,8 @@
 			admitted.end(crashguard.CallOutcome{})
 			return last
 		}
-		set := f.o.Health(q.Service)
-		b, done, ok := set.Pick(time.Now(), f.o.Servers.Service(time.Now(), q.Service, f.o.DataCentre), tried)
-		if !ok {
+		server, err := f.chooseServer(q, tried)
+		if err != nil {
 			admitted.end(crashguard.CallOutcome{})
 			if paused := f.pausedError(q); paused != nil && (last == nil || last.Execution == api.NotRun) {
 				return paused
@@ -60,16 +60,16 @@
 			if last != nil {
 				return last
 			}
-			return fault.New(fault.NoBackend, stepPlace, "", api.NotRun, "no server of service %s accepts work", q.Service).WithRetryAfter(defaultRetryAfter)
+			return err
 		}
 		retryable := sends+1 < maxSends && q.mayRepeat(runs+1)
-		final, err := f.callOnce(ctx, q, w, b.Name, admitted, done, retryable)
+		final, err := f.callOnce(ctx, q, w, server, admitted, retryable)
 		admitted.end(crashguard.CallOutcome{})
 		if final {
 			return err
 		}
 		failed = err
-		tried = append(tried, b.Name)
+		tried = append(tried, server.name)
 		if last == nil || err.Execution != api.NotRun {
 			last = err
 		}
@@ -224,9 +224,9 @@
 // callOnce sends a request to one server. final is true if the request must not be
 // retried; retryable states that a failure after which the request may have run can
 // still be retried.
-func (f *Forwarder) callOnce(ctx context.Context, q *Request, w Caller, name string, c *admittedCall, done func(time.Time, health.Result), retryable bool) (final bool, failed *fault.Error) {
-	result := health.Failure
-	defer func() { done(time.Now(), result) }()
+func (f *Forwarder) callOnce(ctx context.Context, q *Request, w Caller, chosen *chosenServer, c *admittedCall, retryable bool) (final bool, failed *fault.Error) {
+	name, result, took := chosen.name, health.Failure, time.Duration(0)
+	defer func() { chosen.end(result, took) }()
 	s, ok := f.o.Servers.Get(name)
 	if !ok || f.o.Servers.Blocked(time.Now(), name) {
 		result = health.Abandoned
@@ -244,6 +244,7 @@
 		failed := f.noteSendError(ctx, s, fault.From(err))
 		switch {
 		case failed.Execution != api.NotRun:
+			took = time.Since(q.Sent) // it would have taken longer
 			f.endUnanswered(request, ctx, q, c, s)
 		case errors.Is(err, syscall.ECONNREFUSED):
 			c.end(crashguard.CallOutcome{NotListening: true, Loss: incarnation(s)})
@@ -252,9 +253,13 @@
 	}
 	defer answer.Close()
 	if refused := f.refusalError(s, answer); refused != nil {
+		if answer.Status == http.StatusServiceUnavailable {
+			f.o.Metrics.Counter("choices_refused", q.Service).Inc(1)
+		}
 		return false, refused
 	}
 	body, whole, err := bufferBody(answer.Body)
+	took = time.Since(q.Sent)
 	if err != nil {
 		f.endUnanswered(request, ctx, q, c, s)
 		return false, fault.Wrap(err, linkErrorCode(ctx), stepAnswer, name, api.Ran)
@@ -358,7 +363,7 @@
 			return fault.Wrap(err, fault.BackendLost, stepAnswer, s.Name, api.Ran)
 		}
 	}
-	_ = level.Info(f.logger(q)).Log("msg", "answered", "backend", s.Name, "status", a.Status, "took_ms", time.Since(q.Arrived).Milliseconds())
+	_ = log.With(level.Info(f.logger(q)), q.loadFields()...).Log("msg", "answered", "backend", s.Name, "status", a.Status, "took_ms", time.Since(q.Arrived).Milliseconds())
 	f.o.Metrics.Counter("answers", q.Route.Name).Inc(1)
 	return nil
 }
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 
+	"persimmonwing/internal/process/balance"
 	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
@@ -48,6 +49,8 @@
 	// Sent is the time of the last send to a backend server, other than one that moves a
 	// running generation. It is zero before the first send.
 	Sent time.Time
+	// Chosen is what was known of the server's load at the last send of a call.
+	Chosen balance.Choice
 	// Deadline is the earlier of the caller's deadline and the route's.
 	Deadline time.Time
 
@@ -273,8 +276,11 @@
 	Servers    Servers
 	Budget     Budget
 	Health     func(service string) *health.Set
-	Metrics    *telemetry.Metrics
-	Logger     log.Logger
+	// Loads returns what is known of the loads of a service's servers, and Random a number in [0, 1).
+	Loads   func(service string) *balance.Loads
+	Random  func() float64
+	Metrics *telemetry.Metrics
+	Logger  log.Logger
 	// Grace is the grace period of a planned stop of this process, and StopRetryAfter the
 	// time after which a request that it refuses reaches another gateway.
 	Grace          Grace
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-kit/log"
 
+	"persimmonwing/internal/process/balance"
 	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
@@ -117,11 +118,11 @@
 	for _, n := range names {
 		w.servers[n] = &fakeServer{name: n, total: 20, running: map[string]*stream{}}
 	}
-	set := health.NewSet(health.DefaultOptions())
+	set, loads := health.NewSet(health.DefaultOptions()), balance.NewLoads()
 	logger := log.NewSyncLogger(log.NewLogfmtLogger(&w.log))
 	w.f = New(Options{
 		Client: w, Scheduler: w, CrashGuard: owner.New(owner.Options{View: lonelyView{}, Logger: logger}), Servers: w, Budget: w, Metrics: telemetry.New(), Logger: logger,
-		Health: func(string) *health.Set { return set }, MayRun: func(*Request) bool { return w.mayRun }, Grace: daemon.NewGrace(), StopRetryAfter: func() time.Duration { return time.Millisecond },
+		Health: func(string) *health.Set { return set }, Loads: func(string) *balance.Loads { return loads }, Random: func() float64 { return 0 }, MayRun: func(*Request) bool { return w.mayRun }, Grace: daemon.NewGrace(), StopRetryAfter: func() time.Duration { return time.Millisecond },
 	})
 	return w
 }
