Give slow engines less work where engines state their load

An engine whose steps take over 1.5 times the median of its group counts as more loaded in proportion, is no target of affinity, and of moves only behind the others of its data centre. A slowdown counts within two reports, a recovery after several; a new incarnation counts as equal. Services whose engines state no load are served as before.

Ruled out: the speed that engines state themselves, which is the disturbance of the moment and not the engine's own speed, and comes only with a gateway's own answers, about one in two minutes for each engine.

--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -142,6 +142,9 @@
 	// unavailableSince is the time since which no replica accepts work.
 	unavailableSince time.Time
 	started          bool
+	// usualStep is the median step time of the replicas in milliseconds, or 0, computed at usualStepAt.
+	usualStep   float64
+	usualStepAt time.Time
 }
 
 // NewGroup returns a group without replicas.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -121,6 +121,9 @@
 // placementLoad returns the load by which replicas are compared for a request.
 func (g *Group) placementLoad(r *replica, q *Request) float64 {
 	load := g.pressure(r)
+	if slow := g.slowness(r); slow > 1 {
+		load = load*slow + slowOffset*(slow-1)
+	}
 	if g.remote(r, q) {
 		load += remotePenalty
 	}
@@ -134,10 +137,10 @@
 
 // spread chooses one of the replicas with room by a hash of the request ID and the
 // replica name, so that requests which several gateways place at the same time go to
-// different replicas. Replicas of the preferred data centre come first.
+// different replicas. Replicas of the preferred data centre come first, and among them those that are not slow.
 func (g *Group) spread(now time.Time, q *Request, s *memory.Sequence) (*replica, string, placement) {
 	var best *replica
-	var bestRemote bool
+	var bestRank int
 	var highest uint64
 	why := noneEligible
 	for _, r := range g.available {
@@ -148,9 +151,9 @@
 			why = noRoom
 			continue
 		}
-		remote, hash := g.remote(r, q), xxhash.Sum64String(q.ID+"/"+r.Name)
-		if best == nil || bestRemote && !remote || bestRemote == remote && hash > highest {
-			best, bestRemote, highest = r, remote, hash
+		rank, hash := g.spreadRank(r, q), xxhash.Sum64String(q.ID+"/"+r.Name)
+		if best == nil || rank < bestRank || rank == bestRank && hash > highest {
+			best, bestRank, highest = r, rank, hash
 		}
 	}
 	if best == nil {
@@ -159,6 +162,18 @@
 	return best, ReasonSpread, placed
 }
 
+// spreadRank orders the replicas for spread; 0 comes first.
+func (g *Group) spreadRank(r *replica, q *Request) int {
+	rank := 0
+	if g.remote(r, q) {
+		rank = 2
+	}
+	if g.slowness(r) > 1 {
+		rank++
+	}
+	return rank
+}
+
 // eligible reports whether a replica may run the request, regardless of its room.
 func (g *Group) eligible(r *replica, q *Request) bool {
 	if !r.accepting() || slices.Contains(q.Exclude, r.Name) {
@@ -192,7 +207,8 @@
 	mean := float64(g.inFlight+1) / float64(len(g.available))
 	for i := len(q.PrefixHashes) - 1; i >= 0; i-- {
 		r := g.prefixes.lookup(q.PrefixHashes[i])
-		if r == nil || !g.eligible(r, q) {
+		// Reading a prefix again takes less time than the steps of a generation on a slow replica.
+		if r == nil || !g.eligible(r, q) || g.slowness(r) > 1 {
 			continue
 		}
 		if float64(len(r.running)) < affinityLoadFactor*mean && g.hasRoom(now, r, s) {
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -49,6 +49,8 @@
 	slotCount, openCount, freeCount int
 	reportedBatch                   int
 	reportedKV                      int
+	// step is the moving average of the reported step times in milliseconds, or 0.
+	step float64
 	// refusals is the number of requests refused since the last one that ran.
 	refusals      int
 	coolingDown   bool
@@ -240,6 +242,7 @@
 	if r.incarnation != "" && report.Incarnation != r.incarnation {
 		g.beginSlowStart(now, r)
 		r.resetExternal()
+		r.step = 0
 	}
 	r.incarnation = report.Incarnation
 	if r.draining && !report.Draining {
@@ -262,6 +265,8 @@
 		r.hasReport = true
 	}
 	r.adjustBound(report)
+	r.noteStep(report)
+	g.updateUsualStep(now)
 	g.update(r, now)
 	g.updateUnavailableSince(now)
 }
