--- a/internal/process/schedule/speed.go
+++ b/internal/process/schedule/speed.go
@@ -19,9 +19,10 @@
 	equalSlowness = 1.5
 	// maxSlowness bounds the slowness, so that a slow engine still gets work when the others are full.
 	maxSlowness = 4
-	// slowOffset is the load at which a slow engine that is empty counts as loaded as others, for each multiple of
-	// the usual step time. Half of an engine's memory in use is a load of about 0.15.
-	slowOffset = 0.2
+	// slowOffset is the load that a slow engine counts for each multiple of the usual step time above 1, also if it
+	// is empty. At twice the usual step time it exceeds remotePenalty: a generation has shorter pauses at a fast engine
+	// of another data centre than at a slow one of its own.
+	slowOffset = 0.35
 )
 
 // noteStep learns from a reported step time of this incarnation.
