--- a/internal/process/balance/choose.go
+++ b/internal/process/balance/choose.go
@@ -60,8 +60,10 @@
 	// response is the expected response time in seconds, of a request that need not wait, and wait the time until
 	// a slot is free.
 	response, wait float64
-	weight         float64
-	fresh          bool
+	// queued is the time in seconds that the requests take that the server has lately stated as waiting, if none takes
+	// longer than at the fastest server. Slow responses may have another cause than the queue.
+	queued float64
+	weight float64
 }
 
 // free is the expected number of free slots.
@@ -90,14 +92,12 @@
 		if p.free() >= 1 {
 			allFull = false
 		}
-		if !p.fresh || need.Left <= 0 || p.wait+p.response < need.Left.Seconds() {
+		if need.Left <= 0 || p.queued < need.Left.Seconds() {
 			hopeless = false
 		}
-		if candidates[i].Home {
+		if candidates[i].Home && (need.Target <= 0 || p.wait+p.response <= homeShare*need.Target.Seconds()) {
 			home[i] = p.weight
-			if need.Target <= 0 || p.wait+p.response <= homeShare*need.Target.Seconds() {
-				homeRoom += p.room() * candidates[i].Share
-			}
+			homeRoom += p.room() * candidates[i].Share
 		}
 	}
 	weights := all
@@ -126,6 +126,7 @@
 func (b *Loads) prospects(now time.Time, candidates []Candidate) (out []prospect, any bool) {
 	out = make([]prospect, len(candidates))
 	var slots, busy, response, known, timed float64
+	fastest := math.Inf(1)
 	for i, c := range candidates {
 		l := b.servers[c.Name]
 		if l == nil || l.incarnation != c.Incarnation {
@@ -134,11 +135,12 @@
 		if l.average > 0 {
 			response += l.average
 			timed++
+			fastest = min(fastest, l.average)
 		}
 		if !l.known(now) {
 			continue
 		}
-		out[i] = prospect{busy: l.busy(now), slots: float64(l.stated.Slots), fresh: l.weight(now) >= hopelessWeight}
+		out[i] = prospect{busy: l.busy(now), slots: float64(l.stated.Slots)}
 		slots += out[i].slots
 		busy += out[i].busy
 		known++
@@ -164,6 +166,9 @@
 			p.busy = share * p.slots
 		} else {
 			p.response = max(p.response, usual*l.slowdown(now))
+			if timed > 0 && l.weight(now) >= hopelessWeight {
+				p.queued = fastest * float64(l.stated.Waiting) / p.slots
+			}
 		}
 		if over := p.busy + 1 - p.slots; over > 0 {
 			p.wait = p.response * over / p.slots
--- a/internal/process/balance/choose_test.go
+++ b/internal/process/balance/choose_test.go
@@ -123,6 +123,13 @@
 	is.True(hopeless(began, 500*time.Millisecond))
 	is.True(!hopeless(began, 2*time.Second))
 	is.True(!hopeless(began.Add(2*time.Second), 500*time.Millisecond))
+	b = NewLoads() // slow answers, but no queues
+	for _, name := range []string{"a", "b"} {
+		b.Sent(began, name, 0)(time.Second)
+		b.Sent(began, name, 0)
+		b.Learn(began, name, 0, Statement{Running: 6, Slots: 6, Slowdown: 1})
+	}
+	is.True(!hopeless(began.Add(300*time.Millisecond), 200*time.Millisecond))
 }
 
 // Guards against absurd statements, and against choices outside the candidates, whatever servers state and in
