Try engines again that were slow and get no work

An engine without work reports no step time, so that it stayed slow until its next incarnation. One report alone makes no engine slow any more.

--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -265,7 +265,7 @@
 		r.hasReport = true
 	}
 	r.adjustBound(report)
-	r.noteStep(report)
+	g.noteStep(r, report)
 	g.updateUsualStep(now)
 	g.update(r, now)
 	g.updateUnavailableSince(now)
--- a/internal/process/schedule/speed.go
+++ b/internal/process/schedule/speed.go
@@ -9,9 +9,12 @@
 
 const (
 	// slowerStepWeight and fasterStepWeight are the weights of a reported step time in the moving average, if it
-	// is longer or shorter than the average. A slowdown is noticed within two reports and a recovery is trusted
-	// after several, because generations run for many reports.
-	slowerStepWeight, fasterStepWeight = 0.4, 0.15
+	// is longer or shorter than the average. A slowdown is noticed within two or three reports and a recovery is trusted
+	// after several, because generations run for many reports. One bad report does not make an engine slow.
+	slowerStepWeight, fasterStepWeight = 0.25, 0.15
+	// idleStepWeight is the weight of the usual step time in a report without a step time. An engine that gets no
+	// work because it was slow is tried again after half a minute.
+	idleStepWeight = 0.02
 	// speedPeriod is the time after which the usual step time of a group is computed again.
 	speedPeriod = time.Second
 	// equalSlowness is the slowness up to which an engine counts as fast as the others: a full batch makes
@@ -25,9 +28,11 @@
 	slowOffset = 0.35
 )
 
-// noteStep learns from a reported step time of this incarnation.
-func (r *replica) noteStep(report api.LoadReport) {
+// noteStep learns from a report of this incarnation.
+func (g *Group) noteStep(r *replica, report api.LoadReport) {
 	switch {
+	case report.StepMS <= 0 && r.step > g.usualStep:
+		r.step += idleStepWeight * (g.usualStep - r.step)
 	case report.StepMS <= 0:
 	case r.step == 0:
 		r.step = report.StepMS
