--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -1,6 +1,6 @@
 // Package health selects replicas of a service by fewest requests in flight, or lets its
-// caller select one of the eligible ones. It ejects replicas after consecutive failures, up to a maximum fraction, and lets them return
-// with a slow start. Budget limits retries.
+// caller select one of the eligible ones. It ejects replicas after consecutive failures, up
+// to a maximum fraction, and lets them return with a slow start. Budget limits retries.
 package health
 
 import (
