--- a/internal/process/schedule/firsttoken.go
+++ b/internal/process/schedule/firsttoken.go
@@ -26,10 +26,6 @@
 // prefill is the moving average of the time that engines take for a prompt token.
 type prefill struct{ perToken time.Duration }
 
-func (p *prefill) time(tokens float64) time.Duration {
-	return time.Duration(tokens * float64(p.average()))
-}
-
 func (p *prefill) average() time.Duration {
 	if p.perToken == 0 {
 		return prefillPrior
@@ -38,12 +34,12 @@
 }
 
 // observe records that a first token came after a time for which an engine had this many
-// tokens to prefill, those of the generation included.
-func (p *prefill) observe(tokens float64, took time.Duration) {
+// tokens to prefill, those of the generation included. slowness is that of the engine.
+func (p *prefill) observe(tokens float64, took time.Duration, slowness float64) {
 	if tokens <= 0 {
 		return
 	}
-	sample := min(max(time.Duration(float64(took-firstTokenBase)/tokens), minPrefill), maxPrefill)
+	sample := min(max(time.Duration(float64(took-firstTokenBase)/tokens/slowness), minPrefill), maxPrefill)
 	p.perToken = p.average() + time.Duration(prefillWeight*float64(sample-p.average()))
 }
 
@@ -68,14 +64,20 @@
 	return b.tokens
 }
 
+// prefillTime returns the time that a replica takes for a prompt token.
+func (g *Group) prefillTime(r *replica) time.Duration {
+	return time.Duration(g.slowness(r) * float64(g.prefill.average()))
+}
+
 // backlogOf returns the estimated prompt tokens that a replica has yet to prefill.
 func (g *Group) backlogOf(now time.Time, r *replica) float64 {
-	return r.backlog.estimate(now, r.unread(), g.prefill.average())
+	return r.backlog.estimate(now, r.unread(), g.prefillTime(r))
 }
 
 // firstToken returns the expected time until the first token of a prompt that is sent to a replica now.
 func (g *Group) firstToken(now time.Time, r *replica, prompt int) time.Duration {
-	return firstTokenBase + g.prefill.time(g.backlogOf(now, r)+float64(prompt))
+	tokens := g.backlogOf(now, r) + float64(prompt)
+	return firstTokenBase + time.Duration(tokens*float64(g.prefillTime(r)))
 }
 
 // startsInTime reports whether the first token of a prompt is expected on a replica within a share of
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if before == 0 {
-		g.prefill.observe(h.backlog, now.Sub(h.grantedAt))
+		g.prefill.observe(h.backlog, now.Sub(h.grantedAt), g.slowness(h.replica))
 	}
 	e := g.lengthEstimate(&h.request)
 	e.Expose(before, generated)
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -148,6 +148,9 @@
 	// startsExhausted is set if the last Dispatch passed over a replica because of its MaxStarts.
 	startsExhausted bool
 	started         bool
+	// usualStep is the median step time of the replicas in milliseconds, or 0, computed at usualStepAt.
+	usualStep   float64
+	usualStepAt time.Time
 }
 
 // NewGroup returns a group without replicas.
