--- a/internal/process/cell/cell.go
+++ b/internal/process/cell/cell.go
@@ -15,22 +15,22 @@
 )
 
 const (
-	// MaxEngines is the number of engines per cell above which the number of cells doubles. A fleet with
+	// maxEngines is the number of engines per cell above which the number of cells doubles. A fleet with
 	// fewer engines is one cell. Long generations need a choice of many engines: half of it, the least
 	// that a cell has after a split, is still the size of a whole data centre of most deployments.
-	MaxEngines = 128
+	maxEngines = 128
 	// mergeEngines is the number of engines per cell below which cells merge. It is less than half of
-	// MaxEngines, so that engines that come and go do not split and merge cells in turn.
+	// maxEngines, so that engines that come and go do not split and merge cells in turn.
 	mergeEngines = 48
 	// maxOwnEngines bounds the engines of a cell that a gateway uses. A gateway that knows no other one, as
 	// right after its start, would otherwise use and poll all engines of the fleet.
-	maxOwnEngines = 2 * MaxEngines
+	maxOwnEngines = 2 * maxEngines
 )
 
 // count returns the number of cells for a number of engines, a power of two, if there were before cells.
 func count(engines, before int) int {
 	n := max(1, before)
-	for engines > n*MaxEngines {
+	for engines > n*maxEngines {
 		n *= 2
 	}
 	for n > 1 && engines < n*mergeEngines {
--- a/internal/process/cell/cell_test.go
+++ b/internal/process/cell/cell_test.go
@@ -86,7 +86,7 @@
 // because it knows no other one yet, and a number of cells that changes with each engine.
 func TestNumberOfCells(t *testing.T) {
 	is := is.New(t)
-	is.Equal(divide("g", []string{"g"}, names("e", MaxEngines)).Engines(), nil)
+	is.Equal(divide("g", []string{"g"}, names("e", maxEngines)).Engines(), nil)
 	is.Equal(len(divide("g", []string{"g"}, names("e", 3000)).Engines()), maxOwnEngines)
 	for _, n := range []struct{ engines, before, want int }{
 		{0, 0, 1}, {128, 1, 1}, {129, 1, 2}, {1000, 1, 8}, {3000, 8, 32}, {128, 2, 2}, {97, 2, 2}, {95, 2, 1}, {10, 32, 1},
