Bound what all callers together make a process hold

Each body had a bound, on the users' platform also their sum, but connections, heads and the rest had none: half heads took 200 MB of 134, crowds of connections all descriptors, and a stalled body held its memory until its deadline, so that ordinary callers with bodies were refused.

Both front ends now share one budget of 0.4 of the memory (package admission): connections, heads by bytes and lines, and bodies. When it is used up, the connection that has held most for longest without progress gives way, a stalled body with 503 as not run. Requests whose body is whole never give way. Accepting waits at a number of connections that the memory and 0.4 of the descriptors allow. Socket buffers of callers are bounded on the listener; before, receive queues alone reached 940 MB. The listeners for operators have 64 connections each of their own, and their idle connections end.

The time of a body comes from its size.

The tests got the settings memory_mb and the descriptors' limit as before; crowds and bounds are unchanged.

--- a/internal/process/daemon/connections.go
+++ b/internal/process/daemon/connections.go
@@ -1,11 +1,14 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"persimmonwing/internal/process/admission"
 )
 
 const (
@@ -38,6 +41,8 @@
 	begun bool
 	// expired is set while the read deadline is expired; see closeUnused.
 	expired bool
+	// held is what the connection makes the process hold, or nil if callers have no budget.
+	held *admission.Connection
 
 	queued   bool
 	requests int           // including the current one
@@ -62,6 +67,14 @@
 // been read. For the first request it is the time since the connection was accepted.
 func (c *Connection) Idle() time.Duration { return c.idle }
 
+// Held returns what the connection makes the process hold, or nil if callers have no budget.
+func (c *Connection) Held() *admission.Connection {
+	if c == nil {
+		return nil
+	}
+	return c.held
+}
+
 type (
 	connectionKey struct{}
 	queuedKey     struct{}
@@ -78,6 +91,9 @@
 // stop without losing a request that the server has read. Shutdown and SetKeepAlivesEnabled
 // of http.Server also close a connection whose request the server has just read.
 type Connections struct {
+	// Budget bounds what all connections make the process hold. It is set before Serve, and may be nil.
+	Budget *admission.Budget
+
 	mu            sync.Mutex
 	conns         map[net.Conn]*Connection
 	headerTimeout time.Duration
@@ -108,39 +124,92 @@
 
 // Serve serves the connections of a listener, as the method of the server does.
 func (c *Connections) Serve(s *http.Server, l net.Listener) error {
-	return s.Serve(&trackedListener{Listener: l, connections: c})
+	if c.Budget != nil {
+		boundSocketBuffers(l)
+	}
+	return s.Serve(&trackedListener{Listener: l, connections: c, closed: make(chan struct{})})
 }
 
 // trackedListener returns connections that note when a request begins.
 type trackedListener struct {
 	net.Listener
 	connections *Connections
+	closing     sync.Once
+	closed      chan struct{}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It waits until callers may hold one more connection.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: conn, connections: l.connections}, nil
+	tracked := &trackedConn{Conn: conn, connections: l.connections}
+	budget := l.connections.Budget
+	if budget == nil {
+		return tracked, nil
+	}
+	if _, queued := l.Listener.(*Queue); queued {
+		tracked.held = budget.Add(tracked.giveWay) // a stop doesn't wait for room
+		return tracked, nil
+	}
+	if tracked.held = budget.Open(tracked.giveWay, l.closed); tracked.held == nil {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	return tracked, nil
+}
+
+// Close implements net.Listener.
+func (l *trackedListener) Close() error {
+	l.closing.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 // trackedConn notes when a request begins.
 type trackedConn struct {
 	net.Conn
 	connections *Connections
+	held        *admission.Connection
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.connections.noteRead(c, len(b))
+	if n == 0 {
+		return n, err
+	}
+	if inHead := c.connections.noteRead(c, len(b)); inHead && c.held != nil {
+		if full := c.held.Arrived(n, bytes.Count(b[:n], []byte{'\n'})); full != nil {
+			return 0, full
+		}
 	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.held.Close()
+	return c.Conn.Close()
+}
+
+// giveWay ends the server's wait for a caller that other callers need the memory of. It fails if the connection is
+// closed.
+func (c *trackedConn) giveWay(during string) {
+	if during == admission.DuringBody {
+		_ = c.Conn.SetReadDeadline(expiredDeadline)
+		return
+	}
+	c.connections.mu.Lock()
+	defer c.connections.mu.Unlock()
+	tracked := c.connections.conns[c]
+	if tracked == nil || tracked.state == http.StateActive {
+		return // the request has been read meanwhile
+	}
+	_ = c.Conn.SetReadDeadline(expiredDeadline)
+	tracked.expired = true
+}
+
 // CloseWrite is called by http.Server.
 func (c *trackedConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -160,12 +229,18 @@
 // noteRead records that bytes were read into a buffer of the given size. While a request is served,
 // the server reads into a buffer of one byte to notice that the caller has left: what it gets is the
 // beginning of the next request.
-func (c *Connections) noteRead(conn net.Conn, size int) {
+//
+// It reports whether the bytes are part of a head.
+func (c *Connections) noteRead(conn *trackedConn, size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	tracked := c.conns[conn]
-	if tracked == nil || tracked.begun || tracked.state == http.StateActive && size != 1 {
-		return
+	if tracked == nil {
+		return false
+	}
+	inHead := tracked.state != http.StateActive
+	if tracked.begun || tracked.state == http.StateActive && size != 1 {
+		return inHead
 	}
 	tracked.begun = true
 	if tracked.expired {
@@ -176,10 +251,14 @@
 		_ = conn.SetReadDeadline(deadline) // fails only for a connection that is closed
 		tracked.expired = false
 	}
+	return inHead
 }
 
 func (c *Connections) add(conn net.Conn, queued bool) *Connection {
 	tracked := &Connection{queued: queued, state: http.StateNew, since: time.Now()}
+	if wrapped, ok := conn.(*trackedConn); ok {
+		tracked.held = wrapped.held
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns == nil {
@@ -191,12 +270,26 @@
 
 // observe implements the ConnState hook of http.Server.
 func (c *Connections) observe(conn net.Conn, state http.ConnState) {
+	held := c.change(conn, state)
+	switch state {
+	case http.StateActive:
+		held.Serve()
+	case http.StateIdle:
+		held.Rest()
+	case http.StateHijacked, http.StateClosed:
+		held.Close()
+	}
+}
+
+// change records the state of a connection and returns what it holds. The budget is called without the lock,
+// because the budget calls giveWay with its own.
+func (c *Connections) change(conn net.Conn, state http.ConnState) *admission.Connection {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	tracked := c.conns[conn]
 	if tracked == nil {
-		return
+		return nil
 	}
 	switch state {
 	case http.StateActive:
@@ -209,10 +302,14 @@
 			_ = conn.SetReadDeadline(time.Time{})
 			tracked.expired = false
 		}
+	case http.StateIdle:
+		// The deadline of the last response does not bind the next one.
+		_ = conn.SetWriteDeadline(time.Time{})
 	case http.StateHijacked, http.StateClosed:
 		delete(c.conns, conn)
 	}
 	tracked.state, tracked.since = state, now
+	return tracked.held
 }
 
 // Counts returns the number of open connections by state.
--- a/internal/process/daemon/listen.go
+++ b/internal/process/daemon/listen.go
@@ -1,11 +1,31 @@
 package daemon
 
 import (
+	"errors"
 	"net"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
+const (
+	// receiveBuffer and sendBuffer bound what the kernel holds for a connection of a caller, in bytes; the kernel
+	// doubles them for its own needs. Without them, each buffer grows to megabytes.
+	receiveBuffer = 32 << 10
+	sendBuffer    = 64 << 10
+)
+
+// boundSocketBuffers bounds the buffers of the connections that a listener accepts. Platforms that can't keep
+// their own sizes.
+func boundSocketBuffers(l net.Listener) {
+	_ = withSocket(l, func(fd int) error {
+		return errors.Join(
+			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer),
+			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer),
+		)
+	})
+}
+
 // Listen opens TCP listeners at all addresses. If one fails, it closes those already
 // opened and returns an error.
 func Listen(addresses ...string) ([]net.Listener, error) {
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/oklog/ulid/v2"
 
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/explain"
@@ -60,6 +61,7 @@
 		if err == nil {
 			err = h(w, r, c)
 		}
+		daemon.ConnectionOf(r.Context()).Held().ReleaseBody()
 		if err != nil {
 			g.writeError(w, c, err)
 			return
--- a/internal/process/gateway/crowd_test.go
+++ b/internal/process/gateway/crowd_test.go
@@ -18,6 +18,8 @@
 const (
 	// crowdMemory is the memory that a gateway may take with a crowd, and crowdDescriptors the descriptors.
 	crowdMemory, crowdDescriptors = 160 << 20, 230
+	// crowdMemoryMB is the memory of the host.
+	crowdMemoryMB = 200
 	// crowdDescriptorLimit is what the process may open.
 	crowdDescriptorLimit = 256
 	crowdBody            = 4 << 20
@@ -35,7 +37,7 @@
 	o := *of
 	o.Name = "gateway-crowd"
 	o.Listen, o.AdminListen, o.PeerListen = addresses.Addresses[0], addresses.Addresses[1], addresses.Addresses[2]
-	o.HTTP.MaxBodyBytes, o.HTTP.MaxHeaderBytes = crowdBody, 64<<10
+	o.HTTP.MaxBodyBytes, o.HTTP.MaxHeaderBytes, o.MemoryMB = crowdBody, 64<<10, crowdMemoryMB
 	raw, err := yaml.Marshal(&o)
 	is.NoErr(err)
 	p := crowdtest.Start(t, "persimmonwing/cmd/gateway", raw, o.Listen, "http://"+o.AdminListen+"/readyz", crowdDescriptorLimit)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/gorilla/mux"
 
 	"persimmonwing/internal/process/adminapi"
+	"persimmonwing/internal/process/admission"
 	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/limits"
@@ -24,6 +25,7 @@
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/explain"
 	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/request/pause"
 	"persimmonwing/internal/request/responseid"
 )
 
@@ -90,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gateway{
+	g := &Gateway{
 		opts:          o,
 		scheduler:     d.Scheduler,
 		catalogue:     d.Catalogue,
@@ -108,7 +110,9 @@
 		ids:           ids,
 		explain:       explain.NewLog(explain.DefaultRecords),
 		retryBudget:   health.NewBudget(retryRatio, retryReserve),
-	}, nil
+	}
+	g.connections.Budget = admission.NewBudget(o.Callers.Limits(int64(o.MemoryMB) << 20))
+	return g, nil
 }
 
 // CallerHandler returns the handler of the caller API.
@@ -134,8 +138,16 @@
 	})
 }
 
-// adminReadTimeout bounds the time for reading an admin request.
-const adminReadTimeout = 5 * time.Second
+// callersReportPeriod is the time between two reports of callers that had to give way.
+const callersReportPeriod = time.Second
+
+// reportCallers reports what callers hold until ctx ends.
+func (g *Gateway) reportCallers(ctx context.Context) {
+	r := daemon.NewCallerReport(g.connections.Budget, g.metrics, g.logger)
+	for pause.For(ctx, callersReportPeriod) == nil {
+		r.Update()
+	}
+}
 
 // callerIdleTimeout is the time after which an idle caller connection is closed.
 const callerIdleTimeout = 2 * time.Minute
@@ -152,10 +164,13 @@
 	}
 	g.connections.Track(callerServer)
 	callers = &closeOnce{Listener: callers}
-	adminServer := &http.Server{Handler: g.adminRouter(), ReadHeaderTimeout: adminReadTimeout, ReadTimeout: adminReadTimeout}
+	adminServer := daemon.OperatorServer(g.adminRouter())
+	report, stopReport := context.WithCancel(context.Background())
+	defer stopReport()
+	go g.reportCallers(report)
 	failed := make(chan error, 2)
 	go func() { failed <- g.connections.Serve(callerServer, callers) }()
-	go func() { failed <- adminServer.Serve(admin) }()
+	go func() { failed <- adminServer.Serve(daemon.BoundConnections(admin)) }()
 	_ = level.Info(g.logger).Log("msg", "serving", "callers", callers.Addr(), "admin", admin.Addr())
 	select {
 	case err := <-failed:
--- a/internal/process/gateway/generate.go
+++ b/internal/process/gateway/generate.go
@@ -4,13 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"persimmonwing/internal/process/admission"
+	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
@@ -21,6 +22,10 @@
 // cover 16 KiB of prompt; 12 of their hashes are sent to the scheduler.
 const maxPrefixBlocks = 64
 
+// generationCopies is how often the body of a generation is held: as it was sent, its input, and the request to the
+// engine while that is sent.
+const generationCopies = 3
+
 // Priorities of generations in requests to engines.
 const (
 	priorityUrgent     = 10
@@ -53,7 +58,7 @@
 // readCreate reads and validates the body of a create request.
 func (g *Gateway) readCreate(w http.ResponseWriter, r *http.Request) (api.CreateRequest, *fault.Error) {
 	var body api.CreateRequest
-	raw, ferr := g.readBody(w, r)
+	raw, ferr := g.readBody(w, r, generationCopies)
 	if ferr != nil {
 		return body, ferr
 	}
@@ -71,27 +76,27 @@
 	return body, nil
 }
 
-// readBody reads a request body, bounded by HTTP.MaxBodyBytes and HTTP.BodyTimeout.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(g.opts.HTTP.BodyTimeout)); err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "read", "", api.NotRun)
-	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.opts.HTTP.MaxBodyBytes))
+// readBody reads a request body, bounded by HTTP.MaxBodyBytes and HTTP.BodyTimeout. copies is how often it is held
+// in memory.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, copies int64) ([]byte, *fault.Error) {
+	raw, err := daemon.ReadBody(context.Background(), w, r, daemon.BodyBounds{
+		Bytes: g.opts.HTTP.MaxBodyBytes, Time: g.opts.HTTP.BodyTimeout, BytesPerSecond: g.opts.Callers.BodyBytesPerSecond, Copies: copies,
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		return raw, nil
 	case errors.As(err, &tooLarge):
 		// http.MaxBytesReader does this itself only for the server's own writer.
 		w.Header().Set("Connection", "close")
 		return nil, fault.New(fault.BodyTooLarge, "read", "", api.NotRun, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, admission.ErrFull), errors.Is(err, admission.ErrDisplaced):
+		w.Header().Set("Connection", "close")
+		return nil, fault.Wrap(err, fault.NoCapacity, "read", "", api.NotRun).WithRetryAfter(minRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, fault.New(fault.BodyTimeout, "read", "", api.NotRun, "the body did not end within %v", g.opts.HTTP.BodyTimeout)
-	case err != nil:
-		return nil, fault.Wrap(err, fault.BadRequest, "read", "", api.NotRun)
+		return nil, fault.New(fault.BodyTimeout, "read", "", api.NotRun, "the body did not end in time")
 	}
-	// The read deadline must not close the connection while the response is streamed.
-	_ = control.SetReadDeadline(time.Time{})
-	return raw, nil
+	return nil, fault.Wrap(err, fault.BadRequest, "read", "", api.NotRun)
 }
 
 // newGeneration returns the generation of a create request, with its scheduling
--- a/internal/process/gateway/options.go
+++ b/internal/process/gateway/options.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"persimmonwing/internal/process/admission"
 	"persimmonwing/internal/process/logging"
 	"persimmonwing/internal/process/settings"
 	"persimmonwing/internal/request/relay"
@@ -46,11 +47,14 @@
 	// Policy is "owner", "shares" or "baseline".
 	Policy string `yaml:"policy"`
 	// Disable lists mechanisms to switch off individually, for measurements.
-	Disable []string        `yaml:"disable"`
-	HTTP    HTTPOptions     `yaml:"http"`
-	Queue   QueueOptions    `yaml:"queue"`
-	Relay   RelayOptions    `yaml:"relay"`
-	Log     logging.Options `yaml:"log"`
+	Disable []string     `yaml:"disable"`
+	HTTP    HTTPOptions  `yaml:"http"`
+	Queue   QueueOptions `yaml:"queue"`
+	Relay   RelayOptions `yaml:"relay"`
+	// MemoryMB is the memory of the process, which callers may use a part of.
+	MemoryMB int               `yaml:"memory_mb"`
+	Callers  admission.Options `yaml:"callers"`
+	Log      logging.Options   `yaml:"log"`
 	// MaxAttempts bounds the attempts of one generation or idempotent call.
 	MaxAttempts int `yaml:"max_attempts"`
 	// DrainDelay is the time between failing the readiness check and closing the
@@ -112,6 +116,8 @@
 		HTTP:        HTTPOptions{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, BodyTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second},
 		Queue:       QueueOptions{UrgentTimeout: 5 * time.Second, BackgroundTimeout: 60 * time.Second, MaxWaiting: 8000},
 		Relay:       RelayOptions(r),
+		MemoryMB:    1024,
+		Callers:     admission.DefaultOptions(),
 		Log:         logging.DefaultOptions(),
 		MaxAttempts: 3,
 		DrainDelay:  time.Second,
@@ -207,6 +213,8 @@
 		settings.CheckRange("max_attempts", o.MaxAttempts, 1, 10),
 		settings.CheckRange("http.max_body_bytes", o.HTTP.MaxBodyBytes, 1<<10, 64<<20),
 		settings.CheckRange("http.max_header_bytes", o.HTTP.MaxHeaderBytes, 1<<10, 1<<20),
+		settings.CheckRange("memory_mb", o.MemoryMB, 32, 1<<20),
+		o.Callers.Validate("callers."),
 		duration("http.header_timeout", o.HTTP.HeaderTimeout, 100*time.Millisecond, time.Minute),
 		duration("http.body_timeout", o.HTTP.BodyTimeout, 100*time.Millisecond, 10*time.Minute),
 		duration("http.write_timeout", o.HTTP.WriteTimeout, 100*time.Millisecond, 10*time.Minute),
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,9 +28,14 @@
 	"persimmonwing/internal/version/revision"
 )
 
+// memoryFraction is the fraction of the process's memory that is used as the soft memory limit of the Go runtime. Above
+// it, the garbage collector runs more often.
+const memoryFraction = 0.6
+
 // Main runs a gateway with all its components until ctx ends, then shuts it down
 // gracefully.
 func Main(ctx context.Context, o *Options, logger log.Logger) error {
+	debug.SetMemoryLimit(int64(memoryFraction * float64(o.MemoryMB) * (1 << 20)))
 	p, err := newProcess(o, logger)
 	if err != nil {
 		return err
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -85,7 +85,7 @@
 		w.Header().Set("Allow", strings.Join(c.entry.Methods, ", "))
 		return fault.New(fault.MethodNotAllowed, "entry", "", api.NotRun, "entry %q allows the methods %v", c.entry.Name, c.entry.Methods)
 	}
-	body, ferr := g.readBody(w, r)
+	body, ferr := g.readBody(w, r, 1)
 	if ferr != nil {
 		return ferr
 	}
