Let bodies leave room to heads, and end waits of connections that gave way

* A connection that waits for memory learns at once that it has given way; before, when its turn came.
* Bodies leave an eighth of the budget to heads, small heads are part of the connection, and a new connection makes stalled ones give way if the budget is exceeded.
* A head without room ends like a stalled one; any other error makes net/http answer 400.
* A body that failed no longer counts until its handler returns.
* At least one connection may be open beyond a small limit; with fewer than eight, none gave way until a timeout.

--- a/internal/process/admission/body.go
+++ b/internal/process/admission/body.go
@@ -22,7 +22,10 @@
 	c.beginBody()
 	body, err := c.readBody(&progressReader{r, c}, length, copies, more)
 	c.endBody(err)
-	return body, err
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
 }
 
 func (c *Connection) readBody(r io.Reader, length, copies int64, more func(size int64)) ([]byte, error) {
@@ -79,7 +82,8 @@
 	c.setPhase(readingBody)
 }
 
-// endBody ends the reading of a body. A connection that was about to give way stays if the body is whole.
+// endBody ends the reading of a body. A connection that was about to give way stays if the body is whole; otherwise its
+// memory is free for others.
 func (c *Connection) endBody(err error) {
 	if c == nil {
 		return
@@ -89,7 +93,9 @@
 	c.setPhase(serving)
 	if err == nil {
 		c.stay()
+		return
 	}
+	c.releaseBody()
 }
 
 func (c *Connection) reserveBody(n int64) error {
--- a/internal/process/admission/budget.go
+++ b/internal/process/admission/budget.go
@@ -15,7 +15,10 @@
 	// reviewPeriod is the time between two looks at who has stalled, while a connection waits.
 	reviewPeriod = 50 * time.Millisecond
 	// leavingPart is the part of the connections that may be open beyond the limit while they give way.
-	leavingPart = 4
+	leavingPart = 8
+	// headPart is the part of the bytes that bodies leave to heads, so that requests without a body are
+	// served while bodies take all they may.
+	headPart = 8
 )
 
 // What a connection was doing when it had to give way.
@@ -44,7 +47,7 @@
 	mu          sync.Mutex
 	connections []*Connection
 	// used and leaving are bytes that are held, and those of connections that give way. reading are those
-	// of connections whose requests are being read, which may give way, and bodies those of all bodies.
+	// of connections whose requests have not arrived, which may give way, and bodies those of all bodies.
 	used, leaving, reading, bodies int64
 	waiters                        []*claim
 	freed                          chan struct{} // closed when a connection closes
@@ -74,6 +77,8 @@
 	state state
 	// head and body are parts of state.held.
 	head, body int64
+	// arrived is the size of the current head. Only the goroutine that reads it uses it.
+	arrived int64
 	// step counts the bytes since the last progress.
 	step int
 }
@@ -129,6 +134,8 @@
 	c := &Connection{budget: b, giveWay: giveWay, index: len(b.connections), state: state{progress: time.Now()}}
 	b.connections = append(b.connections, c)
 	b.take(c, connectionCost)
+	for b.excess(c, 0, &c.head) > b.leaving && b.displace(time.Now(), connectionCost, unused) {
+	}
 	return c
 }
 
@@ -144,7 +151,7 @@
 	if len(b.connections)-leaving < b.limits.Connections {
 		return true
 	}
-	return leaving < b.limits.Connections/leavingPart && b.displace(time.Now(), connectionCost, idle)
+	return leaving < max(1, b.limits.Connections/leavingPart) && b.displace(time.Now(), connectionCost, idle)
 }
 
 // Close removes the connection.
@@ -178,7 +185,7 @@
 	if c.state.leaving {
 		b.leaving += n
 	}
-	if c.state.phase == readingHead || c.state.phase == readingBody {
+	if c.state.arriving() {
 		b.reading += n
 	}
 }
@@ -188,15 +195,13 @@
 	if c.index < 0 {
 		return
 	}
-	was := c.state.phase == readingHead || c.state.phase == readingBody
-	is := p == readingHead || p == readingBody
-	switch {
-	case is && !was:
-		c.budget.reading += c.state.held
-	case was && !is:
+	if c.state.arriving() {
 		c.budget.reading -= c.state.held
 	}
 	c.state.phase, c.state.progress, c.step = p, time.Now(), 0
+	if c.state.arriving() {
+		c.budget.reading += c.state.held
+	}
 }
 
 // Arrived notes that bytes of a head have been read, lines of them, and waits until there is room for them.
@@ -208,10 +213,17 @@
 	if c.state.phase != readingHead {
 		c.setPhase(readingHead)
 		c.stay()
+		c.arrived = 0
 	}
 	c.budget.mu.Unlock()
 	c.progress(bytes)
-	return c.reserve(int64(bytes+lines*lineCost), &c.head)
+	before := max(0, c.arrived-includedHead)
+	c.arrived += int64(bytes + lines*lineCost)
+	more := max(0, c.arrived-includedHead) - before
+	if more == 0 {
+		return nil
+	}
+	return c.reserve(more, &c.head)
 }
 
 // Serve notes that a request has been read, except for its body. The connection no longer gives way.
@@ -233,9 +245,9 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c.state.served = true
 	c.setPhase(waiting)
 	c.stay()
-	c.state.served = true
 	b.bodies -= c.body
 	b.take(c, -c.head-c.body)
 	c.head, c.body = 0, 0
@@ -247,13 +259,17 @@
 	if c == nil {
 		return
 	}
-	b := c.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.bodies -= c.body
-	b.take(c, -c.body)
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.releaseBody()
+}
+
+// releaseBody is ReleaseBody for a caller that holds the lock.
+func (c *Connection) releaseBody() {
+	c.budget.bodies -= c.body
+	c.budget.take(c, -c.body)
 	c.body = 0
-	b.settle(time.Now())
+	c.budget.settle(time.Now())
 }
 
 // stay withdraws that the connection gives way, because a request has arrived on it meanwhile. The caller holds
@@ -350,7 +366,7 @@
 // tryReserve returns nil if a part of the connection may hold n more bytes now.
 func (b *Budget) tryReserve(c *Connection, n int64, part *int64) error {
 	mine := int64(0)
-	if c.state.phase == readingHead || c.state.phase == readingBody {
+	if c.state.arriving() {
 		mine = c.state.held
 	}
 	switch {
@@ -358,7 +374,7 @@
 		return ErrDisplaced
 	case b.fits(c, n, part) && len(b.waiters) == 0:
 		return nil
-	case b.used-(b.reading-mine)+n > b.limits.Bytes && b.leaving == 0:
+	case b.excess(c, n, part) > b.reading-mine && b.leaving == 0:
 		return ErrFull // nothing that may give way makes enough room
 	}
 	return errWait
@@ -367,7 +383,16 @@
 // fits reports whether there is room for n more bytes. A body alone may exceed the limit, because otherwise it
 // could never be served.
 func (b *Budget) fits(c *Connection, n int64, part *int64) bool {
-	return b.used+n <= b.limits.Bytes || part == &c.body && b.bodies == c.body
+	return b.excess(c, n, part) <= 0 || part == &c.body && b.bodies == c.body
+}
+
+// excess returns how many bytes are missing for n more ones, or a negative number.
+func (b *Budget) excess(c *Connection, n int64, part *int64) int64 {
+	limit := b.limits.Bytes
+	if part == &c.body {
+		limit -= limit / headPart
+	}
+	return b.used + n - limit
 }
 
 // settle grants what the waiting connections claim, the smallest first, and lets others give way to the first
@@ -380,7 +405,7 @@
 			continue
 		}
 		if !b.fits(w.of, w.n, w.part) {
-			for b.used+w.n-b.leaving > b.limits.Bytes && b.displace(now, w.size(), stalled) {
+			for b.excess(w.of, w.n, w.part) > b.leaving && b.displace(now, w.size(), unused) {
 			}
 			if w.of.state.leaving {
 				continue
@@ -410,14 +435,14 @@
 }
 
 // displace lets one connection of at least the given rank give way, and reports whether one does. The caller holds the lock.
-func (b *Budget) displace(now time.Time, claim int64, least rank) bool {
+func (b *Budget) displace(now time.Time, size int64, least rank) bool {
 	i := choose(now, func(yield func(int, *state) bool) {
 		for i, c := range b.connections {
 			if !yield(i, &c.state) {
 				return
 			}
 		}
-	}, claim, least)
+	}, size, least)
 	if i < 0 {
 		return false
 	}
@@ -427,5 +452,8 @@
 	during := map[phase]string{waiting: DuringIdle, readingHead: DuringHead, readingBody: DuringBody}[c.state.phase]
 	b.displaced[during]++
 	c.giveWay(during)
+	if i := slices.IndexFunc(b.waiters, func(w *claim) bool { return w.of == c }); i >= 0 {
+		b.finish(b.waiters[i], ErrDisplaced)
+	}
 	return true
 }
--- a/internal/process/admission/decide.go
+++ b/internal/process/admission/decide.go
@@ -7,8 +7,9 @@
 
 const (
 	// connectionCost is what an open connection takes in bytes: two goroutines, the buffers of the
-	// server and its request.
+	// server and a head of includedHead bytes.
 	connectionCost = 24 << 10
+	includedHead   = 8 << 10
 	// lineCost is what a field of a head takes beyond its bytes, in bytes.
 	lineCost = 128
 	// progressStep is the number of bytes that count as progress. Fewer would let a caller hold its
@@ -49,6 +50,11 @@
 	blocked bool
 }
 
+// arriving reports whether the connection's request has not arrived yet.
+func (s *state) arriving() bool {
+	return s.phase == readingHead || s.phase == readingBody || s.phase == waiting && !s.served
+}
+
 // rank orders connections that may give way. Only those of the highest rank present are compared.
 type rank int
 
--- a/internal/process/daemon/connections.go
+++ b/internal/process/daemon/connections.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -125,7 +126,7 @@
 // Serve serves the connections of a listener, as the method of the server does.
 func (c *Connections) Serve(s *http.Server, l net.Listener) error {
 	if c.Budget != nil {
-		boundSocketBuffers(l)
+		boundSocketMemory(l)
 	}
 	return s.Serve(&trackedListener{Listener: l, connections: c, closed: make(chan struct{})})
 }
@@ -181,7 +182,7 @@
 	}
 	if inHead := c.connections.noteRead(c, len(b)); inHead && c.held != nil {
 		if full := c.held.Arrived(n, bytes.Count(b[:n], []byte{'\n'})); full != nil {
-			return 0, full
+			return 0, os.ErrDeadlineExceeded // after any other error net/http refuses the request for good, with 400
 		}
 	}
 	return n, err
--- a/internal/process/daemon/crowdtest/process.go
+++ b/internal/process/daemon/crowdtest/process.go
@@ -31,9 +31,9 @@
 	ended chan struct{}
 
 	mu sync.Mutex
-	// bytes is the most memory, with what the kernel holds in the sockets of callers, and
-	// descriptors the most open descriptors that were seen.
-	bytes, descriptors int64
+	// bytes is the most memory, with what the kernel holds in the sockets of callers, which sockets is the most
+	// of, and descriptors the most open descriptors that were seen.
+	bytes, sockets, descriptors int64
 }
 
 // Start builds a program and starts it with these settings, a YAML document. descriptors bounds the open
@@ -105,7 +105,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.t.Logf("at most %d MB and %d descriptors", p.bytes>>20, p.descriptors)
+	p.t.Logf("at most %d MB, %d MB in sockets and %d descriptors", p.bytes>>20, p.sockets>>20, p.descriptors)
 	if p.bytes > maxBytes {
 		p.t.Errorf("memory reached %d MB, more than %d MB", p.bytes>>20, maxBytes>>20)
 	}
@@ -123,8 +123,10 @@
 			return
 		case <-tick.C:
 		}
-		bytes, descriptors := p.resident()+p.queued(), p.open()
+		sockets := p.queued()
+		bytes, descriptors := p.resident()+sockets, p.open()
 		p.mu.Lock()
+		p.sockets = max(p.sockets, sockets)
 		p.bytes, p.descriptors = max(p.bytes, bytes), max(p.descriptors, descriptors)
 		p.mu.Unlock()
 	}
--- a/internal/process/daemon/listen.go
+++ b/internal/process/daemon/listen.go
@@ -11,15 +11,18 @@
 const (
 	// receiveBuffer and sendBuffer bound what the kernel holds for a connection of a caller, in bytes; the kernel
 	// doubles them for its own needs. Without them, each buffer grows to megabytes.
-	receiveBuffer = 32 << 10
+	receiveBuffer = 24 << 10
 	sendBuffer    = 64 << 10
+	// acceptQueue is the number of connections that wait to be accepted. Their receive buffers fill, too.
+	acceptQueue = 256
 )
 
-// boundSocketBuffers bounds the buffers of the connections that a listener accepts. Platforms that can't keep
-// their own sizes.
-func boundSocketBuffers(l net.Listener) {
+// boundSocketMemory bounds what the kernel holds for the connections of a listener. Systems that can't keep their
+// own sizes.
+func boundSocketMemory(l net.Listener) {
 	_ = withSocket(l, func(fd int) error {
 		return errors.Join(
+			unix.Listen(fd, acceptQueue),
 			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer),
 			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer),
 		)
