Check a configuration before it is sent

persimmonctl config check reads a catalogue, and persimmonwing config check the configuration of the users' platform, with the code of the gateways: errors with position, parts that can never have an effect, times and limits that contradict each other, and what differs from the version in force with its effect on requests. The exit code tells errors from warnings, -output json is for scripts. The platform's words stay in platform/; the report is shared (configcheck).

Ruled out: warnings as errors, since gateways accept such configurations; and the form of the issue with a version as -against, since "catalogue diff -revision" reads one from the platform already.

--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -126,7 +126,10 @@
 func (c *command) exit(err error) int {
 	var usage usageError
 	var platformErr *platform.Error
+	var code exitCode
 	switch {
+	case errors.As(err, &code):
+		return int(code)
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return settings.ExitOK
 	case errors.As(err, &usage):
@@ -167,7 +170,7 @@
 			ff.WithConfigFileParser(ff.PlainParser),
 		},
 		Subcommands: []*ffcli.Command{
-			c.catalogueCommand(), c.statusCommand(), c.workspacesCommand(), c.explainCommand(),
+			c.catalogueCommand(), c.configCommand(), c.statusCommand(), c.workspacesCommand(), c.explainCommand(),
 			c.drainCommand("drain", true), c.drainCommand("undrain", false), c.completionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
