Expire a connection that gives way again if its server has just begun to wait

A server sets its own read deadline when it begins to wait for a head, which may undo that of a connection which was told to give way before. Found by reading. Also names and the descriptors' source: the decision gets their number as an argument.

--- a/internal/process/admission/body_test.go
+++ b/internal/process/admission/body_test.go
@@ -54,8 +54,8 @@
 		for _, c := range held {
 			c.Rest()
 		}
-		if u := b.Usage(); u.Bodies != 0 || u.Bytes != int64(len(held))*connectionCost || b.reading != 0 || b.leaving != 0 {
-			t.Fatalf("%+v is never released, %d bytes of requests being read, %d leaving", u, b.reading, b.leaving)
+		if u := b.Usage(); u.Bodies != 0 || u.Bytes != int64(len(held))*connectionCost || b.arriving != 0 || b.leaving != 0 {
+			t.Fatalf("%+v is never released, %d bytes of requests being read, %d leaving", u, b.arriving, b.leaving)
 		}
 	})
 }
--- a/internal/process/admission/budget.go
+++ b/internal/process/admission/budget.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -46,12 +47,12 @@
 
 	mu          sync.Mutex
 	connections []*Connection
-	// used and leaving are bytes that are held, and those of connections that give way. reading are those
+	// used and leaving are bytes that are held, and those of connections that give way. arriving are those
 	// of connections whose requests have not arrived, which may give way, and bodies those of all bodies.
-	used, leaving, reading, bodies int64
-	waiters                        []*claim
-	freed                          chan struct{} // closed when a connection closes
-	review                         *time.Timer
+	used, leaving, arriving, bodies int64
+	waiters                         []*claim
+	freed                           chan struct{} // closed when a connection closes
+	review                          *time.Timer
 	// displaced counts connections that gave way by what they were doing, and refused those without room.
 	displaced map[string]int64
 	refused   int64
@@ -144,8 +145,12 @@
 func (b *Budget) hasSlot() bool {
 	leaving := 0
 	for _, c := range b.connections {
-		if c.state.leaving {
-			leaving++
+		if !c.state.leaving {
+			continue
+		}
+		leaving++
+		if c.state.phase == waiting {
+			c.giveWay(DuringIdle) // a server that begins to wait only now has set a deadline of its own
 		}
 	}
 	if len(b.connections)-leaving < b.limits.Connections {
@@ -186,7 +191,7 @@
 		b.leaving += n
 	}
 	if c.state.arriving() {
-		b.reading += n
+		b.arriving += n
 	}
 }
 
@@ -196,11 +201,11 @@
 		return
 	}
 	if c.state.arriving() {
-		c.budget.reading -= c.state.held
+		c.budget.arriving -= c.state.held
 	}
 	c.state.phase, c.state.progress, c.step = p, time.Now(), 0
 	if c.state.arriving() {
-		c.budget.reading += c.state.held
+		c.budget.arriving += c.state.held
 	}
 }
 
@@ -374,7 +379,7 @@
 		return ErrDisplaced
 	case b.fits(c, n, part) && len(b.waiters) == 0:
 		return nil
-	case b.excess(c, n, part) > b.reading-mine && b.leaving == 0:
+	case b.excess(c, n, part) > b.arriving-mine && b.leaving == 0:
 		return ErrFull // nothing that may give way makes enough room
 	}
 	return errWait
@@ -399,7 +404,7 @@
 // one that does not fit. The caller holds the lock.
 func (b *Budget) settle(now time.Time) {
 	for len(b.waiters) > 0 {
-		w := slices.MinFunc(b.waiters, func(x, y *claim) int { return int(x.size() - y.size()) })
+		w := slices.MinFunc(b.waiters, func(x, y *claim) int { return cmp.Compare(x.size(), y.size()) })
 		if w.of.state.leaving || w.of.index < 0 {
 			b.finish(w, ErrDisplaced)
 			continue
--- a/internal/process/admission/decide_test.go
+++ b/internal/process/admission/decide_test.go
@@ -92,9 +92,7 @@
 		descriptors int
 		connections int
 	}{{134 << 20, 4100, 1143}, {16 << 20, 4100, 136}, {1 << 30, 400, 160}, {1 << 30, 1, 1}} {
-		o := DefaultOptions()
-		o.MaxDescriptors = c.descriptors
-		if got := o.Limits(c.memory).Connections; got != c.connections {
+		if got := DefaultOptions().Limits(c.memory, c.descriptors).Connections; got != c.connections {
 			t.Errorf("%d bytes and %d descriptors: %d connections, want %d", c.memory, c.descriptors, got, c.connections)
 		}
 	}
--- a/internal/process/admission/options.go
+++ b/internal/process/admission/options.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 
-	"golang.org/x/sys/unix"
-
 	"persimmonwing/internal/process/settings"
 )
 
@@ -44,24 +42,15 @@
 	)
 }
 
-// Limits returns the limits of a process with this memory in bytes.
-func (o Options) Limits(memory int64) Limits {
+// Limits returns the limits of a process with this memory in bytes, which the operating system lets open this
+// many descriptors; 0 means that the number is unknown.
+func (o Options) Limits(memory int64, descriptors int) Limits {
 	l := Limits{Bytes: int64(callersFraction * float64(memory)), Connections: o.MaxConnections}
 	l.Connections = min(l.Connections, int(connectionsFraction*float64(l.Bytes)/connectionCost))
-	for _, d := range []int{o.MaxDescriptors, openDescriptors()} {
+	for _, d := range []int{o.MaxDescriptors, descriptors} {
 		if d > 0 {
 			l.Connections = min(l.Connections, max(1, int(descriptorsFraction*float64(d))))
 		}
 	}
 	return l
 }
-
-// openDescriptors returns how many descriptors the operating system lets the process open, or 0 if that is
-// unknown or without bound.
-func openDescriptors() int {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > 1<<30 {
-		return 0
-	}
-	return int(limit.Cur)
-}
--- a/internal/process/daemon/listen.go
+++ b/internal/process/daemon/listen.go
@@ -45,3 +45,13 @@
 	}
 	return open, nil
 }
+
+// Descriptors returns how many descriptors the operating system lets the process open, or 0 if that is unknown or
+// without bound.
+func Descriptors() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > 1<<30 {
+		return 0
+	}
+	return int(limit.Cur)
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -111,7 +111,7 @@
 		explain:       explain.NewLog(explain.DefaultRecords),
 		retryBudget:   health.NewBudget(retryRatio, retryReserve),
 	}
-	g.connections.Budget = admission.NewBudget(o.Callers.Limits(int64(o.MemoryMB) << 20))
+	g.connections.Budget = admission.NewBudget(o.Callers.Limits(int64(o.MemoryMB)<<20, daemon.Descriptors()))
 	return g, nil
 }
 
--- a/internal/version/catalogue/lint.go
+++ b/internal/version/catalogue/lint.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"go.yaml.in/yaml/v3"
 
@@ -17,7 +18,7 @@
 	switch {
 	case errors.As(err, &invalid):
 		for _, p := range invalid.Problems {
-			r.Add(configcheck.Finding{Severity: configcheck.Error, Line: p.Line, Where: p.Path, Text: p.String()})
+			r.Add(configcheck.Finding{Severity: configcheck.Error, Line: p.Line, Where: p.Path, Text: strings.TrimPrefix(p.String(), p.Path+": ")})
 		}
 		return r
 	case err != nil:
