Leave bodies their part of the budget, and heads a little more

TestLongBodiesInABurst failed in 11 of 11 runs since bodies left an eighth of the budget to heads: two bodies that fit before no longer did.

--- a/internal/process/admission/budget.go
+++ b/internal/process/admission/budget.go
@@ -17,9 +17,9 @@
 	reviewPeriod = 50 * time.Millisecond
 	// leavingPart is the part of the connections that may be open beyond the limit while they give way.
 	leavingPart = 8
-	// headPart is the part of the bytes that bodies leave to heads, so that requests without a body are
+	// headPart is the part of the bytes that heads may take beyond the limit, so that requests without a body are
 	// served while bodies take all they may.
-	headPart = 8
+	headPart = 16
 )
 
 // What a connection was doing when it had to give way.
@@ -394,8 +394,8 @@
 // excess returns how many bytes are missing for n more ones, or a negative number.
 func (b *Budget) excess(c *Connection, n int64, part *int64) int64 {
 	limit := b.limits.Bytes
-	if part == &c.body {
-		limit -= limit / headPart
+	if part == &c.head {
+		limit += limit / headPart
 	}
 	return b.used + n - limit
 }
--- a/internal/process/daemon/listen.go
+++ b/internal/process/daemon/listen.go
@@ -14,7 +14,7 @@
 	receiveBuffer = 24 << 10
 	sendBuffer    = 64 << 10
 	// acceptQueue is the number of connections that wait to be accepted. Their receive buffers fill, too.
-	acceptQueue = 256
+	acceptQueue = 128
 )
 
 // boundSocketMemory bounds what the kernel holds for the connections of a listener. Systems that can't keep their
