--- a/internal/process/operator/completion_test.go
+++ b/internal/process/operator/completion_test.go
@@ -39,7 +39,7 @@
 		words []string
 		want  string
 	}{
-		{[]string{""}, "catalogue status workspaces explain drain undrain evacuate unevacuate completion"},
+		{[]string{""}, "catalogue config status workspaces explain drain undrain evacuate unevacuate completion"},
 		{[]string{"un"}, "undrain unevacuate"},
 		{[]string{"und"}, "undrain"},
 		{[]string{"catalogue", ""}, "validate diff apply get history rollback"},
