Leave the polls of engines to their readers while a gateway starts and engines are new

A gateway that expects others now waits 2 s for them before it reads all engines, and one that is not the reader gives the reader 2 s from the time at which it learned of the engine. Until then the report that the configuration implies holds, as before. A gateway without configured peers polls at once.

--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -33,6 +33,8 @@
 	// and last received a report. peerReportAt is the time of the last report that another
 	// gateway has polled and that was accepted, or arrived while the polls of this one fail.
 	pollStartedAt, pollDoneAt, peerReportAt time.Time
+	// listedAt is the time at which this gateway learned of the engine, under the shared policy.
+	listedAt time.Time
 	// reportedLost is set when this gateway or another one reports the engine lost, and
 	// cleared when a later poll succeeds.
 	reportedLost bool
@@ -65,6 +67,9 @@
 	if shared {
 		m.applyAssumedReports(engines)
 		reader = m.readerSelector()
+		if m.awaitsPeers(time.Now()) {
+			reader = func(string) string { return "" }
+		}
 	}
 	var polls []membership.Backend
 	for _, b := range engines {
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -88,6 +88,7 @@
 		reach:         map[string]reach{},
 		ownersChanged: make(chan struct{}, 1),
 		unsentReports: map[string]*unsentReports{},
+		startedAt:     time.Now(),
 	}
 	m.guard = newGuard(m.broadcastInBackground)
 	return m
--- a/internal/process/owner/missed.go
+++ b/internal/process/owner/missed.go
@@ -102,9 +102,6 @@
 	names := map[string]bool{}
 	gateways := m.opt.View.Known()
 	m.mu.Lock()
-	if m.startedAt.IsZero() {
-		m.startedAt = now
-	}
 	for _, g := range gateways {
 		names[g.Name] = true
 		if !m.knownGateways[g.Name] && now.Sub(m.startedAt) > joinPeriod {
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -109,6 +109,8 @@
 	// Paused reports whether an engine has asked this gateway for a pause, during which it
 	// is not polled, under the shared policy. It may be nil.
 	Paused func(engine string) bool
+	// ExpectPeers states that there are other gateways, also while none is known.
+	ExpectPeers bool
 	// Evacuated reports whether a data centre is evacuated. Its groups get no requests. It may be nil.
 	Evacuated func(dataCentre string) bool
 
--- a/internal/process/owner/reader.go
+++ b/internal/process/owner/reader.go
@@ -39,7 +39,13 @@
 	case reader:
 		return now.Sub(e.pollStartedAt) >= readerPollPeriod
 	}
-	return now.Sub(e.pollStartedAt) >= readerTimeout && now.Sub(e.peerReportAt) >= readerTimeout
+	return now.Sub(e.pollStartedAt) >= readerTimeout && now.Sub(e.peerReportAt) >= readerTimeout && now.Sub(e.listedAt) >= readerTimeout
+}
+
+// awaitsPeers reports whether this gateway has just started and does not know the others yet. It would take itself
+// for the reader of all engines until then, as all gateways do after a common loss of power.
+func (m *Manager) awaitsPeers(now time.Time) bool {
+	return m.opt.ExpectPeers && now.Sub(m.startedAt) < readerTimeout && len(m.opt.View.Peers()) <= 1
 }
 
 // readerSelector returns a function that selects, among the gateways now live, the
@@ -67,7 +73,7 @@
 	m.mu.Lock()
 	for _, b := range engines {
 		if _, known := m.engines[b.Name]; !known {
-			m.engines[b.Name] = &engine{}
+			m.engines[b.Name] = &engine{listedAt: time.Now()}
 			reports = append(reports, api.LoadReport{Name: b.Name})
 		}
 	}
