Bound how long both engines of a move run if the destination answers late

The destination had not answered within 300 ms, was given up, and took 250 ms more to end. The caller lost its stream, since the source was gone before another copy.

The source now runs on for 150 ms after the destination was asked. If its notice is older than 0.7 s by then, the source is ended and the destination awaited, since there is no time for another copy; before that the destination is given up as before. Ruled out: a shorter wait alone, which loses generations whose destination is slow to begin.

--- a/internal/request/forward/halt_test.go
+++ b/internal/request/forward/halt_test.go
@@ -46,6 +46,15 @@
 		}, "a b c", 0},
 		{"a resumable stream breaks", check, func(w *fakeFleet) { w.servers["a"].diesAfter = 5 }, "a b", 0},
 		{"a resumable stream is silent", check, func(w *fakeFleet) { w.servers["a"].gap = 10 * time.Second }, "a b", 0},
+		{"the destination begins at once and answers late", plan, func(w *fakeFleet) {
+			w.servers["b"].answersLate = 600 * time.Millisecond
+			w.servers["a"].endLag, w.servers["b"].endLag = 200*time.Millisecond, 200*time.Millisecond
+		}, "a b", 0},
+		{"the destination answers late, when the source is about to stop", plan, func(w *fakeFleet) {
+			w.servers["a"].copyTime = 800 * time.Millisecond
+			w.servers["b"].answersLate = 600 * time.Millisecond
+			w.servers["a"].endLag, w.servers["b"].endLag = 200*time.Millisecond, 200*time.Millisecond
+		}, "a b", 0},
 		{"the caller reads nothing while the destination begins", plan, func(w *fakeFleet) { w.servers["b"].openTime = 50 * time.Millisecond }, "a b", 8},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,9 +24,15 @@
 	// moveTimeout bounds the copying. Copies queue behind each other on the network
 	// links.
 	moveTimeout = 3 * time.Second
-	// switchTimeout bounds the wait for the destination to resume the stream. The source
-	// keeps running during this wait and must not do so for longer than 400 ms.
-	switchTimeout = 300 * time.Millisecond
+	// switchTimeout is how long the source runs on after the destination was asked to resume the stream, if
+	// that does not answer. Both may run for 400 ms at most, and an engine takes up to 250 ms to end a
+	// generation whose connection was closed.
+	switchTimeout = 150 * time.Millisecond
+	// noReturnTime is the time since the notice after which the source is ended then, and before which the
+	// destination is given up: the source stops 1.5 s after its notice, which is too soon for another copy.
+	noReturnTime = 700 * time.Millisecond
+	// resumeTimeout bounds the wait for a destination whose source has ended. Callers wait as long for an event.
+	resumeTimeout = minSilence
 	// freeTimeout bounds the call that releases a copy.
 	freeTimeout = time.Second
 )
@@ -39,9 +46,13 @@
 	from registry.Server
 	// closeSource closes the connection on which the source sends its stream.
 	closeSource context.CancelFunc
-	started     time.Time
-	cancel      context.CancelFunc
+	// endSource ends the generation at the source, once.
+	endSource func()
+	started   time.Time
+	cancel    context.CancelFunc
 
+	// sourceBroken is set once the source's stream has ended before the switch.
+	sourceBroken atomic.Bool
 	// copying is set once an engine has been asked to copy.
 	copying atomic.Bool
 	// copied is closed when the copying has ended. The fields ok, grant, to and handle
@@ -128,6 +139,7 @@
 	// The relay may end before the move does.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveTimeout)
 	m := &move{r: r, from: r.server, closeSource: src.stop, cancel: cancel, copied: make(chan struct{}), started: time.Now()}
+	m.endSource = sync.OnceFunc(m.haltSource)
 	request := r.f.schedulingRequest(r.q)
 	request.Moving, request.Generated = true, r.generatedTokens()
 	request.Fingerprint, request.PartHashes = 0, nil // a generation with events has cleared both
@@ -182,8 +194,19 @@
 	// A move is an additional request to the service. It is counted in the retry budget,
 	// but takes place even if the budget is used up.
 	r.f.o.Budget.Allow(time.Now(), r.q.Service, 0)
+	ctx, giveUp := context.WithCancel(ctx)
+	late := time.AfterFunc(switchTimeout, func() {
+		switch {
+		case m.sourceBroken.Load():
+		case time.Since(m.started) >= noReturnTime:
+			m.endSource()
+		default:
+			giveUp()
+		}
+	})
 	go func() {
-		src, err := r.open(ctx, m.to, kvCopy, after, resumes, switchTimeout)
+		src, err := r.open(ctx, m.to, kvCopy, after, resumes, resumeTimeout)
+		late.Stop()
 		if err == nil {
 			m.endSource()
 		}
@@ -191,10 +214,10 @@
 	}()
 }
 
-// endSource ends the generation at the source, because the destination has begun. The relay may be
+// haltSource ends the generation at the source, because the destination has begun or will. The relay may be
 // writing to a caller that reads slowly, so this does not wait for it. What the source had sent and the
 // relay has not read is sent again by the destination.
-func (m *move) endSource() {
+func (m *move) haltSource() {
 	// Most engines drop a generation whose connection closes.
 	m.closeSource()
 	m.r.f.halt(m.r.q, m.from, m.to.Name, false)
@@ -251,6 +274,7 @@
 	if m == nil {
 		return nil, fault.Wrap(src.readErr, linkErrorCode(ctx), stepStream, r.server.Name, api.Ran)
 	}
+	m.sourceBroken.Store(true)
 	if !m.copying.Load() {
 		// There is nothing to copy any more.
 		m.cancel()
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -100,8 +100,12 @@
 	// beginsLate is the time after which it begins a moved stream, whether or not its
 	// connection is still open. unreachable is the number of calls of Stop that fail, and
 	// noRoom makes it a receiver that Stop can't name.
-	worksOn     bool
-	beginsLate  time.Duration
+	worksOn    bool
+	beginsLate time.Duration
+	// answersLate is the time after which it answers a moved stream, which it begins at once, and endLag the
+	// time that it takes to end a stream when it is told to stop.
+	answersLate time.Duration
+	endLag      time.Duration
 	unreachable int
 	noRoom      bool
 }
@@ -252,6 +256,16 @@
 		<-ctx.Done()
 		return nil, fault.Wrap(ctx.Err(), fault.BackendLost, "send", s.name, api.Unknown)
 	}
+	if a.KVCopy != nil && s.answersLate > 0 {
+		answer := w.stream(ctx, s, a)
+		select {
+		case <-time.After(s.answersLate):
+			return answer, nil
+		case <-ctx.Done():
+			answer.Close()
+			return nil, fault.Wrap(ctx.Err(), fault.BackendLost, "send", s.name, api.Unknown)
+		}
+	}
 	if a.KVCopy != nil {
 		select {
 		case <-time.After(s.openTime):
@@ -422,7 +436,7 @@
 	case receiver.Name == at.Name || w.servers[receiver.Name].noRoom:
 		return false, errNotReached
 	}
-	run.cancel()
+	time.AfterFunc(s.endLag, run.cancel)
 	return true, nil
 }
 
