--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -91,8 +91,8 @@
 }
 
 // Admit reports whether something may be sent to a server now, whatever its incarnation: a request, or
-// a control call. Generations that run in an evacuated data centre still need control calls. first is not 0 for the first request after a pause; it must be passed to
-// NoteStatement or to Unanswered.
+// a control call. Generations that run in an evacuated data centre still need control calls. first is not 0
+// for the first request after a pause; it must be passed to NoteStatement or to Unanswered.
 func (g *Registry) Admit(now time.Time, s Server, control bool) (admitted bool, first uint64) {
 	g.mu.Lock()
 	r := g.servers[s.Name]
