Account for the waits of each request in grants and refusals

schedule.Account holds the rank, the requests queued ahead, the later ones granted first, what was lacking last and the wait that was expected. It goes along in Grant and Refusal; an acquisition that its context ends has it in the grant beside the error, as most waits end that way rather than by a refusal of the group. The lines 'placed', 'refused' and 'request failed' have its fields if the request waited, explain records have it always, and two metrics count waits by what was lacking.

Requests overtaken are counted over the latest 256 grants; an exact count would need a tree over all waiting requests.

--- a/internal/process/fairqueue/queue.go
+++ b/internal/process/fairqueue/queue.go
@@ -188,6 +188,15 @@
 	return q.remove(e), true
 }
 
+// Get returns the value of a queued request.
+func (q *Queue[T]) Get(id string) (value T, queued bool) {
+	e, queued := q.byID[id]
+	if queued {
+		value = e.Value
+	}
+	return value, queued
+}
+
 // PopExpired removes and returns the request with the earliest deadline if that
 // deadline is not after now, and returns false otherwise.
 func (q *Queue[T]) PopExpired(now time.Time) (T, bool) {
--- a/internal/process/gateway/acquire.go
+++ b/internal/process/gateway/acquire.go
@@ -20,12 +20,17 @@
 	defer cancel()
 	began := time.Now()
 	grant, err := n.acquireWithRetry(ctx, began)
+	waited, account := time.Since(began), grant.Account
+	n.call.account = account
+	if account.Waited() {
+		n.g.metrics.ObserveLack(account.Lacked.String(), string(n.request.Class), waited, err == nil)
+	}
 	if err != nil {
+		n.call.record.Step("refused", "", fmt.Sprintf("queued %v; %s", waited.Round(time.Microsecond), &account))
 		return grant, n.acquireFault(ctx, err)
 	}
-	waited := time.Since(began)
 	n.g.metrics.Observe(telemetry.QueueTime, n.request.Workspace, string(n.request.Class), waited)
-	n.call.record.Step("granted", grant.Backend, fmt.Sprintf("owner %s, queued %v, chosen by %s", grant.Owner, waited.Round(time.Microsecond), grant.Reason))
+	n.call.record.Step("granted", grant.Backend, fmt.Sprintf("owner %s, queued %v, chosen by %s; %s", grant.Owner, waited.Round(time.Microsecond), grant.Reason, &account))
 	return grant, nil
 }
 
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -14,6 +14,7 @@
 
 	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/limits"
+	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/explain"
 	"persimmonwing/internal/request/fault"
@@ -40,6 +41,8 @@
 	entry     *catalogue.Entry
 	record    *explain.Record
 	logger    log.Logger
+	// account is that of the last wait for a replica.
+	account schedule.Account
 	// priorExecution is the execution state that is known before this call does any
 	// work. A call that refers to an earlier generation, such as a resume, must never
 	// report not_run.
@@ -225,9 +228,10 @@
 func (g *Gateway) recordError(c *call, e *fault.Error) {
 	c.record.Finish(string(e.Code) + " (" + string(e.Execution) + ") at " + e.Step)
 	g.metrics.Counter("errors", string(e.Code)).Inc(1)
-	logger := level.Info(c.logger)
+	line := log.With(c.logger, c.account.LogFields()...)
+	logger := level.Info(line)
 	if e.Code == fault.Internal {
-		logger = level.Error(c.logger)
+		logger = level.Error(line)
 	}
 	_ = logger.Log("msg", "request failed", "code", e.Code, "execution", e.Execution, "step", e.Step, "peer", e.Peer, "err", e)
 }
--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -41,6 +41,8 @@
 	// unreachable holds the groups in skip whose gateways have all failed.
 	unreachable []schedule.GroupKey
 	refusal     *schedule.Refusal
+	// account is that of the last wait that ended without a grant.
+	account schedule.Account
 	// trial holds the suspect parts of which the request is the trial, with trialSlots.
 	trial []uint64
 	// trialSlots are further parts of which a request with suspect parts has to become the trial.
@@ -48,7 +50,8 @@
 }
 
 // Acquire waits for a grant. Its error is a *schedule.Refusal, or ctx's error when ctx
-// ends first. r.ID must be unique for each attempt to run the request.
+// ends first; the grant then has the account of the wait, if it is known. r.ID must be unique for each
+// attempt to run the request.
 func (m *Manager) Acquire(ctx context.Context, r schedule.Request) (schedule.Grant, error) {
 	r.Gateway = m.self()
 	if r.DataCentre == "" {
@@ -75,6 +78,7 @@
 		}
 		if err != nil {
 			m.endTrials(s.request.ID, s.trial)
+			grant = schedule.Grant{Account: s.account}
 		}
 		return grant, err
 	}
@@ -111,6 +115,9 @@
 	}
 	s.attempt++
 	reply, err := m.requestGrant(ctx, gateway, m.acquireArgs(k, s))
+	if reply.Refusal != nil {
+		s.account = reply.Refusal.Account
+	}
 	switch {
 	case ctx.Err() != nil:
 		m.cancelAt(gateway, k, s)
@@ -253,11 +260,11 @@
 }
 
 // cancelAt cancels the request's ticket, in the background, at an owner that may still
-// have it. If the call fails, the owner's grant expires.
+// have it, and notes the account if that is this gateway. If the call fails, the owner's grant expires.
 func (m *Manager) cancelAt(gateway string, k schedule.GroupKey, s *acquisition) {
 	args := CancelArgs{Group: k, ID: s.request.ID, Attempt: s.attempt}
 	if gateway == m.self() {
-		m.serveCancel(args)
+		s.account = m.serveCancel(args)
 		return
 	}
 	m.callInBackground(gateway, "Cancel", &args)
--- a/internal/process/owner/confirm.go
+++ b/internal/process/owner/confirm.go
@@ -173,6 +173,8 @@
 	r.group.Release(now, p.grant.ID, schedule.Outcome{NotRun: true})
 	r.group.CorrectPeerLoads(now, p.grant.Backend, loads)
 	r.group.Postpone(now, p.grant.Backend)
+	p.grant.Account.Continue(p.ticket.account, p.ticket.refusals)
+	p.ticket.account = p.grant.Account
 	p.ticket.refusals++
 	if r.closed {
 		p.ticket.end(result{moved: true})
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -74,6 +74,8 @@
 	return len(f.waiting) < before
 }
 
+func (f *fifo) Account(time.Time, string) schedule.Account { return schedule.Account{} }
+
 func (f *fifo) place(r schedule.Request) (schedule.Replica, bool) {
 	for _, p := range f.replicas {
 		used, suspects := 0, 0
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -20,6 +20,8 @@
 	Report(now time.Time, replica string, r api.LoadReport)
 	Enqueue(now time.Time, r schedule.Request) *schedule.Refusal
 	Cancel(id string) bool
+	// Account returns the account of a waiting request.
+	Account(now time.Time, id string) schedule.Account
 	Dispatch(now time.Time) []schedule.Decision
 	Progress(now time.Time, id string, generated int)
 	Adopt(now time.Time, h schedule.Held)
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -38,12 +38,20 @@
 	attempt int
 	// refusals counts the grants of this request that an arbiter refused.
 	refusals int
-	verdict  crashguard.Verdict
-	done     chan struct{}
-	result   result
+	// account is that of its wait until the last refused grant.
+	account schedule.Account
+	verdict crashguard.Verdict
+	done    chan struct{}
+	result  result
 }
 
+// end ends the wait. The account covers all waits between refused grants.
 func (t *ticket) end(r result) {
+	account := &r.grant.Account
+	if r.refusal != nil {
+		account = &r.refusal.Account
+	}
+	account.Continue(t.account, t.refusals)
 	t.result = r
 	close(t.done)
 }
@@ -264,19 +272,22 @@
 }
 
 // cancel ends a wait, or releases the grant if it was already issued, unless the
-// gateway has requested it again since.
-func (r *runner) cancel(now time.Time, id string, attempt int) {
+// gateway has requested it again since. It returns the account of the wait.
+func (r *runner) cancel(now time.Time, id string, attempt int) (ended schedule.Account) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.markEnded(id, attempt)
 	if t, ok := r.waiting[id]; ok && t.attempt <= attempt {
+		account := r.group.Account(now, id)
 		r.group.Cancel(id)
 		delete(r.waiting, id)
-		t.end(result{refusal: &schedule.Refusal{Reason: schedule.ReasonDeadline}})
+		t.end(result{refusal: &schedule.Refusal{Reason: schedule.ReasonDeadline, Account: account}})
+		ended = t.result.refusal.Account
 	}
 	if g, ok := r.grants[id]; ok && g.attempt <= attempt {
 		r.endGrant(now, id, schedule.Outcome{NotRun: true})
 	}
+	return ended
 }
 
 // refuseBusy refuses a request as busy if it still waits for this attempt.
--- a/internal/process/owner/service.go
+++ b/internal/process/owner/service.go
@@ -280,12 +280,15 @@
 	return nil
 }
 
-func (m *Manager) serveCancel(a CancelArgs) {
+// serveCancel ends a wait and returns its account.
+func (m *Manager) serveCancel(a CancelArgs) schedule.Account {
 	// Start a runner if necessary, so that a cancel that overtakes its request is
 	// remembered.
-	if r, err := m.runner(a.Group); err == nil {
-		r.cancel(time.Now(), a.ID, a.Attempt)
+	r, err := m.runner(a.Group)
+	if err != nil {
+		return schedule.Account{}
 	}
+	return r.cancel(time.Now(), a.ID, a.Attempt)
 }
 
 func (m *Manager) serveRelease(a ReleaseArgs) {
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -26,6 +26,7 @@
 // accepted work within noReplicaTimeout.
 func (g *Group) Dispatch(now time.Time) []Decision {
 	p := g.newPass(now)
+	g.accounting.passes++
 	g.prefillBlocked = false
 	g.refuseDisplaced(p)
 	g.refuseExpired(p)
@@ -42,6 +43,7 @@
 		g.dispatchOne(p, class)
 	}
 	g.queue.Restore()
+	g.notePass()
 	g.blockedSince = p.oldestBlocked()
 	decisions := p.decisions
 	p.decisions = nil
@@ -136,7 +138,9 @@
 	// A moving generation that finds room only with the smaller margin would soon be preempted, or
 	// make another one be.
 	g.entitled = rank == rankUrgent && !g.o.NoClasses && !q.Moving
+	g.accounting.placing = LackNone
 	if !g.entitled && !q.Moving && g.saturated() {
+		g.accounting.placing = g.saturatedBy(p.now)
 		g.skip(p, e, rank, noRoom)
 		return
 	}
@@ -148,7 +152,7 @@
 		return
 	}
 	if why == noneEligible && p.now.Sub(e.Value.enqueued) >= noReplicaTimeout {
-		p.refuse(g.queue.Take(e, 0), ReasonNoReplica)
+		g.refuse(p, g.queue.Take(e, 0), ReasonNoReplica)
 		return
 	}
 	g.skip(p, e, rank, why)
@@ -170,6 +174,8 @@
 	tokens := g.expectedTokens(&e.Value.request)
 	// The replica that a moving generation leaves has charged what it has used so far.
 	t := g.queue.Take(e, tokens-chargedBefore(&e.Value.request))
+	account := g.account(p.now, &t)
+	g.accounting.noteGrant(&t.entry)
 	q := &t.request
 	yields := g.yields(p.now, q)
 	running, unread, used := r.occupied(), r.unread(), r.projection.Used()
@@ -194,6 +200,7 @@
 			Unread:    unread,
 			Used:      used,
 			Yields:    q.Class == catalogue.Urgent && yields,
+			Account:   account,
 		},
 	})
 }
@@ -213,6 +220,7 @@
 
 // skip leaves a request queued and lets other workspaces go first in this Dispatch.
 func (g *Group) skip(p *pass, e *fairqueue.Entry[queuedRequest], rank rank, why placement) {
+	g.noteSkip(&e.Value.entry, why)
 	limit := maxIsolatedSkips
 	if why == noRoom {
 		limit = maxSkips
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -88,6 +88,7 @@
 type queuedRequest struct {
 	request  Request
 	enqueued time.Time
+	entry    queueEntry
 }
 
 // Group schedules the requests for one group of replicas. It is not safe for
@@ -119,10 +120,11 @@
 	// pinned maps each running fingerprint to its replica.
 	pinned map[uint64]pin
 	// prefixes maps prefixes to the replicas to which they were last granted.
-	prefixes prefixTable
-	lengths  map[string]*survival.Estimator
-	prefill  prefill
-	admitted window
+	prefixes   prefixTable
+	lengths    map[string]*survival.Estimator
+	prefill    prefill
+	admitted   window
+	accounting accounting
 	// meanUrgentSize is the mean size of urgent grants in tokens.
 	meanUrgentSize float64
 	// reservedTokens is the memory in tokens that the request being placed must leave
@@ -198,6 +200,7 @@
 // request may displace another one, which the next Dispatch refuses.
 func (g *Group) Enqueue(now time.Time, r Request) *Refusal {
 	g.updateUnavailableSince(now)
+	entry := g.enter(now, &r)
 	item := fairqueue.Item[queuedRequest]{
 		ID:        r.ID,
 		Workspace: r.Workspace,
@@ -205,7 +208,7 @@
 		Isolated:  r.Suspect && g.o.Policy != PolicyBaseline,
 		Weight:    r.Weight,
 		Deadline:  r.Deadline,
-		Value:     queuedRequest{request: r, enqueued: now},
+		Value:     queuedRequest{request: r, enqueued: now, entry: entry},
 	}
 	err := g.queue.Push(item)
 	if err == fairqueue.ErrClassFull {
@@ -214,11 +217,11 @@
 	switch err {
 	case fairqueue.ErrClassFull:
 		wait := g.drainTime(now, r.Class, g.queue.Len(r.Class), 1)
-		return &Refusal{Reason: ReasonQueueFull, RetryAfter: wait}
+		return &Refusal{Reason: ReasonQueueFull, RetryAfter: wait, Account: g.queueFull(now, &item.Value)}
 	case fairqueue.ErrWorkspaceFull:
 		length := g.queue.WorkspaceLen(r.Workspace, r.Class)
 		wait := g.drainTime(now, r.Class, length, g.queue.ActiveWorkspaces(r.Class))
-		return &Refusal{Reason: ReasonQueueFull, RetryAfter: wait}
+		return &Refusal{Reason: ReasonQueueFull, RetryAfter: wait, Account: g.queueFull(now, &item.Value)}
 	}
 	return nil
 }
--- a/internal/process/schedule/pass.go
+++ b/internal/process/schedule/pass.go
@@ -37,6 +37,11 @@
 	ranks
 )
 
+var rankNames = [ranks]string{"urgent", "over_share", "background"}
+
+// String returns the name of the rank in accounts.
+func (r rank) String() string { return rankNames[r] }
+
 func classIndex(c catalogue.Class) int {
 	if c == catalogue.Background {
 		return 1
@@ -68,15 +73,15 @@
 	return oldest
 }
 
-func (p *pass) refuse(t queuedRequest, reason string) {
-	p.decisions = append(p.decisions, Decision{Request: t.request, Refusal: &Refusal{Reason: reason}})
+func (g *Group) refuse(p *pass, t queuedRequest, reason string) {
+	p.decisions = append(p.decisions, Decision{Request: t.request, Refusal: &Refusal{Reason: reason, Account: g.account(p.now, &t)}})
 }
 
 func (g *Group) refuseDisplaced(p *pass) {
 	for _, t := range g.displaced {
 		class := t.request.Class
 		p.decisions = append(p.decisions, Decision{Request: t.request, Refusal: &Refusal{
-			Reason: ReasonQueueFull, RetryAfter: g.drainTime(p.now, class, g.queue.Len(class), 1),
+			Reason: ReasonQueueFull, RetryAfter: g.drainTime(p.now, class, g.queue.Len(class), 1), Account: g.queueFull(p.now, &t),
 		}})
 	}
 	clear(g.displaced)
@@ -89,7 +94,7 @@
 		if !expired {
 			return
 		}
-		p.refuse(t, ReasonDeadline)
+		g.refuse(p, t, ReasonDeadline)
 	}
 }
 
@@ -101,7 +106,7 @@
 	}
 	for _, class := range [...]catalogue.Class{catalogue.Urgent, catalogue.Background} {
 		for e := g.queue.Next(class); e != nil; e = g.queue.Next(class) {
-			p.refuse(g.queue.Take(e, 0), ReasonNoReplica)
+			g.refuse(p, g.queue.Take(e, 0), ReasonNoReplica)
 		}
 	}
 }
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -90,16 +90,17 @@
 		case slices.Contains(q.Exclude, r.Name):
 		case q.Suspect && r.suspects > 0:
 			why = min(why, isolated)
-		case !g.hasSlot(now, r):
-			why = noRoom
-		case !g.hasMemory(r, s):
-			why = noRoom
-			misses++
-		case !g.hasPrefillRoom(now, r, q):
-			why = noRoom
-			g.prefillBlocked = true
 		default:
-			best = r
+			lack := g.roomLack(now, r, q, s)
+			if lack == LackNone {
+				best = r
+				break
+			}
+			why = noRoom
+			if lack == LackMemory {
+				misses++
+			}
+			g.prefillBlocked = g.prefillBlocked || lack == LackPrompts
 		}
 		if best == g.available[0] && best != nil && g.o.Policy != PolicyShared {
 			break
@@ -189,7 +190,22 @@
 // hasRoom reports whether the replica has a free slot and memory for the request, and can read its
 // prompt in time.
 func (g *Group) hasRoom(now time.Time, r *replica, q *Request, s *memory.Sequence) bool {
-	return g.hasSlot(now, r) && g.hasMemory(r, s) && g.hasPrefillRoom(now, r, q)
+	return g.roomLack(now, r, q, s) == LackNone
+}
+
+// roomLack returns what a replica lacks to run the request, and notes it for the request's account.
+func (g *Group) roomLack(now time.Time, r *replica, q *Request, s *memory.Sequence) Lack {
+	lack := LackNone
+	switch {
+	case !g.hasSlot(now, r):
+		lack = LackSlots
+	case !g.hasMemory(r, s):
+		lack = LackMemory
+	case !g.hasPrefillRoom(now, r, q):
+		lack = LackPrompts
+	}
+	g.accounting.placing = max(g.accounting.placing, lack)
+	return lack
 }
 
 func (g *Group) hasSlot(now time.Time, r *replica) bool {
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -99,6 +99,8 @@
 	// Yields makes the engine preempt this generation before others of its class,
 	// because its workspace uses more than its share.
 	Yields bool
+	// Account states why the request waited.
+	Account Account
 }
 
 // Refusal is the error for a request that was not granted and has not run.
@@ -107,6 +109,7 @@
 	// or "stopping".
 	Reason     string
 	RetryAfter time.Duration
+	Account    Account
 }
 
 // Error implements error.
--- a/internal/process/telemetry/telemetry.go
+++ b/internal/process/telemetry/telemetry.go
@@ -28,6 +28,8 @@
 	TokenGap   Measure = "token_gap_us"
 	StallTime  Measure = "stall_us"
 	QueueTime  Measure = "queue_us"
+	// LackTime is the part of QueueTime in which something was lacking, by what that was.
+	LackTime Measure = "lack_us"
 	// LoadAge is the age of what was known of a server's load when a call was sent to it.
 	LoadAge Measure = "load_age_us"
 )
@@ -67,6 +69,15 @@
 	m.Histogram(measure, workspace, class).Update(d.Microseconds())
 }
 
+// ObserveLack records a wait for a replica that was granted or refused at last, by what the request lacked.
+func (m *Metrics) ObserveLack(lack, class string, waited time.Duration, granted bool) {
+	if !granted {
+		m.Counter("refused_lacking", lack).Inc(1)
+		return
+	}
+	m.Observe(LackTime, lack, class, waited)
+}
+
 // Handler serves the registry as JSON.
 func (m *Metrics) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"persimmonwing/internal/process/daemon"
@@ -168,6 +169,10 @@
 		}
 		request.ID = attemptID(r.q.ID, r.runs, try)
 		grant, err := r.f.o.Scheduler.Acquire(ctx, request)
+		r.q.Account = grant.Account
+		if r.q.Account.Waited() {
+			r.f.o.Metrics.ObserveLack(r.q.Account.Lacked.String(), string(r.q.Class), time.Since(began), err == nil)
+		}
 		if err != nil {
 			switch {
 			case errors.Is(context.Cause(ctx), daemon.ErrStopping):
@@ -192,7 +197,7 @@
 		server, ok := r.f.o.Servers.Get(grant.Backend)
 		if ok && !r.f.o.Servers.Blocked(time.Now(), grant.Backend) {
 			r.grant, r.server = grant, server
-			_ = level.Info(r.f.logger(r.q)).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "running", grant.Running, "unread_tokens", grant.Unread, "used_tokens", grant.Used, "prompt_tokens", r.q.PromptTokens, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
+			_ = log.With(level.Info(r.f.logger(r.q)), grant.Account.LogFields()...).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "running", grant.Running, "unread_tokens", grant.Unread, "used_tokens", grant.Used, "prompt_tokens", r.q.PromptTokens, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
 			r.f.o.Metrics.Observe(telemetry.QueueTime, r.q.Workspace, string(r.q.Class), time.Since(began))
 			return nil
 		}
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -51,6 +51,8 @@
 	Sent time.Time
 	// Chosen is what was known of the server's load at the last send of a call.
 	Chosen balance.Choice
+	// Account is that of the last wait for an engine.
+	Account schedule.Account
 	// Deadline is the earlier of the caller's deadline and the route's.
 	Deadline time.Time
 
