Refuse new connections in a stop by binding the listener to no interface

A connection that the kernel established between the last accept and the close of a listener was reset, and its request lost. The socket filter that prevents it is not supported by the kernels of the machines so far ("operation not supported", here too: 6.18). A listener bound to an interface that does not exist gets no new connections, while handshakes that have begun still end; callers are refused at once instead of repeating their first packet.

--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -21,15 +21,29 @@
 	{Code: unix.BPF_RET | unix.BPF_K, K: 0xffffffff},
 }
 
-// RefuseNewConnections makes a TCP listener ignore new connections, while those that the
-// kernel has established can still be accepted. Callers that connect in the meantime repeat
-// their first packet and are refused once the listener is closed. Some kernels do not support
-// it.
+// noInterface is the index of a network interface that does not exist.
+const noInterface = 1 << 30
+
+// RefuseNewConnections makes the kernel refuse new connections to a TCP listener, or ignore them, while
+// those that it has established, and those whose handshake has begun, can still be accepted. A listener
+// that is merely closed loses the ones that are established just before.
+//
+// A listener that is bound to an interface gets no packets of others, so that new callers are refused
+// as if it were closed. Kernels that do not allow this may support a socket filter, with which callers
+// repeat their first packet until the listener is closed.
 func RefuseNewConnections(l net.Listener) error {
 	return withSocket(l, func(fd int) error {
-		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{
+		bound := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
+		if bound == nil {
+			return nil
+		}
+		filtered := unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{
 			Len: uint16(len(dropNewConnections)), Filter: &dropNewConnections[0],
 		})
+		if filtered == nil {
+			return nil
+		}
+		return errors.Join(eris.Wrap(bound, "bind the listener to no interface"), eris.Wrap(filtered, "attach a socket filter"))
 	})
 }
 
