Bound requests to cold servers by the catalogue

Only gateways on the users' platform bounded what all of them together send to a server that is cold. In the product's own gateways an empty server still looked least loaded to every gateway.

cold_requests_per_second of a service or a model is the rate. Servers state the time that is left in the header Server-Cold of any response, engines also in their load reports; the stand-ins do, too. membership knows who is cold, and passes it on in the reports that spread anyway (Fact.ColdMS). Rights come from coldrights, whose rows lie in the table service. sendcheck uses a right on the open connection before the first byte is written: a connection may take 1 s to open, a right lasts 250 ms.

All engines have one issuer. One for each model was ruled out: an engine with two models would get the sum of both rates. A check before the connection is opened, or in httptrace's GotConn, was ruled out, since neither can stop the request.

Requests waited in a group whose only engine with room was cold, and were refused at their queue deadline with another data centre free.

The tests of the catalogue page probe the new list, too.

--- a/docs/catalogue_test.go
+++ b/docs/catalogue_test.go
@@ -20,6 +20,7 @@
 const probeBody = `
 background_floor: 0.1
 urgent_reserve: 0.1
+services: [{name: x}]
 models: [{name: m, adapters: [a]}]
 workspaces: [{name: w, key_digests: ['` + probeDigest + `'], limits: {}}]
 entries:
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -208,7 +208,7 @@
 	minimalBackground = "- {name: b, owner: o, kind: generation, class: background, model: m, max_output_tokens: 100}\n"
 	minimalService    = "- {name: s, owner: o, kind: service, class: urgent, service: x, methods: [POST]}\n"
 	emptyWorkspaces   = "workspaces: [{}]\nentries: [{kind: generation}, {kind: service}, {}]\n"
-	emptyModels       = "models: [{}]\n"
+	emptyModels       = "services: [{}]\nmodels: [{}]\n"
 )
 
 // Guards against a catalogue page that lacks a key, lists a key that the code no
--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"persimmonwing/internal/connection/bodies"
+	"persimmonwing/internal/connection/sendcheck"
+	"persimmonwing/internal/process/coldbound"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
 )
@@ -50,7 +52,7 @@
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	return &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           sendcheck.Wrap(dialer.DialContext),
 		MaxIdleConnsPerHost:   idleConnsPerHost,
 		IdleConnTimeout:       idleConnTimeout,
 		ResponseHeaderTimeout: responseHeaderTimeout,
@@ -65,6 +67,9 @@
 type Client struct {
 	http   http.Client
 	bodies bodies.Reader
+	// ObserveCold, if set, is called when an engine states in a response how much longer it is cold. sent is the
+	// time at which the request was sent.
+	ObserveCold func(name string, sent time.Time, left time.Duration)
 }
 
 // New returns a client that sends its requests through c. It doesn't follow redirects,
@@ -104,10 +109,14 @@
 	if err != nil {
 		return nil, k.fault(err, fault.BadRequest, api.NotRun)
 	}
+	sent := time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, k.transportFault(ctx, err, connected.Load())
 	}
+	if left, ok := coldbound.ParseLeft(resp.Header.Get(api.HeaderServerCold)); ok && c.ObserveCold != nil {
+		c.ObserveCold(k.name, sent, left)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, k.statusFault(resp, reused.Load())
 	}
--- a/internal/connection/service/client.go
+++ b/internal/connection/service/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"persimmonwing/internal/connection/bodies"
+	"persimmonwing/internal/process/coldbound"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
 )
@@ -57,6 +58,9 @@
 type Client struct {
 	kept, single *http.Client
 	bodies       bodies.Reader
+	// ObserveCold, if set, is called when a server states in a response how much longer it is cold. sentAt is the
+	// time at which the request was sent.
+	ObserveCold func(name string, sentAt time.Time, left time.Duration)
 }
 
 // New returns a client that uses the transport of c. Redirects are not followed but returned as
@@ -85,11 +89,16 @@
 	if r.NewConnection {
 		client = c.single
 	}
+	sentAt := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		return Response{}, fault.Wrap(withoutURL(err), faultCode(err), stepDispatch, name, sent.execution())
 	}
 	defer resp.Body.Close()
+	if left, ok := coldbound.ParseLeft(resp.Header.Get(api.HeaderServerCold)); ok && c.ObserveCold != nil {
+		c.ObserveCold(name, sentAt, left)
+	}
+	resp.Header.Del(api.HeaderServerCold)
 	body, err := c.bodies.ReadAll(resp.Body, maxBodyBytes)
 	if err != nil {
 		return Response{}, fault.Wrap(err, faultCode(err), stepDispatch, name, bodyExecution(resp.StatusCode))
--- a/internal/process/adminapi/adminapi.go
+++ b/internal/process/adminapi/adminapi.go
@@ -23,6 +23,8 @@
 	// ReasonDraining: the catalogue lists the server as draining, or the server reports
 	// that it drains.
 	ReasonDraining Reason = "draining"
+	// ReasonCold: the server is cold and has got as many requests as it may.
+	ReasonCold Reason = "cold"
 	// ReasonEvacuated: the catalogue lists the server's data centre as evacuated.
 	ReasonEvacuated Reason = "evacuated"
 	// ReasonEjected: consecutive calls from this gateway failed.
--- a/internal/process/coldrights/coldrights.go
+++ b/internal/process/coldrights/coldrights.go
@@ -59,7 +59,7 @@
 	// Candidates returns the live gateways that may become the issuer of a service, the first in rank first.
 	Candidates func(service string) []membership.Gateway
 	// Rights returns the number of rights to a cold server of a service, or 0 without a bound.
-	Rights func(service string) int
+	Rights func(service, server string) int
 	// Now is the clock of package coldbound.
 	Now     func() time.Duration
 	Logger  log.Logger
@@ -297,7 +297,7 @@
 
 // issue issues rights if this gateway is the issuer or can become it.
 func (i *Issuer) issue(ctx context.Context, in TakeArgs) TakeReply {
-	rights := i.o.Rights(in.Service)
+	rights := i.o.Rights(in.Service, in.Server.Server)
 	if rights == 0 {
 		return TakeReply{Wait: deniedWait}
 	}
--- a/internal/process/coldrights/coldrights_test.go
+++ b/internal/process/coldrights/coldrights_test.go
@@ -55,7 +55,7 @@
 			}
 			return out
 		},
-		Rights: func(string) int { return 44 }, Now: func() time.Duration { return f.now },
+		Rights: func(string, string) int { return 44 }, Now: func() time.Duration { return f.now },
 	})
 	f.issuers[name] = k
 	return k
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -148,6 +148,9 @@
 // SetEngineFaults replaces the injected faults of an engine.
 func (f *Fleet) SetEngineFaults(i int, faults engine.Faults) { f.engines[i].engine.SetFaults(faults) }
 
+// SetAppFaults replaces the injected faults of an application server.
+func (f *Fleet) SetAppFaults(i int, faults app.Faults) { f.apps[i].SetFaults(faults) }
+
 // SetPlatformFaults replaces the injected faults of the platform.
 func (f *Fleet) SetPlatformFaults(faults platform.Faults) { f.platform.SetFaults(faults) }
 
--- a/internal/process/gateway/admin.go
+++ b/internal/process/gateway/admin.go
@@ -40,6 +40,7 @@
 	r.Handle("/metrics", g.metrics.Handler()).Methods(http.MethodGet)
 	r.HandleFunc("/status", g.status).Methods(http.MethodGet)
 	r.HandleFunc("/backends", g.listBackends).Methods(http.MethodGet)
+	r.HandleFunc("/cold", g.listCold).Methods(http.MethodGet)
 	r.HandleFunc("/usage", g.usage).Methods(http.MethodGet)
 	r.HandleFunc("/explain/{id}", g.explainRequest).Methods(http.MethodGet)
 	return r
--- a/internal/process/gateway/backends.go
+++ b/internal/process/gateway/backends.go
@@ -105,6 +105,8 @@
 		return adminapi.ReasonEvacuated
 	case !b.Accepting && p.hostObserver.leaving(b.Name):
 		return adminapi.ReasonLeaving
+	case !b.Stopped && b.ColdWait > 0:
+		return adminapi.ReasonCold
 	case s.Unreachable:
 		return adminapi.ReasonUnreachable
 	case !b.Accepting:
@@ -135,6 +137,8 @@
 		view.Reason = adminapi.ReasonEvacuated
 	case p.hostObserver.leaving(b.Name):
 		view.Reason = adminapi.ReasonLeaving
+	case !b.Stopped && b.ColdWait > 0:
+		view.Reason = adminapi.ReasonCold
 	case polled && lastProbe != "":
 		view.Reason = lastProbe
 	default:
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -57,6 +57,10 @@
 	// BackendSource returns all known backend servers for GET /backends; nil means
 	// none.
 	BackendSource func() []adminapi.Backend
+	// Cold bounds the requests to servers that are cold; nil means that nothing is bounded.
+	Cold ColdServers
+	// ColdSource returns the servers that are cold for GET /cold; nil means none.
+	ColdSource func() []adminapi.ColdServer
 }
 
 // Gateway serves the caller API and the admin API over HTTP.
@@ -75,6 +79,8 @@
 	discovered    func() bool
 	statusSources []StatusSource
 	backendSource func() []adminapi.Backend
+	cold          ColdServers
+	coldSource    func() []adminapi.ColdServer
 
 	ids         *responseid.Codec
 	explain     *explain.Log
@@ -107,6 +113,8 @@
 		discovered:    d.Discovered,
 		statusSources: d.StatusSources,
 		backendSource: d.BackendSource,
+		cold:          d.Cold,
+		coldSource:    d.ColdSource,
 		ids:           ids,
 		explain:       explain.NewLog(explain.DefaultRecords),
 		retryBudget:   health.NewBudget(retryRatio, retryReserve),
--- a/internal/process/gateway/generation.go
+++ b/internal/process/gateway/generation.go
@@ -43,6 +43,8 @@
 	fault *fault.Error
 	// retry is set if another replica may be tried.
 	retry bool
+	// cold is set if the request was not sent, because the engine is cold and gets as many as it may.
+	cold bool
 }
 
 // stream runs the generation and responds with server-sent events.
@@ -85,9 +87,14 @@
 // been sent to a stream, no further attempt is made. ids receives the response id.
 func (n *generation) run(queueCtx, relayCtx context.Context, newSink func() relay.Sink, ids *streamSink) (*api.Event, *fault.Error) {
 	n.execution = api.NotRun
+	var denied *fault.Error
+	denials := 0
 	for attempt := 1; ; attempt++ {
 		grant, err := n.acquire(queueCtx)
 		if err != nil {
+			if denied != nil && err.Code == fault.NoCapacity {
+				err = err.WithRetryAfter(denied.RetryAfter)
+			}
 			return nil, err
 		}
 		sink := newSink()
@@ -96,6 +103,14 @@
 			return terminal, nil
 		}
 		n.request.Exclude = append(n.request.Exclude, grant.Backend)
+		if failed.cold {
+			denied = failed.fault
+			n.call.record.Step("not sent", grant.Backend, "cold")
+			if denials++; denials < maxColdDenials && relayCtx.Err() == nil {
+				attempt--
+				continue
+			}
+		}
 		if !failed.retry || !n.mayRetry(attempt, grant.Backend) {
 			failed.fault.Execution = n.execution
 			return nil, failed.fault
@@ -119,7 +134,16 @@
 	body.Stream = true
 	body.Priority = enginePriority(n.request.Class, grant.Yields)
 	body.Metadata = withAttempt(n.body.Metadata, grant.ID)
-	src, err := n.g.engines.Create(ctx, grant.Backend, grant.Address, body)
+	var src relay.Source
+	done, denied, err := n.g.sendCold(ctx, "", grant.Backend, func(ctx context.Context) (err error) {
+		src, err = n.g.engines.Create(ctx, grant.Backend, grant.Address, body)
+		return err
+	})
+	defer done()
+	if denied != nil {
+		n.g.scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
+		return nil, attemptResult{fault: denied, cold: true}
+	}
 	if err != nil {
 		return nil, n.createFailed(ctx, grant, fault.From(err))
 	}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -17,6 +17,7 @@
 	"persimmonwing/internal/connection/peer"
 	"persimmonwing/internal/connection/platform"
 	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/process/coldrights"
 	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/limits"
 	"persimmonwing/internal/process/logging"
@@ -67,6 +68,9 @@
 	loads        *engine.Loads
 	gateway      *Gateway
 	evacuations  evacuations
+	coldServers  *coldServers
+	// coldShown are the services whose numbers of cold servers the gauges show.
+	coldShown map[string]int64
 	// discoveryDone is set once engines have been discovered or discoveryTimeout has
 	// passed.
 	discoveryDone atomic.Bool
@@ -86,6 +90,8 @@
 	})
 	p.hostObserver = newHostObserver(hosts, prober{p.services})
 	p.gossiper = p.newGossiper()
+	p.coldServers = p.newColdServers(table)
+	engines.ObserveCold, p.services.ObserveCold = p.gossiper.NoteCold, p.gossiper.NoteCold
 	p.division = &limits.Exchange{
 		Self: o.Name, Limiter: p.limits, Division: limits.NewDivision(), View: p.gossiper, Caller: p.pool,
 		Logger: logging.Part(logger, "limits"),
@@ -118,6 +124,8 @@
 		Discovered:    p.discovered,
 		StatusSources: []StatusSource{p.status},
 		BackendSource: p.backends,
+		Cold:          p.coldServers,
+		ColdSource:    p.listCold,
 	})
 	if err != nil {
 		return nil, err
@@ -138,6 +146,7 @@
 		p.server.Register(limits.ServiceName, p.division.Service()),
 		p.server.Register(catalogueServiceName, &catalogueService{p.holder}),
 		p.server.Register(claim.ServiceName, p.claims.Service()),
+		p.server.Register(coldrights.ServiceName, p.coldServers.issuer.RPC()),
 	)
 }
 
@@ -160,6 +169,7 @@
 		p.metrics.Gauge("peer_bytes_in").Update(p.pool.Traffic().In() + p.server.Traffic().In())
 		p.metrics.Gauge("peer_bytes_out").Update(p.pool.Traffic().Out() + p.server.Traffic().Out())
 		claims := p.claims.Stats()
+		p.updateColdGauges()
 		p.metrics.Gauge("claim_transactions").Update(claims.Transactions)
 		p.metrics.Gauge("claim_batches_forwarded").Update(claims.Forwarded)
 		p.metrics.Gauge("claim_rows_deleted").Update(p.sweeper.Deleted())
@@ -188,6 +198,7 @@
 		"retention":    p.sweeper.Run,
 		"shares":       p.runShares,
 		"limits":       p.division.Run,
+		"cold servers": p.coldServers.issuer.Run,
 	} {
 		wait.Go(func() {
 			if err := f(background); err != nil && background.Err() == nil {
--- a/internal/process/gateway/servicecall.go
+++ b/internal/process/gateway/servicecall.go
@@ -326,8 +326,19 @@
 	return nil, fault.New(fault.NoCapacity, "admit", "", api.NotRun, "an equal call has crashed a server and is being tried").WithRetryAfter(minRetryAfter)
 }
 
-// send sends an admitted call once to a healthy replica.
+// send sends an admitted call once to a healthy replica. Replicas that are cold and get no more requests now are passed over:
+// each of them accepts nothing from then on, so that the loop ends.
 func (s *serviceCall) send(ctx context.Context, end *callEnd) (service.Response, string, *fault.Error) {
+	for {
+		response, backend, denied, err := s.sendOnce(ctx, end)
+		if denied == nil || ctx.Err() != nil {
+			return response, backend, err
+		}
+	}
+}
+
+// sendOnce is like send for one replica. denied is set if the replica is cold and the call was not sent.
+func (s *serviceCall) sendOnce(ctx context.Context, end *callEnd) (_ service.Response, backend string, denied, failed *fault.Error) {
 	now := time.Now()
 	loads := s.g.serviceSets.loadsOf(s.call.entry.Service)
 	candidates := s.candidates(len(loads.Stated(now)) > 0)
@@ -341,25 +352,40 @@
 		return choice.Index
 	})
 	if !ok {
-		return service.Response{}, "", fault.New(fault.NoBackend, "pick", s.call.entry.Service, api.NotRun,
+		if wait, cold := coldWait(candidates); cold {
+			return service.Response{}, "", nil, fault.New(fault.NoCapacity, "pick", s.call.entry.Service, api.NotRun,
+				"all backend servers of the service are cold and get as many requests as they may").WithRetryAfter(wait)
+		}
+		return service.Response{}, "", nil, fault.New(fault.NoBackend, "pick", s.call.entry.Service, api.NotRun,
 			"none of %d backend servers of the service takes new work", len(candidates)).WithRetryAfter(minRetryAfter)
 	}
 	if choice.Hopeless {
 		done(now, health.Abandoned)
 		s.g.metrics.Counter("choices_hopeless", s.call.entry.Service).Inc(1)
-		return service.Response{}, "", fault.New(fault.NoCapacity, "pick", s.call.entry.Service, api.NotRun,
+		return service.Response{}, "", nil, fault.New(fault.NoCapacity, "pick", s.call.entry.Service, api.NotRun,
 			"all backend servers of the service have stated queues that outlast the deadline").WithRetryAfter(minRetryAfter)
 	}
 	s.call.record.Step("dispatch", b.Name, s.noteChoice(choice))
 	ended := loads.Sent(now, b.Name, noIncarnation)
-	response, err := s.g.services.Do(ctx, b.Name, b.Address, s.request)
+	var response service.Response
+	release, denied, err := s.g.sendCold(ctx, s.call.entry.Service, b.Name, func(ctx context.Context) (err error) {
+		response, err = s.g.services.Do(ctx, b.Name, b.Address, s.request)
+		return err
+	})
+	release()
+	if denied != nil {
+		ended(0)
+		done(time.Now(), health.Abandoned)
+		s.call.record.Step("not sent", b.Name, "cold")
+		return service.Response{}, b.Name, denied, denied
+	}
 	s.noteLoad(loads, b.Name, response.Load)
 	if err == nil {
 		ended(time.Since(now))
 		end.outcome.Answered = true
 		done(time.Now(), health.Success)
 		s.g.retryBudget.Success(b.Name)
-		return response, b.Name, nil
+		return response, b.Name, nil, nil
 	}
 	ferr := fault.From(err)
 	end.note(ctx, s.g.services, b, ferr)
@@ -375,7 +401,7 @@
 	}
 	s.exclude = append(s.exclude, b.Name)
 	s.call.record.Step("failed", b.Name, string(ferr.Code)+" "+string(ferr.Execution))
-	return response, b.Name, ferr
+	return response, b.Name, nil, ferr
 }
 
 // noIncarnation is used for replicas, whose host list doesn't tell one start from another.
--- a/internal/process/gateway/wiring.go
+++ b/internal/process/gateway/wiring.go
@@ -36,8 +36,10 @@
 			}
 			return nil
 		},
-		Evacuated: p.evacuations.contains,
-		Started:   p.pool.ResetBackoff,
+		Evacuated:  p.evacuations.contains,
+		ColdRights: p.coldRights,
+		BecameCold: p.becameCold,
+		Started:    p.pool.ResetBackoff,
 		Changed: func() {
 			p.fetchAnnouncedRevision()
 			p.manager.OwnersChanged()
@@ -124,6 +126,7 @@
 		View:       p.gossiper,
 		Caller:     p.pool,
 		Loads:      loads,
+		NoteCold:   p.gossiper.SetCold,
 		Logger:     logging.Part(p.logger, "scheduler"),
 		NewGroup:   func(k schedule.GroupKey) owner.Group { return schedule.NewGroup(k, p.groupOptions()) },
 		PickGroup:  pickGroup,
--- a/internal/process/membership/backends.go
+++ b/internal/process/membership/backends.go
@@ -64,9 +64,10 @@
 // SetReport publishes the latest report of a backend server about itself.
 func (g *Gossiper) SetReport(name string, draining bool, models []string, incarnation string) {
 	g.mu.Lock()
+	old, _ := g.state.facts.Get(FactKey{FactReport, name})
 	changed := g.state.facts.State(time.Now(), Fact{
 		FactKey: FactKey{FactReport, name}, Leaving: draining,
-		Models: slices.Sorted(slices.Values(models)), Incarnation: incarnation,
+		Models: slices.Sorted(slices.Values(models)), Incarnation: incarnation, ColdMS: old.ColdMS,
 	})
 	g.mu.Unlock()
 	if changed {
@@ -121,9 +122,10 @@
 
 // backends returns the listed backend servers that keep selects. A server isn't
 // accepting if any one of the host list, its report, the catalogue's draining list, an
-// evacuation or failed calls says so.
+// evacuation or failed calls says so, or while it is cold and this gateway has no right to send to it.
 func (g *Gossiper) backends(keep func(Fact) bool) []Backend {
 	draining := g.opt.Draining()
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []Backend
@@ -135,9 +137,11 @@
 		report, _ := g.state.facts.Get(FactKey{FactReport, k.Name})
 		evacuated := g.opt.Evacuated != nil && g.opt.Evacuated(f.DataCentre)
 		stopped := evacuated || f.Leaving || report.Leaving || g.failed[k.Name] || slices.Contains(draining, k.Name)
+		maxStarts, denied := g.coldBounds(now, k.Name)
 		out = append(out, Backend{
 			Name: k.Name, Address: f.Address, DataCentre: f.DataCentre,
-			Service: f.Service, Accepting: !stopped, Evacuated: evacuated,
+			Service: f.Service, Accepting: !stopped && denied == 0, Evacuated: evacuated,
+			MaxStarts: maxStarts, ColdWait: denied, Stopped: stopped,
 		})
 	}
 	return out
--- a/internal/process/membership/facts.go
+++ b/internal/process/membership/facts.go
@@ -48,13 +48,16 @@
 	// Models and Incarnation are set for FactReport of an engine.
 	Models      []string
 	Incarnation string
+	// ColdMS is the time in milliseconds for which the server of a FactReport was cold when it was published. It
+	// counts from the fact's arrival, so that it ends rather too late than too early.
+	ColdMS int64
 }
 
 // same reports whether two facts differ at most in their versions.
 func (f Fact) same(g Fact) bool {
 	return f.FactKey == g.FactKey && f.Leaving == g.Leaving && f.Address == g.Address &&
 		f.DataCentre == g.DataCentre && f.Service == g.Service &&
-		f.Incarnation == g.Incarnation && slices.Equal(f.Models, g.Models)
+		f.Incarnation == g.Incarnation && f.ColdMS == g.ColdMS && slices.Equal(f.Models, g.Models)
 }
 
 // hash returns a hash of the key and the version.
@@ -98,9 +101,11 @@
 	digest uint64
 	keys   []FactKey // sorted, for the rotation
 	next   int
+	// cold holds the servers whose reports state that they are cold.
+	cold map[string]bool
 }
 
-func newFacts() *Facts { return &Facts{facts: map[FactKey]knownFact{}} }
+func newFacts() *Facts { return &Facts{facts: map[FactKey]knownFact{}, cold: map[string]bool{}} }
 
 // State publishes a fact with a new version, unless its content is already known and
 // needs no republishing. It reports whether the content is new.
@@ -139,6 +144,11 @@
 	}
 	s.digest ^= f.hash()
 	s.facts[f.FactKey] = knownFact{f, now}
+	if f.Kind == FactReport && f.ColdMS > 0 {
+		s.cold[f.Name] = true
+	} else if f.Kind == FactReport {
+		delete(s.cold, f.Name)
+	}
 }
 
 func keyLess(a, b FactKey) bool {
@@ -177,6 +187,9 @@
 		return
 	}
 	s.digest ^= f.hash()
+	if k.Kind == FactReport {
+		delete(s.cold, k.Name)
+	}
 	delete(s.facts, k)
 	s.keys = slices.DeleteFunc(s.keys, func(o FactKey) bool { return o == k })
 }
--- a/internal/process/membership/gossiper.go
+++ b/internal/process/membership/gossiper.go
@@ -59,6 +59,12 @@
 	Draining func() []string
 	// Evacuated reports whether a data centre is evacuated. It may be nil.
 	Evacuated func(dataCentre string) bool
+	// ColdRights returns the number of requests that a server may get within a second while it is cold, or 0 without a
+	// bound. service is empty for an engine, which has models loaded as far as is known. It may be nil.
+	ColdRights func(service string, models []string) int
+	// BecameCold is called, without locks held, for a server that has become cold and whose requests are bounded. It
+	// must not block. It may be nil.
+	BecameCold func(ColdServer)
 	// Started is called, without locks held and before Changed, with the peer address
 	// of a gateway that is new or has restarted. It may be nil.
 	Started func(address string)
@@ -75,6 +81,7 @@
 	mu             sync.Mutex
 	state          *state
 	failed         map[string]bool
+	cold           map[string]*coldState
 	liveAgainSince map[string]time.Time // when a host that was leaving was first listed as live again
 	round          int
 	fresh          freshness
@@ -83,7 +90,7 @@
 
 // NewGossiper returns a gossiper that knows only its own gateway.
 func NewGossiper(opt Options) *Gossiper {
-	return &Gossiper{opt: opt, state: newState(opt.Self), failed: map[string]bool{}, liveAgainSince: map[string]time.Time{}, push: make(chan struct{}, 1)}
+	return &Gossiper{opt: opt, state: newState(opt.Self), failed: map[string]bool{}, cold: map[string]*coldState{}, liveAgainSince: map[string]time.Time{}, push: make(chan struct{}, 1)}
 }
 
 // SetSeeds replaces the peer addresses to contact first.
@@ -116,6 +123,7 @@
 	g.mu.Lock()
 	started := g.state.table.popStarted()
 	g.mu.Unlock()
+	g.coldChanged(time.Now())
 	if g.opt.Started != nil {
 		for _, address := range started {
 			g.opt.Started(address)
--- a/internal/process/membership/types.go
+++ b/internal/process/membership/types.go
@@ -3,6 +3,8 @@
 // and failed calls.
 package membership
 
+import "time"
+
 // Backend is a backend server in the view of this gateway.
 type Backend struct {
 	Name       string
@@ -17,6 +19,10 @@
 	// MaxStarts is the number of requests that may start on the server within a second, or 0 without a
 	// bound. Servers that are cold have one.
 	MaxStarts int
+	// ColdWait is the time for which a cold server accepts nothing from this gateway, which has no right to send
+	// to it. Stopped is set if it accepts nothing for another reason.
+	ColdWait time.Duration
+	Stopped  bool
 }
 
 // Gateway is another gateway.
--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -38,6 +38,10 @@
 	spilled bool
 	// skip holds the groups that refused the request or whose gateways have all failed.
 	skip map[schedule.GroupKey]bool
+	// cold holds the groups in skip that had only cold replicas left. awaitsCold is set once the request has
+	// tried all groups and waits for a right to start on a cold replica.
+	cold       []schedule.GroupKey
+	awaitsCold bool
 	// unreachable holds the groups in skip whose gateways have all failed.
 	unreachable []schedule.GroupKey
 	refusal     *schedule.Refusal
@@ -105,6 +109,13 @@
 		s.retryUnreachable()
 		return schedule.Grant{}, nil, false
 	}
+	if !ok && len(s.cold) > 0 {
+		for _, k := range s.cold {
+			delete(s.skip, k)
+		}
+		s.cold, s.awaitsCold = nil, true
+		return schedule.Grant{}, nil, false
+	}
 	if !ok {
 		return schedule.Grant{}, m.finalRefusal(s), true
 	}
@@ -133,6 +144,10 @@
 	case reply.Refusal != nil && reply.Refusal.Reason == schedule.ReasonBusy && s.spill != nil:
 		m.spills.add(time.Now(), *s.spill)
 		s.spilled = true
+	case reply.Refusal != nil && reply.Refusal.Reason == schedule.ReasonBusy:
+		s.skip[k] = true
+		s.cold = append(s.cold, k)
+		s.spilled = false
 	case reply.Refusal != nil && reply.Refusal.Reason == schedule.ReasonTrial:
 		// awaitTrial makes the request a trial before the next attempt.
 	case reply.Refusal != nil:
@@ -178,7 +193,7 @@
 		clear(s.failed)
 		return k, true
 	}
-	candidates := m.candidates(s.request.Model, s.skip)
+	candidates := m.withOtherReplicas(m.candidates(s.request.Model, s.skip), s.request.Exclude)
 	k, ok := m.opt.PickGroup(candidates, s.request, m.opt.View.Self().DataCentre)
 	s.spill = nil
 	if !ok || s.spilled || m.opt.Policy != PolicyOwner {
@@ -192,13 +207,35 @@
 	return k, true
 }
 
+// withOtherReplicas returns the groups that list a replica which the request does not exclude, or all groups if there are none.
+// In others it would wait for replicas that start.
+func (m *Manager) withOtherReplicas(groups []schedule.Summary, exclude []string) []schedule.Summary {
+	if len(exclude) == 0 {
+		return groups
+	}
+	others := make([]schedule.Summary, 0, len(groups))
+	for _, s := range groups {
+		if slices.ContainsFunc(m.replicas(s.Group), func(r schedule.Replica) bool { return !slices.Contains(exclude, r.Name) }) {
+			others = append(others, s)
+		}
+	}
+	if len(others) == 0 {
+		return groups
+	}
+	return others
+}
+
 // acquireArgs returns the arguments of a call that requests a grant of a group. The
-// wait is limited to schedule.SpillAfter while another group has room.
+// wait is limited to schedule.SpillAfter while another group has room, or until all groups were tried while the replicas of
+// this one are cold.
 func (m *Manager) acquireArgs(k schedule.GroupKey, s *acquisition) AcquireArgs {
 	a := AcquireArgs{Group: k, Request: s.request, Attempt: s.attempt}
 	if s.spill != nil {
 		a.Patience = schedule.SpillAfter
 	}
+	if !s.awaitsCold && m.opt.Policy == PolicyOwner {
+		a.ColdPatience = schedule.SpillAfter
+	}
 	return a
 }
 
--- a/internal/process/owner/engines.go
+++ b/internal/process/owner/engines.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"persimmonwing/internal/process/coldbound"
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/request/api"
 )
@@ -229,6 +230,9 @@
 	}
 	m.opt.View.SetFailed(name, false)
 	m.opt.View.SetReport(name, report.Draining, report.Models, report.Incarnation)
+	if m.opt.NoteCold != nil {
+		m.opt.NoteCold(name, coldbound.Left(report.ColdLeftMS))
+	}
 	return changed
 }
 
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -116,6 +116,8 @@
 	Paused func(engine string) bool
 	// ExpectPeers states that there are other gateways, also while none is known.
 	ExpectPeers bool
+	// NoteCold is called with the time for which an engine is still cold by its latest report. It may be nil.
+	NoteCold func(engine string, left time.Duration)
 	// Evacuated reports whether a data centre is evacuated. Its groups get no requests. It may be nil.
 	Evacuated func(dataCentre string) bool
 
--- a/internal/process/owner/service.go
+++ b/internal/process/owner/service.go
@@ -37,6 +37,9 @@
 	// Patience is how long the request waits before it is refused as busy, because
 	// another group has room for it; 0 means without this limit.
 	Patience time.Duration
+	// ColdPatience is the same if all replicas of the group that have room are cold and get no more requests now.
+	// There need not be a group with room.
+	ColdPatience time.Duration
 	// Remaining is the time until the request's deadline, from which the owner computes
 	// the deadline on its own clock; 0 means no deadline.
 	Remaining time.Duration
@@ -251,6 +254,14 @@
 		after := time.AfterFunc(a.Patience, func() { r.refuseBusy(a.Request.ID, a.Attempt) })
 		defer after.Stop()
 	}
+	if a.ColdPatience > 0 {
+		after := time.AfterFunc(a.ColdPatience, func() {
+			if r.summary(time.Now()).ColdWait > 0 {
+				r.refuseBusy(a.Request.ID, a.Attempt)
+			}
+		})
+		defer after.Stop()
+	}
 	select {
 	case <-t.done:
 	case <-ctx.Done():
--- a/internal/process/schedule/starts.go
+++ b/internal/process/schedule/starts.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // startWindow is the time to which Replica.MaxStarts applies.
 const startWindow = time.Second
@@ -24,6 +27,19 @@
 	}
 }
 
+// startsLeft returns the number of requests that may be placed on the replica now, and the time until the next one may be if
+// that is 0. Callers of a group whose replicas are all cold then turn to another one, though there are free slots.
+func (r *replica) startsLeft(now time.Time) (n int, wait time.Duration) {
+	if r.MaxStarts == 0 {
+		return math.MaxInt, 0
+	}
+	r.pruneStarts(now)
+	if n = r.MaxStarts - len(r.starts); n > 0 {
+		return n, 0
+	}
+	return 0, startWindow - now.Sub(r.starts[len(r.starts)-r.MaxStarts])
+}
+
 // mayStart reports whether another request may be placed on the replica now.
 func (g *Group) mayStart(now time.Time, r *replica) bool {
 	if r.MaxStarts == 0 {
--- a/internal/process/schedule/starts_test.go
+++ b/internal/process/schedule/starts_test.go
@@ -59,3 +59,21 @@
 	}
 	is.Equal(confirmed, 4)
 }
+
+// Guards against requests that go to a group because its engines have free slots, although they are cold and get no more now.
+func TestSummaryOfColdGroup(t *testing.T) {
+	is := is.New(t)
+	g := testGroup(Options{Policy: PolicyOwner, NoBatchBound: true}, 1, 24, 1_000_000)
+	list := testReplicas(1, 24, 1_000_000)
+	list[0].MaxStarts = 2
+	g.SetReplicas(start, list)
+	enqueueN(g, start, "a", 2, catalogue.Urgent)
+	is.Equal(g.Summary(start).FreeSlots, 2)
+	is.Equal(len(g.Dispatch(start)), 2)
+	s := g.Summary(start.Add(100 * time.Millisecond))
+	is.Equal(s.FreeSlots, 0)
+	is.Equal(s.ColdWait, 900*time.Millisecond)
+	is.True(s.WaitUrgentMS >= 900)
+	s = g.Summary(start.Add(startWindow))
+	is.True(s.FreeSlots == 2 && s.ColdWait == 0 && s.WaitUrgentMS == 0)
+}
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -49,9 +49,18 @@
 		QueuedBackground: g.queue.Len(catalogue.Background),
 	}
 	for _, r := range g.available {
-		s.FreeSlots += g.freeSlots(r, now)
+		free := g.freeSlots(r, now)
+		starts, wait := r.startsLeft(now)
+		if free > 0 && starts == 0 && (s.ColdWait == 0 || wait < s.ColdWait) {
+			s.ColdWait = wait
+		}
+		s.FreeSlots += min(free, starts)
 	}
 	s.WaitUrgentMS = g.entitledWait(now, s.FreeSlots).Milliseconds()
+	if s.FreeSlots > 0 {
+		s.ColdWait = 0
+	}
+	s.WaitUrgentMS = max(s.WaitUrgentMS, s.ColdWait.Milliseconds())
 	s.WaitBackgroundMS = g.predictWait(now, catalogue.Background, s.QueuedBackground, s.FreeSlots).Milliseconds()
 	if s.QueuedUrgent > 0 {
 		s.WaitBackgroundMS = max(s.WaitBackgroundMS, s.WaitUrgentMS)
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -176,6 +176,9 @@
 	// the class, WaitUrgentMS that of a workspace within its share.
 	WaitUrgentMS     int64
 	WaitBackgroundMS int64
+	// ColdWait is the time until a request may be placed if all replicas with free slots are cold and have got as many
+	// as they may. Only the group's owner knows it.
+	ColdWait time.Duration
 }
 
 // Held is a grant in use. The gateway that uses it reports it to the group's owner,
--- a/internal/process/standin/app/faults.go
+++ b/internal/process/standin/app/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Faults are the faults that the server injects, and the body of PUT
@@ -25,6 +26,8 @@
 	DelayMS int  `json:"delay_ms"`
 	// Drain refuses new calls and sets Draining in the load report.
 	Drain bool `json:"drain"`
+	// ColdMS is the time in milliseconds from the PUT for which the server states in its responses that it is cold.
+	ColdMS int64 `json:"cold_ms"`
 }
 
 // faultKind is the fault injected into one call.
@@ -44,6 +47,8 @@
 	faults Faults
 	// thawed is closed unless Freeze is set.
 	thawed chan struct{}
+	// coldUntil is the end of the time that Faults.ColdMS states.
+	coldUntil time.Time
 }
 
 func newFaultState() *faultState {
@@ -62,6 +67,14 @@
 		close(f.thawed)
 	}
 	f.faults = v
+	f.coldUntil = time.Now().Add(time.Duration(v.ColdMS) * time.Millisecond)
+}
+
+// coldLeft returns the time in milliseconds for which the server is still cold.
+func (f *faultState) coldLeft() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(0, time.Until(f.coldUntil).Milliseconds())
 }
 
 func (f *faultState) current() Faults {
--- a/internal/process/standin/app/server.go
+++ b/internal/process/standin/app/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -84,7 +85,10 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(api.HeaderServerCold, strconv.FormatInt(s.faults.coldLeft(), 10))
+	s.router.ServeHTTP(w, r)
+}
 
 // Drain refuses new calls, waits for Settings.DrainNotice and then ends the calls
 // that a freeze blocks.
@@ -127,6 +131,7 @@
 		Name:         s.settings.Name,
 		Running:      s.running,
 		Draining:     s.draining || s.faults.current().Drain,
+		ColdLeftMS:   s.faults.coldLeft(),
 		Incarnation:  s.incarnation,
 		ReportedAtMS: time.Now().UnixMilli(),
 	}
--- a/internal/process/standin/engine/faults.go
+++ b/internal/process/standin/engine/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"persimmonwing/internal/request/api"
 )
@@ -29,6 +30,9 @@
 	HideReports bool `json:"hide_reports,omitempty"`
 	// Drain refuses new generations and sets Draining in the load report.
 	Drain bool `json:"drain,omitempty"`
+	// ColdMS is the time in milliseconds from the PUT for which the engine states in its responses and reports that
+	// it is cold.
+	ColdMS int64 `json:"cold_ms,omitempty"`
 }
 
 // faultInterval is the distance in sequence numbers between two deltas that
@@ -48,6 +52,8 @@
 	faults  Faults
 	changed chan struct{}
 	cut     chan struct{}
+	// coldUntil is the end of the time that Faults.ColdMS states.
+	coldUntil time.Time
 }
 
 func newFaultState() *faultState {
@@ -63,6 +69,7 @@
 		f.CutStreams = false
 	}
 	s.faults = f
+	s.coldUntil = time.Now().Add(time.Duration(f.ColdMS) * time.Millisecond)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -74,6 +81,13 @@
 	return s.faults, s.changed
 }
 
+// coldLeft returns the time in milliseconds for which the engine is still cold.
+func (s *faultState) coldLeft() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, time.Until(s.coldUntil).Milliseconds())
+}
+
 // cutSignal returns a channel that is closed the next time CutStreams is set.
 func (s *faultState) cutSignal() <-chan struct{} {
 	s.mu.Lock()
--- a/internal/process/standin/engine/http.go
+++ b/internal/process/standin/engine/http.go
@@ -64,6 +64,7 @@
 		if e.faults.waitUntilThawed(r.Context()) != nil {
 			abort()
 		}
+		w.Header().Set(api.HeaderServerCold, strconv.FormatInt(e.faults.coldLeft(), 10))
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/process/standin/engine/report.go
+++ b/internal/process/standin/engine/report.go
@@ -82,6 +82,7 @@
 		Preemptions:      e.batch.counters.Preempted,
 		TokensGenerated:  e.batch.counters.Tokens,
 		Draining:         e.draining(),
+		ColdLeftMS:       e.faults.coldLeft(),
 		Incarnation:      e.incarnation,
 		ReportedAtMS:     now.UnixMilli(),
 	}
--- a/internal/request/api/api.go
+++ b/internal/request/api/api.go
@@ -38,6 +38,10 @@
 // percentage of the usual time, separated by commas.
 const HeaderServerLoad = "Server-Load"
 
+// HeaderServerCold is the response header in which an application server or an engine states for how many
+// milliseconds it is still cold. 0 states that it is not.
+const HeaderServerCold = "Server-Cold"
+
 // MetadataAttempt is the metadata key of a gateway's attempt id. The engine echoes it in
 // the created event.
 const MetadataAttempt = "attempt"
@@ -153,6 +157,8 @@
 	// TokensGenerated is the number of output tokens since the engine's start.
 	TokensGenerated int64 `json:"tokens_generated"`
 	Draining        bool  `json:"draining"`
+	// ColdLeftMS is the time in milliseconds for which the server is still cold, or 0.
+	ColdLeftMS int64 `json:"cold_left_ms"`
 	// Incarnation differs after each start of the engine.
 	Incarnation string `json:"incarnation"`
 	// ReportedAtMS is the time of the report by the engine's clock, in Unix milliseconds.
--- a/internal/version/catalogue/diff.go
+++ b/internal/version/catalogue/diff.go
@@ -25,6 +25,7 @@
 	PartSetting   Part = "setting"
 	PartDraining  Part = "draining"
 	PartEvacuated Part = "evacuated"
+	PartService   Part = "service"
 	PartModel     Part = "model"
 	PartWorkspace Part = "workspace"
 	PartEntry     Part = "entry"
@@ -76,6 +77,7 @@
 	self := func(s string) string { return s }
 	out = append(out, diffNamed(PartDraining, a.Draining, b.Draining, self)...)
 	out = append(out, diffNamed(PartEvacuated, a.Evacuated, b.Evacuated, self)...)
+	out = append(out, diffNamed(PartService, a.Services, b.Services, func(s ServiceServers) string { return s.Name })...)
 	out = append(out, diffNamed(PartModel, a.Models, b.Models, func(m Model) string { return m.Name })...)
 	out = append(out, diffNamed(PartWorkspace, a.Workspaces, b.Workspaces, func(w Workspace) string { return w.Name })...)
 	out = append(out, diffNamed(PartEntry, a.Entries, b.Entries, func(e Entry) string { return e.Name })...)
@@ -140,9 +142,9 @@
 }
 
 // Dangerous returns the changes that end service for some callers: a removed workspace,
-// entry or model.
+// entry or model. A removed service only loses its bounds.
 func Dangerous(changes []Change) []Change {
 	return slices.DeleteFunc(slices.Clone(changes), func(c Change) bool {
-		return c.Op != Removed || c.Part == PartDraining || c.Part == PartEvacuated
+		return c.Op != Removed || c.Part == PartDraining || c.Part == PartEvacuated || c.Part == PartService
 	})
 }
--- a/internal/version/catalogue/diff_test.go
+++ b/internal/version/catalogue/diff_test.go
@@ -50,6 +50,8 @@
 		edits := []func(){
 			func() { b.Models[0].Replicas = 3 },
 			func() { b.Models[0].Adapters = nil },
+			func() { b.Services = []ServiceServers{{Name: "shop"}} },
+			func() { b.Models[0].ColdRequestsPerSecond = 5 },
 			func() { b.Workspaces[0].Weight = 1.0000001 },
 			func() { b.Workspaces[0].Limits.TokensPerSecond = 8 },
 			func() { b.Entries[0].Targets.TokenGap++ },
--- a/internal/version/catalogue/lint.go
+++ b/internal/version/catalogue/lint.go
@@ -28,6 +28,7 @@
 	var doc yaml.Node
 	if err := yaml.Unmarshal(body, &doc); err == nil {
 		l := &linter{c: c, pos: indexPositions(&doc), report: r}
+		l.services()
 		l.models()
 		l.workspaces()
 		l.entries()
@@ -51,6 +52,18 @@
 	l.report.Add(configcheck.Finding{Severity: configcheck.Warning, Line: l.pos.line(path), Where: path, Text: fmt.Sprintf(format, args...)})
 }
 
+func (l *linter) services() {
+	used := map[string]bool{}
+	for _, e := range l.c.Entries {
+		used[e.Service] = true
+	}
+	for i, s := range l.c.Services {
+		if !used[s.Name] {
+			l.warn(fmt.Sprintf("services[%d]", i), "no entry uses the service %s", s.Name)
+		}
+	}
+}
+
 func (l *linter) models() {
 	used := map[string]bool{}
 	for _, e := range l.c.Entries {
@@ -111,6 +124,8 @@
 		return "gets no new work; what runs there goes on"
 	case c.Part == PartDraining:
 		return "gets new work again"
+	case c.Part == PartService, c.Part == PartModel && c.Field == "cold_requests_per_second":
+		return "binds the next request to a server that is cold"
 	case c.Part == PartEntry && c.Op == Removed:
 		return "new requests get unknown_entry; those that run go on"
 	case c.Part == PartWorkspace && c.Op == Removed, c.Part == PartWorkspace && c.Field == "key_digests":
--- a/internal/version/catalogue/lint_test.go
+++ b/internal/version/catalogue/lint_test.go
@@ -28,6 +28,7 @@
 		{"sound", "", "", 0, configcheck.ExitOK, ""},
 		{"unknown key", "owner: o", "owner: o, x: 1", 6, configcheck.ExitErrors, "x"},
 		{"unused model", "- {name: m}", "- {name: m}\n- {name: spare}", 3, configcheck.ExitWarnings, "no entry uses the model spare"},
+		{"unused service", "models:", "services:\n- {name: shop}\nmodels:", 2, configcheck.ExitWarnings, "no entry uses the service shop"},
 		{"workspace without entries", "- {name: w, ", "- {name: v, key_digests: ['sha256:1111111111111111111111111111111111111111111111111111111111111111']}\n- {name: w, ", 4, configcheck.ExitWarnings, "no entry admits the workspace v"},
 		{"timeout under the target", "timeout: 5s", "timeout: 1s", 6, configcheck.ExitWarnings, "before their first token is late"},
 		{"fewer tokens than one request", "timeout: 5s", "timeout: 5s, limits: {tokens_per_second: 10}", 6, configcheck.ExitWarnings, "fewer than the 100"},
--- a/internal/version/catalogue/snapshot.go
+++ b/internal/version/catalogue/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 )
 
 // digestPrefix precedes the hexadecimal SHA-256 digest of a key or body.
@@ -57,6 +58,33 @@
 // Workspace returns the workspace with this name, or nil.
 func (s *Snapshot) Workspace(name string) *Workspace { return s.workspaces[name] }
 
+// ServiceColdRate returns the requests that a cold server of a service may get within a second, or 0 without a
+// bound.
+func (s *Snapshot) ServiceColdRate(service string) int {
+	for i := range s.Services {
+		if s.Services[i].Name == service {
+			return s.Services[i].ColdRequestsPerSecond
+		}
+	}
+	return 0
+}
+
+// EngineColdRate is like ServiceColdRate for an engine that has models loaded: the lowest of their rates. If its
+// models are not known, which is usual just after its start, it is the lowest rate of all models.
+func (s *Snapshot) EngineColdRate(models []string) int {
+	lowest := 0
+	for i := range s.Models {
+		m := &s.Models[i]
+		if m.ColdRequestsPerSecond == 0 || len(models) > 0 && !slices.Contains(models, m.Name) {
+			continue
+		}
+		if lowest == 0 || m.ColdRequestsPerSecond < lowest {
+			lowest = m.ColdRequestsPerSecond
+		}
+	}
+	return lowest
+}
+
 // Authenticate returns the workspace to which a key belongs, or nil. The key is looked
 // up by its digest, so the comparison leaks no information about the key.
 func (s *Snapshot) Authenticate(key string) *Workspace {
--- a/internal/version/catalogue/types.go
+++ b/internal/version/catalogue/types.go
@@ -33,10 +33,13 @@
 	// Draining lists the backend servers that must not receive new work.
 	Draining []string `yaml:"draining,omitempty"`
 	// Evacuated lists the data centres whose backend servers must not receive new work.
-	Evacuated  []string    `yaml:"evacuated,omitempty"`
-	Models     []Model     `yaml:"models"`
-	Workspaces []Workspace `yaml:"workspaces"`
-	Entries    []Entry     `yaml:"entries"`
+	Evacuated []string `yaml:"evacuated,omitempty"`
+	// Services describes application servers by the service label of the host list. Services need not be
+	// listed.
+	Services   []ServiceServers `yaml:"services,omitempty"`
+	Models     []Model          `yaml:"models"`
+	Workspaces []Workspace      `yaml:"workspaces"`
+	Entries    []Entry          `yaml:"entries"`
 }
 
 // Model is a model that engines can load.
@@ -46,6 +49,16 @@
 	// loaded; 0 leaves the engines unchanged.
 	Replicas int      `yaml:"replicas,omitempty"`
 	Adapters []string `yaml:"adapters,omitempty"`
+	// ColdRequestsPerSecond is like that of ServiceServers, for an engine that has the model loaded.
+	ColdRequestsPerSecond int `yaml:"cold_requests_per_second,omitempty"`
+}
+
+// ServiceServers describes the application servers of a service.
+type ServiceServers struct {
+	Name string `yaml:"name"`
+	// ColdRequestsPerSecond is the number of requests that a server which says that it is cold may get within
+	// any second from all gateways together; 0 means no bound.
+	ColdRequestsPerSecond int `yaml:"cold_requests_per_second,omitempty"`
 }
 
 // Workspace is a customer of the system.
--- a/internal/version/catalogue/validate.go
+++ b/internal/version/catalogue/validate.go
@@ -43,6 +43,7 @@
 	v.fractions()
 	v.draining()
 	v.evacuated()
+	v.checkServices()
 	v.checkModels()
 	v.checkWorkspaces()
 	v.checkEntries()
@@ -71,6 +72,27 @@
 	v.names("evacuated", v.c.Evacuated)
 }
 
+func (v *validator) checkServices() {
+	seen := map[string]bool{}
+	for i := range v.c.Services {
+		s := &v.c.Services[i]
+		path := fmt.Sprintf("services[%d]", i)
+		v.name(path+".name", s.Name)
+		if seen[s.Name] {
+			v.report(path+".name", s.Name, "the names of services must differ")
+		}
+		seen[s.Name] = true
+		v.coldRate(path, s.ColdRequestsPerSecond)
+	}
+}
+
+// coldRate checks the number of requests that a cold server may get within a second.
+func (v *validator) coldRate(path string, n int) {
+	if n < 0 || n > maxLimit {
+		v.report(path+".cold_requests_per_second", strconv.Itoa(n), fmt.Sprintf("0 (no bound) to %v", float64(maxLimit)))
+	}
+}
+
 func (v *validator) checkModels() {
 	for i := range v.c.Models {
 		m := &v.c.Models[i]
@@ -84,6 +106,7 @@
 			v.report(path+".replicas", strconv.Itoa(m.Replicas), "0 or more")
 		}
 		v.names(path+".adapters", m.Adapters)
+		v.coldRate(path, m.ColdRequestsPerSecond)
 	}
 }
 
