Pass on that a server is cold between gateways

While the store was away, a server that turned cold, or an application server that had started again, was known only to the gateways that had an answer from it. All others sent as to a warm one.

What another gateway passes on can only prolong a cold time, and is ignored if this gateway has an answer to a request that it sent after that: a peer's word that is late would otherwise end a newer cold time.

A call of its own to all gateways was ruled out: a data centre that comes back would mean hundreds of calls of each gateway.

TestHeardCold is new; TestColdTimesAlternate has one more action.

--- a/internal/process/owner/statements.go
+++ b/internal/process/owner/statements.go
@@ -11,7 +11,7 @@
 	"golang.org/x/time/rate"
 )
 
-// ServerStatement is the load that an application server stated in an answer, as gateways pass it on.
+// ServerStatement is what a server stated in an answer, as gateways pass it on: its load, and that it is cold.
 type ServerStatement struct {
 	Server      string
 	Incarnation int64
@@ -20,6 +20,8 @@
 	Running, Waiting, Slots int
 	// SlowdownPercent is the time that work takes, as a percentage of the usual one.
 	SlowdownPercent int
+	// ColdMS is the time in milliseconds for which the server was still cold, or 0 if it stated none.
+	ColdMS int64
 }
 
 const (
@@ -83,7 +85,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old, known := b.newest[s.Server]
-	if known && at.Before(old.at.Add(statementSpan)) || !known && len(b.newest) >= maxStatementServers {
+	due := old.at.Add(statementSpan)
+	if s.ColdMS > 0 && old.ColdMS == 0 {
+		// That a server has become cold is passed on at once. The times are those of different gateways.
+		due = old.at.Add(-statementSpan)
+	}
+	if known && at.Before(due) || !known && len(b.newest) >= maxStatementServers {
 		return false
 	}
 	if b.newest == nil {
--- a/internal/process/registry/cold.go
+++ b/internal/process/registry/cold.go
@@ -13,7 +13,8 @@
 
 // coldState is what a server has said of how long it is cold, in the entries of the list and in answers.
 // A word replaces earlier ones only if it is newer for certain: an entry those of entries with a lower
-// number, and an answer all that was known when its request was sent. Of other words the longer one holds.
+// number, an answer all that was known when its request was sent, and what another gateway passes on the words that were passed on before.
+// Of other words the longer one holds.
 type coldState struct {
 	// listed is the end by the entry with the highest number, which was received at listedAt.
 	listed, listedAt time.Time
@@ -22,6 +23,9 @@
 	listedLeft       time.Duration
 	// answered is the end by the answer to the request that was sent last, at answeredSent.
 	answered, answeredSent time.Time
+	// passed is the end by the newest answer to another gateway, which that has read at passedStated and of which this one
+	// has heard at passedAt.
+	passed, passedStated, passedAt time.Time
 	// started is the newest start of the server that was learnt of before its entry showed it.
 	started int64
 	// began is the time since which this gateway knows that the server is cold, or zero.
@@ -31,10 +35,13 @@
 }
 
 func (c *coldState) until() time.Time {
-	if c.answered.After(c.listed) {
-		return c.answered
+	until := c.listed
+	for _, t := range []time.Time{c.answered, c.passed} {
+		if t.After(until) {
+			until = t
+		}
 	}
-	return c.listed
+	return until
 }
 
 func (c *coldState) remaining(now time.Time) time.Duration { return max(0, c.until().Sub(now)) }
@@ -119,9 +126,34 @@
 	if sent.After(c.listedAt) {
 		c.listed = time.Time{}
 	}
+	if sent.After(c.passedAt) {
+		c.passed = time.Time{}
+	}
 	return g.updateCold(now, r, "answer")
 }
 
+// HearCold records that a server, started at startedMS as far as another gateway knows, has told that gateway how much
+// longer it was cold at the time at. That can't end a cold time, and is ignored if this gateway has an answer to a later request.
+func (g *Registry) HearCold(now, at time.Time, name string, startedMS int64, left time.Duration) {
+	if !g.noteHeardCold(now, at, name, startedMS, left) {
+		return
+	}
+	g.onChange()
+	g.reportChanges()
+}
+
+func (g *Registry) noteHeardCold(now, at time.Time, name string, startedMS int64, left time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.servers[name]
+	if r == nil || startedMS < r.StartedMS || at.Before(r.cold.answeredSent) || at.Before(r.cold.passedStated) {
+		return false
+	}
+	c := &r.cold
+	c.passed, c.passedStated, c.passedAt = at.Add(left), at, now
+	return g.updateCold(now, r, "peer")
+}
+
 // boundsCold reports whether a server's requests are bounded while it is cold. The caller holds the lock.
 func (g *Registry) boundsCold(r *record) bool {
 	return g.coldRights != nil && g.coldRights(r.Service) > 0
--- a/internal/process/registry/cold_test.go
+++ b/internal/process/registry/cold_test.go
@@ -62,6 +62,34 @@
 	is.Equal(left(), time.Duration(0))
 }
 
+// Guards against what another gateway passes on of a cold server that replaces a newer answer to this one, ends a cold time, or is lost
+// because this gateway doesn't know of a restart; and against one that keeps a server cold after a later answer.
+func TestHeardCold(t *testing.T) {
+	is := is.New(t)
+	now := start
+	g := newTestRegistry()
+	g.now = func() time.Time { return now }
+	s := Server{Name: "x", Service: "s", StartedMS: 1000}
+	g.Put(s)
+	heard := func(age, left time.Duration, started int64) time.Duration {
+		g.HearCold(now, now.Add(-age), "x", started, left)
+		_, left = g.Cold(now, "x")
+		return left
+	}
+	is.Equal(heard(0, 9*time.Second, 900), time.Duration(0)) // an earlier start
+	is.Equal(heard(300*time.Millisecond, 2*time.Second, 1000), 1700*time.Millisecond)
+	is.Equal(heard(500*time.Millisecond, 9*time.Second, 1000), 1700*time.Millisecond) // an older one
+	now = now.Add(100 * time.Millisecond)
+	g.NoteCold(now, now.Add(-200*time.Millisecond), s, 0) // an answer to a request from before it was heard
+	is.Equal(heard(time.Second, 9*time.Second, 1000), 1600*time.Millisecond)
+	g.NoteCold(now, now, s, 0)
+	is.Equal(heard(time.Millisecond, 9*time.Second, 1000), time.Duration(0)) // read before that request was sent
+	now = now.Add(time.Second)
+	is.Equal(heard(0, 5*time.Second, 2000), 5*time.Second) // a start that the list doesn't show yet
+	g.NoteCold(now, now.Add(-time.Millisecond), s, 7*time.Second)
+	is.Equal(heard(0, time.Second, 2000), 7*time.Second)
+}
+
 // Guards against begins and ends of cold times that don't alternate, in any order of entries, answers, denials and
 // time, against an accepting server without a right, and against a bound where a service has none.
 func TestColdTimesAlternate(t *testing.T) {
@@ -102,6 +130,10 @@
 				g.NoteCold(now, now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "took"))*time.Millisecond), s, s.Cold)
 			},
 			"report": func(t *rapid.T) { g.NoteStarted(names.Draw(t, "name"), rapid.Int64Range(0, 4).Draw(t, "started")) },
+			"heard": func(t *rapid.T) {
+				s := draw(t)
+				g.HearCold(now, now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "age"))*time.Millisecond), s.Name, s.StartedMS, s.Cold)
+			},
 			"denied": func(t *rapid.T) {
 				g.NoteColdDenied(now, names.Draw(t, "name"), time.Duration(ms.Draw(t, "wait"))*time.Millisecond)
 			},
