Refuse what finds no room in time, and keep room for callers who return

Load: more arrives for seconds than the engines can end. Requests waited until their deadline while newer and smaller ones of other gateways were placed at once; they were refused with a Retry-After of 1 s each, came back together during the same burst at other gateways, and were refused again.

- LoadsArgs.Demands carries what waits and the places, with times relative to the message; relays pass them on.

Ruled out: shorter waits for all (requests that wait find room before their target in most cases), an order by arrival alone (each freed place would stay empty until all gateways know who takes it).

The fake Group of the owner's tests has the new methods.

--- a/internal/process/fairqueue/flow.go
+++ b/internal/process/fairqueue/flow.go
@@ -78,13 +78,7 @@
 
 func (c *classQueue[T]) append(f *flow[T], e *Entry[T]) {
 	e.flow = f
-	e.prev = f.tail
-	if f.tail != nil {
-		f.tail.next = e
-	} else {
-		f.head = e
-	}
-	f.tail = e
+	f.insert(e)
 	f.length++
 	c.length++
 	if f.length == 1 && !f.aside {
@@ -94,6 +88,26 @@
 	}
 }
 
+// insert links an entry behind the last one, or behind the last First one if it is First.
+func (f *flow[T]) insert(e *Entry[T]) {
+	e.prev = f.tail
+	for e.First && e.prev != nil && !e.prev.First {
+		e.prev = e.prev.prev
+	}
+	e.next = f.head
+	if e.prev != nil {
+		e.next = e.prev.next
+		e.prev.next = e
+	} else {
+		f.head = e
+	}
+	if e.next != nil {
+		e.next.prev = e
+	} else {
+		f.tail = e
+	}
+}
+
 // unlink removes an entry from its flow and restores the order of the active heap.
 func (c *classQueue[T]) unlink(e *Entry[T]) {
 	f := e.flow
--- a/internal/process/fairqueue/queue.go
+++ b/internal/process/fairqueue/queue.go
@@ -5,6 +5,8 @@
 import (
 	"container/heap"
 	"errors"
+	"iter"
+	"slices"
 	"time"
 
 	"persimmonwing/internal/version/catalogue"
@@ -40,6 +42,8 @@
 	// Isolated requests are queued apart from the other requests of their workspace:
 	// they may wait long for a replica and must not block the others.
 	Isolated bool
+	// First puts the request before those of its workspace that are not First.
+	First    bool
 	Weight   float64
 	Deadline time.Time
 	Value    T
@@ -95,8 +99,8 @@
 	return flowKey{workspace: workspace, isolated: isolated}
 }
 
-// Push adds an item at the end of its workspace's queue. It returns ErrDuplicate,
-// ErrClassFull or ErrWorkspaceFull if the item is not added.
+// Push adds an item at the end of its workspace's queue, or behind the items there that are First if it is
+// First too. It returns ErrDuplicate, ErrClassFull or ErrWorkspaceFull if the item is not added.
 func (q *Queue[T]) Push(it Item[T]) error {
 	c := q.classOf(it.Class)
 	if _, queued := q.byID[it.ID]; queued {
@@ -224,6 +228,10 @@
 	}
 }
 
+// All returns the waiting requests that have a deadline, in no particular order. The queue must not change in
+// the meantime.
+func (q *Queue[T]) All() iter.Seq[*Entry[T]] { return slices.Values(q.deadlines) }
+
 // Len returns the number of requests waiting in a class.
 func (q *Queue[T]) Len(class catalogue.Class) int {
 	if class == catalogue.Background && q.o.Classless {
--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -198,6 +198,24 @@
 	return float64(p.external) + min(likely, float64(most))
 }
 
+// After returns the expected use in tokens of the sequences added, and its variance, once each of them could
+// have generated a number of further tokens. Sequences that have ended by then use nothing.
+func (p *Projection) After(further float64) (mean, variance float64) {
+	last := horizonCount - 1
+	for i := range last {
+		from, to := float64(Horizons[i]), float64(Horizons[i+1])
+		if further >= to {
+			continue
+		}
+		part := (further - from) / (to - from)
+		between := func(sums *[horizonCount]int64) float64 {
+			return float64(sums[i]) + part*float64(sums[i+1]-sums[i])
+		}
+		return between(&p.mean), between(&p.variance)
+	}
+	return float64(p.mean[last]), float64(p.variance[last])
+}
+
 // Load returns the projection of this single sequence.
 func (s *Sequence) Load() Load { return Load{Mean: s.mean, Variance: s.variance, Most: s.most} }
 
--- a/internal/process/owner/acquire.go
+++ b/internal/process/owner/acquire.go
@@ -118,8 +118,9 @@
 	if reply.Refusal != nil {
 		s.account = reply.Refusal.Account
 	}
+	expired := err == nil && reply.Refusal != nil && reply.Refusal.Reason == schedule.ReasonDeadline
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !expired:
 		m.cancelAt(gateway, k, s)
 		return schedule.Grant{}, m.waitError(ctx, s.request), true
 	case err != nil:
@@ -138,7 +139,8 @@
 	case reply.Refusal != nil:
 		s.skip[k] = true
 		s.refusal = reply.Refusal
-		if reply.Refusal.Reason == schedule.ReasonCrashes || reply.Refusal.Reason == schedule.ReasonDeadline {
+		switch reply.Refusal.Reason {
+		case schedule.ReasonCrashes, schedule.ReasonDeadline, schedule.ReasonNoRoomInTime:
 			return schedule.Grant{}, reply.Refusal, true
 		}
 	default:
@@ -147,7 +149,7 @@
 			// The owner didn't know it yet, or it began while this gateway waited for the reply.
 			m.Release(reply.Grant.ID, schedule.Outcome{NotRun: true})
 			s.skipGroup(k)
-			s.refusal = &schedule.Refusal{Reason: schedule.ReasonNoReplica, RetryAfter: time.Second}
+			s.refusal = &schedule.Refusal{Reason: schedule.ReasonNoReplica, RetryAfter: schedule.UnknownRoomWait}
 			return schedule.Grant{}, nil, false
 		}
 		// This process may have been paused while it waited for the reply.
@@ -206,7 +208,7 @@
 // deadline has passed, else the error of ctx.
 func (m *Manager) waitError(ctx context.Context, r schedule.Request) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !r.Deadline.IsZero() && !time.Now().Before(r.Deadline) {
-		return &schedule.Refusal{Reason: schedule.ReasonDeadline}
+		return &schedule.Refusal{Reason: schedule.ReasonDeadline, RetryAfter: schedule.UnknownRoomWait}
 	}
 	return ctx.Err()
 }
--- a/internal/process/owner/evacuation.go
+++ b/internal/process/owner/evacuation.go
@@ -40,5 +40,5 @@
 	if s.refusal != nil {
 		return s.refusal
 	}
-	return &schedule.Refusal{Reason: schedule.ReasonNoReplica, RetryAfter: time.Second}
+	return &schedule.Refusal{Reason: schedule.ReasonNoReplica, RetryAfter: schedule.UnknownRoomWait}
 }
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -45,6 +45,13 @@
 func (f *fifo) NextWake(now time.Time) time.Time                   { return now.Add(100 * time.Millisecond) }
 func (f *fifo) Release(_ time.Time, id string, _ schedule.Outcome) { delete(f.running, id) }
 
+func (f *fifo) Demand(time.Time) schedule.Demand                 { return schedule.Demand{} }
+func (f *fifo) SetPeerDemand(time.Time, string, schedule.Demand) {}
+func (f *fifo) RefuseExpired(_ time.Time, r schedule.Request) *schedule.Refusal {
+	f.Cancel(r.ID)
+	return &schedule.Refusal{Reason: schedule.ReasonDeadline}
+}
+
 func (f *fifo) Loads() []schedule.ReplicaLoad                                  { return nil }
 func (f *fifo) SetPeerLoads(time.Time, string, uint64, []schedule.ReplicaLoad) {}
 
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -39,6 +39,11 @@
 	LoadsByGateway(replica string, ownNumber uint64) []schedule.GatewayLoad
 	CorrectPeerLoads(now time.Time, replica string, loads []schedule.GatewayLoad)
 	Postpone(now time.Time, replica string)
+	// Demand returns what waits and the places of callers who return, and SetPeerDemand sets that of another gateway.
+	Demand(now time.Time) schedule.Demand
+	SetPeerDemand(now time.Time, gateway string, d schedule.Demand)
+	// RefuseExpired refuses a request whose deadline has passed.
+	RefuseExpired(now time.Time, r schedule.Request) *schedule.Refusal
 	Summary(now time.Time) schedule.Summary
 	State(now time.Time) map[string]schedule.ReplicaState
 	NextWake(now time.Time) time.Time
--- a/internal/process/owner/peerload.go
+++ b/internal/process/owner/peerload.go
@@ -67,6 +67,14 @@
 	Broken map[string]time.Duration
 	// Statements are those of servers that the gateway has read since its last message, in a mesh without relays.
 	Statements []ServerStatement
+	// Demands are what waits at the gateway.
+	Demands []GroupDemand
+}
+
+// GroupDemand is what waits for a group at a gateway.
+type GroupDemand struct {
+	Group  schedule.GroupKey
+	Demand schedule.Demand
 }
 
 // GroupLoads are the loads of one group.
@@ -141,6 +149,11 @@
 	if m.opt.Broken != nil {
 		args.Broken = m.opt.Broken(now)
 	}
+	for _, r := range m.allRunners() {
+		if d := r.demand(now); len(d.Waiting)+len(d.Places) > 0 {
+			args.Demands = append(args.Demands, GroupDemand{r.key, d})
+		}
+	}
 	return args
 }
 
@@ -226,7 +239,7 @@
 		byGroup[g.Group] = g.Loads
 	}
 	for _, r := range m.allRunners() {
-		r.setPeerLoads(now, in.Gateway, in.Number, byGroup[r.key])
+		r.setPeerLoads(now, in.Gateway, in.Number, byGroup[r.key], demandOf(in.Demands, r.key))
 	}
 }
 
@@ -248,7 +261,7 @@
 	m.mu.Unlock()
 	for _, name := range silent {
 		for _, r := range m.allRunners() {
-			r.setPeerLoads(now, name, schedule.NoMoreLoads, nil)
+			r.setPeerLoads(now, name, schedule.NoMoreLoads, nil, schedule.Demand{})
 		}
 	}
 }
@@ -259,9 +272,26 @@
 	return r.group.Loads()
 }
 
-func (r *runner) setPeerLoads(now time.Time, gateway string, number uint64, loads []schedule.ReplicaLoad) {
+func (r *runner) demand(now time.Time) schedule.Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.group.Demand(now)
+}
+
+// demandOf returns the demand for a group.
+func demandOf(demands []GroupDemand, k schedule.GroupKey) schedule.Demand {
+	for _, d := range demands {
+		if d.Group == k {
+			return d.Demand
+		}
+	}
+	return schedule.Demand{}
+}
+
+func (r *runner) setPeerLoads(now time.Time, gateway string, number uint64, loads []schedule.ReplicaLoad, d schedule.Demand) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.group.SetPeerDemand(now, gateway, d)
 	r.group.SetPeerLoads(now, gateway, number, loads)
 	r.group.DropReservations(now, gateway, number)
 	r.requestDispatch()
--- a/internal/process/owner/relay.go
+++ b/internal/process/owner/relay.go
@@ -67,6 +67,8 @@
 	Encoded []byte
 	// Broken is that of LoadsArgs, less the time since the relay received it.
 	Broken map[string]time.Duration
+	// Demands are those of LoadsArgs, later by the time since the relay received them.
+	Demands []GroupDemand
 }
 
 // FetchLoadsReply holds the loads and reports after the position of FetchLoadsArgs.
@@ -318,7 +320,7 @@
 			level.Warn(m.opt.Logger).Log("msg", "ignoring loads from a relay", "relay", relay, "err", err)
 			continue
 		}
-		a.Broken = l.Broken
+		a.Broken, a.Demands = l.Broken, l.Demands
 		loads = append(loads, a)
 		m.receiveLoads(now, &a)
 	}
--- a/internal/process/owner/relaybuffer.go
+++ b/internal/process/owner/relaybuffer.go
@@ -26,6 +26,7 @@
 	incarnation int64
 	number      uint64
 	broken      map[string]time.Duration
+	demands     []GroupDemand
 	sequence    uint64
 	// changedAt is the sequence number at which the loads last differed from those before.
 	changedAt  uint64
@@ -56,8 +57,8 @@
 		b.loads = map[string]bufferedLoads{}
 	}
 	b.sequence++
-	next := bufferedLoads{encoded: encodeLoads(in), incarnation: in.Incarnation, number: in.Number, broken: in.Broken, sequence: b.sequence, changedAt: b.sequence, receivedAt: now, local: local}
-	if known && old.incarnation == next.incarnation && sameLoads(old.encoded, next.encoded) && len(old.broken)+len(next.broken) == 0 {
+	next := bufferedLoads{encoded: encodeLoads(in), incarnation: in.Incarnation, number: in.Number, broken: in.Broken, demands: in.Demands, sequence: b.sequence, changedAt: b.sequence, receivedAt: now, local: local}
+	if known && old.incarnation == next.incarnation && sameLoads(old.encoded, next.encoded) && len(old.broken)+len(next.broken)+len(old.demands)+len(next.demands) == 0 {
 		next.changedAt = old.changedAt
 	}
 	b.loads[in.Gateway] = next
@@ -90,7 +91,7 @@
 func (b *relayBuffer) since(now time.Time, sequence uint64, caller string, onlyLocal bool) (loads []RelayedLoads, reports []api.LoadReport) {
 	for gateway, l := range b.loads {
 		if l.sequence > sequence && gateway != caller && (l.local || !onlyLocal) {
-			loads = append(loads, RelayedLoads{l.encoded, remaining(l.broken, now.Sub(l.receivedAt))})
+			loads = append(loads, RelayedLoads{l.encoded, remaining(l.broken, now.Sub(l.receivedAt)), laterDemands(l.demands, now.Sub(l.receivedAt))})
 		}
 	}
 	for _, r := range b.reports {
@@ -139,6 +140,15 @@
 	}
 }
 
+// laterDemands returns demands as they are after elapsed.
+func laterDemands(demands []GroupDemand, elapsed time.Duration) []GroupDemand {
+	var out []GroupDemand
+	for _, d := range demands {
+		out = append(out, GroupDemand{d.Group, d.Demand.Later(elapsed)})
+	}
+	return out
+}
+
 // remaining returns the times in broken that are left after elapsed.
 func remaining(broken map[string]time.Duration, elapsed time.Duration) map[string]time.Duration {
 	var out map[string]time.Duration
--- a/internal/process/owner/runner.go
+++ b/internal/process/owner/runner.go
@@ -212,6 +212,7 @@
 		t.end(result{moved: true})
 		return t
 	}
+	t.request.Since = now
 	r.admit(now, t)
 	return t
 }
@@ -290,6 +291,15 @@
 	return ended
 }
 
+// refuseExpired ends the wait of a request whose deadline has passed, and returns its refusal.
+func (r *runner) refuseExpired(now time.Time, q schedule.Request, attempt int) *schedule.Refusal {
+	r.mu.Lock()
+	refusal := r.group.RefuseExpired(now, q)
+	r.mu.Unlock()
+	r.cancel(now, q.ID, attempt)
+	return refusal
+}
+
 // refuseBusy refuses a request as busy if it still waits for this attempt.
 func (r *runner) refuseBusy(id string, attempt int) {
 	r.mu.Lock()
--- a/internal/process/owner/service.go
+++ b/internal/process/owner/service.go
@@ -247,6 +247,8 @@
 		return m.moved(a.Group), nil
 	}
 	t := r.enqueue(time.Now(), a.Request, a.Attempt)
+	waits := time.AfterFunc(loadsPeriod, m.markDirty)
+	defer waits.Stop()
 	if a.Patience > 0 {
 		after := time.AfterFunc(a.Patience, func() { r.refuseBusy(a.Request.ID, a.Attempt) })
 		defer after.Stop()
@@ -254,11 +256,17 @@
 	select {
 	case <-t.done:
 	case <-ctx.Done():
-		return AcquireReply{}, ctx.Err()
+		if by := a.Request.Deadline; by.IsZero() || time.Now().Before(by) {
+			return AcquireReply{}, ctx.Err()
+		}
+		return AcquireReply{Refusal: r.refuseExpired(time.Now(), a.Request, a.Attempt)}, nil
 	}
 	if t.result.moved {
 		return m.moved(a.Group), nil
 	}
+	if t.result.refusal != nil {
+		m.markDirty()
+	}
 	reply := AcquireReply{Grant: t.result.grant, Refusal: t.result.refusal}
 	if reply.Refusal == nil {
 		reply.Incarnation = m.incarnation(reply.Grant.Backend)
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -45,6 +45,7 @@
 	g.queue.Restore()
 	g.notePass()
 	g.blockedSince = p.oldestBlocked()
+	g.refuseHopeless(p)
 	decisions := p.decisions
 	p.decisions = nil
 	return decisions
@@ -144,6 +145,7 @@
 		g.skip(p, e, rank, noRoom)
 		return
 	}
+	g.keptFor = p.keptFrom(g, &e.Value)
 	s := memory.NewSequence(g.lengthEstimate(q), q.PromptTokens, q.Generated, q.MaxOutputTokens)
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
@@ -260,6 +262,9 @@
 	if at := now.Add(prefillInterval); g.prefillBlocked && at.Before(wake) {
 		wake = at
 	}
+	if at := now.Add(outlookPeriod); g.o.Policy == PolicyShared && at.Before(wake) {
+		wake = at
+	}
 	return wake
 }
 
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -89,6 +89,33 @@
 	request  Request
 	enqueued time.Time
 	entry    queueEntry
+	// returning is set if the caller was refused before and has come back in time, and first is the time
+	// of its first refusal.
+	returning bool
+	first     time.Time
+	// judgedAt is the time of the last outlook.
+	judgedAt time.Time
+}
+
+// keepsRoom reports whether others leave room for this request: its caller has returned, its engine leaves, or it has waited for
+// more than pressingFraction of the time that it can wait.
+func (t *queuedRequest) keepsRoom(now time.Time) bool {
+	if t.returning || t.request.Moving {
+		return true
+	}
+	since, by := t.since(), t.request.Deadline
+	return !by.IsZero() && now.Sub(since) > time.Duration(pressingFraction*float64(by.Sub(since)))
+}
+
+// since returns the time from which on the caller counts as waiting.
+func (t *queuedRequest) since() time.Time {
+	if t.returning {
+		return t.first
+	}
+	if !t.request.Since.IsZero() {
+		return t.request.Since
+	}
+	return t.enqueued
 }
 
 // Group schedules the requests for one group of replicas. It is not safe for
@@ -132,9 +159,14 @@
 	reservedTokens int
 	// entitled is set while the request being placed is entitled.
 	entitled bool
-	shares   shares
+	// keptFor holds the replicas that the request being placed leaves to others.
+	keptFor []*replica
+	shares  shares
 	// numbers holds the sequence number of the newest loads of each other gateway.
 	numbers map[string]uint64
+	// demands holds what waits at other gateways, by their names, and returns the places of callers who were refused.
+	demands map[string]peerDemand
+	returns returns
 	pass    pass
 	// displaced are the requests that the next Dispatch refuses, because other requests
 	// have displaced them from the full queue.
@@ -175,6 +207,8 @@
 		lengths:  make(map[string]*survival.Estimator),
 		shares:   shares{usage: make(map[string]*usage)},
 		numbers:  make(map[string]uint64),
+		demands:  make(map[string]peerDemand),
+		returns:  make(returns),
 	}
 }
 
@@ -200,15 +234,20 @@
 // request may displace another one, which the next Dispatch refuses.
 func (g *Group) Enqueue(now time.Time, r Request) *Refusal {
 	g.updateUnavailableSince(now)
-	entry := g.enter(now, &r)
+	t := queuedRequest{request: r, enqueued: now, entry: g.enter(now, &r)}
+	t.first, t.returning = g.returns.claim(now, &r)
+	if by := r.FirstTokenBy.Add(t.first.Sub(now)); t.returning && by.After(now) {
+		t.request.FirstTokenBy = by // the caller's target counts from its first request
+	}
 	item := fairqueue.Item[queuedRequest]{
 		ID:        r.ID,
 		Workspace: r.Workspace,
 		Class:     queueClass(&r),
 		Isolated:  r.Suspect && g.o.Policy != PolicyBaseline,
+		First:     t.returning,
 		Weight:    r.Weight,
 		Deadline:  r.Deadline,
-		Value:     queuedRequest{request: r, enqueued: now, entry: entry},
+		Value:     t,
 	}
 	err := g.queue.Push(item)
 	if err == fairqueue.ErrClassFull {
--- a/internal/process/schedule/pass.go
+++ b/internal/process/schedule/pass.go
@@ -24,6 +24,13 @@
 	// urgent is the headroom that background work leaves free, and fair is the
 	// headroom that urgent work of workspaces over their share leaves free.
 	urgent, fair headroom
+	// kept holds, by class, the replicas that requests which have just come leave to others.
+	kept [2]struct {
+		known    bool
+		replicas []*replica
+	}
+	// hopeless lists the requests that refuseHopeless refuses.
+	hopeless []*fairqueue.Entry[queuedRequest]
 }
 
 // rank is the priority of a request; rankUrgent, for entitled work, is the highest.
@@ -57,7 +64,11 @@
 	for i := range blocked {
 		blocked[i] = blocked[i][:0]
 	}
-	*p = pass{now: now, blocked: blocked}
+	kept := p.kept
+	for i := range kept {
+		kept[i].known, kept[i].replicas = false, kept[i].replicas[:0]
+	}
+	*p = pass{now: now, blocked: blocked, kept: kept, hopeless: p.hopeless}
 	return p
 }
 
@@ -74,7 +85,7 @@
 }
 
 func (g *Group) refuse(p *pass, t queuedRequest, reason string) {
-	p.decisions = append(p.decisions, Decision{Request: t.request, Refusal: &Refusal{Reason: reason, Account: g.account(p.now, &t)}})
+	p.decisions = append(p.decisions, g.refusal(p.now, t, reason))
 }
 
 func (g *Group) refuseDisplaced(p *pass) {
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -197,6 +197,8 @@
 func (g *Group) roomLack(now time.Time, r *replica, q *Request, s *memory.Sequence) Lack {
 	lack := LackNone
 	switch {
+	case slices.Contains(g.keptFor, r):
+		lack = LackTurn
 	case !g.hasSlot(now, r):
 		lack = LackSlots
 	case !g.hasMemory(r, s):
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -78,6 +78,12 @@
 	// Under the shared policy the request is placed where its first token is expected by then.
 	FirstTokenBy time.Time
 	Deadline     time.Time
+	// Since is the time at which the request began to wait, also before grants that were refused by arbiters. Zero means
+	// the time at which it is queued.
+	Since time.Time
+	// LeaveBy is the time until which the caller waits, its returns after refusals included, or zero if it is unknown.
+	// A place is kept only for callers for which it is known.
+	LeaveBy time.Time
 }
 
 // Grant is the permission to run one generation on one replica.
@@ -105,9 +111,9 @@
 
 // Refusal is the error for a request that was not granted and has not run.
 type Refusal struct {
-	// Reason is "queue_full", "deadline", "no_replica", "crashes_servers", "busy"
-	// or "stopping".
-	Reason     string
+	// Reason is one of the constants below.
+	Reason string
+	// RetryAfter is the time after which the caller should return, or 0 if it should not return.
 	RetryAfter time.Duration
 	Account    Account
 }
@@ -120,8 +126,10 @@
 	ReasonQueueFull = "queue_full"
 	ReasonDeadline  = "deadline"
 	ReasonNoReplica = "no_replica"
-	ReasonCrashes   = "crashes_servers"
-	ReasonStopping  = "stopping"
+	// ReasonNoRoomInTime means that no replica is expected to have room by the request's deadline.
+	ReasonNoRoomInTime = "no_room_in_time"
+	ReasonCrashes      = "crashes_servers"
+	ReasonStopping     = "stopping"
 	// ReasonEvacuated means that all replicas are in evacuated data centres.
 	ReasonEvacuated = "evacuated"
 	// ReasonTrial means that the request has to become the trial of suspect parts of its
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -163,15 +163,11 @@
 	case schedule.ReasonStopping:
 		code = fault.ShuttingDown
 	}
-	wait := r.RetryAfter
-	if wait <= 0 {
-		wait = defaultRetryAfter
-	}
-	return fault.New(code, stepPlace, "", api.NotRun, "%s", r.Reason).WithRetryAfter(wait)
+	return fault.New(code, stepPlace, "", api.NotRun, "%s", r.Reason).WithRetryAfter(r.RetryAfter)
 }
 
-// defaultRetryAfter is the Retry-After value when no better estimate is known:
-// engines finish a short generation and admit the next one within about this time.
+// defaultRetryAfter is the Retry-After of calls that no server can take now: servers end
+// a call within about this time.
 const defaultRetryAfter = time.Second
 
 // maxSends is the maximum number of sends of one request, including sends that
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -133,7 +133,7 @@
 		Workspace: q.Workspace, Weight: 1, Entry: q.Route.Name, Class: q.Class, Model: q.Service,
 		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, ExpectedOutputTokens: q.HintTokens,
 		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PartHashes: partHashes(q.Service, q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
-		FirstTokenBy: firstTokenBy(q),
+		FirstTokenBy: firstTokenBy(q), LeaveBy: q.Deadline,
 	}
 }
 
@@ -188,6 +188,10 @@
 			if paused := r.f.pausedError(r.q); paused != nil {
 				return paused
 			}
+			var refusal *schedule.Refusal
+			if errors.As(err, &refusal) && refusal.Reason == schedule.ReasonNoRoomInTime {
+				r.f.o.Metrics.Counter("refused_at_once", r.q.Route.Name).Inc(1)
+			}
 			return acquireError(err)
 		}
 		if err := r.f.checkSend(r.q, started); err != nil {
