Let a slow engine run fewer and shorter generations, and move long ones off it

Under the shared policy a slow engine counted as more loaded, and that was all: it took full batches whatever its pauses were, long generations as well as short ones, and a generation stayed on an engine that became slow until its end.

- schedule: a slow engine takes as many generations as keep its steps within the smallest target for the time between tokens.
TokenGap is the target between tokens now and not between events.
The room of slow engines goes to short generations first.
- forward: a generation whose pauses have exceeded the route's target for 2 s and 4 events moves, if reports show its engine as slow and another of the data centre takes half of the step time and has room for which nobody waits.
The move is the one off a leaving engine, with a reason of its own; the source is never ended before the destination has answered.
One of a gateway at a time, at random over 4 s, within the retry budget.
- A move off a leaving engine that begins while another is in progress waits for its end, and no destination is asked again that was asked before.

Ruled out: moves by reports alone and by pauses alone, and moves of all generations at once (docs/design/even-load.md).

--- a/internal/process/schedule/bound.go
+++ b/internal/process/schedule/bound.go
@@ -51,7 +51,10 @@
 		return math.MaxInt
 	}
 	slots := r.bound
-	if g.o.NoBatchBound {
+	switch {
+	case g.o.Policy == PolicyShared && g.o.NoBatchBound:
+		slots = g.slowBatch(r)
+	case g.o.NoBatchBound:
 		slots = r.maxBatch()
 	}
 	fraction := g.share * r.slowStartFraction(now, g.o.SlowStart)
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -153,6 +153,9 @@
 	// usualStep is the median step time of the replicas in milliseconds, or 0, computed at usualStepAt.
 	usualStep   float64
 	usualStepAt time.Time
+	// tokenGap is the smallest target for the time between tokens of the requests since tokenGapAt, or 0.
+	tokenGap   time.Duration
+	tokenGapAt time.Time
 }
 
 // NewGroup returns a group without replicas.
@@ -200,6 +203,7 @@
 // request may displace another one, which the next Dispatch refuses.
 func (g *Group) Enqueue(now time.Time, r Request) *Refusal {
 	g.updateUnavailableSince(now)
+	g.noteTokenGap(now, &r)
 	entry := g.enter(now, &r)
 	item := fairqueue.Item[queuedRequest]{
 		ID:        r.ID,
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -53,6 +53,9 @@
 	if g.o.Policy == PolicyBaseline {
 		return g.leastLoaded(now, q, s)
 	}
+	if q.SlowFrom != "" {
+		return g.leaveSlow(now, q, s)
+	}
 	if q.Spread {
 		return g.spread(now, q, s)
 	}
@@ -127,7 +130,7 @@
 func (g *Group) placementLoad(r *replica, q *Request) float64 {
 	load := g.pressure(r)
 	if slow := g.slowness(r); slow > 1 {
-		load = load*slow + slowOffset*(slow-1)
+		load = load*slow + slowOffset*(slow-1)*g.stepShare(q)
 	}
 	if g.remote(r, q) {
 		load += remotePenalty
@@ -181,7 +184,7 @@
 
 // eligible reports whether a replica may run the request, regardless of its room.
 func (g *Group) eligible(r *replica, q *Request) bool {
-	if !r.accepting() || slices.Contains(q.Exclude, r.Name) {
+	if !r.accepting() || slices.Contains(q.Exclude, r.Name) || q.SlowFrom != "" && !g.relieves(r, q) {
 		return false
 	}
 	return !q.Suspect || r.suspects == 0
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -53,6 +53,8 @@
 	reportedKV                      int
 	// step is the moving average of the reported step times in milliseconds, or 0.
 	step float64
+	// batch is the number of running sequences in the last report with a step time.
+	batch int
 	// refusals is the number of requests refused since the last one that ran.
 	refusals      int
 	coolingDown   bool
--- a/internal/process/schedule/speed_test.go
+++ b/internal/process/schedule/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,3 +90,47 @@
 		}
 	}
 }
+
+// Guards against full batches at an engine on which their generations pause for longer than the target, and against
+// long generations that take the room of a slow engine as soon as short ones.
+func TestSlowEngineRunsFewAndShort(t *testing.T) {
+	is := is.New(t)
+	slots := func(step float64, target time.Duration) int {
+		g := sharedGroup(3)
+		now := stepReports(g, start, 20, "1", 5, 5, step)
+		g.noteTokenGap(now, &Request{TokenGap: target})
+		return g.slots(g.replicas["r002"], now)
+	}
+	full := slots(12, 45*time.Millisecond) // slow, and within the target
+	is.Equal(slots(60, 0), full)
+	is.True(slots(40, 45*time.Millisecond) < full && slots(40, 45*time.Millisecond) > 1)
+	is.Equal(slots(60, 45*time.Millisecond), 1)
+	g := sharedGroup(3)
+	stepReports(g, start, 8, "1", 5, 5, 10)
+	long, short := Request{PromptTokens: 3000, ExpectedOutputTokens: 750}, Request{PromptTokens: 2500, ExpectedOutputTokens: 8}
+	is.True(g.placementLoad(g.replicas["r002"], &short) < g.placementLoad(g.replicas["r002"], &long))
+}
+
+// Guards against a generation that leaves a slow engine for one that is hardly faster, in another data centre, as slow
+// as its target, or wanted by a request that waits.
+func TestLeavesSlowEngineForAFasterOne(t *testing.T) {
+	is := is.New(t)
+	leaves := func(step, slow float64, from string, waiting int) bool {
+		g := sharedGroup(3)
+		now := stepReports(g, start, 30, "1", step, step, slow)
+		for _, r := range g.replicas {
+			r.DataCentre = "x"
+		}
+		q := movingRequest("moving", "w", 300)
+		q.PromptTokens, q.Exclude, q.SlowFrom, q.TokenGap, q.Deadline = 100, []string{"r002"}, "r002", 45*time.Millisecond, now.Add(time.Second)
+		q.DataCentre = from
+		g.Enqueue(now, q)
+		enqueueN(g, now, "w", waiting, catalogue.Urgent)
+		return slices.Contains(grantsAt(g, now), "moving")
+	}
+	is.True(leaves(5, 20, "x", 0))
+	is.True(!leaves(5, 20, "y", 0))
+	is.True(!leaves(5, 20, "x", 1))
+	is.True(!leaves(5, 8, "x", 0))
+	is.True(!leaves(50, 200, "x", 0))
+}
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -72,6 +72,9 @@
 	// together: their KV caches are copied over the network links of their
 	// destinations, and otherwise all gateways would choose the same destination.
 	Spread bool
+	// SlowFrom names the replica that a generation would leave because it has become slow. It is granted a
+	// clearly faster one of its data centre, and only while no other request waits.
+	SlowFrom string
 	// Exclude names replicas that already failed this request.
 	Exclude []string
 	// FirstTokenBy is the time by which the first token is on time, or zero if the entry has no target.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +38,9 @@
 	// waits holds, by service, the functions that end waits for an engine.
 	waits map[string]map[*wait]struct{}
 
+	// movingSlow is set while the memory of a generation is copied off a slow engine.
+	movingSlow atomic.Bool
+
 	// background tracks work that outlives its request.
 	background sync.WaitGroup
 }
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -42,8 +42,9 @@
 // source is not stopped to copy the remainder: that second copy would queue on the
 // network link behind the first copies of other generations, and pause the stream.
 type move struct {
-	r    *run
-	from registry.Server
+	r      *run
+	from   registry.Server
+	reason string
 	// closeSource closes the connection on which the source sends its stream.
 	closeSource context.CancelFunc
 	// endSource ends the generation at the source, once.
@@ -135,18 +136,24 @@
 
 // startMove starts copying the generation's KV cache to another engine while the
 // generation runs. src is the stream of the present engine.
-func (r *run) startMove(ctx context.Context, src *engineStream) *move {
+func (r *run) startMove(ctx context.Context, src *engineStream, reason string) *move {
 	// The relay may end before the move does.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveTimeout)
-	m := &move{r: r, from: r.server, closeSource: src.stop, cancel: cancel, copied: make(chan struct{}), started: time.Now()}
+	m := &move{r: r, from: r.server, reason: reason, closeSource: src.stop, cancel: cancel, copied: make(chan struct{}), started: time.Now()}
 	m.endSource = sync.OnceFunc(m.haltSource)
 	request := r.f.schedulingRequest(r.q)
 	request.Moving, request.Generated = true, r.generatedTokens()
 	request.Fingerprint, request.PartHashes = 0, nil // a generation with events has cleared both
 	request.DataCentre = r.server.DataCentre
 	request.Spread = true
-	request.Exclude = []string{r.server.Name}
+	request.Exclude = append([]string{r.server.Name}, r.exclude...)
+	if reason == moveSlow {
+		request.SlowFrom = r.server.Name
+	}
 	go func() {
+		if reason == moveSlow {
+			defer r.f.movingSlow.Store(false)
+		}
 		defer close(m.copied)
 		defer cancel()
 		m.copy(ctx, request)
@@ -160,7 +167,13 @@
 	for try := range maxMoveDestinations {
 		request.ID = attemptID(q.ID, m.r.runs, try) + "-m" + strconv.FormatInt(m.started.UnixMilli(), 36)
 		request.Deadline = time.Now().Add(destinationTimeout)
+		if m.reason == moveSlow {
+			request.Deadline = time.Now().Add(slowDestinationTimeout)
+		}
 		grant, err := f.o.Scheduler.Acquire(ctx, request)
+		if err != nil && m.reason == moveSlow {
+			return
+		}
 		if err != nil {
 			_ = level.Warn(f.logger(q)).Log("msg", "not moved", "from", m.from.Name, "reason", "no destination", "err", err)
 			return
@@ -171,6 +184,10 @@
 			f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
 			continue
 		}
+		if m.reason == moveSlow && !f.o.Budget.Allow(time.Now(), q.Service, retryReserve) {
+			f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
+			return
+		}
 		m.copying.Store(true)
 		c := f.o.Client.Copy(ctx, m.from, to, q.ID)
 		if c.Outcome == Copied {
@@ -191,14 +208,16 @@
 	r := m.r
 	kvCopy := &KVCopy{Address: m.from.Address, Handle: m.handle}
 	after, resumes := r.last, r.hasLast
-	// A move is an additional request to the service. It is counted in the retry budget,
-	// but takes place even if the budget is used up.
-	r.f.o.Budget.Allow(time.Now(), r.q.Service, 0)
+	// A move is an additional request to the service. It is counted in the retry budget. One off a leaving
+	// engine takes place even if the budget is used up.
+	if m.reason != moveSlow {
+		r.f.o.Budget.Allow(time.Now(), r.q.Service, 0)
+	}
 	ctx, giveUp := context.WithCancel(ctx)
 	late := time.AfterFunc(switchTimeout, func() {
 		switch {
 		case m.sourceBroken.Load():
-		case time.Since(m.started) >= noReturnTime:
+		case m.reason == moveLeaving && time.Since(m.started) >= noReturnTime:
 			m.endSource()
 		default:
 			giveUp()
@@ -225,9 +244,13 @@
 
 // switchTo makes the destination of the move the run's engine.
 func (r *run) switchTo(m *move) {
-	_ = level.Info(r.f.logger(r.q)).Log("msg", "moved", "from", m.from.Name, "to", m.to.Name, "events", r.events, "took_ms", time.Since(m.started).Milliseconds(), "since_event_ms", time.Since(r.lastEventAt).Milliseconds())
+	_ = level.Info(r.f.logger(r.q)).Log("msg", "moved", "reason", m.reason, "from", m.from.Name, "to", m.to.Name, "events", r.events, "took_ms", time.Since(m.started).Milliseconds(), "since_event_ms", time.Since(r.lastEventAt).Milliseconds())
 	r.f.o.Metrics.Counter("moves", r.q.Route.Name).Inc(1)
+	if m.reason == moveSlow {
+		r.f.o.Metrics.Counter("moves_slow", r.q.Route.Name).Inc(1)
+	}
 	m.used = true
+	r.slow = slowness{}
 	r.f.untrack(r.server.Name, r)
 	r.f.o.Scheduler.Release(r.grant.ID, schedule.Outcome{Generated: r.generatedTokens()})
 	r.grant, r.server = m.grant, m.to
@@ -248,8 +271,8 @@
 	}
 	m.abandon()
 	r.moving = nil
-	if blocked {
-		r.moving = r.startMove(ctx, src)
+	if blocked && m.reason == moveLeaving {
+		r.moving = r.startMove(ctx, src, moveLeaving)
 	}
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -62,6 +62,8 @@
 	leavingOnce *sync.Once
 	// moving is the move in progress, or nil.
 	moving *move
+	// slow is what the pauses at the current server show of it.
+	slow slowness
 	// exclude lists the destinations of moves that were given up after they were asked to resume.
 	exclude []string
 
@@ -132,7 +134,7 @@
 	return schedule.Request{
 		Workspace: q.Workspace, Weight: 1, Entry: q.Route.Name, Class: q.Class, Model: q.Service,
 		PromptTokens: q.PromptTokens, MaxOutputTokens: q.MaxOutputTokens, ExpectedOutputTokens: q.HintTokens,
-		TokenGap: q.Route.GapTarget, Fingerprint: fingerprint(q), PartHashes: partHashes(q.Service, q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
+		TokenGap: q.Route.GapTarget / time.Duration(q.stride()), Fingerprint: fingerprint(q), PartHashes: partHashes(q.Service, q.PromptParts), PrefixHashes: q.PrefixHashes, Deadline: schedulingDeadline(q),
 		FirstTokenBy: firstTokenBy(q),
 	}
 }
@@ -399,13 +401,20 @@
 	silence := time.NewTimer(patience)
 	defer silence.Stop()
 	leavingC := r.leaving
+	// mustMove is set from the notice that the server leaves until the move because of it begins, which is after the end
+	// of one that is in progress.
+	mustMove := false
 	for {
 		var next *engineStream
 		var err *fault.Error
 		select {
 		case e, open := <-src.events:
 			if open {
+				waited := time.Since(r.lastEventAt)
 				err = r.forwardEvent(src, e)
+				if e.HasID && r.events > 1 && err == nil && r.leavesSlow(waited) {
+					r.moving = r.startMove(ctx, src, moveSlow)
+				}
 				if e.Progress {
 					// The caller may have taken long to receive the event.
 					silence.Reset(patience)
@@ -421,9 +430,7 @@
 			next, err = r.awaitDestination(ctx, src)
 		case <-leavingC:
 			leavingC = nil
-			if r.movable() {
-				r.moving = r.startMove(ctx, src)
-			}
+			mustMove = r.movable()
 		case <-r.moving.copiedC():
 			r.copied(ctx, src)
 		case o := <-r.moving.openedC():
@@ -440,7 +447,11 @@
 			silence.Reset(patience)
 			r.switchTo(r.moving)
 			src.close()
-			src, r.moving, leavingC = next, nil, r.leaving
+			src, r.moving, leavingC, mustMove = next, nil, r.leaving, false
+		}
+		if mustMove && r.moving == nil {
+			mustMove = false
+			r.moving = r.startMove(ctx, src, moveLeaving)
 		}
 	}
 }
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -83,6 +83,9 @@
 	// every fillerGap in between.
 	gap    time.Duration
 	filler string
+	// slowGap is the interval before slowEvents events after the fifth.
+	slowGap    time.Duration
+	slowEvents int64
 	// copyTime is the time that a copy from this server takes; copyFails is the outcome
 	// of copies if it is not Copied.
 	copyTime  time.Duration
@@ -353,7 +356,7 @@
 			}
 			_ = w.(*io.PipeWriter).CloseWithError(errBroken) // only the connection breaks
 		}
-		if err := s.pause(ctx, w); err != nil {
+		if err := s.pause(ctx, w, next); err != nil {
 			return err
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", next, next); err != nil && !s.worksOn {
@@ -368,8 +371,11 @@
 const fillerGap = time.Second
 
 // pause waits until the next event is due.
-func (s *fakeServer) pause(ctx context.Context, w io.Writer) error {
+func (s *fakeServer) pause(ctx context.Context, w io.Writer, next int64) error {
 	gap := cmp.Or(s.gap, eventGap)
+	if next >= 5 && next < 5+s.slowEvents {
+		gap = s.slowGap
+	}
 	for due := time.Now().Add(gap); time.Now().Before(due); {
 		wait := time.Until(due)
 		if s.filler != "" {
