Spread returns within the time for which callers wait

With room expected after the latest time at which callers return, the spread was larger than that time, so that most callers were told the latest time and came back together.

The account of a wait states the projected room as its expected wait.

--- a/internal/process/schedule/account.go
+++ b/internal/process/schedule/account.go
@@ -148,7 +148,7 @@
 	}
 	return queueEntry{
 		number: a.queued, grants: a.grants, pass: a.passes, ahead: ahead,
-		expected: g.predictWait(now, class, ahead, g.freeCount),
+		expected: g.expectedWait(now, q, ahead),
 	}
 }
 
--- a/internal/process/schedule/outlook.go
+++ b/internal/process/schedule/outlook.go
@@ -199,3 +199,11 @@
 	}
 	return high
 }
+
+// expectedWait returns the wait that is expected of a request that is queued now, behind a number of others.
+func (g *Group) expectedWait(now time.Time, q *Request, ahead int) time.Duration {
+	if g.o.Policy != PolicyShared || ahead == 0 && g.freeCount > 0 {
+		return g.predictWait(now, queueClass(q), ahead, g.freeCount)
+	}
+	return g.roomIn(now, q)
+}
--- a/internal/process/schedule/returns.go
+++ b/internal/process/schedule/returns.go
@@ -147,11 +147,11 @@
 	if reason != ReasonNoReplica && len(g.available) > 0 && g.o.Policy != PolicyBaseline {
 		wait = g.roomIn(now, q)
 	}
-	spread := max(minReturnSpread, time.Duration(returnSpread*float64(wait)))
 	longest := maxRetry
 	if !q.LeaveBy.IsZero() {
 		longest = time.Duration(maxReturnFraction * float64(q.LeaveBy.Sub(now)))
 	}
+	spread := max(minReturnSpread, time.Duration(returnSpread*float64(min(wait, longest))))
 	wait = max(min(wait, longest-spread), minRetry)
 	const fractions = 1 << 16
 	part := float64(xxhash.Sum64String(q.ID)%fractions) / fractions
