Name what was known of an engine in the line of a placed generation

The line of a call's choice has the age of what was known, that of a generation had none, so that an operator could not tell a late report from a wrong choice. Grants have the average step of the replica and the age of its last report; the line "placed" writes both, and load_age_us.SERVICE.generation has the ages. TestGrantTellsWhatWasKnown is new.

--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -199,6 +199,8 @@
 			Running:   running,
 			Unread:    unread,
 			Used:      used,
+			StepUS:    int(r.step * 1e3),
+			ReportAge: r.reportAge(p.now),
 			Yields:    q.Class == catalogue.Urgent && yields,
 			Account:   account,
 		},
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -43,6 +43,7 @@
 	reports       int
 	hasReport     bool
 	lastReport    int64
+	reportedAt    time.Time
 	incarnation   string
 	returnedAt    time.Time
 	load          float64
@@ -242,7 +243,7 @@
 	if !known || (report.ReportedAtMS != 0 && report.ReportedAtMS == r.lastReport) {
 		return
 	}
-	r.lastReport = report.ReportedAtMS
+	r.lastReport, r.reportedAt = report.ReportedAtMS, now
 	r.reportedBatch = report.MaxBatch
 	r.reportedKV = report.KVCapacityTokens
 	if r.incarnation != "" && report.Incarnation != r.incarnation {
@@ -277,6 +278,14 @@
 	g.updateUnavailableSince(now)
 }
 
+// reportAge returns the time since the last report was received, or 0 if there is none.
+func (r *replica) reportAge(now time.Time) time.Duration {
+	if r.reportedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.reportedAt)
+}
+
 // resetExternal discards the external work, peer loads and reservations that belong to
 // the engine's previous incarnation.
 func (r *replica) resetExternal() {
--- a/internal/process/schedule/speed_test.go
+++ b/internal/process/schedule/speed_test.go
@@ -134,3 +134,14 @@
 	is.True(!leaves(5, 8, "x", 0))
 	is.True(!leaves(50, 200, "x", 0))
 }
+
+// Guards against a choice whose log line doesn't tell what was known of the engine, and since when.
+func TestGrantTellsWhatWasKnown(t *testing.T) {
+	is := is.New(t)
+	g := sharedGroup(1)
+	now := stepReports(g, start, 3, "1", 5).Add(300 * time.Millisecond)
+	enqueueN(g, now, "r", 1, catalogue.Urgent)
+	grant := g.Dispatch(now)[0].Grant
+	is.Equal(grant.StepUS, 5000)
+	is.Equal(grant.ReportAge, 300*time.Millisecond)
+}
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -99,6 +99,10 @@
 	// Unread the number of their prompt tokens that had yet to be prefilled, and Used the KV memory
 	// in use in tokens.
 	Running, Unread, Used int
+	// StepUS is the average time of the replica's steps in microseconds, or 0 if it is not known, and ReportAge the time
+	// since its last report was received.
+	StepUS    int
+	ReportAge time.Duration
 	// Yields makes the engine preempt this generation before others of its class,
 	// because its workspace uses more than its share.
 	Yields bool
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -199,8 +199,11 @@
 		server, ok := r.f.o.Servers.Get(grant.Backend)
 		if ok && !r.f.o.Servers.Blocked(time.Now(), grant.Backend) {
 			r.grant, r.server = grant, server
-			_ = log.With(level.Info(r.f.logger(r.q)), grant.Account.LogFields()...).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "running", grant.Running, "unread_tokens", grant.Unread, "used_tokens", grant.Used, "prompt_tokens", r.q.PromptTokens, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
+			_ = log.With(level.Info(r.f.logger(r.q)), grant.Account.LogFields()...).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "running", grant.Running, "unread_tokens", grant.Unread, "used_tokens", grant.Used, "step_us", grant.StepUS, "report_age_ms", grant.ReportAge.Milliseconds(), "prompt_tokens", r.q.PromptTokens, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
 			r.f.o.Metrics.Observe(telemetry.QueueTime, r.q.Workspace, string(r.q.Class), time.Since(began))
+			if grant.ReportAge > 0 {
+				r.f.o.Metrics.Observe(telemetry.LoadAge, r.q.Service, "generation", grant.ReportAge)
+			}
 			return nil
 		}
 		r.f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
