Visit only servers with a state that time ends in the registry's periodic work

Four times a second a gateway went through all servers of the list to notice ended pauses, cold times and removals, once more for the gauges of cold servers, and 3.6 times a second for the servers that broke connections. That grows with the list, of which a gateway needs 94 servers of 3,000. The registry now keeps the names of the servers with such a state.

A heap of times was ruled out: pauses, rights and cold times move in both directions, and few servers have one.

--- a/internal/process/registry/cold.go
+++ b/internal/process/registry/cold.go
@@ -166,6 +166,7 @@
 	if until := r.cold.until(); r.cold.deniedUntil.After(until) {
 		r.cold.deniedUntil = until
 	}
+	g.noteTimed(r)
 	switch left := r.cold.remaining(now); {
 	case left > 0 && r.cold.began.IsZero() && g.boundsCold(r):
 		r.cold.began = now
@@ -220,8 +221,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var earliest time.Duration
-	for _, r := range g.servers {
-		if r.Service != service || r.isLeaving() {
+	for _, r := range g.indexed().services[service] {
+		if r.isLeaving() {
 			continue
 		}
 		wait := r.cold.deniedUntil.Sub(now)
@@ -240,7 +241,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []ColdServer
-	for _, r := range g.servers {
+	for name := range g.timed {
+		r := g.servers[name]
 		if left := r.cold.remaining(now); left > 0 && !r.cold.began.IsZero() && !r.isLeaving() {
 			out = append(out, ColdServer{Server: r.Server, Left: left, Age: now.Sub(r.cold.began)})
 		}
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -126,6 +126,8 @@
 	evacuated  evacuation.Set
 	graceUntil time.Time
 	synced     bool
+	// timed holds the names of the servers with a state that time ends, or that is looked at as long as it lasts.
+	timed map[string]bool
 	// listing changes whenever the list may have changed, and index is that of a listing.
 	listing uint64
 	index   index
@@ -143,7 +145,7 @@
 // New returns an empty registry that calls onChange and onLeaving as described at their
 // fields.
 func New(onChange func(), onLeaving func(name string)) *Registry {
-	return &Registry{onChange: onChange, onLeaving: onLeaving, now: time.Now, servers: map[string]*record{}}
+	return &Registry{onChange: onChange, onLeaving: onLeaving, now: time.Now, servers: map[string]*record{}, timed: map[string]bool{}}
 }
 
 // Synced reports whether the list has been read at least once.
@@ -227,6 +229,7 @@
 	r.Server, r.evacuated = s, g.evacuated.Contains(s.DataCentre)
 	g.noteListedCold(r)
 	r.removed, r.removalPending, r.confirmed = false, false, false
+	g.noteTimed(r)
 	if !before && r.isLeaving() {
 		leaving = append(leaving, s.Name)
 	}
@@ -244,11 +247,13 @@
 		}
 		g.listing++
 		r.removalPending = true
+		g.noteTimed(r)
 		return leaving
 	}
 	before := r.isLeaving()
 	g.listing++
 	r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
+	g.noteTimed(r)
 	if !before {
 		leaving = append(leaving, name)
 	}
@@ -317,7 +322,8 @@
 	var leaving []string
 	changed := false
 	g.mu.Lock()
-	for name, r := range g.servers {
+	for name := range g.timed {
+		r := g.servers[name]
 		changed = r.pause.noticeEnd(now) || changed
 		changed = g.noticeColdEnd(now, r) || changed
 		if r.removalPending && !now.Before(g.graceUntil) {
@@ -332,6 +338,9 @@
 			g.listing++
 			delete(g.servers, name)
 		}
+		if g.servers[name] == nil || !r.timed(now) {
+			delete(g.timed, name)
+		}
 	}
 	g.mu.Unlock()
 	if changed || len(leaving) > 0 {
@@ -340,6 +349,22 @@
 	g.reportChanges()
 }
 
+// timed reports whether the record has a state that Tick, Broken or ColdServers looks at.
+//
+// Load pattern: a host has thousands of servers in its list, and few of them pause, are cold or end at a time.
+func (r *record) timed(now time.Time) bool {
+	return r.removed || r.removalPending || !r.pause.began.IsZero() && !r.pause.elapsed || r.brokenUntil.After(now) ||
+		!r.cold.began.IsZero() || !r.cold.deniedUntil.IsZero() || r.cold.remaining(now) > 0
+}
+
+// noteTimed keeps a record with such a state until Tick finds that it has ended. Callers pass times of
+// different clocks, so no state counts as ended here. The caller holds the lock.
+func (g *Registry) noteTimed(r *record) {
+	if r.timed(time.Time{}) {
+		g.timed[r.Name] = true
+	}
+}
+
 // NoteReplaced records that another server responds at the server's address.
 func (g *Registry) NoteReplaced(name string) { g.update(name, func(r *record) { r.replaced = true }) }
 
@@ -384,7 +409,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out map[string]time.Duration
-	for name, r := range g.servers {
+	for name := range g.timed {
+		r := g.servers[name]
 		if remaining := r.brokenUntil.Sub(now); remaining > 0 {
 			if out == nil {
 				out = map[string]time.Duration{}
@@ -423,6 +449,7 @@
 	}
 	before := r.isLeaving()
 	change(r)
+	g.noteTimed(r)
 	after := r.isLeaving()
 	g.mu.Unlock()
 	if !before && after {
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -266,3 +267,45 @@
 	r.Remove(start, "x")
 	is.True(!r.Lapsed(server("x")))
 }
+
+// Guards against periodic work that grows with the list, of which a host has thousands of servers: only
+// those with a state that ends are visited, until it has ended.
+func TestPeriodicWorkIsThatOfServersWithTimedStates(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry()
+	r.now = func() time.Time { return start }
+	r.BoundCold(func(string) int { return 1 }, func(string) time.Duration { return 0 })
+	var list []Server
+	for i := range 1000 {
+		list = append(list, server(fmt.Sprint("s", i)))
+	}
+	r.Sync(start, list)
+	r.Tick(start)
+	is.Equal(len(r.timed), 0)
+	r.NoteBroken(start, "s1")
+	r.NoteStatement(start, list[2], 0, Statement{Pause: time.Second})
+	r.NoteCold(start, start, list[3], time.Second)
+	r.Remove(start, "s4")
+	r.Tick(start)
+	is.Equal(len(r.timed), 4)
+	r.Tick(start.Add(maxBrokenExclusion + statementRetention))
+	is.Equal(len(r.timed), 0)
+	is.Equal(len(r.servers), 999)
+}
+
+// BenchmarkTick measures the work of a tick, of the list of broken servers and of that of cold ones.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint("servers=", n), func(b *testing.B) {
+			r := newTestRegistry()
+			for i := range n {
+				r.Put(server(fmt.Sprint("s", i)))
+			}
+			for b.Loop() {
+				r.Tick(start)
+				r.Broken(start)
+				r.ColdServers(start)
+			}
+		})
+	}
+}
