Change the registry's index by the entries that changed

Each change of the list threw the index of all servers away, and each entry that was written again counted as a change, so that one changed server of 3,000 cost a gateway a new index of all and a new division of the fleet, up to four times a second. The index now follows the entries, and the division is made again only if the set of engines changes.

The new test compares the index with one that is built as a whole; it cannot be compiled against the code before.

Weighed: building the index again at most every 250 ms, which keeps the product of servers and hosts and lets requests see an old list; not taken.

--- a/internal/process/registry/cells.go
+++ b/internal/process/registry/cells.go
@@ -29,9 +29,10 @@
 	division  cell.Division
 	peers     []membership.Gateway
 	updatedAt time.Time
-	// names holds the gateways, engines the engines at listing, of the last division.
+	// names and engineNames hold the gateways and the engines of the last division, engineSet is the registry's number
+	// of the set of engines.
 	names, engineNames []string
-	listing            uint64
+	engineSet          uint64
 }
 
 // NewCells returns the cells of the fleet that a gossiper and a registry know. observe may be nil.
@@ -76,9 +77,9 @@
 	for _, g := range live {
 		names = append(names, g.Name)
 	}
-	engines, listing := c.registry.engineNames(c.listing)
-	if listing != c.listing {
-		c.engineNames, c.listing = engines, listing
+	engines, set := c.registry.engineNames(c.engineSet)
+	if set != c.engineSet {
+		c.engineNames, c.engineSet = engines, set
 	} else if slices.Equal(names, c.names) {
 		c.setPeers(live, self)
 		return
--- a/internal/process/registry/evacuation.go
+++ b/internal/process/registry/evacuation.go
@@ -67,9 +67,9 @@
 		return false
 	}
 	found := false
-	for _, r := range g.servers {
+	for _, r := range g.index.services[service] {
 		switch {
-		case r.Service != service || r.isLeaving():
+		case r.isLeaving():
 		case !r.evacuated:
 			return false
 		default:
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -4,6 +4,7 @@
 package registry
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -128,9 +129,9 @@
 	synced     bool
 	// timed holds the names of the servers with a state that time ends, or that is looked at as long as it lasts.
 	timed map[string]bool
-	// listing changes whenever the list may have changed, and index is that of a listing.
-	listing uint64
-	index   index
+	index index
+	// engineSet changes whenever the set of engines changes.
+	engineSet uint64
 	// changes holds the changes of state that onState has not been called for, and lapsed the
 	// servers that onLapsed has not been called for.
 	changes []StateChange
@@ -145,7 +146,7 @@
 // New returns an empty registry that calls onChange and onLeaving as described at their
 // fields.
 func New(onChange func(), onLeaving func(name string)) *Registry {
-	return &Registry{onChange: onChange, onLeaving: onLeaving, now: time.Now, servers: map[string]*record{}, timed: map[string]bool{}}
+	return &Registry{onChange: onChange, onLeaving: onLeaving, now: time.Now, servers: map[string]*record{}, timed: map[string]bool{}, index: newIndex()}
 }
 
 // Synced reports whether the list has been read at least once.
@@ -208,12 +209,15 @@
 // put stores an entry. Like drop, it returns leaving with the server's name appended if
 // the server has begun to leave. The caller holds the lock.
 func (g *Registry) put(s Server, leaving []string) []string {
-	g.listing++
 	r := g.servers[s.Name]
 	// The entry of an older incarnation may arrive after that of a newer one.
 	if r != nil && s.StartedMS < r.StartedMS {
 		return leaving
 	}
+	wasEngine := r != nil && r.isEngine()
+	if r != nil {
+		g.index.remove(r)
+	}
 	if r == nil || s.StartedMS > r.StartedMS || s.Address != r.Address {
 		next := &record{crashes: r.crashesBefore(s)}
 		if next.crashes >= crashLoopThreshold {
@@ -229,6 +233,10 @@
 	r.Server, r.evacuated = s, g.evacuated.Contains(s.DataCentre)
 	g.noteListedCold(r)
 	r.removed, r.removalPending, r.confirmed = false, false, false
+	g.index.add(r)
+	if r.isEngine() != wasEngine {
+		g.engineSet++
+	}
 	g.noteTimed(r)
 	if !before && r.isLeaving() {
 		leaving = append(leaving, s.Name)
@@ -245,15 +253,11 @@
 		if !r.removalPending && !r.isLeaving() {
 			g.lapsed = append(g.lapsed, r.Server)
 		}
-		g.listing++
-		r.removalPending = true
-		g.noteTimed(r)
+		g.changeEntry(r, func() { r.removalPending = true })
 		return leaving
 	}
 	before := r.isLeaving()
-	g.listing++
-	r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
-	g.noteTimed(r)
+	g.changeEntry(r, func() { r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false })
 	if !before {
 		leaving = append(leaving, name)
 	}
@@ -306,8 +310,7 @@
 func (g *Registry) NoteEnded(now time.Time, s Server) {
 	g.update(s.Name, func(r *record) {
 		if r.StartedMS == s.StartedMS && r.removalPending {
-			g.listing++
-			r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
+			g.changeEntry(r, func() { r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false })
 		}
 	})
 }
@@ -335,7 +338,6 @@
 		}
 		if r.removed && now.Sub(r.removedAt) > retention {
 			g.endStatements(now, r, "removed")
-			g.listing++
 			delete(g.servers, name)
 		}
 		if g.servers[name] == nil || !r.timed(now) {
@@ -478,11 +480,11 @@
 	return r == nil || r.isLeaving()
 }
 
-// Addresses returns the addresses of all servers that have not been removed. The caller must not change the map.
-func (g *Registry) Addresses() map[string]bool {
+// Listed reports whether a server that has not been removed has an address.
+func (g *Registry) Listed(address string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.indexed().addresses
+	return g.index.addresses[address] > 0
 }
 
 // Service returns the servers of a service, those in dataCentre first, each part sorted by
@@ -492,7 +494,7 @@
 	defer g.mu.Unlock()
 	var out []membership.Backend
 	listed := g.listedServices(now)
-	for _, r := range g.indexed().services[service] {
+	for _, r := range g.index.services[service] {
 		out = append(out, g.backend(now, r, listed))
 	}
 	slices.SortFunc(out, func(a, b membership.Backend) int {
@@ -507,18 +509,15 @@
 	return out
 }
 
-// engineNames returns the names of all engines in no particular order, unless they are the same as at the
-// listing that it returned before.
-func (g *Registry) engineNames(before uint64) (out []string, listing uint64) {
+// engineNames returns the names of all engines in no particular order, unless they are the same as those of the
+// set that it returned before.
+func (g *Registry) engineNames(before uint64) (out []string, set uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.listing == before {
+	if g.engineSet == before {
 		return nil, before
 	}
-	for _, r := range g.indexed().engines {
-		out = append(out, r.Name)
-	}
-	return out, g.listing
+	return slices.Collect(maps.Keys(g.index.engines)), g.engineSet
 }
 
 // isEngine reports whether the record is that of a listed engine.
@@ -536,7 +535,7 @@
 		out = append(out, b)
 	}
 	if names == nil {
-		for _, r := range g.indexed().engines {
+		for _, r := range g.index.engines {
 			add(r)
 		}
 	}
@@ -552,7 +551,11 @@
 // listedServices returns the services that have a server which accepts work and is not
 // unconfirmed, if any server is unconfirmed. The caller holds the lock.
 func (g *Registry) listedServices(now time.Time) map[string]bool {
-	if !slices.ContainsFunc(g.indexed().lapsed, (*record).unconfirmed) {
+	unconfirmed := false
+	for _, r := range g.index.lapsed {
+		unconfirmed = unconfirmed || r.unconfirmed()
+	}
+	if !unconfirmed {
 		return nil
 	}
 	out := map[string]bool{}
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -309,3 +311,69 @@
 		})
 	}
 }
+
+// Guards against changes of single entries that take time in proportion to the list: an entry that is written again
+// leaves the set of engines as it is, and the index is the same as that of a list that is read as a whole.
+func TestIndexFollowsChangesOfEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		changed, now := newTestRegistry(), start
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			now = now.Add(time.Second)
+			s := server(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"))
+			s.Address = rapid.SampledFrom([]string{"1", "2"}).Draw(t, "address")
+			s.Service = rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service")
+			s.Models = rapid.SampledFrom([][]string{nil, {"m"}}).Draw(t, "models")
+			s.StartedMS = rapid.Int64Range(100, 102).Draw(t, "started")
+			set, engines := changed.engineSet, len(changed.index.engines)
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				changed.Remove(now, s.Name)
+			case 1:
+				changed.ListRecovered(now)
+				changed.Sync(now, []Server{s})
+			case 2:
+				changed.Tick(now)
+				changed.NoteEnded(now, s)
+			default:
+				changed.Put(s)
+				again := changed.engineSet
+				changed.Put(s)
+				if changed.engineSet != again {
+					t.Fatal("an entry that did not change changes the set of engines")
+				}
+			}
+			if len(changed.index.engines) != engines && changed.engineSet == set {
+				t.Fatal("the set of engines changed unnoticed")
+			}
+			want := newIndex()
+			for _, r := range changed.servers {
+				want.add(r)
+			}
+			if !reflect.DeepEqual(changed.index, want) {
+				t.Fatalf("the index is %+v, want %+v", changed.index, want)
+			}
+		}
+	})
+}
+
+// BenchmarkChange measures a changed entry with what is looked up after it.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint("servers=", n), func(b *testing.B) {
+			r, set := newTestRegistry(), uint64(0)
+			for i := range n {
+				s := server(fmt.Sprint("s", i))
+				s.Models = []string{"m"}
+				r.Put(s)
+			}
+			changed := server("s7")
+			changed.Models = []string{"m"}
+			for b.Loop() {
+				changed.Leaving = !changed.Leaving
+				r.Put(changed)
+				r.AllPaused(start, "none")
+				_, set = r.engineNames(set)
+			}
+		})
+	}
+}
--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -235,7 +235,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var earliest time.Duration
-	for _, r := range g.indexed().services[service] {
+	for _, r := range g.index.services[service] {
 		if r.isLeaving() || r.evacuated {
 			continue
 		}
