Look up the addresses of replaced gateways once per change of the view

Each list of the live gateways, made several times a second, looked up the address of each known gateway in a map to find out whether a newer one uses it. The index of the view now holds the few that are replaced, and the list is made in one piece.

The behaviour is that of the existing tests.

--- a/internal/process/membership/index.go
+++ b/internal/process/membership/index.go
@@ -16,8 +16,9 @@
 	names []string
 	// byID maps host IDs to names. byName maps hashes of names to names.
 	byID, byName map[uint32]string
-	// atAddress maps each peer address to the name of the newest host that uses it.
+	// atAddress maps each peer address to the name of the newest host that uses it. replaced holds the others.
 	atAddress map[string]string
+	replaced  map[string]bool
 	// local lists the hosts of this data centre, this gateway included, in the order of
 	// their IDs. localHash is a hash of these IDs.
 	local     []string
@@ -35,6 +36,7 @@
 		byID:      make(map[uint32]string, n),
 		byName:    make(map[uint32]string, n),
 		atAddress: make(map[string]string, n),
+		replaced:  map[string]bool{},
 	}
 	for _, name := range x.names {
 		k := t.hosts[name]
@@ -44,6 +46,11 @@
 			x.atAddress[k.PeerAddress] = name
 		}
 	}
+	for _, name := range x.names {
+		if x.atAddress[t.hosts[name].PeerAddress] != name {
+			x.replaced[name] = true
+		}
+	}
 	x.byID[t.self.ID()] = t.self.Name
 	x.byName[hashID(t.self.Name)] = t.self.Name
 	t.index = x
--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -169,7 +169,7 @@
 	if t.self.PeerAddress == h.PeerAddress {
 		return true
 	}
-	return t.getIndex().atAddress[h.PeerAddress] != h.Name
+	return t.getIndex().replaced[h.Name]
 }
 
 func supersedes(a, b Host) bool {
--- a/internal/process/membership/table_test.go
+++ b/internal/process/membership/table_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -181,3 +182,20 @@
 	table.Merge(epoch, h)
 	is.Equal(len(table.popStarted()), 0)
 }
+
+// BenchmarkLive measures the list of live gateways, which a gateway reads several times a second.
+func BenchmarkLive(b *testing.B) {
+	for _, n := range []int{30, 100, 300} {
+		b.Run(fmt.Sprint("gateways=", n), func(b *testing.B) {
+			g := NewGossiper(Options{Self: Host{Name: "self", PeerAddress: "self"}})
+			for i := range n {
+				name := fmt.Sprintf("gateway-%d", i)
+				g.state.table.Merge(time.Now().Add(time.Hour), Host{Name: name, PeerAddress: name + ":7400", Incarnation: 1})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				g.Live()
+			}
+		})
+	}
+}
--- a/internal/process/membership/view.go
+++ b/internal/process/membership/view.go
@@ -23,8 +23,9 @@
 
 // Live returns the live gateways sorted by name, this one included.
 func (g *Gossiper) Live() []Gateway {
-	var out []Gateway
-	for _, s := range g.Hosts() {
+	hosts := g.Hosts()
+	out := make([]Gateway, 0, len(hosts))
+	for _, s := range hosts {
 		if s.Usable() {
 			out = append(out, Gateway{
 				Name: s.Name, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress,
