--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -4,6 +4,7 @@
 package registry
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -126,9 +127,11 @@
 	evacuated  evacuation.Set
 	graceUntil time.Time
 	synced     bool
-	// listing changes whenever the list may have changed, and index is that of a listing.
-	listing uint64
-	index   index
+	// timed holds the names of the servers with a state that time ends, or that is looked at as long as it lasts.
+	timed map[string]bool
+	index index
+	// engineSet changes whenever the set of engines changes.
+	engineSet uint64
 	// changes holds the changes of state that onState has not been called for, and lapsed the
 	// servers that onLapsed has not been called for.
 	changes []StateChange
@@ -143,7 +146,7 @@
 // New returns an empty registry that calls onChange and onLeaving as described at their
 // fields.
 func New(onChange func(), onLeaving func(name string)) *Registry {
-	return &Registry{onChange: onChange, onLeaving: onLeaving, now: time.Now, servers: map[string]*record{}}
+	return &Registry{onChange: onChange, onLeaving: onLeaving, now: time.Now, servers: map[string]*record{}, timed: map[string]bool{}, index: newIndex()}
 }
 
 // Synced reports whether the list has been read at least once.
@@ -206,12 +209,15 @@
 // put stores an entry. Like drop, it returns leaving with the server's name appended if
 // the server has begun to leave. The caller holds the lock.
 func (g *Registry) put(s Server, leaving []string) []string {
-	g.listing++
 	r := g.servers[s.Name]
 	// The entry of an older incarnation may arrive after that of a newer one.
 	if r != nil && s.StartedMS < r.StartedMS {
 		return leaving
 	}
+	wasEngine := r != nil && r.isEngine()
+	if r != nil {
+		g.index.remove(r)
+	}
 	if r == nil || s.StartedMS > r.StartedMS || s.Address != r.Address {
 		next := &record{crashes: r.crashesBefore(s)}
 		if next.crashes >= crashLoopThreshold {
@@ -227,6 +233,11 @@
 	r.Server, r.evacuated = s, g.evacuated.Contains(s.DataCentre)
 	g.noteListedCold(r)
 	r.removed, r.removalPending, r.confirmed = false, false, false
+	g.index.add(r)
+	if r.isEngine() != wasEngine {
+		g.engineSet++
+	}
+	g.noteTimed(r)
 	if !before && r.isLeaving() {
 		leaving = append(leaving, s.Name)
 	}
@@ -242,13 +253,11 @@
 		if !r.removalPending && !r.isLeaving() {
 			g.lapsed = append(g.lapsed, r.Server)
 		}
-		g.listing++
-		r.removalPending = true
+		g.changeEntry(r, func() { r.removalPending = true })
 		return leaving
 	}
 	before := r.isLeaving()
-	g.listing++
-	r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
+	g.changeEntry(r, func() { r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false })
 	if !before {
 		leaving = append(leaving, name)
 	}
@@ -301,8 +310,7 @@
 func (g *Registry) NoteEnded(now time.Time, s Server) {
 	g.update(s.Name, func(r *record) {
 		if r.StartedMS == s.StartedMS && r.removalPending {
-			g.listing++
-			r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false
+			g.changeEntry(r, func() { r.removed, r.removedAt, r.removalPending, r.confirmed = true, now, false, false })
 		}
 	})
 }
@@ -317,7 +325,8 @@
 	var leaving []string
 	changed := false
 	g.mu.Lock()
-	for name, r := range g.servers {
+	for name := range g.timed {
+		r := g.servers[name]
 		changed = r.pause.noticeEnd(now) || changed
 		changed = g.noticeColdEnd(now, r) || changed
 		if r.removalPending && !now.Before(g.graceUntil) {
@@ -329,9 +338,11 @@
 		}
 		if r.removed && now.Sub(r.removedAt) > retention {
 			g.endStatements(now, r, "removed")
-			g.listing++
 			delete(g.servers, name)
 		}
+		if g.servers[name] == nil || !r.timed(now) {
+			delete(g.timed, name)
+		}
 	}
 	g.mu.Unlock()
 	if changed || len(leaving) > 0 {
@@ -340,6 +351,22 @@
 	g.reportChanges()
 }
 
+// timed reports whether the record has a state that Tick, Broken or ColdServers looks at.
+//
+// Load pattern: a host has thousands of servers in its list, and few of them pause, are cold or end at a time.
+func (r *record) timed(now time.Time) bool {
+	return r.removed || r.removalPending || !r.pause.began.IsZero() && !r.pause.elapsed || r.brokenUntil.After(now) ||
+		!r.cold.began.IsZero() || !r.cold.deniedUntil.IsZero() || r.cold.remaining(now) > 0
+}
+
+// noteTimed keeps a record with such a state until Tick finds that it has ended. Callers pass times of
+// different clocks, so no state counts as ended here. The caller holds the lock.
+func (g *Registry) noteTimed(r *record) {
+	if r.timed(time.Time{}) {
+		g.timed[r.Name] = true
+	}
+}
+
 // NoteReplaced records that another server responds at the server's address.
 func (g *Registry) NoteReplaced(name string) { g.update(name, func(r *record) { r.replaced = true }) }
 
@@ -384,7 +411,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out map[string]time.Duration
-	for name, r := range g.servers {
+	for name := range g.timed {
+		r := g.servers[name]
 		if remaining := r.brokenUntil.Sub(now); remaining > 0 {
 			if out == nil {
 				out = map[string]time.Duration{}
@@ -423,6 +451,7 @@
 	}
 	before := r.isLeaving()
 	change(r)
+	g.noteTimed(r)
 	after := r.isLeaving()
 	g.mu.Unlock()
 	if !before && after {
@@ -451,11 +480,11 @@
 	return r == nil || r.isLeaving()
 }
 
-// Addresses returns the addresses of all servers that have not been removed. The caller must not change the map.
-func (g *Registry) Addresses() map[string]bool {
+// Listed reports whether a server that has not been removed has an address.
+func (g *Registry) Listed(address string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.indexed().addresses
+	return g.index.addresses[address] > 0
 }
 
 // Service returns the servers of a service, those in dataCentre first, each part sorted by
@@ -465,7 +494,7 @@
 	defer g.mu.Unlock()
 	var out []membership.Backend
 	listed := g.listedServices(now)
-	for _, r := range g.indexed().services[service] {
+	for _, r := range g.index.services[service] {
 		out = append(out, g.backend(now, r, listed))
 	}
 	slices.SortFunc(out, func(a, b membership.Backend) int {
@@ -480,18 +509,15 @@
 	return out
 }
 
-// engineNames returns the names of all engines in no particular order, unless they are the same as at the
-// listing that it returned before.
-func (g *Registry) engineNames(before uint64) (out []string, listing uint64) {
+// engineNames returns the names of all engines in no particular order, unless they are the same as those of the
+// set that it returned before.
+func (g *Registry) engineNames(before uint64) (out []string, set uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.listing == before {
+	if g.engineSet == before {
 		return nil, before
 	}
-	for _, r := range g.indexed().engines {
-		out = append(out, r.Name)
-	}
-	return out, g.listing
+	return slices.Collect(maps.Keys(g.index.engines)), g.engineSet
 }
 
 // isEngine reports whether the record is that of a listed engine.
@@ -509,7 +535,7 @@
 		out = append(out, b)
 	}
 	if names == nil {
-		for _, r := range g.indexed().engines {
+		for _, r := range g.index.engines {
 			add(r)
 		}
 	}
@@ -525,7 +551,11 @@
 // listedServices returns the services that have a server which accepts work and is not
 // unconfirmed, if any server is unconfirmed. The caller holds the lock.
 func (g *Registry) listedServices(now time.Time) map[string]bool {
-	if !slices.ContainsFunc(g.indexed().lapsed, (*record).unconfirmed) {
+	unconfirmed := false
+	for _, r := range g.index.lapsed {
+		unconfirmed = unconfirmed || r.unconfirmed()
+	}
+	if !unconfirmed {
 		return nil
 	}
 	out := map[string]bool{}
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -1,11 +1,14 @@
 package registry
 
 import (
+	"fmt"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -266,3 +269,111 @@
 	r.Remove(start, "x")
 	is.True(!r.Lapsed(server("x")))
 }
+
+// Guards against periodic work that grows with the list, of which a host has thousands of servers: only
+// those with a state that ends are visited, until it has ended.
+func TestPeriodicWorkIsThatOfServersWithTimedStates(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry()
+	r.now = func() time.Time { return start }
+	r.BoundCold(func(string) int { return 1 }, func(string) time.Duration { return 0 })
+	var list []Server
+	for i := range 1000 {
+		list = append(list, server(fmt.Sprint("s", i)))
+	}
+	r.Sync(start, list)
+	r.Tick(start)
+	is.Equal(len(r.timed), 0)
+	r.NoteBroken(start, "s1")
+	r.NoteStatement(start, list[2], 0, Statement{Pause: time.Second})
+	r.NoteCold(start, start, list[3], time.Second)
+	r.Remove(start, "s4")
+	r.Tick(start)
+	is.Equal(len(r.timed), 4)
+	r.Tick(start.Add(maxBrokenExclusion + statementRetention))
+	is.Equal(len(r.timed), 0)
+	is.Equal(len(r.servers), 999)
+}
+
+// BenchmarkTick measures the work of a tick, of the list of broken servers and of that of cold ones.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint("servers=", n), func(b *testing.B) {
+			r := newTestRegistry()
+			for i := range n {
+				r.Put(server(fmt.Sprint("s", i)))
+			}
+			for b.Loop() {
+				r.Tick(start)
+				r.Broken(start)
+				r.ColdServers(start)
+			}
+		})
+	}
+}
+
+// Guards against changes of single entries that take time in proportion to the list: an entry that is written again
+// leaves the set of engines as it is, and the index is the same as that of a list that is read as a whole.
+func TestIndexFollowsChangesOfEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		changed, now := newTestRegistry(), start
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			now = now.Add(time.Second)
+			s := server(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"))
+			s.Address = rapid.SampledFrom([]string{"1", "2"}).Draw(t, "address")
+			s.Service = rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service")
+			s.Models = rapid.SampledFrom([][]string{nil, {"m"}}).Draw(t, "models")
+			s.StartedMS = rapid.Int64Range(100, 102).Draw(t, "started")
+			set, engines := changed.engineSet, len(changed.index.engines)
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				changed.Remove(now, s.Name)
+			case 1:
+				changed.ListRecovered(now)
+				changed.Sync(now, []Server{s})
+			case 2:
+				changed.Tick(now)
+				changed.NoteEnded(now, s)
+			default:
+				changed.Put(s)
+				again := changed.engineSet
+				changed.Put(s)
+				if changed.engineSet != again {
+					t.Fatal("an entry that did not change changes the set of engines")
+				}
+			}
+			if len(changed.index.engines) != engines && changed.engineSet == set {
+				t.Fatal("the set of engines changed unnoticed")
+			}
+			want := newIndex()
+			for _, r := range changed.servers {
+				want.add(r)
+			}
+			if !reflect.DeepEqual(changed.index, want) {
+				t.Fatalf("the index is %+v, want %+v", changed.index, want)
+			}
+		}
+	})
+}
+
+// BenchmarkChange measures a changed entry with what is looked up after it.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint("servers=", n), func(b *testing.B) {
+			r, set := newTestRegistry(), uint64(0)
+			for i := range n {
+				s := server(fmt.Sprint("s", i))
+				s.Models = []string{"m"}
+				r.Put(s)
+			}
+			changed := server("s7")
+			changed.Models = []string{"m"}
+			for b.Loop() {
+				changed.Leaving = !changed.Leaving
+				r.Put(changed)
+				r.AllPaused(start, "none")
+				_, set = r.engineNames(set)
+			}
+		})
+	}
+}
