Let urgent requests take room beside moving generations

Engines kept for moving generations were kept from urgent requests too, which are short and give their room back before a copy has found another place.

--- a/internal/process/schedule/outlook.go
+++ b/internal/process/schedule/outlook.go
@@ -28,6 +28,7 @@
 
 // Waiting describes a request that waits at a gateway.
 type Waiting struct {
+	// Class is that of the request, also if it moves: urgent requests are short and take no room from it for long.
 	Class catalogue.Class
 	// Tokens is the size with the expected output.
 	Tokens int
@@ -102,7 +103,7 @@
 }
 
 func (g *Group) waitingOf(now time.Time, t *queuedRequest) waiting {
-	return waiting{queueClass(&t.request), g.expectedTokens(&t.request), t.since(), t.keepsRoom(now)}
+	return waiting{t.request.Class, g.expectedTokens(&t.request), t.since(), t.keepsRoom(now)}
 }
 
 // hopeless reports whether a request that waits can't find room by its deadline, even at the optimistic bound of the
--- a/internal/process/schedule/returns.go
+++ b/internal/process/schedule/returns.go
@@ -221,7 +221,7 @@
 		count(p.kept(now), p.class)
 	}
 	for e := range g.queue.All() {
-		count(e.Value.keepsRoom(now), queueClass(&e.Value.request))
+		count(e.Value.keepsRoom(now), e.Value.request.Class)
 	}
 	for _, d := range g.demands {
 		for i := range d.waiting {
