Count what workspaces use over all gateways under the shared policy

Each gateway knew only what its own callers were granted, so a workspace that floods through many gateways was within its share at each, and not over any share where it was alone: it took all slots while the callers of other gateways waited.

Gateways now tell each other the decaying sums of what they granted, by group for the 16 largest workspaces, beside the loads that they exchange anyway and through relays. The use counts in the shares, and the grants within their share in the room that is kept for them.

Sums instead of increments make lost and repeated messages harmless. They are packed apart from the loads, because older gateways refuse loads with more bytes and numbers that decay would wake all who wait at a relay.

--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -83,6 +83,10 @@
 
 func (f *fifo) Account(time.Time, string) schedule.Account { return schedule.Account{} }
 
+func (f *fifo) Use(time.Time) schedule.Use { return schedule.Use{} }
+
+func (f *fifo) SetPeerUse(time.Time, string, schedule.Use) {}
+
 func (f *fifo) place(r schedule.Request) (schedule.Replica, bool) {
 	for _, p := range f.replicas {
 		used, suspects := 0, 0
--- a/internal/process/owner/loadcodec.go
+++ b/internal/process/owner/loadcodec.go
@@ -23,9 +23,7 @@
 	e.number(int64(a.Number))
 	e.number(int64(len(a.Groups)))
 	for _, g := range a.Groups {
-		e.text(g.Group.DataCentre)
-		e.text(g.Group.Model)
-		e.number(int64(g.Group.Shard))
+		e.group(g.Group)
 		e.number(int64(len(g.Loads)))
 		for i := range g.Loads {
 			l := &g.Loads[i]
@@ -57,6 +55,58 @@
 	return d.left
 }
 
+// GroupUse is what a gateway has granted recently in one group.
+type GroupUse struct {
+	Group schedule.GroupKey
+	Use   schedule.Use
+}
+
+// maxUseNumber bounds the numbers of a use, so that those of a faulty peer can't overflow a sum.
+const maxUseNumber = 1 << 40
+
+// encodeUses encodes what a gateway has granted recently. It is not a part of encodeLoads, because its
+// numbers change all the time, and gateways that don't know it refuse loads with more bytes.
+func encodeUses(uses []GroupUse) []byte {
+	if len(uses) == 0 {
+		return nil
+	}
+	var e loadEncoder
+	e.number(int64(len(uses)))
+	for _, g := range uses {
+		e.group(g.Group)
+		e.number(g.Use.Tokens)
+		e.number(g.Use.WithinShare)
+		e.number(int64(len(g.Use.Workspaces)))
+		for _, w := range g.Use.Workspaces {
+			e.text(w.Workspace)
+			e.number(w.Tokens)
+			e.number(w.Weight)
+		}
+	}
+	return e
+}
+
+// decodeUses is the inverse of encodeUses.
+func decodeUses(b []byte) ([]GroupUse, error) {
+	d := loadDecoder{left: b}
+	var out []GroupUse
+	for range d.count() {
+		g := GroupUse{Group: d.group(), Use: schedule.Use{Tokens: d.amount(), WithinShare: d.amount()}}
+		for range d.count() {
+			w := schedule.WorkspaceUse{Workspace: d.text(), Tokens: d.amount(), Weight: d.amount()}
+			if d.failed {
+				return nil, errInvalidLoads
+			}
+			g.Use.Workspaces = append(g.Use.Workspaces, w)
+		}
+		out = append(out, g)
+	}
+	if d.failed || len(d.left) > 0 {
+		return nil, errInvalidLoads
+	}
+	return out, nil
+}
+
 // loadEncoder holds the bytes encoded so far.
 type loadEncoder []byte
 
@@ -67,12 +117,18 @@
 	*e = append(*e, s...)
 }
 
+func (e *loadEncoder) group(k schedule.GroupKey) {
+	e.text(k.DataCentre)
+	e.text(k.Model)
+	e.number(int64(k.Shard))
+}
+
 // decodeLoads is the inverse of encodeLoads.
 func decodeLoads(b []byte) (LoadsArgs, error) {
 	d := loadDecoder{left: b}
 	a := LoadsArgs{Gateway: d.text(), Incarnation: d.number(), Number: uint64(d.number())}
 	for range d.count() {
-		g := GroupLoads{Group: schedule.GroupKey{DataCentre: d.text(), Model: d.text(), Shard: int(d.number())}}
+		g := GroupLoads{Group: d.group()}
 		for range d.count() {
 			l := schedule.ReplicaLoad{Replica: d.text(), Running: int(d.number()), Unread: int(d.number()), Yielding: int(d.number())}
 			for h := range l.Memory.Mean {
@@ -107,6 +163,20 @@
 	return n
 }
 
+// amount returns a number of 0 to maxUseNumber.
+func (d *loadDecoder) amount() int64 {
+	n := d.number()
+	if n < 0 || n > maxUseNumber {
+		d.failed, d.left = true, nil
+		return 0
+	}
+	return n
+}
+
+func (d *loadDecoder) group() schedule.GroupKey {
+	return schedule.GroupKey{DataCentre: d.text(), Model: d.text(), Shard: int(d.number())}
+}
+
 // count returns a number of elements, each of which takes at least one byte.
 func (d *loadDecoder) count() int {
 	n := d.number()
--- a/internal/process/owner/loadcodec_test.go
+++ b/internal/process/owner/loadcodec_test.go
@@ -34,6 +34,59 @@
 	}
 }
 
+func exampleUses() []GroupUse {
+	return []GroupUse{
+		{schedule.GroupKey{DataCentre: "dc", Model: "m", Shard: 3}, schedule.Use{Tokens: 1 << 30, WithinShare: 1500, Workspaces: []schedule.WorkspaceUse{{Workspace: "w", Tokens: 5, Weight: 150}, {}}}},
+		{},
+	}
+}
+
+// Guards against uses that change on the way through two relays, are sent again to a follower that has them,
+// or are lost because a message without them follows.
+func TestUsesPassRelays(t *testing.T) {
+	var first, second relayBuffer
+	now := time.Unix(1000, 0)
+	first.add(now, &LoadsArgs{Gateway: "g", Number: 1, Uses: encodeUses(exampleUses())}, true)
+	first.add(now, &LoadsArgs{Gateway: "g", Number: 2}, true)
+	loads, _ := first.since(now, 0, "other", false)
+	a, err := decodeLoads(loads[0].Encoded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Uses = loads[0].Uses
+	second.add(now, &a, false)
+	loads, _ = second.since(now, 0, "follower", false)
+	if got, err := decodeUses(loads[0].Uses); err != nil || !reflect.DeepEqual(got, exampleUses()) {
+		t.Errorf("decoded %+v, %v; want %+v", got, err, exampleUses())
+	}
+	first.add(now, &LoadsArgs{Gateway: "g", Number: 3}, true)
+	if loads, _ = first.since(now, 2, "other", false); len(loads) != 1 || loads[0].Uses != nil {
+		t.Errorf("uses are sent again: %+v", loads)
+	}
+	first.add(now.Add(loadsTTL), &LoadsArgs{Gateway: "g", Number: 4}, true)
+	if loads, _ = first.since(now, 0, "late", false); loads[0].Uses != nil {
+		t.Error("uses are sent to a new follower after they have expired")
+	}
+}
+
+// Guards against uses of a faulty peer that panic, overflow sums or decode to something else than they encode.
+func FuzzDecodeUses(f *testing.F) {
+	whole := encodeUses(exampleUses())
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Add([]byte{2, 0, 0, 0, 1, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		uses, err := decodeUses(b)
+		if err != nil {
+			return
+		}
+		again, err := decodeUses(encodeUses(uses))
+		if err != nil && len(uses) > 0 || !reflect.DeepEqual(uses, again) {
+			t.Errorf("decoded %+v, and %+v, %v after encoding it again", uses, again, err)
+		}
+	})
+}
+
 // Guards against bytes of a faulty peer that make a gateway panic or allocate more than
 // they are worth, and against bytes that decode to something else than they encode.
 func FuzzDecodeLoads(f *testing.F) {
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -30,6 +30,9 @@
 	Running(replica string) []schedule.Request
 	Loads() []schedule.ReplicaLoad
 	SetPeerLoads(now time.Time, gateway string, number uint64, loads []schedule.ReplicaLoad)
+	// Use returns what this gateway has granted recently by workspace, and SetPeerUse passes that of another one.
+	Use(now time.Time) schedule.Use
+	SetPeerUse(now time.Time, gateway string, u schedule.Use)
 	// Reservation returns the reservation of a grant that the replica's arbiter has to
 	// confirm. Confirm, DropReservations, LoadsByGateway, CorrectPeerLoads and Postpone
 	// also deal with reservations; see schedule.Reservation.
--- a/internal/process/owner/peerload.go
+++ b/internal/process/owner/peerload.go
@@ -34,6 +34,7 @@
 	// sentAt is the time of the last message to all gateways, and reportsSentAt the time up
 	// to which reports of engines have been passed on.
 	sentAt, reportsSentAt time.Time
+	uses                  schedule.UsePublisher
 	// number is that of the newest message. Messages with a higher number include all
 	// current grants.
 	number uint64
@@ -60,6 +61,8 @@
 	// Number increases with each message, so that a delayed one is ignored.
 	Number uint64
 	Groups []GroupLoads
+	// Uses is the result of encodeUses, or nil if the use is not due.
+	Uses []byte
 	// Reports are the load reports that the gateway has polled since its last message.
 	Reports []api.LoadReport
 	// Broken holds the engines that broke connections of the gateway, with the time for
@@ -154,9 +157,28 @@
 			args.Demands = append(args.Demands, GroupDemand{r.key, d})
 		}
 	}
+	args.Uses = encodeUses(m.dueUses(now))
 	return args
 }
 
+// dueUses returns what this gateway has granted recently, or nil if the others need not learn it now.
+func (m *Manager) dueUses(now time.Time) []GroupUse {
+	var out []GroupUse
+	tokens := int64(0)
+	for _, r := range m.allRunners() {
+		if u := r.use(now); u.Tokens > 0 {
+			out = append(out, GroupUse{r.key, u})
+			tokens += u.Tokens
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.loads.uses.Due(now, tokens) {
+		return nil
+	}
+	return out
+}
+
 // loadsDue reports whether the loads are to be sent, and if so marks them as sent.
 func (m *Manager) loadsDue(now time.Time) bool {
 	m.mu.Lock()
@@ -241,6 +263,25 @@
 	for _, r := range m.allRunners() {
 		r.setPeerLoads(now, in.Gateway, in.Number, byGroup[r.key], demandOf(in.Demands, r.key))
 	}
+	if len(in.Uses) > 0 {
+		m.receiveUses(now, in.Gateway, in.Uses)
+	}
+}
+
+// receiveUses passes what a peer has granted recently to the groups. A group that is missing has no use.
+func (m *Manager) receiveUses(now time.Time, gateway string, encoded []byte) {
+	uses, err := decodeUses(encoded)
+	if err != nil {
+		level.Warn(m.opt.Logger).Log("msg", "ignoring the use of workspaces at a peer", "peer", gateway, "err", err)
+		return
+	}
+	byGroup := make(map[schedule.GroupKey]schedule.Use, len(uses))
+	for _, g := range uses {
+		byGroup[g.Group] = g.Use
+	}
+	for _, r := range m.allRunners() {
+		r.setPeerUse(now, gateway, byGroup[r.key])
+	}
 }
 
 // expireLoads drops the loads of gateways that have been silent for loadsTTL.
@@ -262,6 +303,7 @@
 	for _, name := range silent {
 		for _, r := range m.allRunners() {
 			r.setPeerLoads(now, name, schedule.NoMoreLoads, nil, schedule.Demand{})
+			r.setPeerUse(now, name, schedule.Use{})
 		}
 	}
 }
@@ -272,6 +314,18 @@
 	return r.group.Loads()
 }
 
+func (r *runner) use(now time.Time) schedule.Use {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.group.Use(now)
+}
+
+func (r *runner) setPeerUse(now time.Time, gateway string, u schedule.Use) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.group.SetPeerUse(now, gateway, u)
+}
+
 func (r *runner) demand(now time.Time) schedule.Demand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/process/owner/relay.go
+++ b/internal/process/owner/relay.go
@@ -69,6 +69,8 @@
 	Broken map[string]time.Duration
 	// Demands are those of LoadsArgs, later by the time since the relay received them.
 	Demands []GroupDemand
+	// Uses is that of LoadsArgs, or nil if the caller has it already.
+	Uses []byte
 }
 
 // FetchLoadsReply holds the loads and reports after the position of FetchLoadsArgs.
@@ -320,7 +322,7 @@
 			level.Warn(m.opt.Logger).Log("msg", "ignoring loads from a relay", "relay", relay, "err", err)
 			continue
 		}
-		a.Broken, a.Demands = l.Broken, l.Demands
+		a.Broken, a.Demands, a.Uses = l.Broken, l.Demands, l.Uses
 		loads = append(loads, a)
 		m.receiveLoads(now, &a)
 	}
--- a/internal/process/owner/relaybuffer.go
+++ b/internal/process/owner/relaybuffer.go
@@ -27,7 +27,11 @@
 	number      uint64
 	broken      map[string]time.Duration
 	demands     []GroupDemand
-	sequence    uint64
+	// uses are those of the newest message that has any, which was added at usesSequence.
+	uses         []byte
+	usesSequence uint64
+	usesAt       time.Time
+	sequence     uint64
 	// changedAt is the sequence number at which the loads last differed from those before.
 	changedAt  uint64
 	receivedAt time.Time
@@ -61,6 +65,11 @@
 	if known && old.incarnation == next.incarnation && sameLoads(old.encoded, next.encoded) && len(old.broken)+len(next.broken)+len(old.demands)+len(next.demands) == 0 {
 		next.changedAt = old.changedAt
 	}
+	if len(in.Uses) > 0 {
+		next.uses, next.usesSequence, next.usesAt = in.Uses, b.sequence, now
+	} else if now.Sub(old.usesAt) < loadsTTL {
+		next.uses, next.usesSequence, next.usesAt = old.uses, old.usesSequence, old.usesAt
+	}
 	b.loads[in.Gateway] = next
 	b.addReports(now, in.Reports, in.Gateway, local)
 }
@@ -91,7 +100,11 @@
 func (b *relayBuffer) since(now time.Time, sequence uint64, caller string, onlyLocal bool) (loads []RelayedLoads, reports []api.LoadReport) {
 	for gateway, l := range b.loads {
 		if l.sequence > sequence && gateway != caller && (l.local || !onlyLocal) {
-			loads = append(loads, RelayedLoads{l.encoded, remaining(l.broken, now.Sub(l.receivedAt)), laterDemands(l.demands, now.Sub(l.receivedAt))})
+			relayed := RelayedLoads{Encoded: l.encoded, Broken: remaining(l.broken, now.Sub(l.receivedAt)), Demands: laterDemands(l.demands, now.Sub(l.receivedAt))}
+			if l.usesSequence > sequence {
+				relayed.Uses = l.uses
+			}
+			loads = append(loads, relayed)
 		}
 	}
 	for _, r := range b.reports {
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -184,6 +184,9 @@
 	g.addGrant(p.now, q, r, s, tokens, yields)
 	p.urgent.spare--
 	p.fair.spare--
+	if yields && q.Class == catalogue.Urgent {
+		g.shares.spareRight--
+	}
 	g.prefixes.remember(q.PrefixHashes, r)
 	if !q.Moving {
 		g.countAdmission(p.now, q, tokens)
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"persimmonwing/internal/process/memory"
+	"persimmonwing/internal/version/catalogue"
 )
 
 // grant is a Grant in use.
@@ -173,6 +174,9 @@
 		used = 0
 	}
 	g.queue.Charge(h.request.Workspace, h.request.Class, used-h.charged)
+	if o.NotRun && h.request.Class == catalogue.Urgent && !h.request.Moving {
+		g.shares.refund(now, h.request.Workspace, h.charged, h.grantedAt)
+	}
 	g.trackRefusals(now, h.replica, o)
 	g.removeGrant(now, id, h)
 }
--- a/internal/process/schedule/headroom.go
+++ b/internal/process/schedule/headroom.go
@@ -59,7 +59,12 @@
 	if g.o.NoFairness {
 		return noHeadroom
 	}
-	return g.headroomFor(g.shares.withinShare.rate(now))
+	if len(g.shares.peers) > 0 {
+		g.shares.countActive(now)
+	}
+	h := g.headroomFor(g.shares.withinShareRate(now))
+	h.spare = g.shares.spareHere(now, h.spare)
+	return h
 }
 
 // updateMeanUrgentSize adds an urgent grant to the mean size of urgent grants in tokens.
--- a/internal/process/schedule/shares.go
+++ b/internal/process/schedule/shares.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -16,8 +18,67 @@
 	activeCountInterval = 500 * time.Millisecond
 	// idleTokens is the decayed usage in tokens below which a workspace is removed.
 	idleTokens = 1.0
+	// maxUseWorkspaces bounds the workspaces in a Use. A workspace that uses more than a sixteenth of what a
+	// gateway grants is always among them; with fewer than 16 active ones all are.
+	maxUseWorkspaces = 16
+	// useTTL is the time for which the use of a gateway counts that says nothing newer, as its loads do.
+	useTTL = 3 * time.Second
+	// loadsDelay is the time within which other gateways learn of a grant.
+	loadsDelay = 100 * time.Millisecond
+	// useWeightUnit is the unit of WorkspaceUse.Weight, the smallest weight of a workspace.
+	useWeightUnit = 0.01
 )
 
+// Use is what one gateway has granted to urgent work recently. It states sums that decay with
+// usageTimeConstant and no increments, so that a message that is lost or repeated changes nothing for good.
+type Use struct {
+	// Tokens is the sum over all workspaces.
+	Tokens int64
+	// WithinShare is the number of grants, in thousandths, of workspaces within their share.
+	WithinShare int64
+	// Workspaces holds the workspaces with the largest use, at most maxUseWorkspaces.
+	Workspaces []WorkspaceUse
+}
+
+// WorkspaceUse is the part of a Use that one workspace has.
+type WorkspaceUse struct {
+	Workspace string
+	Tokens    int64
+	// Weight is in hundredths.
+	Weight int64
+}
+
+const (
+	// usePeriod is the time between two messages with the use of this gateway, and minUsePeriod while it grows,
+	// so that the others learn of a flood before it has filled the engines.
+	usePeriod    = time.Second
+	minUsePeriod = 100 * time.Millisecond
+	// useGrowth is the growth of the use that others learn of within minUsePeriod.
+	useGrowth = 1.25
+)
+
+// UsePublisher decides when a gateway tells the others its use.
+type UsePublisher struct {
+	at     time.Time
+	tokens int64
+}
+
+// Due reports whether a use of this many tokens is to be sent now, and if so notes it as sent.
+func (p *UsePublisher) Due(now time.Time, tokens int64) bool {
+	passed := now.Sub(p.at)
+	if passed < minUsePeriod || passed < usePeriod && float64(tokens) <= useGrowth*float64(p.tokens) {
+		return false
+	}
+	p.at, p.tokens = now, tokens
+	return true
+}
+
+// peerUse is the newest Use of another gateway.
+type peerUse struct {
+	Use
+	at time.Time
+}
+
 // decayingSum is a sum that decays exponentially with usageTimeConstant.
 type decayingSum struct {
 	value float64
@@ -43,10 +104,19 @@
 type usage struct {
 	tokens decayingSum
 	weight float64
+	// peers is the use at other gateways.
+	peers int64
 }
 
+// sum returns the use at all gateways.
+func (u *usage) sum(now time.Time) float64 { return u.tokens.get(now) + float64(u.peers) }
+
 // shares tracks which workspaces use more than their share of the group's urgent work.
 // activeWeight is the sum of the weights of the workspaces with recent usage.
+//
+// Load pattern: a workspace floods through many gateways. At each it is within its share, or even alone, and
+// takes the room that the callers of other gateways wait for. Under the shared policy its use therefore
+// counts over all gateways.
 type shares struct {
 	usage map[string]*usage
 	total decayingSum
@@ -55,6 +125,12 @@
 	withinShare  decayingSum
 	activeWeight float64
 	countedAt    time.Time
+	// peers holds the use at other gateways, and peerTokens and peerWithinShare the sums over them.
+	peers                       map[string]peerUse
+	peerTokens, peerWithinShare int64
+	// spareRight is the number of spare slots that work over its share may take here, as of spareAt.
+	spareRight float64
+	spareAt    time.Time
 }
 
 // add records an urgent grant. Background work is not recorded, because it must not
@@ -82,8 +158,9 @@
 	}
 	s.countedAt = now
 	s.activeWeight = 0
+	s.expirePeers(now)
 	for name, u := range s.usage {
-		if u.tokens.get(now) < idleTokens {
+		if u.sum(now) < idleTokens {
 			delete(s.usage, name)
 			continue
 		}
@@ -97,6 +174,108 @@
 	if u == nil || s.activeWeight <= u.weight {
 		return false
 	}
-	share := s.total.get(now) * u.weight / s.activeWeight
-	return u.tokens.get(now) > overShareFactor*share
+	share := (s.total.get(now) + float64(s.peerTokens)) * u.weight / s.activeWeight
+	return u.sum(now) > overShareFactor*share
+}
+
+// withinShareRate returns the grants per second, at all gateways, of workspaces within their share.
+func (s *shares) withinShareRate(now time.Time) float64 {
+	return s.withinShare.rate(now) + float64(s.peerWithinShare)/1000/usageTimeConstant.Seconds()
+}
+
+// spareHere returns how many of the spare slots work over its share may take at this gateway.
+//
+// Load pattern: a flood waits at many gateways, which all see the same spare slot. If each grants it, they use
+// up what is kept free for small workspaces until the next loads arrive. So each gets its part of
+// the spare slots in the time that loads take.
+func (s *shares) spareHere(now time.Time, spare float64) float64 {
+	if len(s.peers) == 0 || math.IsInf(spare, 1) {
+		return spare
+	}
+	part := max(spare, 0) / float64(len(s.peers)+1)
+	delays := float64(now.Sub(s.spareAt)) / float64(loadsDelay)
+	s.spareRight = min(max(s.spareRight, 0)+part*delays, max(part, 1))
+	s.spareAt = now
+	return min(spare, s.spareRight)
+}
+
+// refund takes back the tokens of a grant that did not run.
+func (s *shares) refund(now time.Time, workspace string, tokens float64, granted time.Time) {
+	u := s.usage[workspace]
+	if u == nil {
+		return
+	}
+	left := decayingSum{tokens, granted}
+	back := min(left.get(now), u.tokens.get(now))
+	u.tokens.add(now, -back)
+	s.total.add(now, -min(back, s.total.get(now)))
+}
+
+// use returns what this gateway has granted recently.
+func (s *shares) use(now time.Time) Use {
+	out := Use{Tokens: int64(s.total.get(now)), WithinShare: int64(1000 * s.withinShare.get(now))}
+	if float64(out.Tokens) < idleTokens {
+		return Use{}
+	}
+	for name, u := range s.usage {
+		if tokens := int64(u.tokens.get(now)); float64(tokens) >= idleTokens {
+			out.Workspaces = append(out.Workspaces, WorkspaceUse{name, tokens, int64(math.Ceil(u.weight / useWeightUnit))})
+		}
+	}
+	slices.SortFunc(out.Workspaces, func(a, b WorkspaceUse) int {
+		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	out.Workspaces = out.Workspaces[:min(len(out.Workspaces), maxUseWorkspaces)]
+	return out
+}
+
+// setPeer replaces the use at another gateway; a zero Use removes it. It counts in full until the next one
+// arrives, as it is renewed about as fast as it decays while the gateway grants.
+func (s *shares) setPeer(now time.Time, gateway string, next Use) {
+	s.addPeer(s.peers[gateway].Use, -1)
+	delete(s.peers, gateway)
+	if next.Tokens == 0 {
+		return
+	}
+	if s.peers == nil {
+		s.peers = map[string]peerUse{}
+	}
+	s.peers[gateway] = peerUse{next, now}
+	s.addPeer(next, 1)
+}
+
+// addPeer adds a Use to the sums over other gateways, or subtracts it if sign is -1.
+func (s *shares) addPeer(p Use, sign int64) {
+	s.peerTokens += sign * p.Tokens
+	s.peerWithinShare += sign * p.WithinShare
+	for _, w := range p.Workspaces {
+		u := s.usage[w.Workspace]
+		if u == nil {
+			u = &usage{}
+			s.usage[w.Workspace] = u
+		}
+		if u.weight == 0 {
+			u.weight = float64(w.Weight) * useWeightUnit
+			s.activeWeight += u.weight
+		}
+		u.peers += sign * w.Tokens
+	}
+}
+
+// expirePeers removes the use of gateways that have said nothing for useTTL.
+func (s *shares) expirePeers(now time.Time) {
+	for gateway, p := range s.peers {
+		if now.Sub(p.at) >= useTTL {
+			s.setPeer(now, gateway, Use{})
+		}
+	}
+}
+
+// Use returns what this gateway has granted recently, for other gateways under the shared policy.
+func (g *Group) Use(now time.Time) Use { return g.shares.use(now) }
+
+// SetPeerUse replaces what another gateway has granted recently; a zero Use removes it.
+func (g *Group) SetPeerUse(now time.Time, gateway string, u Use) {
+	g.shares.setPeer(now, gateway, u)
+	g.shares.countActive(now)
 }
