Keep floors of service for workspaces

An operator could promise it nothing more, only raise weights of which others then depend.

workspaces[].floor is a fraction of the granted tokens of a group. While the workspace has work and has got less over about 5 s, its next request goes first and counts as within its share, so that it needs no weight. What it does not use goes to the others at once. Floors and background_floor over 1 in sum are refused when a catalogue is read; the check warns of floors that no generation uses, and of limits of an entry above those of its only workspace.

Weights that follow the floor were ruled out: they change the order among all others too. Without floors, decisions are as before.

--- a/internal/process/fairqueue/queue.go
+++ b/internal/process/fairqueue/queue.go
@@ -161,6 +161,16 @@
 	return c.active[0].head
 }
 
+// NextOf returns the oldest request of a workspace in a class that is neither isolated nor set aside, or nil if
+// there is none. The entry stays queued.
+func (q *Queue[T]) NextOf(workspace string, class catalogue.Class) *Entry[T] {
+	f, known := q.classOf(class).flows[q.flowKeyOf(workspace, false)]
+	if !known || f.aside {
+		return nil
+	}
+	return f.head
+}
+
 // Take removes an entry that is about to be served and charges its workspace cost
 // tokens.
 func (q *Queue[T]) Take(e *Entry[T], cost float64) T {
--- a/internal/process/gateway/wiring.go
+++ b/internal/process/gateway/wiring.go
@@ -140,6 +140,12 @@
 			}
 			return s.BackgroundFloor, s.UrgentReserve
 		},
+		WorkspaceFloors: func() map[string]float64 {
+			if s := p.holder.Current(); s != nil {
+				return s.WorkspaceFloors()
+			}
+			return nil
+		},
 	})
 }
 
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -87,6 +87,8 @@
 
 func (f *fifo) SetPeerUse(time.Time, string, schedule.Use) {}
 
+func (f *fifo) SetWorkspaceFloors(map[string]float64) {}
+
 func (f *fifo) place(r schedule.Request) (schedule.Replica, bool) {
 	for _, p := range f.replicas {
 		used, suspects := 0, 0
--- a/internal/process/owner/lifecycle.go
+++ b/internal/process/owner/lifecycle.go
@@ -13,11 +13,12 @@
 const idleTimeout = 5 * time.Second
 
 // configure passes the policy's share and the catalogue's floors to the group.
-func (r *runner) configure(share, floor, reserve float64) {
+func (r *runner) configure(share, floor, reserve float64, workspaces map[string]float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.group.SetShare(share)
 	r.group.SetClassFractions(floor, reserve)
+	r.group.SetWorkspaceFloors(workspaces)
 }
 
 // setOwned records whether this gateway owns the group. On the loss of ownership the
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -278,6 +278,10 @@
 		share = 1 / float64(max(1, len(m.opt.View.Live())))
 	}
 	floor, reserve := m.opt.Floors()
-	r.configure(share, floor, reserve)
+	var workspaces map[string]float64
+	if m.opt.WorkspaceFloors != nil {
+		workspaces = m.opt.WorkspaceFloors()
+	}
+	r.configure(share, floor, reserve, workspaces)
 	r.setReplicas(now, m.replicas(r.key))
 }
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -52,6 +52,7 @@
 	NextWake(now time.Time) time.Time
 	SetShare(share float64)
 	SetClassFractions(backgroundFloor, urgentReserve float64)
+	SetWorkspaceFloors(share map[string]float64)
 }
 
 // Policy selects which gateways schedule requests onto a replica.
@@ -139,4 +140,6 @@
 	ShardOf    func(replica string, shards int) int
 	// Floors returns the catalogue's background floor and urgent reserve.
 	Floors func() (backgroundFloor, urgentReserve float64)
+	// WorkspaceFloors returns the catalogue's floors by workspace. It may be nil.
+	WorkspaceFloors func() map[string]float64
 }
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -36,11 +36,16 @@
 	g.startsExhausted = false
 	p.urgent, p.fair = g.urgentHeadroom(now), g.fairHeadroom(now)
 	for g.open() {
+		if e := g.nextBelowFloor(now); e != nil {
+			g.reservedTokens = 0
+			g.dispatchOne(p, e, queueClass(&e.Value.request))
+			continue
+		}
 		class, open := g.nextClass(p)
 		if !open {
 			break
 		}
-		g.dispatchOne(p, class)
+		g.dispatchOne(p, g.queue.Next(class), class)
 	}
 	g.queue.Restore()
 	g.notePass()
@@ -91,7 +96,7 @@
 // overShare reports whether a request is urgent and its workspace is over its share. A generation that
 // moves was admitted before and is lost if it finds no room.
 func (g *Group) overShare(now time.Time, q *Request) bool {
-	return q.Class == catalogue.Urgent && !q.Moving && !g.o.NoFairness && g.shares.exceeded(now, q.Workspace)
+	return q.Class == catalogue.Urgent && !q.Moving && !g.o.NoFairness && g.shares.exceeded(now, q.Workspace) && !g.floors.below(now, q.Workspace)
 }
 
 // nextClass returns the class to serve next: background work while it is below its
@@ -124,9 +129,8 @@
 	return background < g.o.BackgroundFloor*(urgent+background)
 }
 
-// dispatchOne grants, refuses or skips the next request of a class.
-func (g *Group) dispatchOne(p *pass, class catalogue.Class) {
-	e := g.queue.Next(class)
+// dispatchOne grants, refuses or skips a request that is next in a class.
+func (g *Group) dispatchOne(p *pass, e *fairqueue.Entry[queuedRequest], class catalogue.Class) {
 	q := &e.Value.request
 	rank := g.rankOf(p.now, q, class)
 	if rank == rankOverShare {
@@ -213,6 +217,7 @@
 // countAdmission records a grant for the shares of workspaces and classes. A generation that moves was
 // counted when it was first granted.
 func (g *Group) countAdmission(now time.Time, q *Request, tokens float64) {
+	g.floors.add(now, q.Workspace, tokens)
 	if q.Class == catalogue.Urgent {
 		g.updateMeanUrgentSize(tokens)
 		g.shares.add(now, q.Workspace, max(q.Weight, fairqueue.MinWeight), tokens)
--- a/internal/process/schedule/grant.go
+++ b/internal/process/schedule/grant.go
@@ -174,13 +174,22 @@
 		used = 0
 	}
 	g.queue.Charge(h.request.Workspace, h.request.Class, used-h.charged)
-	if o.NotRun && h.request.Class == catalogue.Urgent && !h.request.Moving {
-		g.shares.refund(now, h.request.Workspace, h.charged, h.grantedAt)
+	if o.NotRun && !h.request.Moving {
+		g.takeBack(now, h)
 	}
 	g.trackRefusals(now, h.replica, o)
 	g.removeGrant(now, id, h)
 }
 
+// takeBack removes a grant that did not run from what its workspace has used.
+func (g *Group) takeBack(now time.Time, h *grant) {
+	left := (&decayingSum{h.charged, h.grantedAt}).get(now)
+	if h.request.Class == catalogue.Urgent {
+		g.shares.refund(now, h.request.Workspace, left)
+	}
+	g.floors.add(now, h.request.Workspace, -left)
+}
+
 // recordLength updates the length estimate of the entry with an outcome.
 func (g *Group) recordLength(h *grant, o Outcome) {
 	if o.NotRun {
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -161,6 +161,7 @@
 	entitled bool
 	// keptFor holds the replicas that the request being placed leaves to others.
 	keptFor []*replica
+	floors  floors
 	shares  shares
 	// numbers holds the sequence number of the newest loads of each other gateway.
 	numbers map[string]uint64
--- a/internal/process/schedule/shares.go
+++ b/internal/process/schedule/shares.go
@@ -200,13 +200,12 @@
 }
 
 // refund takes back the tokens of a grant that did not run.
-func (s *shares) refund(now time.Time, workspace string, tokens float64, granted time.Time) {
+func (s *shares) refund(now time.Time, workspace string, tokens float64) {
 	u := s.usage[workspace]
 	if u == nil {
 		return
 	}
-	left := decayingSum{tokens, granted}
-	back := min(left.get(now), u.tokens.get(now))
+	back := min(tokens, u.tokens.get(now))
 	u.tokens.add(now, -back)
 	s.total.add(now, -min(back, s.total.get(now)))
 }
--- a/internal/version/catalogue/lint.go
+++ b/internal/version/catalogue/lint.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
@@ -89,6 +90,38 @@
 		if len(w.KeyDigests) == 0 {
 			l.warn(path, "the workspace %s has no key, so that nobody can send requests for it", w.Name)
 		}
+		if w.Floor > 0 && !l.generates(w.Name) {
+			l.warn(path+".floor", "no entry of kind generation admits the workspace %s, so that its floor of %v is never used", w.Name, w.Floor)
+		}
+	}
+}
+
+// generates reports whether an entry of kind generation admits a workspace.
+func (l *linter) generates(workspace string) bool {
+	return slices.ContainsFunc(l.c.Entries, func(e Entry) bool { return e.Kind == Generation && e.admits(workspace) })
+}
+
+// limitsOfOne warns of limits of an entry that its only workspace can't reach.
+func (l *linter) limitsOfOne(path string, e *Entry) {
+	if len(e.Workspaces) != 1 {
+		return
+	}
+	for _, w := range l.c.Workspaces {
+		if w.Name != e.Workspaces[0] {
+			continue
+		}
+		for _, x := range []struct {
+			key              string
+			entry, workspace float64
+		}{
+			{"requests_per_second", e.Limits.RequestsPerSecond, w.Limits.RequestsPerSecond},
+			{"tokens_per_second", e.Limits.TokensPerSecond, w.Limits.TokensPerSecond},
+			{"concurrent", float64(e.Limits.Concurrent), float64(w.Limits.Concurrent)},
+		} {
+			if x.workspace > 0 && x.entry > x.workspace {
+				l.warn(path+".limits."+x.key, "%s admits only the workspace %s, whose own limit is lower (%v)", e.Name, w.Name, x.workspace)
+			}
+		}
 	}
 }
 
@@ -104,6 +137,7 @@
 func (l *linter) entries() {
 	for i, e := range l.c.Entries {
 		path := fmt.Sprintf("entries[%d]", i)
+		l.limitsOfOne(path, &e)
 		if t := e.Targets.FirstToken; t > 0 && e.Timeout <= t {
 			l.warn(path+".timeout", "the timeout %v of %s ends requests before their first token is late (%v)", e.Timeout, e.Name, t)
 		}
--- a/internal/version/catalogue/lint_test.go
+++ b/internal/version/catalogue/lint_test.go
@@ -31,6 +31,10 @@
 		{"unused service", "models:", "services:\n- {name: shop}\nmodels:", 2, configcheck.ExitWarnings, "no entry uses the service shop"},
 		{"workspace without entries", "- {name: w, ", "- {name: v, key_digests: ['sha256:1111111111111111111111111111111111111111111111111111111111111111']}\n- {name: w, ", 4, configcheck.ExitWarnings, "no entry admits the workspace v"},
 		{"timeout under the target", "timeout: 5s", "timeout: 1s", 6, configcheck.ExitWarnings, "before their first token is late"},
+		{"floor without generations", "entries:\n- {name: u, owner: o, kind: generation, class: urgent, model: m, max_output_tokens: 100, timeout: 5s, targets: {first_token: 1s}}",
+			"- {name: v, key_digests: ['sha256:1111111111111111111111111111111111111111111111111111111111111111'], floor: 0.2}\nentries:\n- {name: u, owner: o, kind: generation, class: urgent, model: m, max_output_tokens: 100, workspaces: [w]}\n- {name: s, owner: o, kind: service, class: urgent, service: svc, methods: [POST], workspaces: [v]}",
+			5, configcheck.ExitWarnings, "its floor of 0.2 is never used"},
+		{"limit above that of the workspace", "000000']}\nentries:\n- {name: u,", "000000'], limits: {concurrent: 3}}\nentries:\n- {name: u, workspaces: [w], limits: {concurrent: 5}, ", 6, configcheck.ExitWarnings, "whose own limit is lower (3)"},
 		{"fewer tokens than one request", "timeout: 5s", "timeout: 5s, limits: {tokens_per_second: 10}", 6, configcheck.ExitWarnings, "fewer than the 100"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/version/catalogue/parse_test.go
+++ b/internal/version/catalogue/parse_test.go
@@ -71,6 +71,8 @@
 		"no workspace":        {"models: []\n", "workspaces: missing or empty; at least one workspace"},
 		"workspace twice":     {after("workspaces:\n", "  - name: one\n    key_digests: [sha256:"+strings.Repeat("1", 64)+"]\n"), "workspaces[1].name: one is not allowed; the names of workspaces must differ"},
 		"workspace long name": {swap("- name: one", "- name: "+strings.Repeat("a", 64)), "a name matches"},
+		"floor over a half":   {after(space, "    floor: 0.6\n"), "c.yaml:6: workspaces[0].floor: 0.6 is not allowed; 0 to 0.5"},
+		"floors over 1":       {swap("entries:\n", "    floor: 0.5\n  - name: two\n    floor: 0.45\nentries:\n"), "c.yaml:9: workspaces[1].floor: 0.45 is not allowed; background_floor and the floors of this workspace and those before it together must be at most 1 (they are 1.05)"},
 		"weight zero":         {after(space, "    weight: 0\n"), "c.yaml:6: workspaces[0].weight: 0 is not allowed; more than 0 and at most 1e+06"},
 		"no key":              {swap("["+testDigest+"]", "[]"), "workspaces[0].key_digests: missing or empty; at least one key digest"},
 		"digest malformed":    {swap(testDigest, "sha256:ABC"), "workspaces[0].key_digests[0]: sha256:ABC is not allowed; a key digest is sha256: and 64 lower-case hexadecimal digits"},
--- a/internal/version/catalogue/types.go
+++ b/internal/version/catalogue/types.go
@@ -69,9 +69,25 @@
 	// Weight is its share of the capacity relative to the other workspaces; the default
 	// is 1.
 	Weight float64 `yaml:"weight,omitempty"`
+	// Floor is the fraction of each group's service that is kept for it while it has work, from 0 to 0.5.
+	Floor  float64 `yaml:"floor,omitempty"`
 	Limits Limits  `yaml:"limits,omitempty"`
 }
 
+// WorkspaceFloors returns the floors of the workspaces that have one.
+func (c *Catalogue) WorkspaceFloors() map[string]float64 {
+	var out map[string]float64
+	for i := range c.Workspaces {
+		if w := &c.Workspaces[i]; w.Floor > 0 {
+			if out == nil {
+				out = map[string]float64{}
+			}
+			out[w.Name] = w.Floor
+		}
+	}
+	return out
+}
+
 // Limits bounds the requests of a workspace or of an entry; 0 means unlimited.
 type Limits struct {
 	RequestsPerSecond float64 `yaml:"requests_per_second,omitempty"`
--- a/internal/version/catalogue/validate.go
+++ b/internal/version/catalogue/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"regexp"
 	"strconv"
 )
@@ -115,6 +116,7 @@
 		v.report("workspaces", "", "at least one workspace")
 	}
 	owners := map[string]string{}
+	floors := v.c.BackgroundFloor
 	for i := range v.c.Workspaces {
 		w := &v.c.Workspaces[i]
 		path := fmt.Sprintf("workspaces[%d]", i)
@@ -126,6 +128,11 @@
 		if !(w.Weight > 0 && w.Weight <= maxWeight) {
 			v.report(path+".weight", number(w.Weight), fmt.Sprintf("more than 0 and at most %v", float64(maxWeight)))
 		}
+		v.between(path+".floor", w.Floor, 0, maxFraction)
+		// Rounded, because a sum of decimal fractions that is 1 may be a little more in binary.
+		if floors += w.Floor; w.Floor > 0 && math.Round(floors*maxWeight) > maxWeight {
+			v.report(path+".floor", number(w.Floor), fmt.Sprintf("background_floor and the floors of this workspace and those before it together must be at most 1 (they are %s)", number(floors)))
+		}
 		v.limits(path+".limits", w.Limits)
 		v.keys(path+".key_digests", w, owners)
 	}
