--- a/internal/version/configcheck/report.go
+++ b/internal/version/configcheck/report.go
@@ -36,7 +36,9 @@
 
 // Report is the result of a check.
 type Report struct {
-	File        string       `json:"file"`
+	File string `json:"file"`
+	// Against names what the configuration was compared with.
+	Against     string       `json:"against,omitempty"`
 	Findings    []Finding    `json:"findings"`
 	Differences []Difference `json:"differences,omitempty"`
 }
