--- a/internal/process/owner/loadcodec.go
+++ b/internal/process/owner/loadcodec.go
@@ -76,6 +76,7 @@
 		e.group(g.Group)
 		e.number(g.Use.Tokens)
 		e.number(g.Use.WithinShare)
+		e.number(g.Use.Waiting)
 		e.number(int64(len(g.Use.Workspaces)))
 		for _, w := range g.Use.Workspaces {
 			e.text(w.Workspace)
@@ -91,7 +92,7 @@
 	d := loadDecoder{left: b}
 	var out []GroupUse
 	for range d.count() {
-		g := GroupUse{Group: d.group(), Use: schedule.Use{Tokens: d.amount(), WithinShare: d.amount()}}
+		g := GroupUse{Group: d.group(), Use: schedule.Use{Tokens: d.amount(), WithinShare: d.amount(), Waiting: d.amount()}}
 		for range d.count() {
 			w := schedule.WorkspaceUse{Workspace: d.text(), Tokens: d.amount(), Weight: d.amount()}
 			if d.failed {
--- a/internal/process/owner/loadcodec_test.go
+++ b/internal/process/owner/loadcodec_test.go
@@ -36,7 +36,7 @@
 
 func exampleUses() []GroupUse {
 	return []GroupUse{
-		{schedule.GroupKey{DataCentre: "dc", Model: "m", Shard: 3}, schedule.Use{Tokens: 1 << 30, WithinShare: 1500, Workspaces: []schedule.WorkspaceUse{{Workspace: "w", Tokens: 5, Weight: 150}, {}}}},
+		{schedule.GroupKey{DataCentre: "dc", Model: "m", Shard: 3}, schedule.Use{Tokens: 1 << 30, WithinShare: 1500, Waiting: 7, Workspaces: []schedule.WorkspaceUse{{Workspace: "w", Tokens: 5, Weight: 150}, {}}}},
 		{},
 	}
 }
@@ -74,7 +74,7 @@
 	whole := encodeUses(exampleUses())
 	f.Add(whole)
 	f.Add(whole[:len(whole)/2])
-	f.Add([]byte{2, 0, 0, 0, 1, 0, 0})
+	f.Add([]byte{2, 0, 0, 0, 1, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		uses, err := decodeUses(b)
 		if err != nil {
--- a/internal/process/owner/peerload.go
+++ b/internal/process/owner/peerload.go
@@ -164,16 +164,17 @@
 // dueUses returns what this gateway has granted recently, or nil if the others need not learn it now.
 func (m *Manager) dueUses(now time.Time) []GroupUse {
 	var out []GroupUse
-	tokens := int64(0)
+	tokens, waiting := int64(0), int64(0)
 	for _, r := range m.allRunners() {
 		if u := r.use(now); u.Tokens > 0 {
 			out = append(out, GroupUse{r.key, u})
 			tokens += u.Tokens
+			waiting += u.Waiting
 		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.loads.uses.Due(now, tokens) {
+	if !m.loads.uses.Due(now, tokens, waiting) {
 		return nil
 	}
 	return out
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -93,10 +93,23 @@
 	return q.Class == catalogue.Background || g.overShare(now, q)
 }
 
-// overShare reports whether a request is urgent and its workspace is over its share. A generation that
-// moves was admitted before and is lost if it finds no room.
+// overShare reports whether a request gives way to others in memory and at engines, because its workspace is
+// over its share of what this gateway grants. On memory-bound engines, work that is over its share in sum
+// kept memory free that nobody waited for.
 func (g *Group) overShare(now time.Time, q *Request) bool {
-	return q.Class == catalogue.Urgent && !q.Moving && !g.o.NoFairness && g.shares.exceeded(now, q.Workspace) && !g.floors.below(now, q.Workspace)
+	return g.limitedByShare(now, q) && g.shares.exceededHere(now, q.Workspace)
+}
+
+// leavesSlots reports whether a request leaves free slots for others, because its workspace is over its share over
+// all gateways.
+func (g *Group) leavesSlots(now time.Time, q *Request) bool {
+	return g.limitedByShare(now, q) && g.shares.exceeded(now, q.Workspace)
+}
+
+// limitedByShare reports whether shares hold for a request: urgent work of workspaces that are not below their
+// floor. A generation that moves was admitted before and is lost if it finds no room.
+func (g *Group) limitedByShare(now time.Time, q *Request) bool {
+	return q.Class == catalogue.Urgent && !q.Moving && !g.o.NoFairness && !g.floors.below(now, q.Workspace)
 }
 
 // nextClass returns the class to serve next: background work while it is below its
@@ -133,16 +146,17 @@
 func (g *Group) dispatchOne(p *pass, e *fairqueue.Entry[queuedRequest], class catalogue.Class) {
 	q := &e.Value.request
 	rank := g.rankOf(p.now, q, class)
-	if rank == rankOverShare {
-		if p.fair.spare < 1 || p.closed[rank] {
-			g.skip(p, e, rank, reservedForOthers)
-			return
-		}
+	overShare := g.overShare(p.now, q)
+	if rank == rankOverShare && (p.fair.spare < 1 || p.closed[rank]) {
+		g.skip(p, e, rank, reservedForOthers)
+		return
+	}
+	if overShare {
 		g.reservedTokens = p.fair.tokens
 	}
 	// A moving generation that finds room only with the smaller margin would soon be preempted, or
 	// make another one be.
-	g.entitled = rank == rankUrgent && !g.o.NoClasses && !q.Moving
+	g.entitled = rank != rankBackground && !overShare && !g.o.NoClasses && !q.Moving
 	g.accounting.placing = LackNone
 	if !g.entitled && !q.Moving && g.saturated() {
 		g.accounting.placing = g.saturatedBy(p.now)
@@ -169,7 +183,7 @@
 	switch {
 	case class == catalogue.Background:
 		return rankBackground
-	case g.overShare(now, q):
+	case g.leavesSlots(now, q):
 		return rankOverShare
 	}
 	return rankUrgent
@@ -188,7 +202,7 @@
 	g.addGrant(p.now, q, r, s, tokens, yields)
 	p.urgent.spare--
 	p.fair.spare--
-	if yields && q.Class == catalogue.Urgent {
+	if account.Rank == rankOverShare.String() {
 		g.shares.spareRight--
 	}
 	g.prefixes.remember(q.PrefixHashes, r)
--- a/internal/process/schedule/headroom.go
+++ b/internal/process/schedule/headroom.go
@@ -59,11 +59,13 @@
 	if g.o.NoFairness {
 		return noHeadroom
 	}
-	if len(g.shares.peers) > 0 {
-		g.shares.countActive(now)
+	if len(g.shares.peers) == 0 {
+		return g.headroomFor(g.shares.withinShare.rate(now))
 	}
+	g.shares.countActive(now)
 	h := g.headroomFor(g.shares.withinShareRate(now))
-	h.spare = g.shares.spareHere(now, h.spare)
+	h.tokens = g.headroomFor(g.shares.withinShare.rate(now)).tokens
+	h.spare = g.shares.spareHere(now, h.spare, g.waitingOverShare(now))
 	return h
 }
 
--- a/internal/process/schedule/shares.go
+++ b/internal/process/schedule/shares.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"persimmonwing/internal/version/catalogue"
 )
 
 const (
@@ -36,6 +38,8 @@
 	Tokens int64
 	// WithinShare is the number of grants, in thousandths, of workspaces within their share.
 	WithinShare int64
+	// Waiting is the number of waiting requests of workspaces over their share.
+	Waiting int64
 	// Workspaces holds the workspaces with the largest use, at most maxUseWorkspaces.
 	Workspaces []WorkspaceUse
 }
@@ -53,23 +57,27 @@
 	// so that the others learn of a flood before it has filled the engines.
 	usePeriod    = time.Second
 	minUsePeriod = 100 * time.Millisecond
-	// useGrowth is the growth of the use that others learn of within minUsePeriod.
-	useGrowth = 1.25
+	// useGrowth and waitingGrowth are the growth of the use, and of the requests that wait, of which others learn
+	// within minUsePeriod. Some requests come and go at any time.
+	useGrowth, waitingGrowth = 1.25, 2.0
+	someWaiting              = 2
 )
 
 // UsePublisher decides when a gateway tells the others its use.
 type UsePublisher struct {
-	at     time.Time
-	tokens int64
+	at              time.Time
+	tokens, waiting int64
 }
 
-// Due reports whether a use of this many tokens is to be sent now, and if so notes it as sent.
-func (p *UsePublisher) Due(now time.Time, tokens int64) bool {
+// Due reports whether a use of this many tokens, with this many requests waiting, is to be sent now, and if so
+// notes it as sent.
+func (p *UsePublisher) Due(now time.Time, tokens, waiting int64) bool {
 	passed := now.Sub(p.at)
-	if passed < minUsePeriod || passed < usePeriod && float64(tokens) <= useGrowth*float64(p.tokens) {
+	grown := float64(tokens) > useGrowth*float64(p.tokens) || float64(waiting) > waitingGrowth*float64(p.waiting)+someWaiting
+	if passed < minUsePeriod || passed < usePeriod && !grown {
 		return false
 	}
-	p.at, p.tokens = now, tokens
+	p.at, p.tokens, p.waiting = now, tokens, waiting
 	return true
 }
 
@@ -112,11 +120,12 @@
 func (u *usage) sum(now time.Time) float64 { return u.tokens.get(now) + float64(u.peers) }
 
 // shares tracks which workspaces use more than their share of the group's urgent work.
-// activeWeight is the sum of the weights of the workspaces with recent usage.
+// activeWeight is the sum of the weights of the workspaces with recent usage here, and allWeight that of those
+// with recent usage at any gateway.
 //
 // Load pattern: a workspace floods through many gateways. At each it is within its share, or even alone, and
 // takes the room that the callers of other gateways wait for. Under the shared policy its use therefore
-// counts over all gateways.
+// counts over all gateways where it is decided who leaves free slots for others.
 type shares struct {
 	usage map[string]*usage
 	total decayingSum
@@ -124,10 +133,11 @@
 	// over their share.
 	withinShare  decayingSum
 	activeWeight float64
+	allWeight    float64
 	countedAt    time.Time
-	// peers holds the use at other gateways, and peerTokens and peerWithinShare the sums over them.
-	peers                       map[string]peerUse
-	peerTokens, peerWithinShare int64
+	// peers holds the use at other gateways, and the fields after it the sums over them.
+	peers                                    map[string]peerUse
+	peerTokens, peerWithinShare, peerWaiting int64
 	// spareRight is the number of spare slots that work over its share may take here, as of spareAt.
 	spareRight float64
 	spareAt    time.Time
@@ -157,24 +167,41 @@
 		return
 	}
 	s.countedAt = now
-	s.activeWeight = 0
+	s.activeWeight, s.allWeight = 0, 0
 	s.expirePeers(now)
 	for name, u := range s.usage {
 		if u.sum(now) < idleTokens {
 			delete(s.usage, name)
 			continue
 		}
-		s.activeWeight += u.weight
+		s.allWeight += u.weight
+		if u.tokens.get(now) >= idleTokens {
+			s.activeWeight += u.weight
+		}
 	}
 }
 
-// exceeded reports whether a workspace uses more than overShareFactor times its share.
-func (s *shares) exceeded(now time.Time, workspace string) bool {
+// exceededHere reports whether a workspace uses more than overShareFactor times its share of what this gateway
+// grants.
+func (s *shares) exceededHere(now time.Time, workspace string) bool {
 	u := s.usage[workspace]
 	if u == nil || s.activeWeight <= u.weight {
 		return false
 	}
-	share := (s.total.get(now) + float64(s.peerTokens)) * u.weight / s.activeWeight
+	share := s.total.get(now) * u.weight / s.activeWeight
+	return u.tokens.get(now) > overShareFactor*share
+}
+
+// exceeded reports whether a workspace uses more than overShareFactor times its share of what all gateways grant.
+func (s *shares) exceeded(now time.Time, workspace string) bool {
+	if len(s.peers) == 0 {
+		return s.exceededHere(now, workspace)
+	}
+	u := s.usage[workspace]
+	if u == nil || s.allWeight <= u.weight {
+		return false
+	}
+	share := (s.total.get(now) + float64(s.peerTokens)) * u.weight / s.allWeight
 	return u.sum(now) > overShareFactor*share
 }
 
@@ -183,16 +210,19 @@
 	return s.withinShare.rate(now) + float64(s.peerWithinShare)/1000/usageTimeConstant.Seconds()
 }
 
-// spareHere returns how many of the spare slots work over its share may take at this gateway.
+// spareHere returns how many of the spare slots work over its share may take at this gateway, where a number of
+// its requests wait.
 //
 // Load pattern: a flood waits at many gateways, which all see the same spare slot. If each grants it, they use
 // up what is kept free for small workspaces until the next loads arrive. So each gets its part of
-// the spare slots in the time that loads take.
-func (s *shares) spareHere(now time.Time, spare float64) float64 {
-	if len(s.peers) == 0 || math.IsInf(spare, 1) {
+// the spare slots, by the requests that wait, in the time that loads take.
+func (s *shares) spareHere(now time.Time, spare float64, waiting int) float64 {
+	all := float64(s.peerWaiting) + float64(waiting)
+	if s.peerWaiting == 0 || waiting == 0 || spare >= all {
+		s.spareAt = now
 		return spare
 	}
-	part := max(spare, 0) / float64(len(s.peers)+1)
+	part := max(spare, 0) * float64(waiting) / all
 	delays := float64(now.Sub(s.spareAt)) / float64(loadsDelay)
 	s.spareRight = min(max(s.spareRight, 0)+part*delays, max(part, 1))
 	s.spareAt = now
@@ -247,6 +277,7 @@
 func (s *shares) addPeer(p Use, sign int64) {
 	s.peerTokens += sign * p.Tokens
 	s.peerWithinShare += sign * p.WithinShare
+	s.peerWaiting += sign * p.Waiting
 	for _, w := range p.Workspaces {
 		u := s.usage[w.Workspace]
 		if u == nil {
@@ -255,7 +286,7 @@
 		}
 		if u.weight == 0 {
 			u.weight = float64(w.Weight) * useWeightUnit
-			s.activeWeight += u.weight
+			s.allWeight += u.weight
 		}
 		u.peers += sign * w.Tokens
 	}
@@ -271,7 +302,27 @@
 }
 
 // Use returns what this gateway has granted recently, for other gateways under the shared policy.
-func (g *Group) Use(now time.Time) Use { return g.shares.use(now) }
+func (g *Group) Use(now time.Time) Use {
+	u := g.shares.use(now)
+	if u.Tokens > 0 {
+		u.Waiting = int64(g.waitingOverShare(now))
+	}
+	return u
+}
+
+// waitingOverShare returns the number of waiting urgent requests of workspaces over their share.
+func (g *Group) waitingOverShare(now time.Time) int {
+	n := 0
+	if g.queue.Len(catalogue.Urgent) == 0 {
+		return n
+	}
+	for name := range g.shares.usage {
+		if g.shares.exceeded(now, name) {
+			n += g.queue.WorkspaceLen(name, catalogue.Urgent)
+		}
+	}
+	return n
+}
 
 // SetPeerUse replaces what another gateway has granted recently; a zero Use removes it.
 func (g *Group) SetPeerUse(now time.Time, gateway string, u Use) {
--- a/internal/process/schedule/shares_test.go
+++ b/internal/process/schedule/shares_test.go
@@ -58,7 +58,7 @@
 		for i := range peers {
 			own.SetPeerUse(now, fmt.Sprint("g", i), Use{})
 		}
-		if s := &own.shares; s.peerTokens != 0 || s.peerWithinShare != 0 {
+		if s := &own.shares; s.peerTokens != 0 || s.peerWithinShare != 0 || s.peerWaiting != 0 {
 			t.Fatalf("%d tokens and %d grants are left of gateways that ended", s.peerTokens, s.peerWithinShare)
 		}
 	})
@@ -155,7 +155,7 @@
 	}
 	for i, from := range f.groups {
 		use := from.Use(now)
-		due := f.sent[i].Due(now, use.Tokens)
+		due := f.sent[i].Due(now, use.Tokens, use.Waiting)
 		for j, to := range f.groups {
 			if i == j || lost.Float64() < 0.1 {
 				continue
