--- a/internal/process/schedule/outlook.go
+++ b/internal/process/schedule/outlook.go
@@ -35,6 +35,8 @@
 	Age time.Duration
 	// Kept is set if others leave room for the request.
 	Kept bool
+	// OverShare is set if the request leaves free slots for workspaces within their share.
+	OverShare bool
 }
 
 // waiting is what is known of a request that waits here or at a peer.
@@ -43,6 +45,8 @@
 	tokens float64
 	since  time.Time
 	kept   bool
+	// overShare is set if it leaves free slots for workspaces within their share.
+	overShare bool
 }
 
 // before reports whether the request goes before one of a class that waits since a time.
@@ -83,17 +87,19 @@
 	return tokens, math.Sqrt(variance)
 }
 
-// ahead returns the tokens of the requests that go before one of a class that waits since a time: those queued here
-// and those at the peers.
-func (g *Group) ahead(class catalogue.Class, since time.Time) (own, peers float64) {
+// ahead returns the tokens of the requests that go before one that waits since a time: those queued here and those
+// at the peers. Work over its share does not go before work within its share.
+func (g *Group) ahead(now time.Time, q *Request, since time.Time) (own, peers float64) {
+	class, overShare := queueClass(q), g.leavesSlots(now, q)
+	before := func(w *waiting) bool { return w.before(class, since) && (overShare || !w.overShare) }
 	for e := range g.queue.All() {
-		if w := g.waitingOf(since, &e.Value); w.before(class, since) {
+		if w := g.waitingOf(now, &e.Value); before(&w) {
 			own += w.tokens
 		}
 	}
 	for _, d := range g.demands {
 		for i := range d.waiting {
-			if d.waiting[i].before(class, since) {
+			if before(&d.waiting[i]) {
 				peers += d.waiting[i].tokens
 			}
 		}
@@ -102,7 +108,7 @@
 }
 
 func (g *Group) waitingOf(now time.Time, t *queuedRequest) waiting {
-	return waiting{queueClass(&t.request), g.expectedTokens(&t.request), t.since(), t.keepsRoom(now)}
+	return waiting{queueClass(&t.request), g.expectedTokens(&t.request), t.since(), t.keepsRoom(now), g.leavesSlots(now, &t.request)}
 }
 
 // hopeless reports whether a request that waits can't find room by its deadline, even at the optimistic bound of the
@@ -118,7 +124,7 @@
 	}
 	left, size := q.Deadline.Sub(now), g.expectedTokens(q)
 	tokens, deviation := g.released(left)
-	own, peers := g.ahead(queueClass(q), t.since())
+	own, peers := g.ahead(now, q, t.since())
 	found := tokens + outlookDeviations*deviation + size*float64(g.opening(now, q, left))
 	return found < own+presentWaiting*peers+size
 }
@@ -186,7 +192,7 @@
 // roomIn returns the time in which the tokens of the request, and of all that goes before it or was told to
 // return, are expected to be given back, at most maxRetry.
 func (g *Group) roomIn(now time.Time, q *Request) time.Duration {
-	own, peers := g.ahead(queueClass(q), now)
+	own, peers := g.ahead(now, q, now)
 	needed := own + peers + g.returns.tokens(now) + g.expectedTokens(q)
 	low, high := time.Duration(0), maxRetry
 	for high-low > minRetry/2 {
--- a/internal/process/schedule/returns.go
+++ b/internal/process/schedule/returns.go
@@ -258,7 +258,7 @@
 	var d Demand
 	for e := range g.queue.All() {
 		w := g.waitingOf(now, &e.Value)
-		d.Waiting = append(d.Waiting, Waiting{Class: w.class, Tokens: int(w.tokens), Age: now.Sub(w.since), Kept: w.kept})
+		d.Waiting = append(d.Waiting, Waiting{Class: w.class, Tokens: int(w.tokens), Age: now.Sub(w.since), Kept: w.kept, OverShare: w.overShare})
 	}
 	if len(d.Waiting) > maxPeerWaiting {
 		slices.SortFunc(d.Waiting, func(a, b Waiting) int { return int(b.Age - a.Age) })
@@ -281,7 +281,7 @@
 	} else {
 		w := make([]waiting, 0, len(d.Waiting))
 		for _, x := range d.Waiting {
-			w = append(w, waiting{x.Class, float64(x.Tokens), now.Add(-x.Age), x.Kept})
+			w = append(w, waiting{x.Class, float64(x.Tokens), now.Add(-x.Age), x.Kept, x.OverShare})
 		}
 		g.demands[gateway] = peerDemand{w}
 	}
--- a/internal/process/schedule/shares_test.go
+++ b/internal/process/schedule/shares_test.go
@@ -72,7 +72,9 @@
 	ends    map[int][]func()
 	served  map[string][3]int // by workspace: requests served in each 10 s
 	sent    [floodGateways]UsePublisher
-	number  int
+	// progress passes on the tokens of each generation that runs, one each tick.
+	progress map[string]func(ms int)
+	number   int
 }
 
 const (
@@ -83,7 +85,7 @@
 
 func (f *gatewayFlood) run(seed int64, flood bool) map[string][3]int {
 	rnd, lost := rand.New(rand.NewSource(seed)), rand.New(rand.NewSource(seed))
-	f.running, f.ends, f.served = map[string]int{}, map[int][]func(){}, map[string][3]int{}
+	f.running, f.ends, f.served, f.progress = map[string]int{}, map[int][]func(){}, map[string][3]int{}, map[string]func(int){}
 	for i := range floodGateways {
 		g := NewGroup(GroupKey{Model: "m"}, Options{Owner: fmt.Sprint("g", i), Policy: PolicyShared, NoBatchBound: true, BackgroundFloor: 0.1, UrgentReserve: 0.1})
 		g.SetReplicas(start, testReplicas(4, floodBatch, 1_000_000))
@@ -136,8 +138,10 @@
 			served[ms/10_000]++
 			f.served[d.Request.Workspace] = served
 			end := ms + 2000
+			f.progress[id] = func(at int) { g.Progress(simTime(float64(at)), id, (at-ms)/floodTick) }
 			f.ends[end] = append(f.ends[end], func() {
 				f.running[engine]--
+				delete(f.progress, id)
 				g.Release(simTime(float64(end)), id, Outcome{Generated: 200, Completed: true})
 			})
 		}
@@ -153,6 +157,9 @@
 	if ms%50 != 0 {
 		return
 	}
+	for _, progress := range f.progress {
+		progress(ms)
+	}
 	for i, from := range f.groups {
 		use := from.Use(now)
 		due := f.sent[i].Due(now, use.Tokens, use.Waiting)
