--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -30,6 +30,9 @@
 	Running(replica string) []schedule.Request
 	Loads() []schedule.ReplicaLoad
 	SetPeerLoads(now time.Time, gateway string, number uint64, loads []schedule.ReplicaLoad)
+	// Use returns what this gateway has granted recently by workspace, and SetPeerUse passes that of another one.
+	Use(now time.Time) schedule.Use
+	SetPeerUse(now time.Time, gateway string, u schedule.Use)
 	// Reservation returns the reservation of a grant that the replica's arbiter has to
 	// confirm. Confirm, DropReservations, LoadsByGateway, CorrectPeerLoads and Postpone
 	// also deal with reservations; see schedule.Reservation.
@@ -49,6 +52,7 @@
 	NextWake(now time.Time) time.Time
 	SetShare(share float64)
 	SetClassFractions(backgroundFloor, urgentReserve float64)
+	SetWorkspaceFloors(share map[string]float64)
 }
 
 // Policy selects which gateways schedule requests onto a replica.
@@ -136,4 +140,6 @@
 	ShardOf    func(replica string, shards int) int
 	// Floors returns the catalogue's background floor and urgent reserve.
 	Floors func() (backgroundFloor, urgentReserve float64)
+	// WorkspaceFloors returns the catalogue's floors by workspace. It may be nil.
+	WorkspaceFloors func() map[string]float64
 }
