--- a/internal/process/schedule/firsttoken.go
+++ b/internal/process/schedule/firsttoken.go
@@ -81,7 +81,7 @@
 }
 
 // startsInTime reports whether the first token of a prompt is expected on a replica within a share of
-// the time left. A replica without a backlog always qualifies: no other can be faster, and
+// the time left. A replica without a backlog always qualifies: no other of its speed can be faster, and
 // nobody waits behind the prompt yet.
 //
 // Load pattern: in a burst of long prompts all gateways fill the engines that have just started, whose slots
