Count memory of unknown work as room that may be given back

A request was refused at once as hopeless while an engine was full of work that no gateway knows, although that may end at any time, and got the Retry-After of the outlook instead of that of the pause which the engine asked for. The new test fails without the change.

--- a/internal/process/memory/memory.go
+++ b/internal/process/memory/memory.go
@@ -181,6 +181,9 @@
 // Used returns the tokens in use now: the larger of the tracked use and the report.
 func (p *Projection) Used() int { return int(p.mean[0] + p.external) }
 
+// External returns the tokens that the engine reports beyond the sequences added.
+func (p *Projection) External() int { return int(p.external) }
+
 // Peak returns the highest projected use in tokens over all horizons.
 func (p *Projection) Peak() float64 {
 	peak := 0.0
--- a/internal/process/schedule/outlook.go
+++ b/internal/process/schedule/outlook.go
@@ -126,10 +126,20 @@
 	left, size := q.Deadline.Sub(now), g.expectedTokens(q)
 	tokens, deviation := g.released(left)
 	own, peers := g.ahead(now, q, t.since())
-	found := tokens + outlookDeviations*deviation + size*float64(g.opening(now, q, left))
+	found := tokens + outlookDeviations*deviation + size*float64(g.opening(now, q, left)+g.unexplained(size))
 	return found < own+presentWaiting*peers+size
 }
 
+// unexplained returns the number of requests of a size that fit into the memory which engines report beyond the
+// generations that are known: copies, and work that was placed before this gateway started. It may be given back at any time.
+func (g *Group) unexplained(size float64) int {
+	n := 0
+	for _, r := range g.available {
+		n += int(float64(r.projection.External()) / max(1, size))
+	}
+	return n
+}
+
 // opening returns the number of requests like q that replicas may take within a time without the end of a
 // generation: after a pause, in their slow start, with the next starts of a cold replica, or once prompts are read.
 func (g *Group) opening(now time.Time, q *Request, left time.Duration) int {
--- a/internal/process/schedule/outlook_test.go
+++ b/internal/process/schedule/outlook_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/version/catalogue"
 )
 
@@ -69,6 +70,17 @@
 	is.Equal(len(burst(g, start.Add(2*time.Second), "b", 100, patience)), 0)
 }
 
+// Guards against a refusal at once while engines are full of work that nobody knows, whose end can't be foreseen.
+func TestMemoryOfUnknownWorkMayBeGivenBack(t *testing.T) {
+	is := is.New(t)
+	g := sharedGroup(8)
+	g.SetReplicas(start, testReplicas(1, 8, 10_000))
+	for i := range 2 {
+		g.Report(start, "r000", api.LoadReport{ReportedAtMS: int64(i + 1), MaxBatch: 8, KVCapacityTokens: 10_000, KVUsedTokens: 10_000})
+	}
+	is.Equal(len(burst(g, start.Add(time.Second), "b", 2, time.Second)), 0)
+}
+
 // Guards against an outlook that takes each gateway for the only one: all of them keep what only some can place.
 func TestPeersWaitInFront(t *testing.T) {
 	is := is.New(t)
