--- /dev/null
+++ b/review/standin-2/world/server.go
@@ -0,0 +1,213 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Names of headers on the users' pages.
+const (
+	HeaderAttempt  = "X-Persimmonwing-Attempt-Id"
+	HeaderDeadline = "X-Persimmonwing-Deadline-Ms"
+	HeaderSeal     = "X-Persimmonwing-Replica-Seal"
+	headerExpect   = "X-Persimmonwing-Expect-Replica"
+	headerServer   = "X-Persimmonwing-Replica-Id"
+	headerLoad     = "X-Persimmonwing-Replica-Load"
+	headerNotRun   = "X-Persimmonwing-Not-Executed"
+)
+
+// beatTime is the time between two writes of a server's entry (beat_ms).
+const beatTime = 1200 * time.Millisecond
+
+// queueLength is the number of requests that wait at a server before it rejects further ones.
+const queueLength = 24
+
+// Server is a stand-in of an application server or, if Stream is set, of a model server.
+type Server struct {
+	ID, Service, Zone string
+	Slots             int
+	// Stream is set for a model server.
+	Stream bool
+	// Work answers a request that has begun to run. The headers of the answer that every answer
+	// has are set.
+	Work func(w http.ResponseWriter, r *http.Request, body []byte)
+
+	store    *Store
+	record   *Record
+	address  string
+	born     int64
+	slots    chan struct{}
+	mu       sync.Mutex
+	waiting  int
+	running  int
+	sequence int64
+}
+
+// Start starts the server on a free port and registers it in the store.
+func (s *Server) Start(store *Store, record *Record) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.store, s.record, s.address = store, record, l.Addr().String()
+	s.born, s.slots = time.Now().UnixMilli(), make(chan struct{}, s.Slots)
+	go func() { _ = http.Serve(l, s) }()
+	if err := s.beat(); err != nil {
+		return err
+	}
+	go func() {
+		for range time.Tick(beatTime) {
+			_ = s.beat()
+		}
+	}()
+	return nil
+}
+
+func (s *Server) beat() error {
+	s.sequence++
+	entry := map[string]any{
+		"service": s.Service, "addr": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots,
+		"state": "ready", "cold_left_ms": 0, "seq": s.sequence, "born": s.born,
+	}
+	if s.Stream {
+		entry["stage"], entry["models"] = "mixed", []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
+	}
+	return s.store.Put("servers", s.ID, entry)
+}
+
+// ServeHTTP serves the calls of the gateways.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(HeaderAttempt)
+	if s.Stream && r.URL.Path == "/v1/report" {
+		s.report(w)
+		return
+	}
+	if id != "" {
+		w.Header().Set(HeaderAttempt, id)
+	}
+	w.Header().Set(headerServer, s.ID)
+	if expect := r.Header.Get(headerExpect); expect != "" && expect != s.ID {
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !s.acquire(r.Context()) {
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.release()
+	w.Header().Set(headerLoad, s.load())
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	if id == "" {
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		s.record.Line("server %s has not received the body of %s: %v", s.ID, id, err)
+		return
+	}
+	s.record.Ran(id, s.ID, fmt.Sprintf("%s %s, body of %d bytes", r.Method, r.RequestURI, len(body)))
+	w.Header().Set(HeaderSeal, "seal."+s.ID+"."+id)
+	s.Work(w, r, body)
+}
+
+// acquire waits for a slot. It returns false if too many requests wait or the connection ends.
+func (s *Server) acquire(ctx context.Context) bool {
+	s.mu.Lock()
+	if s.waiting >= queueLength {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	got := false
+	select {
+	case s.slots <- struct{}{}:
+		got = true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	s.waiting--
+	if got {
+		s.running++
+	}
+	s.mu.Unlock()
+	return got
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	<-s.slots
+}
+
+func (s *Server) load() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.Slots)
+}
+
+func (s *Server) report(w http.ResponseWriter) {
+	s.mu.Lock()
+	running, waiting := s.running, s.waiting
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"stage":"mixed","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":%d,"running":%d,"kv_used":%d,"kv_total":%d,"handles":0,"born":%d}`,
+		waiting, running, running*tokensPerRun, KVCapacity, s.born)
+}
+
+const (
+	// KVCapacity is the memory of a model server in tokens, and tokensPerRun what one request takes of it.
+	KVCapacity   = 34266
+	tokensPerRun = 1400
+)
+
+// Whole answers after a time with a body of a stated length.
+func Whole(after time.Duration, size int) func(http.ResponseWriter, *http.Request, []byte) {
+	return func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		select {
+		case <-time.After(after):
+		case <-r.Context().Done():
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(Pattern(size))
+	}
+}
+
+// Events answers with a stream of events.
+func Events(n int, gap time.Duration) func(http.ResponseWriter, *http.Request, []byte) {
+	return func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; i <= n; i++ {
+			select {
+			case <-time.After(gap):
+			case <-r.Context().Done():
+				return
+			}
+			fmt.Fprintf(w, "id: %d\ndata: tokens %d\n\n", i, i)
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+// Pattern returns the body of an answer, of which each byte depends on its position.
+func Pattern(size int) []byte {
+	b := make([]byte, size)
+	for i := range b {
+		b[i] = byte('a' + (i/251+i)%26)
+	}
+	return b
+}
