--- a/review/standin-2/world/server.go
+++ b/review/standin-2/world/server.go
@@ -211,3 +211,29 @@
 	}
 	return b
 }
+
+// Unframed answers with a body of size bytes that has no length and ends with its connection. It is sent in pieces,
+// one each gap.
+func Unframed(size, pieces int, gap time.Duration) func(http.ResponseWriter, *http.Request, []byte) {
+	return func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nConnection: close\r\n"
+		for name, values := range w.Header() {
+			head += name + ": " + values[0] + "\r\n"
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		body := Pattern(size)
+		if _, err := io.WriteString(c, head+"\r\n"); err != nil {
+			return
+		}
+		for i := range pieces {
+			if _, err := c.Write(body[i*size/pieces : (i+1)*size/pieces]); err != nil {
+				return
+			}
+			time.Sleep(gap)
+		}
+	}
+}
