--- a/review/standin-2/world/server.go
+++ b/review/standin-2/world/server.go
@@ -237,3 +237,22 @@
 		}
 	}
 }
+
+// Pieces answers with a body of a stated length, sent in pieces, one each gap.
+func Pieces(size, pieces int, gap time.Duration) func(http.ResponseWriter, *http.Request, []byte) {
+	return func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		body := Pattern(size)
+		for i := range pieces {
+			if _, err := w.Write(body[i*size/pieces : (i+1)*size/pieces]); err != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			select {
+			case <-time.After(gap):
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}
+}
