--- a/review/standin-2/world/server.go
+++ b/review/standin-2/world/server.go
@@ -40,6 +40,8 @@
 
 	store    *Store
 	record   *Record
+	http     *http.Server
+	beats    *time.Ticker
 	address  string
 	born     int64
 	slots    chan struct{}
@@ -47,6 +49,10 @@
 	waiting  int
 	running  int
 	sequence int64
+	// leaving is set once the server leaves, and left once it has ended. late is how much later than it was sent
+	// the next write of the entry takes effect.
+	leaving, left bool
+	late          time.Duration
 }
 
 // Start starts the server on a free port and registers it in the store.
@@ -57,27 +63,75 @@
 	}
 	s.store, s.record, s.address = store, record, l.Addr().String()
 	s.born, s.slots = time.Now().UnixMilli(), make(chan struct{}, s.Slots)
-	go func() { _ = http.Serve(l, s) }()
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(l) }()
 	if err := s.beat(); err != nil {
 		return err
 	}
+	s.beats = time.NewTicker(beatTime)
 	go func() {
-		for range time.Tick(beatTime) {
+		for range s.beats.C {
 			_ = s.beat()
 		}
 	}()
 	return nil
 }
 
+// WriteLate makes the server write its entry now. The store performs that later, and the server gets no answer.
+func (s *Server) WriteLate(by time.Duration) error {
+	s.mu.Lock()
+	s.late = by
+	s.mu.Unlock()
+	s.beats.Reset(beatTime)
+	return s.beat()
+}
+
+// Leave makes the server report that it is draining. It goes on serving, and says so in all its answers.
+func (s *Server) Leave() error {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.beats.Reset(beatTime)
+	return s.beat()
+}
+
+// End ends the server and removes its entry.
+func (s *Server) End() {
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
+	s.record.Line("server %s ends", s.ID)
+	_ = s.http.Close()
+	s.store.Remove("servers", s.ID)
+}
+
 func (s *Server) beat() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left {
+		return nil
+	}
 	s.sequence++
+	state := "ready"
+	if s.leaving {
+		state = "draining"
+	}
 	entry := map[string]any{
 		"service": s.Service, "addr": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots,
-		"state": "ready", "cold_left_ms": 0, "seq": s.sequence, "born": s.born,
+		"state": state, "cold_left_ms": 0, "seq": s.sequence, "born": s.born,
 	}
 	if s.Stream {
 		entry["stage"], entry["models"] = "mixed", []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
+	if late := s.late; late > 0 {
+		s.late = 0
+		s.record.Line("server %s writes its entry %d, %s, to no answer", s.ID, s.sequence, state)
+		time.AfterFunc(late, func() {
+			s.record.Line("the store performs the write %d of %s, %v late", entry["seq"], s.ID, late)
+			_ = s.store.Put("servers", s.ID, entry)
+		})
+		return nil
+	}
 	return s.store.Put("servers", s.ID, entry)
 }
 
@@ -92,6 +146,9 @@
 		w.Header().Set(HeaderAttempt, id)
 	}
 	w.Header().Set(headerServer, s.ID)
+	if s.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expect := r.Header.Get(headerExpect); expect != "" && expect != s.ID {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -153,6 +210,12 @@
 	<-s.slots
 }
 
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 func (s *Server) load() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
