Report a reset during the upload as a broken response

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the gateway was still writing the request. The caller got that part as a complete answer: calls, repeatable or not, and streams whose part ended with an event.

Cause: the kernel reports a reset to one system call only, the first one after it. If that is the write of the request, reads return EOF from then on, as after a regular end, and EOF ends a body without a length.

Why the fix works: responsecheck.Conn remembers a write that the loss of the connection was reported to, and Read returns that error instead of EOF. A write in progress is ended first, so that its result is known. EPIPE does not count: it means that the server's FIN came before the reset, so the response did end.

Ruled out: calling every response without a length broken if its request was not written completely. Waiting for the write to finish at EOF was ruled out too: it lasts until the deadline if the server has stopped reading.

--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"persimmonwing/internal/connection/responsecheck"
 )
 
 // readBufferSize is the size of a connection's read buffer in bytes. One stream event has a few
@@ -40,8 +42,9 @@
 }
 
 func newConn(n net.Conn, key connKey) *conn {
-	limit := &limitedReader{r: n}
-	return &conn{Conn: n, key: key, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: maxIdleAge}
+	checked := responsecheck.New(n)
+	limit := &limitedReader{r: checked}
+	return &conn{Conn: checked, key: key, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: maxIdleAge}
 }
 
 // limitedReader limits the bytes that are read from a connection between begin and end.
--- a/internal/connection/backend/send.go
+++ b/internal/connection/backend/send.go
@@ -217,7 +217,8 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body. If the connection
-// breaks before that, it returns another error; this can't be detected if Framed is false.
+// breaks before that, it returns another error. If Framed is false, the server may also have ended the
+// connection early, which can't be detected.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if errors.Is(err, io.EOF) {
--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"persimmonwing/internal/connection/bodies"
+	"persimmonwing/internal/connection/responsecheck"
 	"persimmonwing/internal/connection/sendcheck"
 	"persimmonwing/internal/process/coldbound"
 	"persimmonwing/internal/request/api"
@@ -52,7 +53,7 @@
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	return &http.Transport{
-		DialContext:           sendcheck.Wrap(dialer.DialContext),
+		DialContext:           sendcheck.Wrap(responsecheck.Wrap(dialer.DialContext)),
 		MaxIdleConnsPerHost:   idleConnsPerHost,
 		IdleConnTimeout:       idleConnTimeout,
 		ResponseHeaderTimeout: responseHeaderTimeout,
--- /dev/null
+++ b/internal/connection/platform/broken_test.go
@@ -0,0 +1,41 @@
+package platform_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/connection/engine"
+	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/connection/responsecheck/responsechecktest"
+)
+
+// gatewayHTTP returns a client with the transport that gateways use.
+func gatewayHTTP(t *testing.T) *http.Client {
+	transport := engine.NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// Guards against a transaction that counts as applied or as refused because the table's response is cut off
+// while the transaction is still being written.
+func TestResetDuringUpload(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+	whole := `{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_txn":{"succeeded":true}}]}`
+	ops := []platform.CondPut{{Key: "k", Value: make([]byte, 6<<20)}}
+	txn := func(script responsechecktest.Script) error {
+		address := responsechecktest.Serve(t, script)
+		_, err := platform.NewTable("http://"+address, gatewayHTTP(t), timeout).Txn(t.Context(), ops)
+		return err
+	}
+	is.NoErr(txn(responsechecktest.Once(responsechecktest.Always(head + whole))))
+	for _, cut := range []int{1, len(whole) / 2, len(whole) - 1} {
+		script := responsechecktest.Early(responsechecktest.Always(head+whole[:cut]), responsechecktest.Reset)
+		for range 6 {
+			is.True(errors.Is(txn(script), platform.ErrUnknownOutcome))
+		}
+	}
+}
--- /dev/null
+++ b/internal/connection/responsecheck/responsechecktest/server.go
@@ -0,0 +1,103 @@
+// Package responsechecktest provides servers that send broken HTTP responses.
+package responsechecktest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// readTime is the time that a client needs to read what a server has written, on loopback.
+const readTime = 20 * time.Millisecond
+
+// Script serves one connection, which is closed when it returns. r reads from c.
+type Script func(c *net.TCPConn, r *bufio.Reader)
+
+// Serve starts a server that runs a script for each connection. It returns its address.
+func Serve(t testing.TB, script Script) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(c.(*net.TCPConn), bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Early returns a script that reads the header of a request but not its body, writes the response that
+// answer returns, and calls end.
+func Early(answer func(*http.Request) string, end func(*net.TCPConn)) Script {
+	return func(c *net.TCPConn, r *bufio.Reader) {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(q))
+		end(c)
+	}
+}
+
+// Late returns a script that reads each request to its end and then writes the response that answer
+// returns, without closing the connection.
+func Late(answer func(*http.Request) string) Script {
+	return func(c *net.TCPConn, r *bufio.Reader) {
+		for respond(c, r, answer) {
+		}
+	}
+}
+
+// Once returns a script that is like Late, but closes the connection after the first response.
+func Once(answer func(*http.Request) string) Script {
+	return func(c *net.TCPConn, r *bufio.Reader) { respond(c, r, answer) }
+}
+
+func respond(c *net.TCPConn, r *bufio.Reader, answer func(*http.Request) string) bool {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		return false
+	}
+	_, err = io.WriteString(c, answer(q))
+	return err == nil
+}
+
+// Always returns an answer that is the same for all requests.
+func Always(raw string) func(*http.Request) string {
+	return func(*http.Request) string { return raw }
+}
+
+// Reset resets a connection once the client has read what was written.
+func Reset(c *net.TCPConn) {
+	time.Sleep(readTime)
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// HalfClose ends the server's direction of a connection and reads on.
+func HalfClose(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	_, _ = io.Copy(io.Discard, c)
+}
+
+// Stop ends the server's direction of a connection, reads nothing and closes the connection later.
+func Stop(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	time.Sleep(10 * readTime)
+}
--- /dev/null
+++ b/internal/connection/service/broken_test.go
@@ -0,0 +1,83 @@
+package service_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"persimmonwing/internal/connection/engine"
+	"persimmonwing/internal/connection/responsecheck/responsechecktest"
+	"persimmonwing/internal/connection/service"
+	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
+)
+
+// upload sends a call with a large body as a gateway does.
+func upload(t *testing.T, c *service.Client, address string, size int) (service.Response, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	r := post("c")
+	r.Body = make([]byte, size)
+	return c.Do(ctx, "app-1", address, r)
+}
+
+func gatewayClient(t *testing.T) *service.Client {
+	transport := engine.NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	return service.New(&http.Client{Transport: transport})
+}
+
+// Guards against a response without a length that is returned as complete although its connection was
+// reset while the call was still being written.
+func TestResetDuringUpload(t *testing.T) {
+	const runs = 24
+	for _, size := range []int{60 << 10, 600 << 10, 6 << 20} {
+		for _, part := range []int{1, 200 << 10} {
+			t.Run(strconv.Itoa(size)+"/"+strconv.Itoa(part), func(t *testing.T) {
+				t.Parallel()
+				answer := responsechecktest.Always("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", part))
+				address := responsechecktest.Serve(t, responsechecktest.Early(answer, responsechecktest.Reset))
+				c := gatewayClient(t)
+				complete := 0
+				for range runs {
+					_, err := upload(t, c, address, size)
+					if err == nil {
+						complete++
+					} else if fault.From(err).Execution == api.NotRun {
+						t.Errorf("a call that was sent counts as not run: %v", err)
+					}
+				}
+				if complete > 0 {
+					t.Errorf("%d of %d truncated responses are complete", complete, runs)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a complete response that is lost because the server has not read the call's body.
+func TestCompleteResponsesDuringUpload(t *testing.T) {
+	body := strings.Repeat("x", 20<<10)
+	unframed := responsechecktest.Always("HTTP/1.1 200 OK\r\n\r\n" + body)
+	framed := responsechecktest.Always("HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+	for name, script := range map[string]responsechecktest.Script{
+		"length, then an end":          responsechecktest.Early(framed, responsechecktest.HalfClose),
+		"no length, ends and reads on": responsechecktest.Early(unframed, responsechecktest.HalfClose),
+		"length, after the upload":     responsechecktest.Late(framed),
+		"no length, after the upload":  responsechecktest.Once(unframed),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := responsechecktest.Serve(t, script)
+			c := gatewayClient(t)
+			for range 8 {
+				if r, err := upload(t, c, address, 6<<20); err != nil || string(r.Body) != body {
+					t.Errorf("got %d bytes, %v", len(r.Body), err)
+				}
+			}
+		})
+	}
+}
