Refuse responses whose status is below 100, or 101

What callers saw: a server in trouble sent an answer whose status was 000, or another one below 100, or 101, and after it what looked like another response. The caller got the second one as the server's answer.

Cause: net/http parses any three characters that are a number as a status ("000", "+20", "-00"). The pool's loop over interim responses skipped everything below 200, so that an invalid response counted as interim and 101, after which the bytes are of another protocol, too. The clients that use net/http's transport got the status itself: the one of application servers returned 0, 1, 20, 42, 99 and 101 as answers.

Why the fix works: responsecheck.Conn checks the bytes of a response as they are read, from the call of ExpectResponse to the end of the final head, and fails the read at an invalid status. So nothing after it is parsed. 600 to 999 stay as they are: they pass unchanged, and nothing was seen of them.

Ruled out: checking the parsed status only. That holds for this fault, but not for the names of fields, which net/http does not return as they were sent; the clients with its transport need the bytes, too.

Sound before, tests kept: the clients of engines, of the product's platform and of the platform's store, which take 200 and the statuses that they name only.

--- a/internal/connection/backend/broken_test.go
+++ b/internal/connection/backend/broken_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"persimmonwing/internal/connection/responsecheck/responsechecktest"
 )
 
@@ -60,7 +63,7 @@
 func TestCompleteResponsesDuringUpload(t *testing.T) {
 	body := strings.Repeat("x", 20<<10)
 	unframed := responsechecktest.Always(unframedHead + body)
-	framed := responsechecktest.Always("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+	framed := responsechecktest.Always(response("a", body))
 	for name, script := range map[string]responsechecktest.Script{
 		"length, then a reset":              responsechecktest.Early(framed, responsechecktest.Reset),
 		"length, then an end":               responsechecktest.Early(framed, responsechecktest.HalfClose),
@@ -82,3 +85,72 @@
 		})
 	}
 }
+
+// requireBroken sends a request to a server that answers raw, and requires an error of a request that may
+// have run.
+func requireBroken(t *testing.T, raw string) {
+	t.Helper()
+	address := responsechecktest.Serve(t, responsechecktest.Once(responsechecktest.Always(raw)))
+	p := NewPool(nil)
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	r := request("a")
+	r.Accept = nil // a header that is not read does not hide the response
+	resp, err := p.Send(ctx, address, r)
+	if err == nil {
+		body, err := io.ReadAll(resp)
+		t.Errorf("got status %d, header %q, body %q, %v", resp.Status, resp.Header, body, err)
+		resp.Close()
+		return
+	}
+	if failed := new(SendError); !errors.As(err, &failed) || !failed.Sent {
+		t.Errorf("a request with a broken response counts as not sent: %v", err)
+	}
+}
+
+// Guards against a response with an invalid status that is returned, or skipped so that bytes after it are
+// returned as the response.
+func TestInvalidStatuses(t *testing.T) {
+	for name, raw := range responsechecktest.InvalidStatuses("Id: a\r\n", response("a", "next")) {
+		t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
+	}
+}
+
+// Guards against an invalid status after a skipped response to another request.
+func TestInvalidStatusAfterAStrayResponse(t *testing.T) {
+	for name, raw := range responsechecktest.InvalidStatuses("Id: a\r\n", response("a", "next")) {
+		t.Run(name, func(t *testing.T) {
+			address := responsechecktest.Serve(t, responsechecktest.Once(responsechecktest.Always(response("other", "stray")+raw)))
+			p := NewPool(nil)
+			defer p.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if resp, err := p.Send(ctx, address, request("a")); err == nil {
+				t.Errorf("got status %d, header %q", resp.Status, resp.Header)
+				resp.Close()
+			}
+		})
+	}
+}
+
+// Guards against statuses that count as invalid because few servers send them.
+func TestRareStatuses(t *testing.T) {
+	for _, status := range []int{200, 204, 299, 304, 399, 451, 499, 599, 600, 999} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			raw := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nId: a\r\n\r\nHTTP/1.1 " + strconv.Itoa(status) + "\r\nId: a\r\nContent-Length: 0\r\n\r\n"
+			address := responsechecktest.Serve(t, responsechecktest.Late(responsechecktest.Always(raw)))
+			p := NewPool(nil)
+			defer p.Close()
+			for range 3 {
+				resp, err := p.Send(t.Context(), address, request("a"))
+				is.NoErr(err)
+				is.Equal(resp.Status, status)
+				_, err = io.Copy(io.Discard, resp)
+				is.NoErr(err)
+				resp.Close()
+			}
+		})
+	}
+}
--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,7 +20,7 @@
 
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*responsecheck.Conn
 	key    connKey
 	limit  *limitedReader
 	reader *bufio.Reader
@@ -73,6 +72,12 @@
 	return n, err
 }
 
+// expectResponse makes the next bytes that are parsed the first ones of a response, whose head is checked.
+func (c *conn) expectResponse() error {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	return c.ExpectResponse(buffered)
+}
+
 func (c *conn) close() { _ = c.Close() }
 
 // reusable reports whether an idle connection is still open and has no unread bytes. Bytes
@@ -81,11 +86,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/connection/backend/send.go
+++ b/internal/connection/backend/send.go
@@ -182,6 +182,9 @@
 func readResponse(c *conn, r Request) (*http.Response, error) {
 	c.limit.begin(maxHeadBytes)
 	defer c.limit.end()
+	if err := c.expectResponse(); err != nil {
+		return nil, err
+	}
 	for stray := 0; stray <= maxStrayResponses; {
 		if err := awaitResponse(c.reader); err != nil {
 			return nil, err
@@ -205,6 +208,9 @@
 		if err != nil || n == maxStrayBytes {
 			return nil, errStrayResponses
 		}
+		if err := c.expectResponse(); err != nil {
+			return nil, err
+		}
 		stray++
 	}
 	return nil, errStrayResponses
--- a/internal/connection/engine/broken_test.go
+++ b/internal/connection/engine/broken_test.go
@@ -12,6 +12,7 @@
 
 	"persimmonwing/internal/connection/responsecheck/responsechecktest"
 	"persimmonwing/internal/request/api"
+	"persimmonwing/internal/request/fault"
 )
 
 // Guards against a stream without a length that ends as if the engine had closed it cleanly although its
@@ -55,3 +56,42 @@
 		}
 	}
 }
+
+// requireBroken requires an error for a stream, a control call and a report of load that are answered raw.
+func requireBroken(t *testing.T, raw string) {
+	t.Helper()
+	address := responsechecktest.Serve(t, responsechecktest.Once(responsechecktest.Always(raw)))
+	transport := NewTransport()
+	defer transport.CloseIdleConnections()
+	c := New(&http.Client{Transport: transport})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	s, err := c.Create(ctx, "e1", address, api.CreateRequest{})
+	if err == nil {
+		_, err = s.Next()
+		s.Close()
+		t.Errorf("a stream was returned, whose first event has the error %v", err)
+	} else if fault.From(err).Execution == api.NotRun {
+		t.Errorf("a generation that was sent counts as not run: %v", err)
+	}
+	if err := c.Cancel(ctx, "e1", address, "id"); err == nil {
+		t.Error("a control call was answered")
+	}
+	if report, err := c.Load(ctx, "e1", address); err == nil {
+		t.Errorf("a report of load was returned: %+v", report)
+	}
+	if s, err := c.Resume(ctx, "e1", address, "id", -1); err == nil {
+		s.Close()
+		t.Error("a resumed stream was returned")
+	}
+}
+
+// eventStreamHeader is the header of a stream in a response.
+const eventStreamHeader = "Content-Type: text/event-stream\r\n"
+
+// Guards against a response with an invalid status that counts as a stream or as an answer to a control call.
+func TestInvalidStatuses(t *testing.T) {
+	for name, raw := range responsechecktest.InvalidStatuses(eventStreamHeader, responsechecktest.Whole(eventStreamHeader, completedEvent)) {
+		t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
+	}
+}
--- a/internal/connection/platform/broken_test.go
+++ b/internal/connection/platform/broken_test.go
@@ -39,3 +39,30 @@
 		}
 	}
 }
+
+// requireBroken requires errors of the clients of the platform's services if these answer raw.
+func requireBroken(t *testing.T, raw string) {
+	t.Helper()
+	address := "http://" + responsechecktest.Serve(t, responsechecktest.Once(responsechecktest.Always(raw)))
+	client := gatewayHTTP(t)
+	if row, err := platform.NewTable(address, client, timeout).Get(t.Context(), "k"); err == nil || errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("a row was read: %+v, %v", row, err)
+	}
+	objects := platform.NewObjects(address, client, timeout)
+	if body, err := objects.Get(t.Context(), "b", "k"); err == nil || errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("an object was read: %q, %v", body, err)
+	}
+	if err := objects.Put(t.Context(), "b", "k", []byte("object")); !errors.Is(err, platform.ErrUnknownOutcome) {
+		t.Errorf("a write has the error %v", err)
+	}
+	if hosts, err := platform.NewHostList(address, client, timeout).Hosts(t.Context()); err == nil {
+		t.Errorf("hosts were read: %+v", hosts)
+	}
+}
+
+// Guards against a response with an invalid status that counts as an answer of the platform.
+func TestInvalidStatuses(t *testing.T) {
+	for name, raw := range responsechecktest.InvalidStatuses("", responsechecktest.Whole("", "[]")) {
+		t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
+	}
+}
--- a/internal/connection/responsecheck/conn.go
+++ b/internal/connection/responsecheck/conn.go
@@ -15,9 +15,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// Conn is a client's connection to a server.
+// Conn is a client's connection to a server. The heads of responses are checked after ExpectResponse.
 type Conn struct {
 	net.Conn
+	// reading protects head.
+	reading sync.Mutex
+	head    head
 	// writing is held during a write.
 	writing sync.Mutex
 	// lost is the error of a write which shows that the connection broke. It is protected by writing.
@@ -41,6 +44,31 @@
 	}
 }
 
+// ExpectResponse states that the next bytes which the server sends are a response, from whose head on they are
+// checked. buffered are bytes of the response that were read before. It returns an error if they are invalid.
+func (c *Conn) ExpectResponse(buffered []byte) error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.head.expect()
+	return c.head.check(buffered)
+}
+
+// ExpectResponse is like the method of Conn for a connection that wraps one, such as in the trace hook GotConn
+// of net/http. It does nothing for other connections.
+func ExpectResponse(c net.Conn) {
+	for c != nil {
+		if checked, ok := c.(*Conn); ok {
+			_ = checked.ExpectResponse(nil)
+			return
+		}
+		wrapper, ok := c.(interface{ Unwrap() net.Conn })
+		if !ok {
+			return
+		}
+		c = wrapper.Unwrap()
+	}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
@@ -58,12 +86,16 @@
 	return !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
 
-// Read implements net.Conn. It returns io.EOF only if the server has ended its direction of the connection.
+// Read implements net.Conn. It returns io.EOF only if the server has ended its direction of the connection, and
+// an error for the head of a response that is invalid.
 //
 // The kernel reports the loss of a connection to one system call only. If that is a write of the request,
 // reads return io.EOF afterwards, and a response that ends with its connection would look complete.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if invalid := c.checkHead(b[:n]); invalid != nil {
+		return 0, invalid
+	}
 	if errors.Is(err, io.EOF) {
 		if lost := c.stopWriting(); lost != nil {
 			return n, eris.Wrap(lost, "connection broke during a write")
@@ -72,6 +104,12 @@
 	return n, err
 }
 
+func (c *Conn) checkHead(b []byte) error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.head.check(b)
+}
+
 // stopWriting ends a write in progress, which can't change the response any more, and all later ones. It
 // returns the error of the write that the loss of the connection was reported to.
 func (c *Conn) stopWriting() error {
--- a/internal/connection/responsecheck/responsechecktest/server.go
+++ b/internal/connection/responsecheck/responsechecktest/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -101,3 +102,24 @@
 	_ = c.CloseWrite()
 	time.Sleep(10 * readTime)
 }
+
+// Whole returns a complete response with the given header lines, each with its CR and LF.
+func Whole(header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+}
+
+// InvalidStatuses returns responses whose status no server may send, with the given header lines, each with
+// its CR and LF. Some are followed by next, which looks like another response.
+func InvalidStatuses(header, next string) map[string]string {
+	out := map[string]string{}
+	for _, status := range []string{"000 ", "000", "000 Error", "001 OK", "042 OK", "099 OK", "+20 OK", "-00 OK", "101 Switching Protocols"} {
+		head := "HTTP/1.1 " + status + "\r\n" + header
+		out[status+", with a length"] = head + "Content-Length: 3\r\n\r\nown"
+		out[status+", with chunks"] = head + "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n"
+		out[status+", without a body"] = head + "\r\n"
+		out[status+", before another"] = head + "\r\n" + next
+		out[status+", without a header, before another"] = "HTTP/1.1 " + status + "\r\n\r\n" + next
+		out[status+", after an interim response"] = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "\r\n" + next
+	}
+	return out
+}
--- a/internal/connection/sendcheck/sendcheck.go
+++ b/internal/connection/sendcheck/sendcheck.go
@@ -21,6 +21,9 @@
 	check atomic.Pointer[Check]
 }
 
+// Unwrap returns the connection without the check.
+func (c *conn) Unwrap() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	if check := c.check.Swap(nil); check != nil {
--- a/internal/connection/service/broken_test.go
+++ b/internal/connection/service/broken_test.go
@@ -62,7 +62,7 @@
 func TestCompleteResponsesDuringUpload(t *testing.T) {
 	body := strings.Repeat("x", 20<<10)
 	unframed := responsechecktest.Always("HTTP/1.1 200 OK\r\n\r\n" + body)
-	framed := responsechecktest.Always("HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+	framed := responsechecktest.Always(responsechecktest.Whole("", body))
 	for name, script := range map[string]responsechecktest.Script{
 		"length, then an end":          responsechecktest.Early(framed, responsechecktest.HalfClose),
 		"no length, ends and reads on": responsechecktest.Early(unframed, responsechecktest.HalfClose),
@@ -81,3 +81,41 @@
 		})
 	}
 }
+
+// requireBroken sends a call to a server that answers raw, on a new connection and on a kept one, and requires
+// an error of a call that may have run.
+func requireBroken(t *testing.T, raw string) {
+	t.Helper()
+	address := responsechecktest.Serve(t, responsechecktest.Late(func(r *http.Request) string {
+		if r.URL.Path == "/sound" {
+			return responsechecktest.Whole("", "sound")
+		}
+		return raw
+	}))
+	c := gatewayClient(t)
+	for _, kept := range []bool{false, true} {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		if kept {
+			r := post("c")
+			r.Path = "/sound"
+			if _, err := c.Do(ctx, "app-1", address, r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r, err := c.Do(ctx, "app-1", address, post("c"))
+		switch {
+		case err == nil:
+			t.Errorf("kept %v: got status %d, header %q, body %q", kept, r.Status, r.Header, r.Body)
+		case fault.From(err).Execution == api.NotRun:
+			t.Errorf("kept %v: a call that was sent counts as not run: %v", kept, err)
+		}
+	}
+}
+
+// Guards against a response with an invalid status that is returned.
+func TestInvalidStatuses(t *testing.T) {
+	for name, raw := range responsechecktest.InvalidStatuses("", responsechecktest.Whole("", "next")) {
+		t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
+	}
+}
--- a/internal/connection/service/client.go
+++ b/internal/connection/service/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"persimmonwing/internal/connection/bodies"
+	"persimmonwing/internal/connection/responsecheck"
 	"persimmonwing/internal/process/coldbound"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
@@ -176,6 +177,7 @@
 
 func (s *sendState) request(ctx context.Context, address string, r Request) (*http.Request, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		responsecheck.ExpectResponse(c.Conn)
 		s.connected.Store(true)
 		s.reused.Store(c.Reused)
 	}}
