Refuse responses with blanks or control bytes in the names of fields

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on, or with a body that was not the server's: a length or chunks that were stated in such a line do not count.

Cause: net/http accepts blanks in names, so that "Content-Length : 3" is a field of its own and frames nothing. It also reads a line that begins with a blank or a tab as the continuation of the value before it, so that " Content-Length: 3" becomes a part of that value. All other bytes that names can't hold it refuses itself.

Why the fix works: the check of the bytes of a head, which already refused invalid statuses, fails the read at a blank or control byte in a name, before the parser sees the line. The clients of engines, of the platform and of the store expect their responses on checked connections now, too.

A folded line without a colon stays valid: it can't be a field. One with a colon is refused, because it can't be told from a field whose name begins with a blank; RFC 9112, 5.2 lets a gateway answer 502 to any folded line. Ruled out: to compare the parsed names only, in which a folded line no longer shows.

--- a/internal/connection/backend/broken_test.go
+++ b/internal/connection/backend/broken_test.go
@@ -154,3 +154,13 @@
 		})
 	}
 }
+
+// Guards against a response with a broken line in its head that is returned with that line, or with a body that is
+// framed in another way than the server meant.
+func TestInvalidNames(t *testing.T) {
+	for _, status := range []string{"200 OK", "404 Not Found"} {
+		for name, raw := range responsechecktest.InvalidNames(status, "Id: a\r\n", "own") {
+			t.Run(status+", "+name, func(t *testing.T) { requireBroken(t, raw) })
+		}
+	}
+}
--- a/internal/connection/engine/broken_test.go
+++ b/internal/connection/engine/broken_test.go
@@ -95,3 +95,16 @@
 		t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
 	}
 }
+
+// Guards against a response with a broken line in its head that counts as a stream or as an answer to a control call.
+func TestInvalidNames(t *testing.T) {
+	for _, body := range []string{completedEvent, `{"name":"e1"}`} {
+		header := ""
+		if body == completedEvent {
+			header = eventStreamHeader
+		}
+		for name, raw := range responsechecktest.InvalidNames("200 OK", header, body) {
+			t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
+		}
+	}
+}
--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -103,6 +103,7 @@
 func (c *Client) do(ctx context.Context, k call) (*http.Response, error) {
 	var connected, reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		responsecheck.ExpectResponse(c.Conn)
 		connected.Store(true)
 		reused.Store(c.Reused)
 	}}
--- a/internal/connection/platform/broken_test.go
+++ b/internal/connection/platform/broken_test.go
@@ -66,3 +66,10 @@
 		t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
 	}
 }
+
+// Guards against a response with a broken line in its head that counts as an answer of the platform.
+func TestInvalidNames(t *testing.T) {
+	for name, raw := range responsechecktest.InvalidNames("200 OK", "ETag: x\r\n", "[]") {
+		t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
+	}
+}
--- a/internal/connection/platform/http.go
+++ b/internal/connection/platform/http.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"persimmonwing/internal/connection/bodies"
+	"persimmonwing/internal/connection/responsecheck"
 )
 
 // maxResponseBytes is the maximum size of a response body that is read into memory.
@@ -79,7 +80,10 @@
 	// had no effect. The error doesn't contain this information: a timeout while dialling looks
 	// like any other timeout.
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		responsecheck.ExpectResponse(c.Conn)
+		connected.Store(true)
+	}}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), k.method, c.base+k.path, bytes.NewReader(k.body))
 	if err != nil {
 		return nil, NewError(k.step, c.base, ErrNotApplied, err)
--- a/internal/connection/responsecheck/head.go
+++ b/internal/connection/responsecheck/head.go
@@ -21,7 +21,9 @@
 	statusLine
 	lineStart
 	afterCR // after a carriage return at the start of a line
-	fieldLine
+	fieldName
+	foldedLine // a line that begins with a blank and continues the value before it
+	fieldValue
 )
 
 // head checks the heads of one response: those of interim responses and that of the final one. The zero
@@ -58,18 +60,45 @@
 		}
 		h.state = lineStart
 		return rest, h.checkStatus()
-	case lineStart, afterCR:
-		switch {
-		case b[0] == '\n':
+	case lineStart:
+		switch b[0] {
+		case '\n':
 			h.end()
-		case b[0] == '\r' && h.state == lineStart:
+		case '\r':
 			h.state = afterCR
+		case ' ', '\t':
+			h.state = foldedLine
 		default:
-			h.state = fieldLine
+			h.state = fieldName
 			return b, nil
 		}
 		return b[1:], nil
-	default:
+	case afterCR:
+		if b[0] != '\n' {
+			return nil, eris.New("header line begins with a carriage return")
+		}
+		h.end()
+		return b[1:], nil
+	case fieldName:
+		name, _, ended := bytes.Cut(b, []byte{':'})
+		if i := bytes.IndexFunc(name, isBlankOrControl); i >= 0 {
+			return nil, eris.Errorf("name of a header field holds the byte %q", name[i])
+		}
+		if ended {
+			h.state = fieldValue
+		}
+		return b[len(name):], nil
+	case foldedLine:
+		i := bytes.IndexAny(b, ":\n")
+		switch {
+		case i < 0:
+			return nil, nil
+		case b[i] == ':':
+			return nil, eris.New("name of a header field begins with a blank, or its line is folded and holds a colon")
+		}
+		h.state = lineStart
+		return b[i+1:], nil
+	default: // fieldValue
 		_, rest, ended := bytes.Cut(b, []byte{'\n'})
 		if ended {
 			h.state = lineStart
@@ -78,6 +107,11 @@
 	}
 }
 
+// isBlankOrControl reports whether a name of a field can't hold a character because it is a blank or a control
+// character. net/http accepts blanks, so that it takes "Content-Length : 3" as another field; it refuses all
+// other characters that are not allowed.
+func isBlankOrControl(r rune) bool { return r <= ' ' || r == 0x7f }
+
 // end ends the present head.
 func (h *head) end() {
 	if h.interim {
--- a/internal/connection/responsecheck/head_test.go
+++ b/internal/connection/responsecheck/head_test.go
@@ -1,6 +1,9 @@
 package responsecheck
 
 import (
+	"bufio"
+	"net/http"
+	"strings"
 	"testing"
 
 	"persimmonwing/internal/connection/responsecheck/responsechecktest"
@@ -38,6 +41,11 @@
 	requireChecked(t, responsechecktest.InvalidStatuses("Name: value\r\n", responsechecktest.Whole("", "next")), false)
 }
 
+// Guards against a check that depends on how a response is split into reads.
+func TestInvalidNamesInParts(t *testing.T) {
+	requireChecked(t, responsechecktest.InvalidNames("200 OK", "Name: value\r\n", "own"), false)
+}
+
 // Guards against a valid response that is refused, and against a body that is checked as a head.
 func TestValidResponsesInParts(t *testing.T) {
 	requireChecked(t, map[string]string{
@@ -45,11 +53,54 @@
 		"bare line feeds":         "HTTP/1.1 200 OK\nName: value\n\nbody",
 		"no reason":               "HTTP/1.1 200\r\n\r\n",
 		"several blanks":          "HTTP/1.1   200 OK\r\n\r\n",
+		"long reason":             "HTTP/1.1 200 " + strings.Repeat("OK ", 2*maxStatusLine) + "\r\n\r\n",
 		"no header":               "HTTP/1.1 200 OK\r\n\r\nbody",
 		"interim responses":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody",
 		"folded value":            "HTTP/1.1 200 OK\r\nLink: x\r\n  y\r\n\r\n",
 		"colons in a value":       "HTTP/1.1 200 OK\r\nDate: 10:00:00\r\nEmpty:\r\n\r\n",
+		"blanks in a value":       "HTTP/1.1 200 OK\r\nName:\t a b \r\nOther:x\r\n\r\n",
 		"body that looks invalid": "HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 000 Error\r\n na me : x\r\n\r\n",
 		"rare status":             "HTTP/1.1 999 Other\r\n\r\n",
 	}, true)
 }
+
+// readHeads parses the heads of a response as a client of net/http does. It returns the final one.
+func readHeads(raw string) (*http.Response, error) {
+	r := bufio.NewReader(strings.NewReader(raw))
+	for {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
+// Guards against a response that net/http and this package read differently: one that passes the check and is
+// parsed has a valid status and valid names, and the check doesn't depend on how the response is split.
+func FuzzHead(f *testing.F) {
+	for _, raw := range responsechecktest.InvalidStatuses("Name: value\r\n", responsechecktest.Whole("", "next")) {
+		f.Add(raw)
+	}
+	for _, raw := range responsechecktest.InvalidNames("200 OK", "Name: value\r\n", "own") {
+		f.Add(raw)
+	}
+	f.Add("HTTP/1.1 103 Early Hints\nLink: x\n  y\n\nHTTP/1.1 200\nEmpty:\n\nbody")
+	f.Fuzz(func(t *testing.T, raw string) {
+		whole, parts := checkParts(raw, max(1, len(raw))), checkParts(raw, 1)
+		if (whole == nil) != (parts == nil) {
+			t.Fatalf("at once: %v, byte by byte: %v", whole, parts)
+		}
+		if whole != nil {
+			return
+		}
+		resp, err := readHeads(raw)
+		if err != nil {
+			return
+		}
+		for name := range resp.Header {
+			if strings.ContainsAny(name, " \t") {
+				t.Errorf("a field has the name %q", name)
+			}
+		}
+	})
+}
--- a/internal/connection/responsecheck/responsechecktest/server.go
+++ b/internal/connection/responsecheck/responsechecktest/server.go
@@ -123,3 +123,27 @@
 	}
 	return out
 }
+
+// InvalidNames returns responses with the given status, header lines, each with its CR and LF, and body. In the head of
+// each the name of a field holds a blank or a control byte.
+func InvalidNames(status, header, body string) map[string]string {
+	out := map[string]string{}
+	for _, line := range []string{
+		"Na me: x", "Name : x", " : x", " Name: x", "Content-Length : 1", "Content Length: 1", " Content-Length: 1",
+		"Transfer-Encoding : chunked", " Transfer-Encoding: chunked", "\t: x", "\tName: x", "Na\tme: x", "Name\t: x",
+		"\x00: x", "Na\x01me: x", "Na\rme: x", "Name\x7f: x",
+	} {
+		for framing, end := range map[string]string{
+			"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+			"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+			"none":   "\r\n" + body,
+		} {
+			head := "HTTP/1.1 " + status + "\r\n"
+			out[fmt.Sprintf("%q first, framing: %s", line, framing)] = head + line + "\r\n" + header + end
+			out[fmt.Sprintf("%q last, framing: %s", line, framing)] = head + header + "Other: y\r\n" + line + "\r\n" + end
+		}
+		out[fmt.Sprintf("%q alone", line)] = "HTTP/1.1 " + status + "\r\n" + line + "\r\n\r\n" + body
+		out[fmt.Sprintf("%q in an interim response", line)] = "HTTP/1.1 103 Early Hints\r\nLink: y\r\n" + line + "\r\n\r\nHTTP/1.1 " + status + "\r\n" + header + "\r\n" + body
+	}
+	return out
+}
--- a/internal/connection/service/broken_test.go
+++ b/internal/connection/service/broken_test.go
@@ -119,3 +119,16 @@
 		t.Run(name, func(t *testing.T) { requireBroken(t, raw) })
 	}
 }
+
+// Guards against a response with a broken line in its head that is returned with that line, or with a body that is
+// framed in another way than the server meant.
+func TestInvalidNames(t *testing.T) {
+	for _, status := range []string{"200 OK", "404 Not Found"} {
+		for name, raw := range responsechecktest.InvalidNames(status, "Name: value\r\n", "own") {
+			t.Run(status+", "+name, func(t *testing.T) {
+				t.Parallel()
+				requireBroken(t, raw)
+			})
+		}
+	}
+}
--- a/internal/process/operator/connect.go
+++ b/internal/process/operator/connect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"persimmonwing/internal/connection/platform"
+	"persimmonwing/internal/connection/responsecheck"
 	"persimmonwing/internal/version/revision"
 )
 
@@ -16,7 +17,9 @@
 	if err := errors.Join(checkURL("-table-url", tableURL), checkURL("-object-url", objectURL)); err != nil {
 		return nil, nil, usageError{err}
 	}
-	client := &http.Client{Transport: http.DefaultTransport}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = responsecheck.Wrap(transport.DialContext)
+	client := &http.Client{Transport: transport}
 	return platform.NewTable(tableURL, client, timeout), platform.NewObjects(objectURL, client, timeout), nil
 }
 
