Test invalid heads through net/http in parts of each size

FuzzHead and the tests of parts checked the heads alone and could not show that net/http ignores errors of reads.

--- a/internal/connection/responsecheck/head_test.go
+++ b/internal/connection/responsecheck/head_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"persimmonwing/internal/connection/responsecheck/responsechecktest"
 )
@@ -65,16 +68,41 @@
 }
 
 // readHeads parses the heads of a response as a client of net/http does. It returns the final one.
-func readHeads(raw string) (*http.Response, error) {
-	r := bufio.NewReader(strings.NewReader(raw))
+func readHeads(r io.Reader) (*http.Response, error) {
+	buffer := bufio.NewReader(r)
 	for {
-		resp, err := http.ReadResponse(r, nil)
+		resp, err := http.ReadResponse(buffer, nil)
 		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
 		}
 	}
 }
 
+// partsConn is a connection of which each read returns at most size bytes of data.
+type partsConn struct {
+	net.Conn
+	data *strings.Reader
+	size int
+}
+
+func (c *partsConn) Read(b []byte) (int, error)       { return c.data.Read(b[:min(len(b), c.size)]) }
+func (c *partsConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against an invalid head whose error net/http ignores, so that the head goes on without the invalid part.
+func TestInvalidNamesThroughNetHTTP(t *testing.T) {
+	for name, raw := range responsechecktest.InvalidNames("200 OK", "Name: value\r\n", "own") {
+		for size := 1; size <= len(raw); size++ {
+			c := New(&partsConn{data: strings.NewReader(raw), size: size})
+			if err := c.ExpectResponse(nil); err != nil {
+				t.Fatal(err)
+			}
+			if resp, err := readHeads(c); err == nil {
+				t.Errorf("%s in parts of %d bytes: header %q", name, size, resp.Header)
+			}
+		}
+	}
+}
+
 // Guards against a response that net/http and this package read differently: one that passes the check and is
 // parsed has a valid status and valid names, and the check doesn't depend on how the response is split.
 func FuzzHead(f *testing.F) {
@@ -93,7 +121,7 @@
 		if whole != nil {
 			return
 		}
-		resp, err := readHeads(raw)
+		resp, err := readHeads(strings.NewReader(raw))
 		if err != nil {
 			return
 		}
