Let FuzzHead check statuses, and name the sizes in the tests of broken answers

Sizes of uploads and parts had no names or units. No check is eased; of the product only a comment changed.

--- a/internal/connection/backend/broken_test.go
+++ b/internal/connection/backend/broken_test.go
@@ -18,11 +18,11 @@
 )
 
 // sendUpload sends a request with a large body and reads the response to its end.
-func sendUpload(t *testing.T, p *Pool, address string, size int) (string, error) {
+func sendUpload(t *testing.T, p *Pool, address string, bodyBytes int) (string, error) {
 	t.Helper()
 	r := request("a")
-	r.Body = make([]byte, size)
-	r.Header.Set("Content-Length", strconv.Itoa(size))
+	r.Body = make([]byte, bodyBytes)
+	r.Header.Set("Content-Length", strconv.Itoa(bodyBytes))
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	resp, err := p.Send(ctx, address, r)
@@ -34,23 +34,24 @@
 	return string(body), err
 }
 
+// unframedHead is the head of a response whose body ends with its connection.
 const unframedHead = "HTTP/1.1 200 OK\r\nId: a\r\n\r\n"
 
 // Guards against a response without a length that is returned as complete although its connection was
 // reset while the request was still being written.
 func TestResetDuringUpload(t *testing.T) {
 	const runs = 24
-	for _, size := range []int{60 << 10, 600 << 10, 6 << 20} {
-		for _, part := range []int{1, 20 << 10, 200 << 10} {
-			t.Run(strconv.Itoa(size)+"/"+strconv.Itoa(part), func(t *testing.T) {
+	for _, bodyBytes := range []int{responsechecktest.UploadBytes / 100, responsechecktest.UploadBytes / 10, responsechecktest.UploadBytes} {
+		for _, partBytes := range []int{1, 20 << 10, 200 << 10} {
+			t.Run(strconv.Itoa(bodyBytes)+"/"+strconv.Itoa(partBytes), func(t *testing.T) {
 				t.Parallel()
-				answer := responsechecktest.Always(unframedHead + strings.Repeat("x", part))
+				answer := responsechecktest.Always(unframedHead + strings.Repeat("x", partBytes))
 				address := responsechecktest.Serve(t, responsechecktest.Early(answer, responsechecktest.Reset))
 				p := NewPool(nil)
 				defer p.Close()
 				complete := 0
 				for range runs {
-					if _, err := sendUpload(t, p, address, size); err == nil {
+					if _, err := sendUpload(t, p, address, bodyBytes); err == nil {
 						complete++
 					}
 				}
@@ -81,7 +82,7 @@
 			p := NewPool(nil)
 			defer p.Close()
 			for range 8 {
-				if got, err := sendUpload(t, p, address, 6<<20); err != nil || got != body {
+				if got, err := sendUpload(t, p, address, responsechecktest.UploadBytes); err != nil || got != body {
 					t.Errorf("got %d bytes, %v", len(got), err)
 				}
 			}
--- a/internal/connection/engine/broken_test.go
+++ b/internal/connection/engine/broken_test.go
@@ -20,8 +20,8 @@
 func TestResetDuringUpload(t *testing.T) {
 	const runs = 24
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
-	for _, size := range []int{60 << 10, 600 << 10, 6 << 20} {
-		t.Run(strconv.Itoa(size), func(t *testing.T) {
+	for _, bodyBytes := range []int{responsechecktest.UploadBytes / 100, responsechecktest.UploadBytes / 10, responsechecktest.UploadBytes} {
+		t.Run(strconv.Itoa(bodyBytes), func(t *testing.T) {
 			t.Parallel()
 			answer := responsechecktest.Always(head + createdEvent)
 			address := responsechecktest.Serve(t, responsechecktest.Early(answer, responsechecktest.Reset))
@@ -30,7 +30,7 @@
 			c := New(&http.Client{Transport: transport})
 			complete := 0
 			for range runs {
-				if streamEnds(t, c, address, strings.Repeat("x", size)) {
+				if streamEnds(t, c, address, strings.Repeat("x", bodyBytes)) {
 					complete++
 				}
 			}
--- a/internal/connection/platform/broken_test.go
+++ b/internal/connection/platform/broken_test.go
@@ -25,7 +25,7 @@
 	is := is.New(t)
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
 	whole := `{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_txn":{"succeeded":true}}]}`
-	ops := []platform.CondPut{{Key: "k", Value: make([]byte, 6<<20)}}
+	ops := []platform.CondPut{{Key: "k", Value: make([]byte, responsechecktest.UploadBytes)}}
 	txn := func(script responsechecktest.Script) error {
 		address := responsechecktest.Serve(t, script)
 		_, err := platform.NewTable("http://"+address, gatewayHTTP(t), timeout).Txn(t.Context(), ops)
--- a/internal/connection/responsecheck/conn_test.go
+++ b/internal/connection/responsecheck/conn_test.go
@@ -71,9 +71,10 @@
 		_ = c.CloseWrite()
 		<-stopped
 	})
+	const endlessBytes = 64 << 20 // the buffers of both sockets are smaller
 	written := make(chan error, 1)
 	go func() {
-		_, err := c.Write(make([]byte, 64<<20))
+		_, err := c.Write(make([]byte, endlessBytes))
 		written <- err
 	}()
 	_, err := c.Read(make([]byte, 1))
--- a/internal/connection/responsecheck/head_test.go
+++ b/internal/connection/responsecheck/head_test.go
@@ -67,13 +67,19 @@
 	}, true)
 }
 
-// readHeads parses the heads of a response as a client of net/http does. It returns the final one.
-func readHeads(r io.Reader) (*http.Response, error) {
+// readHeads parses the heads of a response as a client of net/http does: those of interim responses and the final one,
+// which is the last.
+func readHeads(r io.Reader) ([]*http.Response, error) {
+	var heads []*http.Response
 	buffer := bufio.NewReader(r)
 	for {
 		resp, err := http.ReadResponse(buffer, nil)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, resp)
+		if resp.StatusCode >= http.StatusOK {
+			return heads, nil
 		}
 	}
 }
@@ -96,15 +102,15 @@
 			if err := c.ExpectResponse(nil); err != nil {
 				t.Fatal(err)
 			}
-			if resp, err := readHeads(c); err == nil {
-				t.Errorf("%s in parts of %d bytes: header %q", name, size, resp.Header)
+			if heads, err := readHeads(c); err == nil {
+				t.Errorf("%s in parts of %d bytes: header %q", name, size, heads[len(heads)-1].Header)
 			}
 		}
 	}
 }
 
-// Guards against a response that net/http and this package read differently: one that passes the check and is
-// parsed has a valid status and valid names, and the check doesn't depend on how the response is split.
+// Guards against a response that net/http and this package read differently: if it passes the check and can be parsed,
+// each of its heads has a valid status and no blank in a name. The check doesn't depend on how the response is split.
 func FuzzHead(f *testing.F) {
 	for _, raw := range responsechecktest.InvalidStatuses("Name: value\r\n", responsechecktest.Whole("", "next")) {
 		f.Add(raw)
@@ -121,13 +127,18 @@
 		if whole != nil {
 			return
 		}
-		resp, err := readHeads(strings.NewReader(raw))
+		heads, err := readHeads(strings.NewReader(raw))
 		if err != nil {
 			return
 		}
-		for name := range resp.Header {
-			if strings.ContainsAny(name, " \t") {
-				t.Errorf("a field has the name %q", name)
+		for _, h := range heads {
+			if h.StatusCode < http.StatusContinue || h.StatusCode == http.StatusSwitchingProtocols {
+				t.Errorf("a head has the status %d", h.StatusCode)
+			}
+			for name := range h.Header {
+				if strings.ContainsAny(name, " \t") {
+					t.Errorf("a field has the name %q", name)
+				}
 			}
 		}
 	})
--- a/internal/connection/responsecheck/responsechecktest/server.go
+++ b/internal/connection/responsecheck/responsechecktest/server.go
@@ -14,6 +14,10 @@
 // readTime is the time that a client needs to read what a server has written, on loopback.
 const readTime = 50 * time.Millisecond
 
+// UploadBytes is the size of a request's body that does not fit into the buffers of a connection on loopback, so that its
+// write is in progress when an early response arrives.
+const UploadBytes = 6 << 20
+
 // Script serves one connection, which is closed when it returns. r reads from c.
 type Script func(c *net.TCPConn, r *bufio.Reader)
 
--- a/internal/connection/service/broken_test.go
+++ b/internal/connection/service/broken_test.go
@@ -16,14 +16,15 @@
 )
 
 // upload sends a call with a large body as a gateway does.
-func upload(t *testing.T, c *service.Client, address string, size int) (service.Response, error) {
+func upload(t *testing.T, c *service.Client, address string, bodyBytes int) (service.Response, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	r := post("c")
-	r.Body = make([]byte, size)
+	r.Body = make([]byte, bodyBytes)
 	return c.Do(ctx, "app-1", address, r)
 }
 
+// gatewayClient returns a client with the transport that gateways use.
 func gatewayClient(t *testing.T) *service.Client {
 	transport := engine.NewTransport()
 	t.Cleanup(transport.CloseIdleConnections)
@@ -34,16 +35,16 @@
 // reset while the call was still being written.
 func TestResetDuringUpload(t *testing.T) {
 	const runs = 24
-	for _, size := range []int{60 << 10, 600 << 10, 6 << 20} {
-		for _, part := range []int{1, 200 << 10} {
-			t.Run(strconv.Itoa(size)+"/"+strconv.Itoa(part), func(t *testing.T) {
+	for _, bodyBytes := range []int{responsechecktest.UploadBytes / 100, responsechecktest.UploadBytes / 10, responsechecktest.UploadBytes} {
+		for _, partBytes := range []int{1, 200 << 10} {
+			t.Run(strconv.Itoa(bodyBytes)+"/"+strconv.Itoa(partBytes), func(t *testing.T) {
 				t.Parallel()
-				answer := responsechecktest.Always("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", part))
+				answer := responsechecktest.Always("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", partBytes))
 				address := responsechecktest.Serve(t, responsechecktest.Early(answer, responsechecktest.Reset))
 				c := gatewayClient(t)
 				complete := 0
 				for range runs {
-					_, err := upload(t, c, address, size)
+					_, err := upload(t, c, address, bodyBytes)
 					if err == nil {
 						complete++
 					} else if fault.From(err).Execution == api.NotRun {
@@ -74,7 +75,7 @@
 			address := responsechecktest.Serve(t, script)
 			c := gatewayClient(t)
 			for range 8 {
-				if r, err := upload(t, c, address, 6<<20); err != nil || string(r.Body) != body {
+				if r, err := upload(t, c, address, responsechecktest.UploadBytes); err != nil || string(r.Body) != body {
 					t.Errorf("got %d bytes, %v", len(r.Body), err)
 				}
 			}
--- a/internal/process/gateway/broken_test.go
+++ b/internal/process/gateway/broken_test.go
@@ -15,7 +15,6 @@
 // Guards against a broken response of an application server that a caller gets as an answer, or that counts as
 // a refusal of the call.
 func TestBrokenResponses(t *testing.T) {
-	const uploadBytes = 6 << 20
 	part := responsechecktest.Always("HTTP/1.1 200 OK\r\n\r\npart")
 	next := responsechecktest.Whole("", "next")
 	for name, script := range map[string]responsechecktest.Script{
@@ -30,12 +29,12 @@
 				is := is.New(t)
 				w := newHarness(t, func(o *Options) {
 					o.MaxAttempts = 1
-					o.HTTP.MaxBodyBytes, o.HTTP.BodyTimeout = 2*uploadBytes, 5*time.Second
+					o.HTTP.MaxBodyBytes, o.HTTP.BodyTimeout = 2*responsechecktest.UploadBytes, 5*time.Second
 				})
 				for i := range w.backends {
 					w.backends[i].Address = responsechecktest.Serve(t, script)
 				}
-				r := w.request(http.MethodPost, "/v1/services/"+entry, keyA, strings.Repeat("u", uploadBytes))
+				r := w.request(http.MethodPost, "/v1/services/"+entry, keyA, strings.Repeat("u", responsechecktest.UploadBytes))
 				r.Header.Set(headerIdempotencyKey, "x")
 				a := w.send(r)
 				is.Equal(a.status, http.StatusBadGateway)
--- a/internal/process/operator/connect.go
+++ b/internal/process/operator/connect.go
@@ -17,6 +17,7 @@
 	if err := errors.Join(checkURL("-table-url", tableURL), checkURL("-object-url", objectURL)); err != nil {
 		return nil, nil, usageError{err}
 	}
+	// A copy of the default transport, so that the proxies of the environment apply.
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = responsecheck.Wrap(transport.DialContext)
 	client := &http.Client{Transport: transport}
