Ignore entries of servers that are older than the one known

Cause: the registry took an entry for newer than the one before whenever its incarnation was the same. The store may write an entry seconds after its server sent it. After a removal it brought the server back. Ruled out by the start, number and revision of each entry in the log: a restart, an old copy from a peer, a report that the gateway missed.

Entries are now ordered by what their server says: its start, then the number. An older one is ignored in put, through which changes, whole lists and the copies of other gateways all pass, for application servers and engines, also after a removal. What has to count still does: equal numbers, higher ones, also after a removal, later starts, and entries without a start, whose numbers can't be compared.

--- /dev/null
+++ b/internal/process/registry/late_entry_test.go
@@ -0,0 +1,152 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// arrivals are the ways in which an entry of the list reaches the registry.
+var arrivals = map[string]func(*testRegistry, Server){
+	"change":     func(r *testRegistry, s Server) { r.Put(s) },
+	"whole list": func(r *testRegistry, s Server) { r.Sync(start, []Server{s}) },
+}
+
+// entry returns entry number n of a server, or of an engine, that started at startedMS.
+func entry(engine bool, startedMS, n int64) Server {
+	s := server("x")
+	s.StartedMS, s.Entry = startedMS, n
+	if engine {
+		s.Models = []string{"m"}
+	}
+	return s
+}
+
+// acceptsWork reports whether the server gets new work, and fails if its parts of the answer differ.
+func (r *testRegistry) acceptsWork(t *testing.T, engine bool, now time.Time) bool {
+	t.Helper()
+	accepting, blocked, leaving := len(r.accepting(now)) > 0, r.Blocked(now, "x"), r.Leaving("x")
+	if accepting == blocked || accepting == leaving {
+		t.Fatalf("accepting %v, blocked %v, leaving %v", accepting, blocked, leaving)
+	}
+	if engines := r.engines(now, nil); engine && accepting != (len(engines) > 0 && engines[0].Accepting) {
+		t.Fatalf("accepting %v, but as an engine %+v", accepting, engines)
+	}
+	return accepting
+}
+
+// Guards against an older entry that the store writes late and that makes a server usable again after it
+// reported that it drains, or after its entry was removed.
+func TestLateEntries(t *testing.T) {
+	draining := func(engine bool, n int64) Server {
+		s := entry(engine, 100, n)
+		s.Leaving = true
+		return s
+	}
+	for how, arrive := range arrivals {
+		for what, leave := range map[string]func(*testRegistry, bool){
+			"draining": func(r *testRegistry, engine bool) { r.Put(draining(engine, 4)) },
+			"removed":  func(r *testRegistry, _ bool) { r.Remove(start, "x") },
+			"missing":  func(r *testRegistry, _ bool) { r.Sync(start, nil) },
+			"drained": func(r *testRegistry, engine bool) {
+				r.Put(draining(engine, 4))
+				r.Remove(start, "x")
+			},
+		} {
+			for _, engine := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/engine %v", how, what, engine), func(t *testing.T) {
+					is := is.New(t)
+					r := newTestRegistry()
+					r.Sync(start, []Server{entry(engine, 100, 3)})
+					is.True(r.acceptsWork(t, engine, start))
+					leave(r, engine)
+					is.True(!r.acceptsWork(t, engine, start))
+					late := entry(engine, 100, 2)
+					arrive(r, late)
+					is.True(!r.acceptsWork(t, engine, start))
+					late.Address = "10.0.0.9:1"
+					arrive(r, late)
+					is.True(!r.acceptsWork(t, engine, start))
+					arrive(r, entry(engine, 99, 9)) // of the incarnation before
+					is.True(!r.acceptsWork(t, engine, start))
+					is.Equal(r.leaving, []string{"x"})
+				})
+			}
+		}
+	}
+}
+
+// Guards against ignoring what a server says later: entries with a higher number, also after a removal, and those
+// of its next incarnation, whose numbers begin anew.
+func TestLaterEntriesCount(t *testing.T) {
+	for how, arrive := range arrivals {
+		for _, engine := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/engine %v", how, engine), func(t *testing.T) {
+				is := is.New(t)
+				r := newTestRegistry()
+				r.Sync(start, []Server{entry(engine, 100, 3)})
+				draining := entry(engine, 100, 4)
+				draining.Leaving = true
+				arrive(r, draining)
+				is.True(!r.acceptsWork(t, engine, start))
+				arrive(r, entry(engine, 100, 5))
+				is.True(r.acceptsWork(t, engine, start))
+				r.Remove(start, "x")
+				is.True(!r.acceptsWork(t, engine, start))
+				arrive(r, entry(engine, 100, 6)) // it expired while the list was away
+				is.True(r.acceptsWork(t, engine, start))
+				r.Remove(start, "x")
+				arrive(r, entry(engine, 100, 6)) // the list is read again
+				is.True(r.acceptsWork(t, engine, start))
+				draining.Entry = 7
+				arrive(r, draining)
+				arrive(r, entry(engine, 200, 1))
+				is.True(r.acceptsWork(t, engine, start))
+				r.Remove(start, "x")
+				arrive(r, entry(engine, 300, 0))
+				is.True(r.acceptsWork(t, engine, start))
+			})
+		}
+	}
+}
+
+// Guards against a restarted server that stays out of use where entries do not state the start: their
+// numbers can't be compared.
+func TestNumbersWithoutAStart(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry()
+	draining := entry(false, 0, 9)
+	draining.Leaving = true
+	r.Put(draining)
+	r.Put(entry(false, 0, 1))
+	is.True(r.acceptsWork(t, false, start))
+}
+
+// Guards against a late entry that confirms a server whose entry is missing after an outage of the list, and
+// against one that expires although the server has written its entry again.
+func TestLateEntryAfterAnOutage(t *testing.T) {
+	for how, arrive := range arrivals {
+		t.Run(how, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestRegistry()
+			r.Sync(start, []Server{entry(false, 100, 3)})
+			r.ListRecovered(start)
+			r.Remove(start, "x")
+			is.True(r.Lapsed(server("x")))
+			arrive(r, entry(false, 100, 2))
+			is.True(r.Lapsed(server("x")))
+			arrive(r, entry(false, 100, 4))
+			is.True(!r.Lapsed(server("x")))
+			r.Tick(start.Add(recoveryGrace))
+			is.True(r.acceptsWork(t, false, start))
+
+			r.ListRecovered(start)
+			r.Remove(start, "x")
+			arrive(r, entry(false, 100, 3))
+			r.Tick(start.Add(recoveryGrace))
+			is.True(!r.acceptsWork(t, false, start))
+		})
+	}
+}
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -54,7 +54,7 @@
 	// StartedMS is the start of this incarnation in Unix milliseconds, or 0 if unknown.
 	StartedMS int64
 	// Cold is how much longer the server is cold as its entry says, and Entry the number of the entry, which
-	// increases within an incarnation. HasCold is set if the entry says it.
+	// increases within an incarnation and begins anew with the next one. HasCold is set if the entry says it.
 	Cold    time.Duration
 	HasCold bool
 	Entry   int64
@@ -108,6 +108,13 @@
 	return r.crashes + 1
 }
 
+// supersedes reports whether the record's entry, which may have been removed since, is later than s. The store may
+// write an entry seconds after its server has sent it, when later ones of that server are already there. Without
+// a start, the numbers of two incarnations can't be told apart.
+func (r *record) supersedes(s Server) bool {
+	return s.StartedMS < r.StartedMS || s.StartedMS == r.StartedMS && s.StartedMS != 0 && s.Entry < r.Entry
+}
+
 func (r *record) isLeaving() bool { return r.Leaving || r.removed || r.replaced || r.draining }
 
 // Registry holds the known backend servers. It is safe for concurrent use.
@@ -210,8 +217,7 @@
 // the server has begun to leave. The caller holds the lock.
 func (g *Registry) put(s Server, leaving []string) []string {
 	r := g.servers[s.Name]
-	// The entry of an older incarnation may arrive after that of a newer one.
-	if r != nil && s.StartedMS < r.StartedMS {
+	if r != nil && r.supersedes(s) {
 		return leaving
 	}
 	wasEngine := r != nil && r.isEngine()
@@ -480,6 +486,17 @@
 	return r == nil || r.isLeaving()
 }
 
+// LaterEntry returns the known entry of a server if it is later than s. Such an s is ignored.
+func (g *Registry) LaterEntry(s Server) (Server, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.servers[s.Name]
+	if r == nil || !r.supersedes(s) {
+		return Server{}, false
+	}
+	return r.Server, true
+}
+
 // Listed reports whether a server that has not been removed has an address.
 func (g *Registry) Listed(address string) bool {
 	g.mu.Lock()
