Keep a cold time that a peer passed on when the entry of that start is read

What callers could see: a gateway sends a server that is cold as many requests as one that is warm, once the cold time of its entry is over.

A gateway that has an answer from a server which has started again passes on how long it is cold. Another gateway may hear that before it has read the entry of this start. When it read it, the record of the new incarnation began with the entry alone, although the answer is the later word: the first gateway had read the entry before it sent its request. Now what was passed on of this incarnation, or of a later one, is kept, and the longer word holds, as for other words whose order is not known. A later answer ends it as before.

--- a/internal/process/registry/cold.go
+++ b/internal/process/registry/cold.go
@@ -24,8 +24,9 @@
 	// answered is the end by the answer to the request that was sent last, at answeredSent.
 	answered, answeredSent time.Time
 	// passed is the end by the newest answer to another gateway, which that has read at passedStated and of which this one
-	// has heard at passedAt.
+	// has heard at passedAt. passedStart is the start of the server as that gateway knew it.
 	passed, passedStated, passedAt time.Time
+	passedStart                    int64
 	// started is the newest start of the server that was learnt of before its entry showed it.
 	started int64
 	// began is the time since which this gateway knows that the server is cold, or zero.
@@ -90,17 +91,23 @@
 	return g.updateCold(now, r, "report")
 }
 
+// inheritPassed keeps what another gateway has passed on of an incarnation that starts at startedMS or later. The entry that
+// this gateway reads of it may be older than that answer.
+func (c *coldState) inheritPassed(old *coldState, startedMS int64) {
+	if startedMS != 0 && old.passedStart >= startedMS {
+		c.passed, c.passedStated, c.passedAt, c.passedStart = old.passed, old.passedStated, old.passedAt, old.passedStart
+	}
+}
+
 // noteListedCold records what an entry says. The same entry may be read again much later. The caller
 // holds the lock.
 func (g *Registry) noteListedCold(r *record) {
-	s, c := &r.Server, &r.cold
+	s, c, now := &r.Server, &r.cold, g.now()
 	known := c.hasEntry && (s.Entry < c.entry || s.Entry == c.entry && (s.Entry != 0 || s.Cold == c.listedLeft))
-	if !s.HasCold || known {
-		return
+	if s.HasCold && !known {
+		c.entry, c.hasEntry, c.listedLeft = s.Entry, true, s.Cold
+		c.listed, c.listedAt = now.Add(s.Cold), now
 	}
-	now := g.now()
-	c.entry, c.hasEntry, c.listedLeft = s.Entry, true, s.Cold
-	c.listed, c.listedAt = now.Add(s.Cold), now
 	g.updateCold(now, r, "list")
 }
 
@@ -150,7 +157,7 @@
 		return false
 	}
 	c := &r.cold
-	c.passed, c.passedStated, c.passedAt = at.Add(left), at, now
+	c.passed, c.passedStated, c.passedAt, c.passedStart = at.Add(left), at, now, startedMS
 	return g.updateCold(now, r, "peer")
 }
 
--- a/internal/process/registry/late_entry_test.go
+++ b/internal/process/registry/late_entry_test.go
@@ -236,3 +236,29 @@
 		})
 	}
 }
+
+// Guards against a cold time that another gateway has passed on and that the first entry of that incarnation ends. The entry may
+// be older than the answer: the other gateway had read it before it sent its request.
+func TestEntryDoesNotEndAPassedOnColdTime(t *testing.T) {
+	for how, arrive := range arrivals {
+		t.Run(how, func(t *testing.T) {
+			is := is.New(t)
+			r, left := newColdRegistry()
+			r.Sync(start, []Server{entry(false, 100, 3)})
+			r.HearCold(start, start, "x", 200, 9*time.Second)
+			arrive(r, coldEntry(200, 1, 3*time.Second))
+			is.Equal(left(), 9*time.Second)
+			is.Equal(len(r.ColdServers(start)), 1)
+			s, _ := r.Get("x")
+			r.NoteCold(start, start.Add(time.Millisecond), s, 0) // the answer to a later request
+			is.Equal(left(), time.Duration(0))
+
+			r.HearCold(start.Add(time.Second), start.Add(time.Second), "x", 300, 9*time.Second)
+			arrive(r, entry(false, 300, 1)) // says nothing of it
+			is.Equal(left(), 10*time.Second)
+			is.Equal(len(r.ColdServers(start)), 1)
+			arrive(r, coldEntry(400, 1, 0)) // the incarnation after that
+			is.Equal(left(), time.Duration(0))
+		})
+	}
+}
--- a/internal/process/registry/statements.go
+++ b/internal/process/registry/statements.go
@@ -206,6 +206,7 @@
 		r.draining, r.drainingOf = true, old.drainingOf
 	}
 	if old.StartedMS != s.StartedMS {
+		r.cold.inheritPassed(&old.cold, s.StartedMS)
 		return false
 	}
 	r.stated, r.statedAt, r.pause, r.cold = old.stated, old.statedAt, old.pause, old.cold
