Apply an answer from another server's address to that incarnation only

What callers saw, in a test: 503 for each request to a service whose server had restarted at another address under the same id.

A request, or a health check after an outage of the store, is sent to the address that a server had. Another server has the address by then and answers as such. If the entry of the restarted server was read in the meantime, the answer marked the new incarnation as replaced, although it is older than the entry. Nothing ends that mark but the next restart. A health check may wait for a slot for a second, which is the time in which entries come back.

NoteReplaced now takes the incarnation that the request was sent to, with its address, and ignores answers for any other, as NoteStatement and NoteEnded do. The test of the registry and a fake pass the server instead of its name; what they check is the same.

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -373,8 +373,13 @@
 	}
 }
 
-// NoteReplaced records that another server responds at the server's address.
-func (g *Registry) NoteReplaced(name string) { g.update(name, func(r *record) { r.replaced = true }) }
+// NoteReplaced records that another server responds at the address of the incarnation s. That says nothing of a later
+// incarnation, or of another address that the server has had since.
+func (g *Registry) NoteReplaced(s Server) {
+	g.update(s.Name, func(r *record) {
+		r.replaced = r.replaced || r.StartedMS == s.StartedMS && r.Address == s.Address
+	})
+}
 
 // NoteDraining records that the incarnation of a server that started at startedMS drains.
 // A startedMS of 0 means the current incarnation.
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -47,7 +47,7 @@
 		"removal":  func(r *testRegistry) { r.Remove(start, "x") },
 		"list":     func(r *testRegistry) { r.Sync(start, []Server{server("y")}) },
 		"itself":   func(r *testRegistry) { r.NoteDraining("x", 0) },
-		"replaced": func(r *testRegistry) { r.NoteReplaced("x") },
+		"replaced": func(r *testRegistry) { r.NoteReplaced(server("x")) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/request/forward/call.go
+++ b/internal/request/forward/call.go
@@ -299,7 +299,7 @@
 // or nil.
 func (f *Forwarder) refusalError(s registry.Server, a *Answer) *fault.Error {
 	if a.Replaced {
-		f.o.Servers.NoteReplaced(s.Name)
+		f.o.Servers.NoteReplaced(s)
 	}
 	if a.NotRun || a.Replaced {
 		return fault.New(fault.BackendRefused, stepSend, s.Name, api.NotRun, "status %d", a.Status).WithRetryAfter(defaultRetryAfter)
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -248,7 +248,7 @@
 	// serve one are cold and may get none now.
 	ColdWait(now time.Time, service string) (time.Duration, bool)
 	Service(now time.Time, service, dataCentre string) []membership.Backend
-	NoteReplaced(name string)
+	NoteReplaced(s registry.Server)
 	NoteUnreachable(now time.Time, name string)
 	// NoteBroken records that a server closed a connection before its answer began;
 	// NoteAnswered records that a server has begun an answer.
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -208,7 +208,7 @@
 func (w *fakeFleet) AllEvacuated(string) bool                          { return false }
 func (w *fakeFleet) ColdWait(time.Time, string) (time.Duration, bool)  { return 0, false }
 
-func (w *fakeFleet) NoteReplaced(string)               {}
+func (w *fakeFleet) NoteReplaced(registry.Server)      {}
 func (w *fakeFleet) NoteUnreachable(time.Time, string) {}
 
 func (w *fakeFleet) NoteBroken(_ time.Time, name string) { w.noted = append(w.noted, "broken "+name) }
