Ignore reports of engines that a peer passes on from before a restart

What callers could see, in a test: an engine that has started again gets no new work, as its earlier incarnation was draining, and requests that run on it are suspected of crashing it, so that equal ones wait for an engine of their own.

A gateway that knows the present incarnation of an engine, by its own poll or by the entry of the list, took a peer's report of an earlier one for a restart. Such reports exist: a relay passes on the newest report that it has for 3 s, and the engine's polls fail in between. A gateway that has just started, or whose relay changes, gets all of them. The relay's buffer also replaced a later report by an earlier one.

Options.StartedBefore orders incarnations, as the users' platform can (they are times); a report that started before the one known is neither applied nor buffered. Times of reports are still not compared, since clocks jump. A server whose own clock went back at its restart is polled by each gateway itself after 2 s, and own polls count as before. The product's own engines have no order of incarnations, so nothing changes there.

--- a/internal/process/owner/export_test.go
+++ b/internal/process/owner/export_test.go
@@ -54,6 +54,11 @@
 func (b *RelayBuffer) Since(now time.Time, s uint64, caller string, onlyLocal bool) ([]RelayedLoads, []api.LoadReport) {
 	return b.since(now, s, caller, onlyLocal)
 }
+
+// NewRelayBuffer returns a buffer for engines whose incarnations are ordered by startedBefore.
+func NewRelayBuffer(startedBefore func(a, b string) bool) *RelayBuffer {
+	return &RelayBuffer{relayBuffer{startedBefore: startedBefore}}
+}
 func (b *RelayBuffer) Expire(now time.Time) { b.expire(now) }
 func (b *RelayBuffer) Sequence() uint64     { return b.sequence }
 
--- a/internal/process/owner/manager.go
+++ b/internal/process/owner/manager.go
@@ -91,6 +91,7 @@
 		unsentReports: map[string]*unsentReports{},
 		startedAt:     time.Now(),
 	}
+	m.loads.relay.buffer.startedBefore = opt.StartedBefore
 	m.guard = newGuard(m.broadcastInBackground)
 	return m
 }
--- a/internal/process/owner/options.go
+++ b/internal/process/owner/options.go
@@ -110,6 +110,9 @@
 	// AssumedReport returns the report to assume for an engine that has not been polled
 	// yet, under the shared policy. It may be nil.
 	AssumedReport func(engine string) api.LoadReport
+	// StartedBefore reports whether incarnation a of an engine started before incarnation b. A report that a peer
+	// passes on is ignored if it is from before a restart that is known. It may be nil if incarnations have no order.
+	StartedBefore func(a, b string) bool
 	Logger        log.Logger
 	// Broken returns the engines that broke connections of this gateway, with the time
 	// for which this gateway sends them no new work. MergeBroken merges what a peer
--- a/internal/process/owner/reader.go
+++ b/internal/process/owner/reader.go
@@ -110,14 +110,21 @@
 	return out
 }
 
+// startedBefore reports whether a report is from an earlier incarnation of an engine than the report that is known of it. The
+// caller holds the lock.
+func (m *Manager) startedBefore(r api.LoadReport, e *engine) bool {
+	return e.polled && m.opt.StartedBefore != nil && m.opt.StartedBefore(r.Incarnation, e.report.Incarnation)
+}
+
 // applyPeerReports applies reports that a peer has polled.
 func (m *Manager) applyPeerReports(now time.Time, reports []api.LoadReport) {
 	for _, r := range reports {
 		m.mu.Lock()
 		e := m.engines[r.Name]
 		// This gateway's own polls take precedence: its own connection to the engine
-		// may have failed. Times of reports are not compared, because clocks jump.
-		accepted := e != nil && !e.inFlight && !e.reportedLost && e.failures == 0 && now.Sub(e.pollDoneAt) >= readerPollPeriod
+		// may have failed. Times of reports are not compared, because clocks jump. A relay may hold a report from
+		// before a restart for loadsTTL.
+		accepted := e != nil && !e.inFlight && !e.reportedLost && e.failures == 0 && now.Sub(e.pollDoneAt) >= readerPollPeriod && !m.startedBefore(r, e)
 		if e != nil && (accepted || e.failures > 0) {
 			e.peerReportAt = now
 		}
--- a/internal/process/owner/relaybuffer.go
+++ b/internal/process/owner/relaybuffer.go
@@ -15,6 +15,9 @@
 // Load pattern: with n gateways that send their loads to each other, each of them handles
 // n messages per interval. Through relays it handles one.
 type relayBuffer struct {
+	// startedBefore is that of Options.
+	startedBefore func(a, b string) bool
+
 	sequence uint64
 	loads    map[string]bufferedLoads
 	reports  map[string]bufferedReport
@@ -86,6 +89,9 @@
 	b.sequence++
 	for _, r := range reports {
 		old, known := b.reports[r.Name]
+		if known && b.startedBefore != nil && b.startedBefore(r.Incarnation, old.report.Incarnation) {
+			continue
+		}
 		changedAt := b.sequence
 		if known && sameReport(old.report, r) {
 			changedAt = old.changedAt
