Test that a whole table older than what is known is not used

It is sound: a whole list with a lower revision than any that the process has seen is read again, so that entries of it replace nothing.

--- a/internal/process/registry/late_entry_test.go
+++ b/internal/process/registry/late_entry_test.go
@@ -65,6 +65,7 @@
 					is.True(r.acceptsWork(t, engine, start))
 					leave(r, engine)
 					is.True(!r.acceptsWork(t, engine, start))
+					r.Tick(start.Add(removedRetention)) // the store writes late by seconds
 					late := entry(engine, 100, 2)
 					arrive(r, late)
 					is.True(!r.acceptsWork(t, engine, start))
--- a/internal/process/storefeed/copies_test.go
+++ b/internal/process/storefeed/copies_test.go
@@ -432,6 +432,34 @@
 	dc.eventually(t, "all have dropped the row", func(m *member) bool { return !m.has("second") && m.has("third") }, 3*time.Second)
 }
 
+// Guards against a whole table that is older than what this process has seen of the store.
+func TestOutdatedTableIsNotUsed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	source := &fakeSource{store: &fakeStore{rows: map[string]Row{}, calls: map[string]int{}}}
+	source.store.put("first", false)
+	var newest, read atomic.Int64
+	newest.Store(2)
+	w := &Watcher{
+		Source: source, Table: testTable, Logger: log.NewNopLogger(), Newest: &newest,
+		Sync:   func(_ time.Time, rows []Row) { read.Store(int64(len(rows))) },
+		Change: func(time.Time, []Row) {}, Confirmed: func(time.Duration) {}, Recovered: func(time.Time) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	for calls := 0; calls < 3; time.Sleep(5 * time.Millisecond) {
+		source.store.set(func() { calls = source.store.calls[""] })
+	}
+	is.Equal(read.Load(), int64(0))
+	source.store.put("second", false)
+	for deadline := time.Now().Add(2 * MaxRecoveryDelay); read.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(read.Load(), int64(2))
+}
+
 // Guards against a confirmation that is newer than the store's own, and against using the
 // rows of an outdated copy.
 func TestAnswerOfAReader(t *testing.T) {
