--- a/internal/process/registry/late_entry_test.go
+++ b/internal/process/registry/late_entry_test.go
@@ -26,7 +26,7 @@
 	return s
 }
 
-// acceptsWork reports whether the server gets new work, and fails if its parts of the answer differ.
+// acceptsWork reports whether the server gets new work, and fails the test if the methods of the registry disagree.
 func (r *testRegistry) acceptsWork(t *testing.T, engine bool, now time.Time) bool {
 	t.Helper()
 	accepting, blocked := len(r.accepting(now)) > 0, r.Blocked(now, "x")
