Test that the order in which entries arrive does not matter

Property test over starts, numbers, states and ways of arrival: the registry holds the latest entry of the server, whatever came after it.

--- a/internal/process/registry/late_entry_test.go
+++ b/internal/process/registry/late_entry_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"persimmonwing/internal/process/evacuation"
 )
@@ -81,6 +83,28 @@
 	}
 }
 
+// Guards against a belief that depends on the order in which the store writes the entries of a server.
+func TestOrderOfArrivalDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newTestRegistry()
+		var latest Server
+		sent := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Server {
+			s := entry(false, rapid.Int64Range(100, 102).Draw(t, "started"), rapid.Int64Range(0, 5).Draw(t, "number"))
+			s.Leaving = rapid.Bool().Draw(t, "leaving")
+			return s
+		}), 1, 12, func(s Server) [2]int64 { return [2]int64{s.StartedMS, s.Entry} }).Draw(t, "entries in order of arrival")
+		for _, s := range sent {
+			arrivals[rapid.SampledFrom([]string{"change", "whole list"}).Draw(t, "way")](r, s)
+			if s.StartedMS > latest.StartedMS || s.StartedMS == latest.StartedMS && s.Entry >= latest.Entry {
+				latest = s
+			}
+			if known, _ := r.Get("x"); !reflect.DeepEqual(known, latest) || r.Leaving("x") != latest.Leaving {
+				t.Fatalf("the registry has %+v, want %+v", known, latest)
+			}
+		}
+	})
+}
+
 // Guards against ignoring what a server says later: entries with a higher number, also after a removal, and those
 // of its next incarnation, whose numbers begin anew.
 func TestLaterEntriesCount(t *testing.T) {
