--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -61,6 +61,10 @@
 	Cold    time.Duration
 	HasCold bool
 	Entry   int64
+	// Revision is the list's revision when the entry was written, and Reader the gateway from whose copy of the list it
+	// was read, or "" for the list itself.
+	Revision int64
+	Reader   string
 }
 
 // record is a server's list entry plus the state that this gateway keeps for it.
--- a/internal/process/storefeed/copies.go
+++ b/internal/process/storefeed/copies.go
@@ -322,6 +322,7 @@
 		res, o := c.fetchFromReader(ctx, reader, table, since, minRevision)
 		if o == copyFresh {
 			c.setReader(reader.Name)
+			res.reader = reader.Name
 			return res, o
 		}
 		outcome = max(outcome, o)
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -66,6 +66,8 @@
 	// failure. It may be called more than once for the same recovery.
 	Recovered func(at time.Time)
 
+	// reader is the gateway whose copy the last response was, or "" for the store.
+	reader string
 	// probedAt is the time of the last call to the store after a failure. following is set
 	// if the last response came from a reader.
 	probedAt  time.Time
@@ -92,8 +94,14 @@
 	// recoveredAt is the time at which the store was available again after an outage, or
 	// zero.
 	recoveredAt time.Time
+	// reader is the gateway whose copy the response is, or "" for the store.
+	reader string
 }
 
+// Reader returns the gateway from whose copy the rows of the current call of Sync or Change are, or "" if they are
+// from the store.
+func (w *Watcher) Reader() string { return w.reader }
+
 // Run reads the table and its changes until ctx ends. It always returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
 	since := int64(needsList)
@@ -201,6 +209,7 @@
 }
 
 func (w *Watcher) apply(now time.Time, res result) {
+	w.reader = res.reader
 	if res.whole {
 		w.Sync(now, res.Rows.Rows)
 		return
