Tell gateways that start of reports that older entries overwrote

Cause: the store has nothing but the older entry, and gateways passed on the store's row although they knew the report.

Now copies for followers keep the row of such a report, at the new revision, and a gateway that has read the list from the store at its start asks another one once, in the background, for entries of the same start with higher numbers. Weighed: to repeat such entries in the messages of loads; they are in force for one beat and would cost a field in each message.

--- a/internal/process/registry/late_entry_test.go
+++ b/internal/process/registry/late_entry_test.go
@@ -358,3 +358,27 @@
 		is.True(r.Leaving("x"))
 	})
 }
+
+// Guards against entries of another gateway that make a server usable whose entry was removed, that are of another incarnation, or
+// older than the known one.
+func TestEntriesOfAnotherGateway(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry()
+	draining := entry(false, 100, 4)
+	draining.Leaving = true
+	r.Sync(start, []Server{entry(false, 100, 3)})
+	r.Advance([]Server{entry(false, 100, 2), entry(false, 99, 9), entry(false, 200, 1), server("unknown")})
+	known, _ := r.Get("x")
+	is.Equal(known, entry(false, 100, 3))
+	is.True(!r.LeftAfter(entry(false, 100, 2)))
+	r.Advance([]Server{draining})
+	is.Equal(r.leaving, []string{"x"})
+	is.True(r.LeftAfter(entry(false, 100, 3)))
+	r.Advance([]Server{entry(false, 100, 5)})
+	is.True(r.acceptsWork(t, false, start))
+	r.Remove(start, "x")
+	r.Advance([]Server{entry(false, 100, 6)})
+	is.True(!r.acceptsWork(t, false, start))
+	is.True(r.LeftAfter(entry(false, 100, 4)) && !r.LeftAfter(entry(false, 100, 5)))
+	is.True(!r.LeftAfter(server("unknown")))
+}
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -540,6 +540,31 @@
 	return r.Server, true
 }
 
+// LeftAfter reports whether a later entry than s tells that its server leaves, or that entry was removed.
+func (g *Registry) LeftAfter(s Server) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.servers[s.Name]
+	return r != nil && r.supersedes(s) && (r.Leaving || r.removed)
+}
+
+// Advance adds those of some entries that are later than the known ones of the same incarnations. The list may have lost
+// them to older ones, or have removed them since.
+func (g *Registry) Advance(servers []Server) {
+	var later []Server
+	g.mu.Lock()
+	for _, s := range servers {
+		r := g.servers[s.Name]
+		if r != nil && !r.removed && r.StartedMS == s.StartedMS && s.StartedMS != 0 && s.Entry > r.Entry {
+			later = append(later, s)
+		}
+	}
+	g.mu.Unlock()
+	if len(later) > 0 {
+		g.Change(time.Time{}, later, nil)
+	}
+}
+
 // Listed reports whether a server that has not been removed has an address.
 func (g *Registry) Listed(address string) bool {
 	g.mu.Lock()
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,12 +63,18 @@
 	// Confirmed is called after each response that confirms the table. The response was
 	// current at time at, measured since boot.
 	Confirmed func(at time.Duration)
+	// Superseded reports whether a row is older than what this process knows of its key and must not be passed on. Later
+	// is called once after the start with the rows that another gateway has, which may know more than the store's table. Both may be nil.
+	Superseded func(Row) bool
+	Later      func(now time.Time, rows []Row)
 	// Recovered is called with the time at which the store responded again after a
 	// failure. It may be called more than once for the same recovery.
 	Recovered func(at time.Time)
 
 	// reader is the gateway whose copy the last response was, or "" for the store.
 	reader string
+	// asked is set once the table has been read, and another gateway been asked if it was read from the store.
+	asked bool
 	// probedAt is the time of the last call to the store after a failure. following is set
 	// if the last response came from a reader.
 	probedAt  time.Time
@@ -104,6 +111,8 @@
 
 // Run reads the table and its changes until ctx ends. It always returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
+	var asking sync.WaitGroup
+	defer asking.Wait()
 	since := int64(needsList)
 	failures := 0
 	confirmedAt := time.Duration(0)
@@ -150,7 +159,11 @@
 			confirmedAt = max(confirmedAt, res.confirmedAt)
 			w.Confirmed(res.confirmedAt)
 		}
-		w.Copies.update(w.Table, res)
+		w.Copies.update(w.Table, w.Copies.keepLater(w.Table, res, w.Superseded))
+		if w.Later != nil && !w.asked && res.reader == "" {
+			asking.Go(func() { w.askForLater(ctx) })
+		}
+		w.asked = true
 		if len(res.Rows.Rows) > 0 {
 			_ = pause.For(ctx, changePause)
 		}
