--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -357,10 +357,9 @@
 	return (r.removalPending || r.overwritten) && !r.confirmed && !r.isLeaving()
 }
 
-// Tick does the periodic work: it drops entries that were not rewritten after an outage, uses servers again whose
-// entries were overwritten overwrittenGrace ago,
-// and deletes the records of servers removed more than removedRetention ago. It also notices pauses
-// that have ended.
+// Tick does the periodic work: it drops entries that were not rewritten after an outage, ends the doubt about entries that
+// were overwritten overwrittenGrace ago, and deletes the records of servers removed more than removedRetention ago.
+// It also notices pauses that have ended.
 func (g *Registry) Tick(now time.Time) {
 	var leaving []string
 	changed := false
@@ -540,7 +539,7 @@
 	return r.Server, true
 }
 
-// LeftAfter reports whether a later entry than s tells that its server leaves, or that entry was removed.
+// LeftAfter reports whether a later entry than s is known which says that the server leaves, or which was removed.
 func (g *Registry) LeftAfter(s Server) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -548,14 +547,14 @@
 	return r != nil && r.supersedes(s) && (r.Leaving || r.removed)
 }
 
-// Advance adds those of some entries that are later than the known ones of the same incarnations. The list may have lost
-// them to older ones, or have removed them since.
+// Advance uses those of some entries that are later than the known ones of the same incarnations, unless the list has no
+// entry of their servers any more. The list may have lost them to older ones.
 func (g *Registry) Advance(servers []Server) {
 	var later []Server
 	g.mu.Lock()
 	for _, s := range servers {
 		r := g.servers[s.Name]
-		if r != nil && !r.removed && r.StartedMS == s.StartedMS && s.StartedMS != 0 && s.Entry > r.Entry {
+		if r != nil && !r.removed && !r.removalPending && r.StartedMS == s.StartedMS && s.StartedMS != 0 && s.Entry > r.Entry {
 			later = append(later, s)
 		}
 	}
--- a/internal/process/storefeed/later.go
+++ b/internal/process/storefeed/later.go
@@ -46,20 +46,17 @@
 func (w *Watcher) askForLater(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
-	for ; w.Copies != nil; _ = pause.For(ctx, askPause) {
+	for failures := 0; ctx.Err() == nil; _ = pause.For(ctx, askPause) {
 		for _, g := range w.Copies.others() {
 			rows, err := w.Copies.whole(ctx, g, w.Table)
 			if err == nil {
-				w.Later(time.Now(), rows)
+				w.Later(rows)
 				return
 			}
-			if ctx.Err() == nil {
+			if failures++; failures == 1 {
 				_ = level.Info(w.Logger).Log("msg", "gateway with a copy does not respond", "gateway", g.Name, "table", w.Table, "err", err)
 			}
 		}
-		if ctx.Err() != nil {
-			return
-		}
 	}
 }
 
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -63,18 +63,19 @@
 	// Confirmed is called after each response that confirms the table. The response was
 	// current at time at, measured since boot.
 	Confirmed func(at time.Duration)
-	// Superseded reports whether a row is older than what this process knows of its key and must not be passed on. Later
-	// is called once after the start with the rows that another gateway has, which may know more than the store's table. Both may be nil.
+	// Superseded reports whether a row of the last call of Sync or Change must not be passed on, because this process
+	// knows a later one of its key. Later is called once after the start, at any time, with the rows of another gateway, which
+	// may be later than those of the store. Both may be nil.
 	Superseded func(Row) bool
-	Later      func(now time.Time, rows []Row)
+	Later      func(rows []Row)
 	// Recovered is called with the time at which the store responded again after a
 	// failure. It may be called more than once for the same recovery.
 	Recovered func(at time.Time)
 
 	// reader is the gateway whose copy the last response was, or "" for the store.
 	reader string
-	// asked is set once the table has been read, and another gateway been asked if it was read from the store.
-	asked bool
+	// read is set once the table has been read.
+	read bool
 	// probedAt is the time of the last call to the store after a failure. following is set
 	// if the last response came from a reader.
 	probedAt  time.Time
@@ -160,10 +161,10 @@
 			w.Confirmed(res.confirmedAt)
 		}
 		w.Copies.update(w.Table, w.Copies.keepLater(w.Table, res, w.Superseded))
-		if w.Later != nil && !w.asked && res.reader == "" {
+		if !w.read && res.reader == "" && w.Later != nil && w.Copies != nil {
 			asking.Go(func() { w.askForLater(ctx) })
 		}
-		w.asked = true
+		w.read = true
 		if len(res.Rows.Rows) > 0 {
 			_ = pause.For(ctx, changePause)
 		}
