Let the stand-in of the platform perform writes late

It could lose the answer of a write that takes effect at once, but not perform one after later ones, as the platform may. late_ms of PUT /control/faults does that for the writes of lose_answers.

--- a/internal/connection/platform/contract_test.go
+++ b/internal/connection/platform/contract_test.go
@@ -171,6 +171,34 @@
 	}
 }
 
+// Guards against a stand-in that performs each write in the order in which it was sent: one without an answer may take effect after
+// later ones, if its condition still holds.
+func TestLateWrites(t *testing.T) {
+	const late = 500 * time.Millisecond
+	is := is.New(t)
+	srv, url := start(t, defaults)
+	tab := platform.NewTable(url, http.DefaultClient, timeout)
+	srv.SetFaults(standin.Faults{LoseAnswers: 2, LateMS: int(late.Milliseconds())})
+	for _, key := range []string{"taken", "free"} {
+		_, err := tab.Txn(t.Context(), []platform.CondPut{{Key: key, Value: []byte("late")}})
+		is.True(errors.Is(err, platform.ErrUnknownOutcome))
+		_, err = tab.Get(t.Context(), key)
+		is.True(errors.Is(err, platform.ErrNotFound))
+	}
+	_, err := tab.Txn(t.Context(), []platform.CondPut{{Key: "taken", Value: []byte("in time")}})
+	is.NoErr(err)
+	for deadline := time.Now().Add(10 * late); time.Now().Before(deadline); time.Sleep(late / 20) {
+		if _, err := tab.Get(t.Context(), "free"); err == nil {
+			break
+		}
+	}
+	for key, want := range map[string]string{"taken": "in time", "free": "late"} {
+		row, err := tab.Get(t.Context(), key)
+		is.NoErr(err)
+		is.Equal(string(row.Value), want)
+	}
+}
+
 // Guards against ErrUnknownOutcome for calls that certainly had no effect: a refused connection, a
 // rate limit and an invalid transaction, which is not sent.
 func TestCertainRefusals(t *testing.T) {
--- a/internal/process/standin/platform/control.go
+++ b/internal/process/standin/platform/control.go
@@ -1,6 +1,9 @@
 package platform
 
 import (
+	"bytes"
+	"context"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -25,6 +28,9 @@
 	// LoseAnswers is the number of upcoming writes that take effect, but whose
 	// connection is then aborted without a response.
 	LoseAnswers int `json:"lose_answers"`
+	// LateMS is how much later the writes of LoseAnswers take effect than they were sent, in milliseconds. Other
+	// writes may take effect in between.
+	LateMS int `json:"late_ms"`
 	// HostListFrozen keeps the host list as it is when the fault is set. Changes
 	// appear after the fault is unset.
 	HostListFrozen bool `json:"host_list_frozen"`
@@ -106,13 +112,28 @@
 			serve.Abort()
 		}
 		if k == writeCall && g.loseAnswer() {
-			h(discardWriter{http.Header{}}, r)
+			if f.LateMS == 0 {
+				h(discardWriter{http.Header{}}, r)
+			} else {
+				performLate(h, r, time.Duration(f.LateMS)*time.Millisecond)
+			}
 			serve.Abort()
 		}
 		h(w, r)
 	}
 }
 
+// performLate performs a call after a time, without a response. The call outlives its connection.
+func performLate(h http.HandlerFunc, r *http.Request, late time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	later := r.Clone(context.WithoutCancel(r.Context()))
+	later.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(late, func() { h(discardWriter{http.Header{}}, later) })
+}
+
 func (g *middleware) current() Faults {
 	g.mu.Lock()
 	defer g.mu.Unlock()
