Do not ask a cold server whose entry was overwritten

All gateways see such an entry at the same time, and a cold server may end under that many. It gets no work without an answer unless no other server of its service accepts any, and its next entry or 2.5 s end the doubt, as before. TestOverwrittenEntryOfAColdServer failed before (1 health check).

The health checks of warm servers are not spread: after an outage of the store all gateways ask in the same way.

--- a/internal/process/registry/late_entry_test.go
+++ b/internal/process/registry/late_entry_test.go
@@ -359,6 +359,22 @@
 	})
 }
 
+// Guards against health checks of all gateways at once at a server that is cold, which may end under them: in the soak such
+// a server got 10 requests in a second, of which health checks were 4.
+func TestOverwrittenEntryOfAColdServer(t *testing.T) {
+	is := is.New(t)
+	r, left := newColdRegistry()
+	asked := 0
+	r.ObserveLapses(func(Server) { asked++ })
+	r.Sync(start, []Server{coldEntry(100, 3, 5*time.Second), server("y")})
+	r.Put(coldEntry(100, 2, 0))
+	is.Equal(left(), 5*time.Second)
+	is.Equal(asked, 0)
+	is.Equal(r.accepting(start), []string{"y"})
+	r.Put(coldEntry(100, 4, 5*time.Second))
+	is.Equal(r.accepting(start), []string{"x", "y"})
+}
+
 // Guards against entries of another gateway that make a server usable whose entry was removed, that are of another incarnation, or
 // older than the known one.
 func TestEntriesOfAnotherGateway(t *testing.T) {
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -261,16 +261,17 @@
 }
 
 // noteOverwritten records that an older entry of a server was written over the known one. Later ones may have been
-// overwritten as well, before this process read them, so that only the server itself can tell whether it still serves. The caller
-// holds the lock.
+// overwritten as well, before this process read them, so that only the server itself can tell whether it still serves. A
+// cold server is not asked: all gateways would do so at the same time, and it may end under that. The caller holds the lock.
 func (g *Registry) noteOverwritten(r *record) {
 	if r.isLeaving() || r.removalPending {
 		return
 	}
-	if !r.unconfirmed() {
+	now := g.now()
+	if !r.unconfirmed() && r.cold.remaining(now) == 0 {
 		g.lapsed = append(g.lapsed, r.Server)
 	}
-	g.changeEntry(r, func() { r.overwritten, r.overwrittenUntil, r.confirmed = true, g.now().Add(overwrittenGrace), false })
+	g.changeEntry(r, func() { r.overwritten, r.overwrittenUntil, r.confirmed = true, now.Add(overwrittenGrace), false })
 }
 
 func (g *Registry) drop(now time.Time, name string, leaving []string) []string {
