--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -549,9 +549,8 @@
 }
 
 // Advance uses those of some entries that are later than the known ones of the same incarnations, unless the list has no
-// entry of their servers any more. The list may have lost them to older ones.
-func (g *Registry) Advance(servers []Server) {
-	var later []Server
+// entry of their servers any more, and returns these. The list may have lost them to older ones.
+func (g *Registry) Advance(servers []Server) (later []Server) {
 	g.mu.Lock()
 	for _, s := range servers {
 		r := g.servers[s.Name]
@@ -563,6 +562,7 @@
 	if len(later) > 0 {
 		g.Change(time.Time{}, later, nil)
 	}
+	return later
 }
 
 // Listed reports whether a server that has not been removed has an address.
--- a/internal/process/storefeed/later.go
+++ b/internal/process/storefeed/later.go
@@ -50,7 +50,7 @@
 		for _, g := range w.Copies.others() {
 			rows, err := w.Copies.whole(ctx, g, w.Table)
 			if err == nil {
-				w.Later(rows)
+				w.Later(g.Name, rows)
 				return
 			}
 			if failures++; failures == 1 {
--- a/internal/process/storefeed/later_test.go
+++ b/internal/process/storefeed/later_test.go
@@ -46,7 +46,7 @@
 		Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(atomic.Int64),
 		Sync: func(_ time.Time, rows []Row) { n.add(rows) }, Change: func(_ time.Time, rows []Row) { n.add(rows) },
 		Confirmed: func(time.Duration) {}, Recovered: func(time.Time) {},
-		Superseded: n.superseded, Later: n.add,
+		Superseded: n.superseded, Later: func(_ string, rows []Row) { n.add(rows) },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -64,10 +64,10 @@
 	// current at time at, measured since boot.
 	Confirmed func(at time.Duration)
 	// Superseded reports whether a row of the last call of Sync or Change must not be passed on, because this process
-	// knows a later one of its key. Later is called once after the start, at any time, with the rows of another gateway, which
-	// may be later than those of the store. Both may be nil.
+	// knows a later one of its key. Later is called once after the start, at any time, with the rows of another gateway, the
+	// reader, which may be later than those of the store. Both may be nil.
 	Superseded func(Row) bool
-	Later      func(rows []Row)
+	Later      func(reader string, rows []Row)
 	// Recovered is called with the time at which the store responded again after a
 	// failure. It may be called more than once for the same recovery.
 	Recovered func(at time.Time)
