--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -86,10 +86,7 @@
 // the revision of an empty store.
 const needsList = -1
 
-var (
-	errOutdated        = eris.New("response is older than an earlier one")
-	errReaderLostStore = eris.New("the reader cannot read the store")
-)
+var errReaderLostStore = eris.New("the reader cannot read the store")
 
 // result is a response of the store or of a reader.
 type result struct {
@@ -115,12 +112,12 @@
 	var asking sync.WaitGroup
 	defer asking.Wait()
 	since := int64(needsList)
-	failures := 0
+	var lost outage
 	confirmedAt := time.Duration(0)
 	for ctx.Err() == nil {
-		res, err := w.fetch(ctx, since, failures > 0)
-		if err == nil && res.Revision < w.Newest.Load() && since == needsList {
-			err = errOutdated
+		res, err := w.fetch(ctx, since, lost.failures > 0)
+		if known := w.Newest.Load(); err == nil && res.Revision < known && since == needsList {
+			err = &outdatedError{answered: res.Revision, known: known}
 		}
 		if errors.Is(err, ErrHistoryGone) {
 			_ = level.Info(w.Logger).Log("msg", "history is gone, reading the whole table", "table", w.Table, "since", since)
@@ -131,23 +128,24 @@
 			if ctx.Err() != nil {
 				break
 			}
-			failures++
-			if failures == 1 {
-				_ = level.Warn(w.Logger).Log("msg", "store lost", "table", w.Table, "err", err)
+			if now := time.Now(); lost.note(now, err) {
+				_ = log.With(level.Warn(w.Logger), lost.fields(now)...).Log("msg", "store lost", "table", w.Table, "since", since)
+			}
+			if lost.failures == 1 {
 				w.Copies.markLost(w.Table)
 			}
-			_ = pause.For(ctx, BackOff(failures))
+			_ = pause.For(ctx, BackOff(lost.failures))
 			continue
 		}
 		now := time.Now()
-		if failures == 0 && since != needsList && boottime.Now()-confirmedAt < maxCopyAge {
+		if lost.failures == 0 && since != needsList && boottime.Now()-confirmedAt < maxCopyAge {
 			// Only the reader had lost the store: this gateway has read it all the time, so
 			// no entry can have expired during an outage.
 			res.recoveredAt = time.Time{}
 		}
-		if failures > 0 {
-			_ = level.Info(w.Logger).Log("msg", "store regained", "table", w.Table, "failures", failures)
-			failures = 0
+		if lost.failures > 0 {
+			_ = log.With(level.Info(w.Logger), lost.fields(now)...).Log("msg", "store regained", "table", w.Table, "revision", res.Revision, "reader", res.reader)
+			lost = outage{}
 			res.recoveredAt = now
 		}
 		if !res.recoveredAt.IsZero() {
