Order what is read from the store by era and revision

Cause: revisions were compared across that return, although the store gives them out again. A whole table below the highest revision that a process had read was refused until the store had passed that (errOutdated); where the store had passed it before the next read, the feed went on from there and never returned rows that were written again below it. No 410 comes then; only the header Store-Era tells.

Revisions are now ordered within an era (storefeed.Position). A response of a later era makes the watcher read the whole table and believe it, whatever its revision; one of an earlier era is out of date, whatever its revision. Copies that followers get carry the era: a reader that is behind says that it has lost the store, one that is ahead sends its whole table. Entries that are missing in the older copy count as after an outage. Followers of older builds, which send no era, are answered as before.

--- a/internal/process/storefeed/copies.go
+++ b/internal/process/storefeed/copies.go
@@ -87,9 +87,9 @@
 
 // tableCopy is a table as last read by its watcher.
 type tableCopy struct {
-	rows     map[string]Row
-	revision int64
-	// historyStart is the oldest revision after which all changes are known.
+	rows map[string]Row
+	at   Position
+	// historyStart is the oldest revision of the era after which all changes are known.
 	historyStart int64
 	confirmedAt  time.Duration
 	// lost is set while the watcher cannot read the table. unread is set until it has read
@@ -102,10 +102,11 @@
 	packed packedReply
 }
 
-// packedReply holds the packed rows of a table at a revision that followers with revision since need.
+// packedReply holds the packed rows of a table at a position that followers with revision since need.
 type packedReply struct {
-	since, revision int64
-	rows            []byte
+	since int64
+	at    Position
+	rows  []byte
 }
 
 // NewCopies returns empty copies.
@@ -119,11 +120,14 @@
 // Service returns the net/rpc service for these copies.
 func (c *Copies) Service() *Service { return &Service{c} }
 
-// Args requests the changes of a table after revision Since. The reply has the whole table
+// Args requests the changes of a table after revision Since of an era. The reply has the whole table
 // if the called gateway does not know all of these changes.
 type Args struct {
 	Table string
 	Since int64
+	Era   int64
+	// HasEra is set by followers that know eras.
+	HasEra bool
 	// Packs is set by followers that read Reply.Packed.
 	Packs bool
 }
@@ -138,6 +142,7 @@
 	// Packed holds the rows in place of Rows if they are large.
 	Packed   []byte
 	Revision int64
+	Era      int64
 	// Age is the time since the call that last confirmed the copy was sent to the store.
 	Age time.Duration
 	// SinceReturn is the time since the store recovered from its last outage, or 0 if
@@ -172,12 +177,17 @@
 	defer c.mu.Unlock()
 	c.followedAt = time.Now()
 	t := c.table(in.Table)
-	*out = Reply{Lost: t.lost, Revision: t.revision, Age: boottime.Now() - t.confirmedAt}
+	*out = Reply{Lost: t.lost, Revision: t.at.Revision, Era: t.at.Era, Age: boottime.Now() - t.confirmedAt}
+	if in.HasEra && in.Era > t.at.Era && !t.unread {
+		// The store has come back from an older copy, and this gateway has not read it since.
+		out.Lost = true
+		return t.changed, true
+	}
 	if !t.recoveredAt.IsZero() {
 		out.SinceReturn = max(1, time.Since(t.recoveredAt))
 	}
-	out.Whole = in.Since < t.historyStart && !t.unread
-	if !out.Whole && in.Since >= t.revision {
+	out.Whole = (in.Since < t.historyStart || in.HasEra && in.Era < t.at.Era) && !t.unread
+	if !out.Whole && in.Since >= t.at.Revision {
 		// A reader answers this for each of its followers several times a second.
 		return t.changed, t.lost && !t.unread
 	}
@@ -206,12 +216,12 @@
 	if out.Whole {
 		since = needsList
 	}
-	if t.packed.rows == nil || t.packed.since != since || t.packed.revision != t.revision {
+	if t.packed.rows == nil || t.packed.since != since || t.packed.at != t.at {
 		rows, err := packRows(out.Rows)
 		if err != nil {
 			return
 		}
-		t.packed = packedReply{since, t.revision, rows}
+		t.packed = packedReply{since, t.at, rows}
 	}
 	out.Rows, out.Packed = nil, t.packed.rows
 }
@@ -238,13 +248,15 @@
 	t := c.table(name)
 	changed := t.lost || res.whole || len(res.Rows.Rows) > 0
 	if res.whole {
-		// The rows deleted since the old revision are not known.
-		t.rows, t.historyStart = map[string]Row{}, res.Revision
+		// The rows deleted since the last response are not known.
+		t.rows, t.historyStart, t.at = map[string]Row{}, res.Revision, res.Position()
 	}
 	for _, r := range res.Rows.Rows {
 		t.rows[r.Key] = r
 	}
-	t.revision = max(t.revision, res.Revision)
+	if t.at.Before(res.Position()) {
+		t.at = res.Position()
+	}
 	t.confirmedAt = max(t.confirmedAt, res.confirmedAt)
 	t.lost, t.unread = false, false
 	if !res.recoveredAt.IsZero() {
@@ -314,12 +326,12 @@
 )
 
 // fetch calls the readers that this gateway may follow, one after the other, until one
-// returns a usable copy of the changes after revision since. A whole table must have at
-// least revision minRevision.
-func (c *Copies) fetch(ctx context.Context, table string, since, minRevision int64) (result, copyOutcome) {
+// returns a usable copy of the changes after position since. A copy must not be of an era before that of oldest, and a whole
+// table must not precede oldest.
+func (c *Copies) fetch(ctx context.Context, table string, since, oldest Position) (result, copyOutcome) {
 	outcome := copyNone
 	for _, reader := range c.candidateReaders(time.Now()) {
-		res, o := c.fetchFromReader(ctx, reader, table, since, minRevision)
+		res, o := c.fetchFromReader(ctx, reader, table, since, oldest)
 		if o == copyFresh {
 			c.setReader(reader.Name)
 			res.reader = reader.Name
@@ -331,12 +343,12 @@
 	return result{}, outcome
 }
 
-func (c *Copies) fetchFromReader(ctx context.Context, reader membership.Gateway, table string, since, minRevision int64) (result, copyOutcome) {
+func (c *Copies) fetchFromReader(ctx context.Context, reader membership.Gateway, table string, since, oldest Position) (result, copyOutcome) {
 	callCtx, cancel := context.WithTimeout(ctx, copyWait+copyTimeout)
 	defer cancel()
 	sentAt := boottime.Now()
 	var r Reply
-	if err := c.caller.Call(callCtx, reader.PeerAddress, ServiceName+".Feed", &Args{Table: table, Since: since, Packs: true}, &r); err != nil {
+	if err := c.caller.Call(callCtx, reader.PeerAddress, ServiceName+".Feed", &Args{Table: table, Since: since.Revision, Era: oldest.Era, HasEra: true, Packs: true}, &r); err != nil {
 		if ctx.Err() == nil {
 			_ = level.Info(c.logger).Log("msg", "reader of the store does not respond", "reader", reader.Name, "table", table, "err", err)
 			c.avoid(reader.Name, time.Now().Add(avoidFor))
@@ -350,21 +362,21 @@
 			return result{}, copyNone
 		}
 	}
-	return r.result(since, minRevision, sentAt)
+	return r.result(since, oldest, sentAt)
 }
 
 // result converts the reply to a call. sentAt is the time since boot at which the call was
 // sent. Because r.Age is subtracted from sentAt, the confirmation appears older than it is
 // by at most the duration of the call, and never newer.
-func (r *Reply) result(since, minRevision int64, sentAt time.Duration) (result, copyOutcome) {
+func (r *Reply) result(since, oldest Position, sentAt time.Duration) (result, copyOutcome) {
 	if r.Lost {
 		return result{}, copyLost
 	}
-	if r.Age > maxCopyAge || r.Whole && r.Revision < minRevision {
+	res := result{Rows: Rows{Rows: r.Rows, Revision: r.Revision, Era: r.Era}, whole: r.Whole}
+	if r.Age > maxCopyAge || r.Whole && res.Position().Before(oldest) || r.Era < oldest.Era {
 		return result{}, copyNone
 	}
-	res := result{Rows: Rows{Rows: r.Rows, Revision: r.Revision}, whole: r.Whole}
-	if r.Revision >= since {
+	if !res.Position().Before(since) {
 		res.confirmedAt = sentAt - r.Age
 	}
 	if r.SinceReturn > 0 {
--- a/internal/process/storefeed/copies_test.go
+++ b/internal/process/storefeed/copies_test.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex
 	rows     map[string]Row
 	revision int64
+	era      int64
 	down     bool
 	oldest   int64          // oldest revision after which changes can be read
 	calls    map[string]int // by gateway
@@ -57,7 +58,7 @@
 	if s.store.down || s.cut.Load() {
 		return Rows{}, errCut
 	}
-	out := Rows{Revision: s.store.revision}
+	out := Rows{Revision: s.store.revision, Era: s.store.era}
 	for _, r := range s.store.rows {
 		if r.Revision > since && (since >= 0 || !r.Tombstone) {
 			out.Rows = append(out.Rows, r)
@@ -75,7 +76,7 @@
 	s.store.set(func() { s.store.calls[s.gateway]++ })
 	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		gone := false
-		s.store.set(func() { gone = since < s.store.oldest })
+		s.store.set(func() { gone = since < s.store.oldest || since > s.store.revision })
 		if gone {
 			return Rows{}, ErrHistoryGone
 		}
@@ -184,7 +185,7 @@
 	var wait sync.WaitGroup
 	for _, m := range dc.members {
 		w := &Watcher{
-			Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(atomic.Int64),
+			Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(Newest),
 			Sync: func(_ time.Time, rows []Row) {
 				m.mu.Lock()
 				defer m.mu.Unlock()
@@ -438,8 +439,9 @@
 	is := is.New(t)
 	source := &fakeSource{store: &fakeStore{rows: map[string]Row{}, calls: map[string]int{}}}
 	source.store.put("first", false)
-	var newest, read atomic.Int64
-	newest.Store(2)
+	var newest Newest
+	var read atomic.Int64
+	newest.Raise(Position{Revision: 2})
 	w := &Watcher{
 		Source: source, Table: testTable, Logger: log.NewNopLogger(), Newest: &newest,
 		Sync:   func(_ time.Time, rows []Row) { read.Store(int64(len(rows))) },
@@ -482,7 +484,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			a, outcome := tt.reply.result(tt.since, tt.minRevision, sentAt)
+			a, outcome := tt.reply.result(Position{Revision: tt.since}, Position{Revision: tt.minRevision}, sentAt)
 			is.Equal(outcome, tt.outcome)
 			is.Equal(a.confirmedAt.Seconds(), tt.confirmedSecs)
 		})
--- a/internal/process/storefeed/later_test.go
+++ b/internal/process/storefeed/later_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,7 +42,7 @@
 func startNumbered(t *testing.T, m *member) *numbered {
 	n := &numbered{}
 	w := &Watcher{
-		Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(atomic.Int64),
+		Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(Newest),
 		Sync: func(_ time.Time, rows []Row) { n.add(rows) }, Change: func(_ time.Time, rows []Row) { n.add(rows) },
 		Confirmed: func(time.Duration) {}, Recovered: func(time.Time) {},
 		Superseded: n.superseded, Later: func(_ string, rows []Row) { n.add(rows) },
--- a/internal/process/storefeed/outage.go
+++ b/internal/process/storefeed/outage.go
@@ -22,11 +22,11 @@
 )
 
 // outdatedError is the failure of a read whose response is older than what this process has read before.
-type outdatedError struct{ answered, known int64 }
+type outdatedError struct{ answered, known Position }
 
 // Error implements error.
 func (e *outdatedError) Error() string {
-	return fmt.Sprintf("the response of revision %d is older than revision %d, which has been read", e.answered, e.known)
+	return fmt.Sprintf("the response of revision %d in era %d is older than revision %d in era %d, which has been read", e.answered.Revision, e.answered.Era, e.known.Revision, e.known.Era)
 }
 
 // outage counts the failures of a watcher since its last usable response. The zero value is no outage.
--- a/internal/process/storefeed/outage_test.go
+++ b/internal/process/storefeed/outage_test.go
@@ -23,12 +23,12 @@
 	var o outage
 	now := time.Unix(1000, 0)
 	is.True(o.note(now, eris.Wrap(statusError(503), "store feed")))
-	is.True(!o.note(now.Add(time.Second), &outdatedError{answered: 7, known: 9}))
+	is.True(!o.note(now.Add(time.Second), &outdatedError{answered: Position{2, 7}, known: Position{2, 9}}))
 	is.True(!o.note(now.Add(2*time.Second), errReaderLostStore))
 	is.True(!o.note(now.Add(3*time.Second), context.DeadlineExceeded))
 	is.True(!o.note(now.Add(4*time.Second), errors.New("reset")))
-	is.True(o.note(now.Add(outageReportPeriod), &outdatedError{answered: 8, known: 9}))
+	is.True(o.note(now.Add(outageReportPeriod), &outdatedError{answered: Position{1, 8}, known: Position{2, 9}}))
 	is.Equal(fmt.Sprint(o.fields(now.Add(6*time.Second))...), fmt.Sprint("failures", 6,
 		"kinds", "connection:1,outdated:2,reader_lost:1,status_503:1,timeout:1", "lasted_ms", 6000,
-		"err", "the response of revision 8 is older than revision 9, which has been read"))
+		"err", "the response of revision 8 in era 1 is older than revision 9 in era 2, which has been read"))
 }
--- a/internal/process/storefeed/rows.go
+++ b/internal/process/storefeed/rows.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,8 +24,43 @@
 // Rows is a response with rows of one table.
 type Rows struct {
 	Rows []Row
-	// Revision is the newest revision of the store when it made the response.
-	Revision int64
+	// Revision is the newest revision of the store when it made the response, and Era the era of that revision.
+	Revision, Era int64
+}
+
+// Position returns the store's position when it made the response.
+func (r *Rows) Position() Position { return Position{r.Era, r.Revision} }
+
+// Position is a point in the history of the store. A store that comes back from an older copy begins a new era, in which it
+// gives out revisions again: revisions are ordered within an era only.
+type Position struct{ Era, Revision int64 }
+
+// Before reports whether p precedes q. All positions of an era precede those of the next one.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
+}
+
+// Newest is the newest position that any watcher of this process has read. It is safe for concurrent use; the zero value
+// precedes everything that a store answers.
+type Newest struct {
+	mu sync.Mutex
+	at Position
+}
+
+// Load returns the newest position.
+func (n *Newest) Load() Position {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.at
+}
+
+// Raise moves the newest position to at, unless that precedes it.
+func (n *Newest) Raise(at Position) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.at.Before(at) {
+		n.at = at
+	}
 }
 
 // ErrHistoryGone is returned by a source that no longer has the changes made after the
@@ -35,8 +71,8 @@
 type Source interface {
 	// List reads all rows of a table.
 	List(ctx context.Context, table string) (Rows, error)
-	// Feed returns the rows of a table that changed after revision since. If there are
+	// Feed returns the rows of a table that changed after revision since of the store's present era. If there are
 	// none, it waits up to wait for the first change. It returns ErrHistoryGone if the
-	// changes are no longer known.
+	// changes are not known.
 	Feed(ctx context.Context, table string, since int64, wait time.Duration) (Rows, error)
 }
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -40,7 +39,7 @@
 	// changePause is the wait after a response with changes, so that the next response
 	// contains several further changes: servers start and stop in groups, and each call
 	// costs money. The delay is acceptable because a draining engine also reports this
-	// itself.
+	// itself. After a whole table it bounds the calls to a store that has no history.
 	changePause = 100 * time.Millisecond
 	// probePeriod is the time between two calls to the store by a gateway whose reader
 	// cannot read the store. The gateway's own connection to the store may still work.
@@ -54,9 +53,8 @@
 	Copies *Copies
 	Table  string
 	Logger log.Logger
-	// Newest is the highest revision that any watcher of this process has seen. A
-	// whole table with a lower revision is out of date.
-	Newest *atomic.Int64
+	// Newest is shared by the watchers of this process. What precedes it is out of date.
+	Newest *Newest
 	// Sync is called with the whole table, and Change with the changed rows of one response.
 	Sync   func(now time.Time, rows []Row)
 	Change func(now time.Time, rows []Row)
@@ -68,22 +66,28 @@
 	// reader, which may be later than those of the store. Both may be nil.
 	Superseded func(Row) bool
 	Later      func(reader string, rows []Row)
+	// Returned is called when the store has come back from an older copy, before Sync is called with the table of the new era.
+	// What this process has read or written there may be lost. It may be nil.
+	Returned func(now time.Time, before, after Position)
 	// Recovered is called with the time at which the store responded again after a
 	// failure. It may be called more than once for the same recovery.
 	Recovered func(at time.Time)
 
 	// reader is the gateway whose copy the last response was, or "" for the store.
 	reader string
-	// read is set once the table has been read.
-	read bool
+	// at is the position of the last response, and read is set once the table has been read. needsWhole is set while the
+	// changes since then are not known.
+	at               Position
+	read, needsWhole bool
+	// confirmedAt is the time since boot as of which the last response was current.
+	confirmedAt time.Duration
 	// probedAt is the time of the last call to the store after a failure. following is set
 	// if the last response came from a reader.
 	probedAt  time.Time
 	following bool
 }
 
-// needsList is used as the revision of a table that has not been read yet, because 0 is
-// the revision of an empty store.
+// needsList is used as the revision in a request for a whole table, because 0 is the revision of an empty store.
 const needsList = -1
 
 var errReaderLostStore = eris.New("the reader cannot read the store")
@@ -111,25 +115,31 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	var asking sync.WaitGroup
 	defer asking.Wait()
-	since := int64(needsList)
 	var lost outage
-	confirmedAt := time.Duration(0)
 	for ctx.Err() == nil {
-		res, err := w.fetch(ctx, since, lost.failures > 0)
-		if known := w.Newest.Load(); err == nil && res.Revision < known && since == needsList {
-			err = &outdatedError{answered: res.Revision, known: known}
-		}
+		known := w.Newest.Load()
+		whole := w.needsWhole || !w.read || w.at.Era < known.Era
+		res, err := w.fetch(ctx, whole, lost.failures > 0)
 		if errors.Is(err, ErrHistoryGone) {
-			_ = level.Info(w.Logger).Log("msg", "history is gone, reading the whole table", "table", w.Table, "since", since)
-			since = needsList
+			_ = level.Info(w.Logger).Log("msg", "history is gone, reading the whole table", "table", w.Table, "since", w.at.Revision, "era", w.at.Era)
+			w.needsWhole = true
 			continue
 		}
+		if err == nil && !res.whole && res.Era != w.at.Era {
+			// The response has the changes after a revision that this era may have given out again.
+			w.needsWhole = true
+			continue
+		}
+		known = w.Newest.Load()
+		if err == nil && (res.whole && res.Position().Before(known) || res.Era < known.Era) {
+			err = &outdatedError{answered: res.Position(), known: known}
+		}
 		if err != nil {
 			if ctx.Err() != nil {
 				break
 			}
 			if now := time.Now(); lost.note(now, err) {
-				_ = log.With(level.Warn(w.Logger), lost.fields(now)...).Log("msg", "store lost", "table", w.Table, "since", since)
+				_ = log.With(level.Warn(w.Logger), lost.fields(now)...).Log("msg", "store lost", "table", w.Table, "since", w.at.Revision, "era", w.at.Era)
 			}
 			if lost.failures == 1 {
 				w.Copies.markLost(w.Table)
@@ -138,46 +148,65 @@
 			continue
 		}
 		now := time.Now()
-		if lost.failures == 0 && since != needsList && boottime.Now()-confirmedAt < maxCopyAge {
-			// Only the reader had lost the store: this gateway has read it all the time, so
-			// no entry can have expired during an outage.
-			res.recoveredAt = time.Time{}
-		}
+		res.recoveredAt = w.recoveredAt(now, &res, whole, lost.failures > 0)
 		if lost.failures > 0 {
-			_ = log.With(level.Info(w.Logger), lost.fields(now)...).Log("msg", "store regained", "table", w.Table, "revision", res.Revision, "reader", res.reader)
+			_ = log.With(level.Info(w.Logger), lost.fields(now)...).Log("msg", "store regained", "table", w.Table, "revision", res.Revision, "era", res.Era, "reader", res.reader)
 			lost = outage{}
-			res.recoveredAt = now
+		}
+		if w.returned(&res) {
+			_ = level.Warn(w.Logger).Log("msg", "store has come back from an older copy", "table", w.Table, "revision", res.Revision, "era", res.Era, "revision_before", w.at.Revision, "era_before", w.at.Era, "reader", res.reader)
+			if w.Returned != nil {
+				w.Returned(now, w.at, res.Position())
+			}
 		}
 		if !res.recoveredAt.IsZero() {
 			w.Recovered(res.recoveredAt)
 		}
 		w.apply(now, res)
-		since = max(since, res.Revision)
-		raise(w.Newest, res.Revision)
+		if res.whole || w.at.Before(res.Position()) {
+			w.at = res.Position()
+		}
+		w.Newest.Raise(res.Position())
 		if res.confirmedAt > 0 {
-			confirmedAt = max(confirmedAt, res.confirmedAt)
+			w.confirmedAt = max(w.confirmedAt, res.confirmedAt)
 			w.Confirmed(res.confirmedAt)
 		}
 		w.Copies.update(w.Table, w.Copies.keepLater(w.Table, res, w.Superseded))
 		if !w.read && res.reader == "" && w.Later != nil && w.Copies != nil {
 			asking.Go(func() { w.askForLater(ctx) })
 		}
-		w.read = true
-		if len(res.Rows.Rows) > 0 {
+		w.read, w.needsWhole = true, false
+		if len(res.Rows.Rows) > 0 || res.whole {
 			_ = pause.For(ctx, changePause)
 		}
 	}
 	return nil
 }
 
-// fetch returns the changes after revision since, or the whole table if since is
-// needsList. It uses the copy of a reader if one is fresh, and otherwise the store.
-func (w *Watcher) fetch(ctx context.Context, since int64, failed bool) (result, error) {
-	minRevision := since
-	if since == needsList {
-		minRevision = w.Newest.Load()
+// returned reports whether a response shows that the store has come back from an older copy since the last one.
+func (w *Watcher) returned(res *result) bool { return w.read && w.at.Era < res.Era }
+
+// recoveredAt returns the time at which the store was available again if entries may have expired in an outage before a
+// response, or are missing in the older copy that the store has come back from, and otherwise the zero time.
+func (w *Watcher) recoveredAt(now time.Time, res *result, whole, failed bool) time.Time {
+	switch {
+	case failed, w.returned(res):
+		return now
+	case !whole && boottime.Now()-w.confirmedAt < maxCopyAge:
+		// Only the reader had lost the store: this gateway has read it all the time.
+		return time.Time{}
+	}
+	return res.recoveredAt
+}
+
+// fetch returns the changes since the last response, or the whole table. It uses the copy of a reader if one is fresh, and
+// otherwise the store.
+func (w *Watcher) fetch(ctx context.Context, whole, failed bool) (result, error) {
+	since, oldest := w.at, w.at
+	if whole {
+		since, oldest = Position{Revision: needsList}, w.Newest.Load()
 	}
-	res, outcome := w.Copies.fetch(ctx, w.Table, since, minRevision)
+	res, outcome := w.Copies.fetch(ctx, w.Table, since, oldest)
 	lostReader := w.following && outcome != copyFresh
 	w.following = outcome == copyFresh
 	switch {
@@ -190,13 +219,13 @@
 		w.probedAt = time.Now()
 	}
 	// The last copy may be old, so the first call after it does not wait for changes.
-	return w.fetchFromStore(ctx, since, failed, lostReader)
+	return w.fetchFromStore(ctx, whole, failed, lostReader)
 }
 
 // fetchFromStore is like fetch but always calls the store. After a failure it requests an
 // immediate response and uses the shorter probeTimeout, so that a lost call does not delay
 // the recovery. immediate requests an immediate response without a failure.
-func (w *Watcher) fetchFromStore(ctx context.Context, since int64, failed, immediate bool) (result, error) {
+func (w *Watcher) fetchFromStore(ctx context.Context, whole, failed, immediate bool) (result, error) {
 	wait := feedWait
 	if w.Copies.followed() {
 		wait = followedFeedWait
@@ -210,12 +239,12 @@
 	if immediate {
 		wait = 0
 	}
-	res := result{whole: since == needsList, confirmedAt: boottime.Now()}
+	res := result{whole: whole, confirmedAt: boottime.Now()}
 	var err error
 	if res.whole {
 		res.Rows, err = w.Source.List(ctx, w.Table)
 	} else {
-		res.Rows, err = w.Source.Feed(ctx, w.Table, since, wait)
+		res.Rows, err = w.Source.Feed(ctx, w.Table, w.at.Revision, wait)
 	}
 	return res, err
 }
@@ -231,14 +260,6 @@
 	}
 }
 
-func raise(v *atomic.Int64, to int64) {
-	for old := v.Load(); to > old; old = v.Load() {
-		if v.CompareAndSwap(old, to) {
-			return
-		}
-	}
-}
-
 // BackOff returns a random wait that grows with the number of consecutive failures. It is
 // between retryBase and retryBase + maxRetryJitter.
 func BackOff(failures int) time.Duration {
