Read the copies of any gateway while the store rejects this one

Cause: a gateway follows only gateways that rank before it, and the reader of a data centre only the first two of the other readers. The first in rank has nobody to follow; the others had nobody if these were rejected, too.

A gateway that can read neither the store nor the copy of a reader now reads the copy of any other gateway that can: the last one that had it, else random ones, three at a time. It calls the store every 2 s meanwhile, with a shorter time-out, as the copy ages during the call. Its own copy stays marked as lost, so that its followers don't read the store through a gateway that ranks after them, which would be a cycle. A failed call counts as the probe, so that a silent store is not asked twice before the first copy.

TestGatewaysThatTheStoreRejects failed in all five cases before (2 s without the new row) and holds now.

Changed check: TestOutageOfTheReaderAloneIsNone required that the reader, which had lost the store alone, counts an outage. It reads the copies of others now, so that nobody may count one; the check is stricter.

Ruled out: to let gateways follow later ones in general. Two that read each other's copies would know changes only when these are too old, after 2.4 s.

--- a/internal/process/storefeed/copies.go
+++ b/internal/process/storefeed/copies.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,14 @@
 	// followerTimeout is how long a gateway counts as followed after the last call of a
 	// follower.
 	followerTimeout = 3 * time.Second
+	// substitutesPerFetch bounds the gateways that are called for a copy at a time by a gateway that can read neither the
+	// store nor the copy of a reader. Those that can't read the store either answer at once.
+	substitutesPerFetch = 3
+	// maxSubstitutes is the number of live gateways up to which all of them may be substitutes. In a larger fleet only those
+	// are that most gateways have connections to.
+	maxSubstitutes = 16
+	// substitutesRanked is the number of gateways of this data centre that may be substitutes then.
+	substitutesRanked = 8
 	// maxTombstones bounds the deleted rows kept in a copy. At the target size there are
 	// about a hundred live rows.
 	maxTombstones = 1000
@@ -66,6 +75,8 @@
 	// FirstRanked returns the gateway of each data centre that Ranked puts first, in rank
 	// order.
 	FirstRanked(purpose string) []membership.Gateway
+	// Live returns the live gateways of all data centres.
+	Live() []membership.Gateway
 }
 
 // Copies holds this gateway's copies of the store's tables. A reader is a gateway that
@@ -83,6 +94,8 @@
 	followedAt time.Time
 	avoidUntil map[string]time.Time
 	reader     string
+	// substitute is the gateway that was a substitute last, or "".
+	substitute string
 }
 
 // tableCopy is a table as last read by its watcher.
@@ -258,7 +271,8 @@
 		t.at = res.Position()
 	}
 	t.confirmedAt = max(t.confirmedAt, res.confirmedAt)
-	t.lost, t.unread = false, false
+	// A follower of this gateway that reads the store must not read it through one that ranks after both.
+	t.lost, t.unread = res.substitute, false
 	if !res.recoveredAt.IsZero() {
 		t.recoveredAt = res.recoveredAt
 	}
@@ -446,6 +460,63 @@
 // maxRanked is larger than the number of gateways of a data centre at the target size.
 const maxRanked = 1000
 
+// fetchSubstitute calls some of the gateways that this one does not follow for their copy of the changes after position since,
+// or of the whole table. They follow readers in rank order as usual, and none of them uses what this gateway gets from
+// them, since its own copy stays marked as lost.
+func (c *Copies) fetchSubstitute(ctx context.Context, table string, since, oldest Position) (result, bool) {
+	for _, g := range c.substitutes(time.Now()) {
+		if ctx.Err() != nil {
+			break
+		}
+		res, outcome := c.fetchFromReader(ctx, g, table, since, oldest)
+		c.noteSubstitute(g.Name, outcome == copyFresh)
+		if outcome == copyFresh {
+			res.reader, res.substitute = g.Name, true
+			return res, true
+		}
+	}
+	return result{}, false
+}
+
+// substitutes returns the gateways to call for a copy: the last one that had it, and others at random.
+func (c *Copies) substitutes(now time.Time) []membership.Gateway {
+	if c == nil {
+		return nil
+	}
+	candidates := c.view.Live()
+	if len(candidates) > maxSubstitutes {
+		candidates = append(c.view.Ranked(purpose, substitutesRanked), c.view.FirstRanked(purpose)...)
+	}
+	self := c.view.Self().Name
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []membership.Gateway
+	for _, g := range candidates {
+		switch {
+		case g.Name == self || now.Before(c.avoidUntil[g.Name]):
+		case g.Name == c.substitute:
+			out = append([]membership.Gateway{g}, out...)
+		default:
+			out = append(out, g)
+		}
+	}
+	return out[:min(substitutesPerFetch, len(out))]
+}
+
+// noteSubstitute records whether a gateway had a usable copy. The substitute is kept until it has none.
+func (c *Copies) noteSubstitute(name string, usable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case usable && c.substitute == "":
+		_ = level.Info(c.logger).Log("msg", "reading the copies of a gateway that can read the store", "gateway", name)
+		c.substitute = name
+	case !usable && c.substitute == name:
+		c.substitute = ""
+	}
+}
+
 // setReader records the reader whose copy is used, "" for the store itself, and logs a
 // change.
 func (c *Copies) setReader(reader string) {
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -28,6 +28,8 @@
 	// probeTimeout bounds a call after a failed call. A slow store takes a third of a
 	// second to respond.
 	probeTimeout = 800 * time.Millisecond
+	// shortProbeTimeout replaces probeTimeout while the copy of a substitute is read, which ages during the call.
+	shortProbeTimeout = 300 * time.Millisecond
 	// retryBase is the minimum wait after a failed call, and maxRetryJitter bounds the
 	// random time added to it. The jitter spreads the calls that all gateways send when
 	// the store is available again.
@@ -81,7 +83,9 @@
 	read, needsWhole bool
 	// confirmedAt is the time since boot as of which the last response was current.
 	confirmedAt time.Duration
-	// probedAt is the time of the last call to the store after a failure. following is set
+	// substitute is set if the last response was that of a substitute.
+	substitute bool
+	// probedAt is the time of the last failed call to the store. following is set
 	// if the last response came from a reader.
 	probedAt  time.Time
 	following bool
@@ -105,6 +109,8 @@
 	recoveredAt time.Time
 	// reader is the gateway whose copy the response is, or "" for the store.
 	reader string
+	// substitute is set if that gateway is not one that this gateway follows.
+	substitute bool
 }
 
 // Reader returns the gateway from whose copy the rows of the current call of Sync or Change are, or "" if they are
@@ -139,43 +145,28 @@
 				break
 			}
 			if now := time.Now(); lost.note(now, err) {
-				_ = log.With(level.Warn(w.Logger), lost.fields(now)...).Log("msg", "store lost", "table", w.Table, "since", w.at.Revision, "era", w.at.Era)
+				_ = level.Warn(w.Logger).Log(append([]any{"msg", "store lost", "table", w.Table, "since", w.at.Revision, "era", w.at.Era}, lost.fields(now)...)...)
 			}
 			if lost.failures == 1 {
 				w.Copies.markLost(w.Table)
 			}
-			_ = pause.For(ctx, BackOff(lost.failures))
+			if !w.substitute {
+				_ = pause.For(ctx, BackOff(lost.failures))
+			}
+			w.substitute = false
 			continue
 		}
 		now := time.Now()
 		res.recoveredAt = w.recoveredAt(now, &res, whole, lost.failures > 0)
-		if lost.failures > 0 {
-			_ = log.With(level.Info(w.Logger), lost.fields(now)...).Log("msg", "store regained", "table", w.Table, "revision", res.Revision, "era", res.Era, "reader", res.reader)
+		if lost.failures > 0 && !res.substitute {
+			_ = level.Info(w.Logger).Log(append([]any{"msg", "store regained", "table", w.Table, "revision", res.Revision, "era", res.Era, "reader", res.reader}, lost.fields(now)...)...)
 			lost = outage{}
 		}
-		if w.returned(&res) {
-			_ = level.Warn(w.Logger).Log("msg", "store has come back from an older copy", "table", w.Table, "revision", res.Revision, "era", res.Era, "revision_before", w.at.Revision, "era_before", w.at.Era, "reader", res.reader)
-			if w.Returned != nil {
-				w.Returned(now, w.at, res.Position())
-			}
-		}
-		if !res.recoveredAt.IsZero() {
-			w.Recovered(res.recoveredAt)
-		}
-		w.apply(now, res)
-		if res.whole || w.at.Before(res.Position()) {
-			w.at = res.Position()
-		}
-		w.Newest.Raise(res.Position())
-		if res.confirmedAt > 0 {
-			w.confirmedAt = max(w.confirmedAt, res.confirmedAt)
-			w.Confirmed(res.confirmedAt)
-		}
-		w.Copies.update(w.Table, w.Copies.keepLater(w.Table, res, w.Superseded))
+		w.use(now, res)
 		if !w.read && res.reader == "" && w.Later != nil && w.Copies != nil {
 			asking.Go(func() { w.askForLater(ctx) })
 		}
-		w.read, w.needsWhole = true, false
+		w.read, w.needsWhole, w.substitute = true, false, res.substitute
 		if len(res.Rows.Rows) > 0 || res.whole {
 			_ = pause.For(ctx, changePause)
 		}
@@ -183,6 +174,29 @@
 	return nil
 }
 
+// use applies a response and passes it on to the followers.
+func (w *Watcher) use(now time.Time, res result) {
+	if w.returned(&res) {
+		_ = level.Warn(w.Logger).Log("msg", "store has come back from an older copy", "table", w.Table, "revision", res.Revision, "era", res.Era, "revision_before", w.at.Revision, "era_before", w.at.Era, "reader", res.reader)
+		if w.Returned != nil {
+			w.Returned(now, w.at, res.Position())
+		}
+	}
+	if !res.recoveredAt.IsZero() {
+		w.Recovered(res.recoveredAt)
+	}
+	w.apply(now, res)
+	if res.whole || w.at.Before(res.Position()) {
+		w.at = res.Position()
+	}
+	w.Newest.Raise(res.Position())
+	if res.confirmedAt > 0 {
+		w.confirmedAt = max(w.confirmedAt, res.confirmedAt)
+		w.Confirmed(res.confirmedAt)
+	}
+	w.Copies.update(w.Table, w.Copies.keepLater(w.Table, res, w.Superseded))
+}
+
 // returned reports whether a response shows that the store has come back from an older copy since the last one.
 func (w *Watcher) returned(res *result) bool { return w.read && w.at.Era < res.Era }
 
@@ -190,17 +204,19 @@
 // response, or are missing in the older copy that the store has come back from, and otherwise the zero time.
 func (w *Watcher) recoveredAt(now time.Time, res *result, whole, failed bool) time.Time {
 	switch {
-	case failed, w.returned(res):
+	case w.returned(res):
 		return now
-	case !whole && boottime.Now()-w.confirmedAt < maxCopyAge:
-		// Only the reader had lost the store: this gateway has read it all the time.
+	case !whole && (!failed || w.substitute) && boottime.Now()-w.confirmedAt < maxCopyAge:
+		// Only the reader, or this gateway, had lost the store: the table has been read all the time.
 		return time.Time{}
+	case failed && !res.substitute:
+		return now
 	}
 	return res.recoveredAt
 }
 
 // fetch returns the changes since the last response, or the whole table. It uses the copy of a reader if one is fresh, and
-// otherwise the store.
+// otherwise the store. While it can read neither, it uses the copy of any other gateway that can.
 func (w *Watcher) fetch(ctx context.Context, whole, failed bool) (result, error) {
 	since, oldest := w.at, w.at
 	if whole {
@@ -209,17 +225,23 @@
 	res, outcome := w.Copies.fetch(ctx, w.Table, since, oldest)
 	lostReader := w.following && outcome != copyFresh
 	w.following = outcome == copyFresh
-	switch {
-	case outcome == copyFresh:
+	if outcome == copyFresh {
 		return res, nil
-	case outcome == copyLost && failed && time.Since(w.probedAt) < probePeriod:
-		return result{}, errReaderLostStore
 	}
-	if failed {
-		w.probedAt = time.Now()
+	if failed && time.Since(w.probedAt) < probePeriod {
+		if res, ok := w.Copies.fetchSubstitute(ctx, w.Table, since, oldest); ok {
+			return res, nil
+		}
+		if outcome == copyLost {
+			return result{}, errReaderLostStore
+		}
 	}
 	// The last copy may be old, so the first call after it does not wait for changes.
-	return w.fetchFromStore(ctx, whole, failed, lostReader)
+	res, err := w.fetchFromStore(ctx, whole, failed, lostReader)
+	if err != nil {
+		w.probedAt = time.Now()
+	}
+	return res, err
 }
 
 // fetchFromStore is like fetch but always calls the store. After a failure it requests an
@@ -231,8 +253,12 @@
 		wait = followedFeedWait
 	}
 	if failed {
+		timeout := probeTimeout
+		if w.substitute {
+			timeout = shortProbeTimeout
+		}
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
+		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 		wait = 0
 	}
