Ignore the last entry of a removed server in an older copy of the list

An entry with the same number as the known one counts after a removal, because entries that expired in an outage come back that way.

After the return, an entry in a whole list that was removed since that copy counts only with a higher number or a later start. A change counts as before: it was written since the return.

Entries of servers that reported that they drain were recognised before, by their number.

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -73,6 +73,8 @@
 	// removed is set when the list no longer contains the entry.
 	removed   bool
 	removedAt time.Time
+	// removalLost is set if the list's store has come back from an older copy since.
+	removalLost bool
 	// removalPending is set while a missing entry may still be rewritten after an
 	// outage of the list. overwritten is set while the list has an older entry than the known one, until
 	// overwrittenUntil at most. confirmed is set once the server has answered since that it serves.
@@ -124,6 +126,12 @@
 	return s.StartedMS < r.StartedMS || s.StartedMS == r.StartedMS && s.StartedMS != 0 && s.Entry < r.Entry
 }
 
+// removedAfter reports whether s is listed only because the store has lost the removal of it: nothing shows that its server has
+// written since.
+func (r *record) removedAfter(s Server) bool {
+	return r.removed && r.removalLost && s.StartedMS != 0 && s.StartedMS == r.StartedMS && s.Entry <= r.Entry
+}
+
 func (r *record) isLeaving() bool { return r.Leaving || r.removed || r.replaced || r.draining }
 
 // Registry holds the known backend servers. It is safe for concurrent use.
@@ -182,6 +190,16 @@
 	}
 }
 
+// ListReturned reports that the list is now in a store that has come back from an older copy. Entries that were removed since
+// that copy may be in it again.
+func (g *Registry) ListReturned() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.servers {
+		r.removalLost = r.removed
+	}
+}
+
 // Sync replaces the whole list with servers.
 func (g *Registry) Sync(now time.Time, servers []Server) {
 	listed := make(map[string]bool, len(servers))
@@ -190,7 +208,9 @@
 	g.synced = true
 	for _, s := range servers {
 		listed[s.Name] = true
-		leaving = g.put(s, leaving)
+		if r := g.servers[s.Name]; r == nil || !r.removedAfter(s) {
+			leaving = g.put(s, leaving)
+		}
 	}
 	for name := range g.servers {
 		if !listed[name] {
@@ -248,7 +268,7 @@
 	before := r.isLeaving()
 	r.Server, r.evacuated = s, g.evacuated.Contains(s.DataCentre)
 	g.noteListedCold(r)
-	r.removed, r.removalPending, r.overwritten, r.confirmed = false, false, false, false
+	r.removed, r.removalLost, r.removalPending, r.overwritten, r.confirmed = false, false, false, false, false
 	g.index.add(r)
 	if r.isEngine() != wasEngine {
 		g.engineSet++
