Read the whole table at once where a lost reader's follower gets 410

Found by TestReaderReadsTheNewEraAfterItsFollowers.

A store that answers 410, or in another era, is there: the whole table is read from it without a wait. The first call after a failure goes to the store again if no substitute has a copy, as before.

--- a/internal/process/storefeed/copies_test.go
+++ b/internal/process/storefeed/copies_test.go
@@ -24,17 +24,16 @@
 	mu       sync.Mutex
 	rows     map[string]Row
 	revision int64
-	era      int64
 	down     bool
 	oldest   int64          // oldest revision after which changes can be read
 	calls    map[string]int // by gateway
+	drills   fakeDrills
 }
 
 func (s *fakeStore) put(key string, tombstone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
-	s.rows[key] = Row{Key: key, Revision: s.revision, Tombstone: tombstone}
+	s.add(Row{Key: key, Tombstone: tombstone})
 }
 
 func (s *fakeStore) set(change func()) {
@@ -48,6 +47,9 @@
 	store   *fakeStore
 	gateway string
 	cut     atomic.Bool
+	// hangs is set while calls get no response. held, if not nil, delays the response to a List call until it is closed.
+	hangs atomic.Bool
+	held  chan struct{}
 }
 
 var errCut = errors.New("cut off")
@@ -58,7 +60,8 @@
 	if s.store.down || s.cut.Load() {
 		return Rows{}, errCut
 	}
-	out := Rows{Revision: s.store.revision, Era: s.store.era}
+	out := Rows{Revision: s.store.revision}
+	out.Era = s.store.drills.era
 	for _, r := range s.store.rows {
 		if r.Revision > since && (since >= 0 || !r.Tombstone) {
 			out.Rows = append(out.Rows, r)
@@ -69,12 +72,23 @@
 
 func (s *fakeSource) List(context.Context, string) (Rows, error) {
 	s.store.set(func() { s.store.calls[s.gateway]++ })
-	return s.answer(needsList)
+	out, err := s.answer(needsList)
+	if s.held != nil {
+		<-s.held
+	}
+	return out, err
 }
 
 func (s *fakeSource) Feed(ctx context.Context, _ string, since int64, wait time.Duration) (Rows, error) {
 	s.store.set(func() { s.store.calls[s.gateway]++ })
+	era := s.store.era()
 	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		if s.silent() {
+			return Rows{}, s.awaitTimeout(ctx, deadline)
+		}
+		if s.store.era() != era {
+			return Rows{}, errCut
+		}
 		gone := false
 		s.store.set(func() { gone = since < s.store.oldest || since > s.store.revision })
 		if gone {
@@ -189,45 +203,50 @@
 		m.source.store, m.source.gateway = dc.store, m.name
 		m.copies = NewCopies(m, m, log.NewNopLogger())
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var wait sync.WaitGroup
 	for _, m := range dc.members {
-		w := &Watcher{
-			Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(Newest),
-			Sync: func(_ time.Time, rows []Row) {
-				m.mu.Lock()
-				defer m.mu.Unlock()
-				m.rows = map[string]bool{}
-				m.syncs++
-				for _, r := range rows {
-					m.rows[r.Key] = true
-				}
-			},
-			Change: func(_ time.Time, rows []Row) {
-				m.mu.Lock()
-				defer m.mu.Unlock()
-				for _, r := range rows {
-					m.rows[r.Key] = !r.Tombstone
-				}
-			},
-			Confirmed: func(at time.Duration) {
-				m.mu.Lock()
-				defer m.mu.Unlock()
-				m.confirm = max(m.confirm, at)
-			},
-			Recovered: func(time.Time) {
-				m.mu.Lock()
-				defer m.mu.Unlock()
-				m.recoveries++
-			},
-		}
-		wait.Go(func() { _ = w.Run(ctx) })
+		m.start(t)
 	}
-	t.Cleanup(func() { cancel(); wait.Wait() })
 	dc.eventually(t, "all have read the table", func(m *member) bool { return m.has("first") }, 2*time.Second)
 	return dc
 }
 
+// start runs the watcher of a gateway until the test ends.
+func (m *member) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{
+		Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(Newest),
+		Sync: func(_ time.Time, rows []Row) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.rows = map[string]bool{}
+			m.syncs++
+			for _, r := range rows {
+				m.rows[r.Key] = true
+			}
+		},
+		Change: func(_ time.Time, rows []Row) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			for _, r := range rows {
+				m.rows[r.Key] = !r.Tombstone
+			}
+		},
+		Confirmed: func(at time.Duration) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.confirm = max(m.confirm, at)
+		},
+		Recovered: func(time.Time) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.recoveries++
+		},
+	}
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+}
+
 func (dc *dataCentre) eventually(t *testing.T, what string, condition func(*member) bool, within time.Duration) {
 	t.Helper()
 	for deadline := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
--- a/internal/process/storefeed/era_test.go
+++ b/internal/process/storefeed/era_test.go
@@ -10,19 +10,6 @@
 	"persimmonwing/internal/process/boottime"
 )
 
-// comeBack replaces the store by an older copy of itself, as it was at a revision, and begins a new era.
-func (s *fakeStore) comeBack(revision int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for key, r := range s.rows {
-		if r.Revision > revision {
-			delete(s.rows, key)
-		}
-	}
-	s.revision = revision
-	s.era++
-}
-
 // Guards against a store that is not believed until its revision has passed the newest one that was read before it came back
 // from an older copy, and against rows that are written again below that revision and never read. Followers learn both
 // from their reader, which may be behind or ahead of them.
@@ -36,10 +23,9 @@
 			dc.store.put("lost", false)
 			dc.eventually(t, "all know the row that will be lost", func(m *member) bool { return m.has("lost") }, 2*time.Second)
 			for range 2 {
-				dc.store.set(func() { dc.store.down = true })
+				dc.store.set(func() { dc.store.goAway(false) })
 				time.Sleep(retryBase)
-				dc.store.comeBack(50)
-				dc.store.set(func() { dc.store.down = false })
+				dc.store.set(func() { dc.store.comeBack(50) })
 				dc.store.put("written again", false)
 				for range written {
 					dc.store.put("filler", false)
--- a/internal/process/storefeed/later_test.go
+++ b/internal/process/storefeed/later_test.go
@@ -58,8 +58,7 @@
 func (s *fakeStore) write(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
-	s.rows[key] = Row{Key: key, Value: []byte(value), Revision: s.revision}
+	s.add(Row{Key: key, Value: []byte(value)})
 }
 
 func awaitValue(t *testing.T, n *numbered, want string) {
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -85,7 +85,7 @@
 	confirmedAt time.Duration
 	// substitute is set if the last response was that of a substitute.
 	substitute bool
-	// probedAt is the time of the last failed call to the store. following is set
+	// probedAt is the time of the last call to the store after a failure. following is set
 	// if the last response came from a reader.
 	probedAt  time.Time
 	following bool
@@ -128,12 +128,12 @@
 		res, err := w.fetch(ctx, whole, lost.failures > 0)
 		if errors.Is(err, ErrHistoryGone) {
 			_ = level.Info(w.Logger).Log("msg", "history is gone, reading the whole table", "table", w.Table, "since", w.at.Revision, "era", w.at.Era)
-			w.needsWhole = true
+			w.needsWhole, w.probedAt = true, time.Time{} // the store has answered
 			continue
 		}
 		if err == nil && !res.whole && res.Era != w.at.Era {
 			// The response has the changes after a revision that this era may have given out again.
-			w.needsWhole = true
+			w.needsWhole, w.probedAt = true, time.Time{}
 			continue
 		}
 		known = w.Newest.Load()
@@ -228,20 +228,20 @@
 	if outcome == copyFresh {
 		return res, nil
 	}
-	if failed && time.Since(w.probedAt) < probePeriod {
+	probeDue := time.Since(w.probedAt) >= probePeriod
+	if failed && !(probeDue && w.substitute) {
 		if res, ok := w.Copies.fetchSubstitute(ctx, w.Table, since, oldest); ok {
 			return res, nil
 		}
-		if outcome == copyLost {
+		if outcome == copyLost && !probeDue {
 			return result{}, errReaderLostStore
 		}
 	}
-	// The last copy may be old, so the first call after it does not wait for changes.
-	res, err := w.fetchFromStore(ctx, whole, failed, lostReader)
-	if err != nil {
+	if failed {
 		w.probedAt = time.Now()
 	}
-	return res, err
+	// The last copy may be old, so the first call after it does not wait for changes.
+	return w.fetchFromStore(ctx, whole, failed, lostReader)
 }
 
 // fetchFromStore is like fetch but always calls the store. After a failure it requests an
