--- a/internal/connection/peer/handshake.go
+++ b/internal/connection/peer/handshake.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -39,7 +40,8 @@
 
 // acceptHandshake performs the server's side of the handshake. It sends a nonce, verifies the
 // client's proof and sends its own proof for the client's nonce.
-func acceptHandshake(c net.Conn, secret []byte) error {
+// The client may know any of the secrets; the server's proof uses the same one.
+func acceptHandshake(c net.Conn, secrets [][]byte) error {
 	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
 	serverNonce := make([]byte, nonceSize)
 	_, _ = rand.Read(serverNonce)
@@ -51,9 +53,13 @@
 		return eris.Wrap(err, "read answer")
 	}
 	clientNonce := response[:nonceSize]
-	if !hmac.Equal(response[nonceSize:], proof(secret, roleClient, serverNonce, clientNonce)) {
+	known := slices.IndexFunc(secrets, func(secret []byte) bool {
+		return hmac.Equal(response[nonceSize:], proof(secret, roleClient, serverNonce, clientNonce))
+	})
+	if known < 0 {
 		return ErrHandshake
 	}
+	secret := secrets[known]
 	if _, err := c.Write(proof(secret, roleServer, serverNonce, clientNonce)); err != nil {
 		return eris.Wrap(err, "send proof")
 	}
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -24,7 +24,12 @@
 
 func start(t *testing.T, l net.Listener, secret string) (*peer.Server, echo) {
 	t.Helper()
-	s, err := peer.NewServer([]byte(secret), log.NewNopLogger())
+	return startWith(t, l, peer.NewSecrets([]byte(secret)))
+}
+
+func startWith(t *testing.T, l net.Listener, secrets *peer.Secrets) (*peer.Server, echo) {
+	t.Helper()
+	s, err := peer.NewServer(secrets, log.NewNopLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	for secret, want := range map[string]bool{"right": true, "wrong": false} {
-		p := peer.NewPool([]byte(secret), peer.DialTCP)
+		p := peer.NewPool(peer.NewSecrets([]byte(secret)), peer.DialTCP)
 		in, out := "hello", ""
 		err := p.Call(ctx, l.Addr().String(), "Echo.Echo", &in, &out)
 		is.Equal(err == nil, want)
@@ -64,7 +69,7 @@
 		is := is.New(t)
 		n := peertest.NewNetwork()
 		s, e := start(t, n.Listen("b"), "x")
-		p := peer.NewPool([]byte("x"), n.Dialer("a"))
+		p := peer.NewPool(peer.NewSecrets([]byte("x")), n.Dialer("a"))
 		defer s.Close()
 		defer close(e.hold)
 		defer p.Close()
@@ -107,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := peertest.NewNetwork()
-		p := peer.NewPool([]byte("x"), n.Dialer("a"))
+		p := peer.NewPool(peer.NewSecrets([]byte("x")), n.Dialer("a"))
 		defer p.Close()
 		for range 3 {
 			s, _ := start(t, n.Listen("b"), "x")
@@ -128,7 +133,7 @@
 	s, e := start(t, n.Listen("b"), "x")
 	defer s.Close()
 	close(e.hold)
-	p := peer.NewPool([]byte("x"), n.Dialer("a"))
+	p := peer.NewPool(peer.NewSecrets([]byte("x")), n.Dialer("a"))
 	defer p.Close()
 	for range 3 {
 		in, out := "hello", ""
@@ -164,7 +169,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := peertest.NewNetwork()
-		p := peer.NewPool([]byte("x"), n.Dialer("a"))
+		p := peer.NewPool(peer.NewSecrets([]byte("x")), n.Dialer("a"))
 		defer p.Close()
 		in, out := "hello", ""
 		is.True(p.Call(t.Context(), "b", "Echo.Echo", &in, &out) != nil)
--- a/internal/connection/peer/pool.go
+++ b/internal/connection/peer/pool.go
@@ -50,7 +50,7 @@
 
 // Pool maintains one connection to each peer. It is safe for concurrent use.
 type Pool struct {
-	secret  []byte
+	secrets *Secrets
 	dial    Dialer
 	traffic Traffic
 	ctx     context.Context // cancelled by Close
@@ -62,10 +62,10 @@
 	peers  map[string]*remote
 }
 
-// NewPool returns an empty pool whose connections are opened by dial and authenticated with secret.
-func NewPool(secret []byte, dial Dialer) *Pool {
+// NewPool returns an empty pool whose connections are opened by dial and authenticated with one of the secrets.
+func NewPool(secrets *Secrets, dial Dialer) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Pool{secret: secret, dial: dial, ctx: ctx, cancel: cancel, peers: map[string]*remote{}}
+	return &Pool{secrets: secrets, dial: dial, ctx: ctx, cancel: cancel, peers: map[string]*remote{}}
 }
 
 // Traffic returns the pool's byte counters.
--- a/internal/connection/peer/remote.go
+++ b/internal/connection/peer/remote.go
@@ -97,19 +97,32 @@
 	r.pool.wait.Go(r.conn.watch)
 }
 
-// open dials the peer and performs the handshake.
+// open dials the peer and performs the handshake, with each of the secrets until the peer knows one.
 func (r *remote) open() (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(r.pool.ctx, dialTimeout)
 	defer cancel()
-	raw, err := r.pool.dial(ctx, r.address)
-	if err != nil {
-		return nil, eris.Wrap(err, "dial peer")
+	var failed error
+	for _, secret := range r.pool.secrets.list() {
+		raw, err := r.pool.dial(ctx, r.address)
+		if err != nil {
+			return nil, eris.Wrap(err, "dial peer")
+		}
+		c, err := r.handshake(ctx, raw, secret)
+		if err == nil {
+			return c, nil
+		}
+		failed = err
 	}
+	return nil, failed
+}
+
+// handshake performs the handshake on a new connection, and closes it on an error.
+func (r *remote) handshake(ctx context.Context, raw net.Conn, secret []byte) (net.Conn, error) {
 	c := countedConn{raw, &r.pool.traffic}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	deadline, _ := ctx.Deadline()
-	if err := dialHandshake(c, r.pool.secret, deadline); err != nil {
+	if err := dialHandshake(c, secret, deadline); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 
 	"github.com/go-kit/log"
@@ -17,7 +18,7 @@
 
 // Server serves RPC calls from peers to registered receivers.
 type Server struct {
-	secret     []byte
+	secrets    *Secrets
 	logger     log.Logger
 	rpc        *rpc.Server
 	traffic    Traffic
@@ -30,13 +31,13 @@
 	wait     sync.WaitGroup
 }
 
-// NewServer returns a server that accepts peers that know the secret. The secret must not be empty.
-func NewServer(secret []byte, logger log.Logger) (*Server, error) {
-	if len(secret) == 0 {
+// NewServer returns a server that accepts peers that know one of the secrets. None of them may be empty.
+func NewServer(secrets *Secrets, logger log.Logger) (*Server, error) {
+	if slices.ContainsFunc(secrets.list(), func(s []byte) bool { return len(s) == 0 }) {
 		return nil, eris.New("peer secret is empty")
 	}
 	s := &Server{
-		secret:     secret,
+		secrets:    secrets,
 		logger:     logger,
 		rpc:        rpc.NewServer(),
 		handshakes: make(chan struct{}, maxHandshakes),
@@ -106,7 +107,7 @@
 func (s *Server) serve(c net.Conn) {
 	defer s.wait.Done()
 	defer s.closeConn(c)
-	err := acceptHandshake(c, s.secret)
+	err := acceptHandshake(c, s.secrets.list())
 	<-s.handshakes
 	if err != nil {
 		level.Warn(s.logger).Log("msg", "refused a peer connection", "remote", c.RemoteAddr(), "err", err)
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -78,7 +78,7 @@
 
 func newProcess(o *Options, logger log.Logger) (*process, error) {
 	p := &process{opts: o, logger: logger, metrics: telemetry.New(), holder: new(revision.Holder), limits: limits.New()}
-	p.pool = peer.NewPool([]byte(o.PeerSecret), peer.DialFrom(o.PeerListen))
+	p.pool = peer.NewPool(peer.NewSecrets([]byte(o.PeerSecret)), peer.DialFrom(o.PeerListen))
 	p.services = service.New(&http.Client{Transport: engine.NewTransport()})
 	engines := engine.New(&http.Client{Transport: engine.NewTransport()})
 	platformHTTP := &http.Client{Transport: engine.NewTransport()}
@@ -136,7 +136,7 @@
 
 func (p *process) newServer() error {
 	var err error
-	if p.server, err = peer.NewServer([]byte(p.opts.PeerSecret), logging.Part(p.logger, "peer")); err != nil {
+	if p.server, err = peer.NewServer(peer.NewSecrets([]byte(p.opts.PeerSecret)), logging.Part(p.logger, "peer")); err != nil {
 		return err
 	}
 	return errors.Join(
--- a/internal/process/loadgen/capacity/claims.go
+++ b/internal/process/loadgen/capacity/claims.go
@@ -164,7 +164,7 @@
 		return nil, err
 	}
 	w.table = &countedTable{Table: platform.NewTable("http://"+w.http.address, &http.Client{Transport: engine.NewTransport()}, 2*time.Second)}
-	if w.server, err = peer.NewServer(secret, log.NewNopLogger()); err != nil {
+	if w.server, err = peer.NewServer(peer.NewSecrets(secret), log.NewNopLogger()); err != nil {
 		return nil, err
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -172,7 +172,7 @@
 		return nil, err
 	}
 	for i := range gateways {
-		pool := peer.NewPool(secret, peer.DialTCP)
+		pool := peer.NewPool(peer.NewSecrets(secret), peer.DialTCP)
 		o := claim.DefaultOptions()
 		o.Caller = pool
 		if withCollector {
--- a/internal/process/membership/gossip_test.go
+++ b/internal/process/membership/gossip_test.go
@@ -46,11 +46,11 @@
 
 func (c *cluster) start(name, dataCentre, address string) *node {
 	c.starts++
-	s, err := peer.NewServer([]byte("secret"), log.NewNopLogger())
+	s, err := peer.NewServer(peer.NewSecrets([]byte("secret")), log.NewNopLogger())
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	p := peer.NewPool([]byte("secret"), c.network.Dialer(address))
+	p := peer.NewPool(peer.NewSecrets([]byte("secret")), c.network.Dialer(address))
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{address: address}
 	n.draining.Store(new([]string))
--- a/internal/process/owner/fleet_test.go
+++ b/internal/process/owner/fleet_test.go
@@ -267,11 +267,11 @@
 
 func (f *fleet) start(name string) *gateway {
 	address := "address of " + name
-	s, err := peer.NewServer([]byte("secret"), log.NewNopLogger())
+	s, err := peer.NewServer(peer.NewSecrets([]byte("secret")), log.NewNopLogger())
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	p := peer.NewPool([]byte("secret"), f.network.Dialer(address))
+	p := peer.NewPool(peer.NewSecrets([]byte("secret")), f.network.Dialer(address))
 	g := &gateway{name: name, address: address}
 	g.view = membership.NewGossiper(membership.Options{
 		Self:  membership.Host{Name: name, DataCentre: f.dataCentre(name), PeerAddress: address, Incarnation: time.Now().UnixMilli()},
