Keep a stream at the software version that sent its first event

Cause: the version in a server's entry was not read. A generation moved to any engine with room, at a notice or off a slow engine, and a resumable stream went on anywhere after a break.

A stream is bound to the version of the server that sent its first event. Moves and resumed sends exclude servers of other versions, and check the version of the server that was granted. If no engine of the version is left that may get work, a stream is not moved, and one that is resumed or waits for an engine ends at once instead of at the end of its wait (software_version_gone, without Retry-After). Before the first event a request may change the version.

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -49,6 +49,9 @@
 	Address    string
 	DataCentre string
 	Service    string
+	// Version is the version of the server's software. What two versions write does not fit together: a stream may go on only at
+	// the version that began it. There is no order among versions.
+	Version string
 	// Models is set for engines only.
 	Models []string
 	Slots  int
--- a/internal/request/fault/fault.go
+++ b/internal/request/fault/fault.go
@@ -40,6 +40,7 @@
 	EngineProtocol       Code = "engine_protocol"
 	RequestCrashes       Code = "request_crashes_servers"
 	NoBackend            Code = "no_backend_server"
+	VersionGone          Code = "software_version_gone"
 	BackendLost          Code = "backend_lost"
 	BackendRefused       Code = "backend_refused"
 	IdempotencyKeyNeeded Code = "idempotency_key_needed"
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -146,7 +147,9 @@
 	request.Fingerprint, request.PartHashes = 0, nil // a generation with events has cleared both
 	request.DataCentre = r.server.DataCentre
 	request.Spread = true
-	request.Exclude = append([]string{r.server.Name}, r.exclude...)
+	version := r.server.Version
+	others, left := r.f.serversOf(r.q.Service, version, append([]string{r.server.Name}, r.exclude...))
+	request.Exclude = slices.Concat([]string{r.server.Name}, r.exclude, others)
 	if reason == moveSlow {
 		request.SlowFrom = r.server.Name
 	}
@@ -156,6 +159,10 @@
 		}
 		defer close(m.copied)
 		defer cancel()
+		if !left {
+			_ = level.Info(r.f.logger(r.q)).Log("msg", "not moved", "from", m.from.Name, "reason", "no other engine of its software version", "version", version)
+			return
+		}
 		m.copy(ctx, request)
 	}()
 	return m
@@ -180,7 +187,7 @@
 		}
 		request.Exclude = append(request.Exclude, grant.Backend)
 		to, ok := f.o.Servers.Get(grant.Backend)
-		if !ok || f.o.Servers.Blocked(time.Now(), grant.Backend) {
+		if !ok || to.Version != m.from.Version || f.o.Servers.Blocked(time.Now(), grant.Backend) {
 			f.o.Scheduler.Release(grant.ID, schedule.Outcome{NotRun: true})
 			continue
 		}
--- a/internal/request/forward/paused.go
+++ b/internal/request/forward/paused.go
@@ -45,13 +45,21 @@
 var errPaused = errors.New("all servers are evacuated or have asked for a pause")
 
 // wait is a request's wait for an engine.
-type wait struct{ end context.CancelCauseFunc }
+type wait struct {
+	end context.CancelCauseFunc
+	// gone reports whether the last engine that the request could get has left. It is nil if any engine will do.
+	gone func() bool
+}
 
-// boundByPauses returns a copy of ctx that ends when all servers of a service are evacuated or have asked
-// for a pause.
-func (f *Forwarder) boundByPauses(ctx context.Context, service string) (context.Context, context.CancelFunc) {
+// boundByServers returns a copy of ctx that ends when all servers of the service are evacuated or have asked for a pause, or
+// when none is left, except for the excluded ones, of the software version to which the stream is bound.
+func (r *run) boundByServers(ctx context.Context, excluded []string) (context.Context, context.CancelFunc) {
+	f, service := r.f, r.q.Service
 	ctx, end := context.WithCancelCause(ctx)
-	w := &wait{end}
+	w := &wait{end: end}
+	if r.bound {
+		w.gone = func() bool { return !r.versionLeft(excluded) }
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.waits[service] == nil {
@@ -84,16 +92,19 @@
 }
 
 // ServersChanged refuses the requests that wait for an engine of a service whose last servers
-// outside evacuated data centres have left.
+// outside evacuated data centres have left, and the streams bound to a software version whose last engine has.
 func (f *Forwarder) ServersChanged() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for service, waits := range f.waits {
-		if !f.o.Servers.AllEvacuated(service) {
-			continue
-		}
+		evacuated := f.o.Servers.AllEvacuated(service)
 		for w := range waits {
-			w.end(errPaused)
+			switch {
+			case evacuated:
+				w.end(errPaused)
+			case w.gone != nil && w.gone():
+				w.end(errVersionGone)
+			}
 		}
 	}
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +55,9 @@
 	// set once any part of the answer was sent to the caller.
 	runs  int
 	begun bool
+	// version is the software version at which the stream has to go on, if bound is set.
+	version string
+	bound   bool
 	// answered is set once an answer other than a stream was passed on, whole or in part.
 	answered bool
 
@@ -85,7 +89,7 @@
 	var last, failed *fault.Error
 	for sends := 0; sends < maxSends; sends++ {
 		// place checks again, but the budget must not count what is certainly not sent.
-		if sends > 0 && (f.checkSend(q, r.started()) != nil || !f.allowRetry(q, failed, r.events)) {
+		if sends > 0 && (f.checkSend(q, r.started()) != nil || !r.versionLeft(request.Exclude) || !f.allowRetry(q, failed, r.events)) {
 			return last
 		}
 		if sends > 0 && failed.Execution != api.NotRun {
@@ -163,12 +167,16 @@
 		ctx, cancel = r.f.o.Grace.BoundStart(ctx, r.q.LatestSend)
 		defer cancel()
 	}
-	ctx, done := r.f.boundByPauses(ctx, r.q.Service)
+	ctx, done := r.boundByServers(ctx, request.Exclude)
 	defer done()
+	request.Exclude = append(slices.Clone(request.Exclude), r.unfit()...)
 	for try := 0; ; try++ {
 		if paused := r.f.pausedError(r.q); paused != nil {
 			return paused
 		}
+		if !r.versionLeft(request.Exclude) {
+			return r.versionGoneError()
+		}
 		request.ID = attemptID(r.q.ID, r.runs, try)
 		grant, err := r.f.o.Scheduler.Acquire(ctx, request)
 		r.q.Account = grant.Account
@@ -184,6 +192,8 @@
 					return paused
 				}
 				return allPausedError(r.q, 0) // the pause has just ended
+			case errors.Is(context.Cause(ctx), errVersionGone):
+				return r.versionGoneError()
 			case ctx.Err() != nil:
 				return fault.Wrap(ctx.Err(), linkErrorCode(ctx), stepPlace, "", api.NotRun)
 			}
@@ -201,7 +211,7 @@
 			return err
 		}
 		server, ok := r.f.o.Servers.Get(grant.Backend)
-		if ok && !r.f.o.Servers.Blocked(time.Now(), grant.Backend) {
+		if ok && r.fits(server.Version) && !r.f.o.Servers.Blocked(time.Now(), grant.Backend) {
 			r.grant, r.server = grant, server
 			_ = log.With(level.Info(r.f.logger(r.q)), grant.Account.LogFields()...).Log("msg", "placed", "backend", grant.Backend, "reason", grant.Reason, "running", grant.Running, "unread_tokens", grant.Unread, "used_tokens", grant.Used, "step_us", grant.StepUS, "report_age_ms", grant.ReportAge.Milliseconds(), "prompt_tokens", r.q.PromptTokens, "waited_ms", time.Since(began).Milliseconds(), "workspace", r.q.Workspace, "class", r.q.Class, "version", r.q.Version)
 			r.f.o.Metrics.Observe(telemetry.QueueTime, r.q.Workspace, string(r.q.Class), time.Since(began))
@@ -509,6 +519,7 @@
 	}
 	if !r.begun {
 		r.begun = true
+		r.bind(r.server.Version)
 		if err := r.w.Begin(src.answer.Status, src.answer.Header, -1); err != nil {
 			return fault.Wrap(err, fault.Cancelled, stepStream, r.server.Name, api.Ran)
 		}
--- /dev/null
+++ b/internal/request/forward/versions_test.go
@@ -0,0 +1,271 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonwing/internal/process/registry"
+	"persimmonwing/internal/process/schedule"
+	"persimmonwing/internal/request/api"
+)
+
+// firstVersion is the version of a fake server's software unless a test sets another.
+const firstVersion, otherVersion = "v1", "v2"
+
+// setVersion returns s with the version of its software.
+func setVersion(s registry.Server, version string) registry.Server {
+	s.Version = version
+	return s
+}
+
+// suits reports whether the scheduler may grant a request an engine of this version.
+func suits(schedule.Request, string) bool { return true }
+
+// versionMark returns what the events of a server of this version end with.
+func versionMark(version string) string {
+	if version == firstVersion {
+		return ""
+	}
+	return " of " + version
+}
+
+// eventsOf returns the stream of the events from (inclusive) to (exclusive) of servers of a version.
+func eventsOf(version string, from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d%s\n\n", i, i, versionMark(version))
+	}
+	return b.String()
+}
+
+// spans describes the events that a caller received by the versions of their servers, such as "0-4 v1, 5-19 v2".
+func spans(body string) string {
+	var out []string
+	first, last, version := 0, 0, ""
+	end := func() {
+		if version != "" {
+			out = append(out, fmt.Sprintf("%d-%d %s", first, last, version))
+		}
+	}
+	for event := range strings.SplitAfterSeq(body, "\n\n") {
+		if event == "" {
+			break
+		}
+		id, of := 0, firstVersion
+		_, _ = fmt.Sscanf(event, "id: %d\n", &id) // compared below
+		if _, mark, marked := strings.Cut(strings.TrimSpace(event), " of "); marked {
+			of = mark
+		}
+		if event != eventsOf(of, id, id+1) {
+			return fmt.Sprintf("%q is no event", event)
+		}
+		if of != version || id != last+1 {
+			end()
+			first, version = id, of
+		}
+		last = id
+	}
+	end()
+	return strings.Join(out, ", ")
+}
+
+// newMixedFleet returns a fleet of the servers a, b and so on with these versions. Its scheduler takes
+// as long as the real one to refuse a request that no server may get.
+func newMixedFleet(total int, versions ...string) *fakeFleet {
+	var names []string
+	for i := range versions {
+		names = append(names, string(rune('a'+i)))
+	}
+	w := newFakeFleet(names...)
+	w.refusesAfter = 225 * time.Millisecond
+	for i, n := range names {
+		w.servers[n].version, w.servers[n].total = versions[i], total
+	}
+	return w
+}
+
+// restart starts a server again under its name, with another version of its software.
+func (w *fakeFleet) restart(name, version string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.servers[name]
+	s.version, s.starts = version, s.starts+1
+}
+
+// reached returns which of the servers got a request or a generation's memory and are now of this version.
+func (w *fakeFleet) reached(version string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, n := range append(slices.Clone(w.sent), w.copies...) {
+		if w.servers[n].version == version && !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// atOnce is the longest time from the last event of a stream, or from the arrival of a request, to its
+// end if it can't go on. The scheduler takes longer to say that no server is left.
+const atOnce = 50 * time.Millisecond
+
+// Guards against a stream that goes on at an engine of another software version than that of its first event, on each way
+// on which it goes on inside one answer, against one that is lost although an engine of its version is left, and
+// against one that is held or moved elsewhere if none is.
+func TestStreamsGoOnAtTheirVersion(t *testing.T) {
+	const total = 60
+	slowPlan := func() *Request {
+		q := plan()
+		q.HintTokens = total * q.stride()
+		return q
+	}
+	for _, c := range []struct {
+		name string
+		q    func() *Request
+		// versions are those of the engines a, b and so on. The stream begins at a, and goesOn is the engine at
+		// which it ends. That engine has the other version in the second part of the test.
+		versions []string
+		goesOn   string
+		setup    func(w *fakeFleet)
+		// during is called after each event with the number of events so far.
+		during func(w *fakeFleet, n int)
+		// events is the number of events that the caller receives if no engine is left, or 0 if it does not matter, and
+		// within the longest time from the last one to the end.
+		events int
+		within time.Duration
+	}{
+		{"leaves", plan, []string{"v1", "v2", "v1"}, "c", func(w *fakeFleet) {
+			w.servers["a"].diesAfter = 12
+		}, leaveAt("a", 5), 12, atOnce},
+		{"leaves and works to its end", plan, []string{"v1", "v2", "v1"}, "c", nil, leaveAt("a", 5), total, atOnce},
+		{"leaves, resumable", resumablePlan, []string{"v1", "v2", "v1"}, "c", func(w *fakeFleet) {
+			w.servers["a"].diesAfter = 12
+		}, leaveAt("a", 5), 12, atOnce},
+		{"breaks while its memory is copied", resumablePlan, []string{"v1", "v2", "v1"}, "c", func(w *fakeFleet) {
+			w.servers["a"].diesAfter, w.servers["a"].copyTime = 9, time.Second
+		}, leaveAt("a", 5), 9, atOnce},
+		{"leaves twice", plan, []string{"v1", "v2", "v1", "v2", "v1"}, "e", func(w *fakeFleet) {
+			w.servers["c"].diesAfter = 35
+		}, func(w *fakeFleet, n int) { leaveAt("a", 5)(w, n); leaveAt("c", 30)(w, n) }, 0, atOnce},
+		{"slow", slowPlan, []string{"v1", "v2", "v1"}, "c", func(w *fakeFleet) {
+			w.servers["a"].slowGap, w.servers["a"].slowEvents = 250*time.Millisecond, total
+		}, nil, total, atOnce},
+		{"breaks", check, []string{"v1", "v2", "v1"}, "c", func(w *fakeFleet) {
+			w.servers["a"].diesAfter = 5
+		}, nil, 5, atOnce},
+		{"breaks and starts again under its name with the other version", check, []string{"v1", "v2", "v1"}, "c", func(w *fakeFleet) {
+			w.servers["a"].diesAfter = 5
+		}, func(w *fakeFleet, n int) {
+			if n == 5 {
+				w.restart("a", otherVersion)
+			}
+		}, 5, atOnce},
+		{"is silent", check, []string{"v1", "v2", "v1"}, "c", func(w *fakeFleet) {
+			w.servers["a"].slowGap, w.servers["a"].slowEvents = 10*time.Second, 1
+		}, nil, 5, maxSilence(check()) + atOnce},
+		{"breaks after a destination was given up", resumablePlan, []string{"v1", "v1", "v2", "v1"}, "d", func(w *fakeFleet) {
+			w.servers["b"].beginsLate = 350 * time.Millisecond
+			w.servers["a"].diesAfter = 50
+		}, leaveAt("a", 5), 50, atOnce},
+	} {
+		serve := func(t *testing.T, versions []string, verify func(is *is.I, w *fakeFleet, r *recordingCaller, failed bool)) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newMixedFleet(total, versions...)
+				defer func() {
+					w.settle()
+					if w.running() != 0 {
+						t.Errorf("%d runs are left", w.running())
+					}
+				}()
+				if c.setup != nil {
+					c.setup(w)
+				}
+				r := &recordingCaller{}
+				r.after = func(n int) {
+					if c.during != nil {
+						c.during(w, n)
+					}
+				}
+				q := c.q()
+				q.Deadline = time.Now().Add(time.Minute)
+				_, err := w.f.Serve(context.Background(), q, r)
+				if err != nil && err.Execution != api.Ran {
+					t.Errorf("execution %v of a stream that has begun", err.Execution)
+				}
+				verify(is.New(t), w, r, err != nil)
+			})
+		}
+		t.Run(c.name+"/an engine is left", func(t *testing.T) {
+			serve(t, c.versions, func(is *is.I, w *fakeFleet, r *recordingCaller, failed bool) {
+				is.Equal(spans(r.body.String()), fmt.Sprintf("0-%d v1", total-1))
+				is.True(!failed)
+				is.Equal(w.sent[len(w.sent)-1], c.goesOn)
+			})
+		})
+		t.Run(c.name+"/none is left", func(t *testing.T) {
+			versions := slices.Clone(c.versions)
+			versions[c.goesOn[0]-'a'] = otherVersion
+			serve(t, versions, func(is *is.I, w *fakeFleet, r *recordingCaller, failed bool) {
+				if c.events == 0 {
+					if !strings.HasPrefix(events(0, total-1), r.body.String()) {
+						t.Errorf("events %s, want the first ones of v1", spans(r.body.String()))
+					}
+				} else {
+					is.Equal(spans(r.body.String()), fmt.Sprintf("0-%d v1", c.events-1))
+				}
+				is.Equal(failed, c.events < total)
+				is.True(time.Since(r.last) <= c.within)
+				for _, n := range w.reached(otherVersion) {
+					is.Equal(n, "a") // that began it and has started again
+				}
+			})
+		})
+	}
+}
+
+// leaveAt returns a function that announces the end of a server at an event.
+func leaveAt(server string, event int) func(*fakeFleet, int) {
+	return func(w *fakeFleet, n int) {
+		if n == event {
+			w.leave(server)
+		}
+	}
+}
+
+// Guards against a stream that is bound to the version of an engine that failed before the first event, and against
+// one that is not bound to that of the engine which sent its first event.
+func TestRetryBeforeTheFirstEventMayChangeTheVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		q     func() *Request
+		setup func(w *fakeFleet)
+		sent  string
+	}{
+		"never sent":                {plan, func(w *fakeFleet) { w.servers["a"].fail = errNotRun }, "a b"},
+		"breaks before its answer":  {check, func(w *fakeFleet) { w.servers["a"].fail = errUnknown }, "a b"},
+		"is silent after its begin": {check, func(w *fakeFleet) { w.servers["a"].gap = 10 * time.Second }, "a b"},
+		"and breaks later": {resumablePlan, func(w *fakeFleet) {
+			w.servers["a"].fail, w.servers["b"].diesAfter = errUnknown, 5
+		}, "a b d"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newMixedFleet(20, "v1", "v2", "v1", "v2")
+				defer w.settle()
+				c.setup(w)
+				r := &recordingCaller{}
+				_, err := w.f.Serve(context.Background(), c.q(), r)
+				is.Equal(spans(r.body.String()), "0-19 v2")
+				is.True(err == nil)
+				is.Equal(strings.Join(w.sent, " "), c.sent)
+			})
+		})
+	}
+}
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -50,6 +50,10 @@
 	// runs lists all streams in the order in which they began. stops counts the calls of Stop.
 	runs  []*stream
 	stops int
+	// copies lists the servers to which the memory of generations was copied, in order.
+	copies []string
+	// refusesAfter is the time that Acquire takes to refuse a request that no server may get.
+	refusesAfter time.Duration
 	// budget is the number of retries left; mayRun is the result of MayRun.
 	budget int
 	mayRun bool
@@ -59,7 +63,7 @@
 
 // fakeServer is one backend server.
 type fakeServer struct {
-	name string
+	name, version string
 	// fail is the error returned by a send; answer is the answer to a request that is
 	// not streamed.
 	fail   error
@@ -123,7 +127,7 @@
 func newFakeFleet(names ...string) *fakeFleet {
 	w := &fakeFleet{servers: map[string]*fakeServer{}, leaving: map[string]bool{}, budget: 10, mayRun: true}
 	for _, n := range names {
-		w.servers[n] = &fakeServer{name: n, total: 20, running: map[string]*stream{}}
+		w.servers[n] = &fakeServer{name: n, version: firstVersion, total: 20, running: map[string]*stream{}}
 	}
 	set, loads := health.NewSet(health.DefaultOptions()), balance.NewLoads()
 	logger := log.NewSyncLogger(log.NewLogfmtLogger(&w.log))
@@ -155,10 +159,18 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, n := range w.names() {
-		if !w.leaving[n] && !slices.Contains(r.Exclude, n) && time.Now().Before(r.Deadline) {
+		if !w.leaving[n] && !slices.Contains(r.Exclude, n) && suits(r, w.servers[n].version) && time.Now().Before(r.Deadline) {
 			return schedule.Grant{ID: r.ID, Backend: n}, nil
 		}
 	}
+	if w.refusesAfter > 0 {
+		w.mu.Unlock()
+		defer w.mu.Lock()
+		select {
+		case <-time.After(w.refusesAfter):
+		case <-ctx.Done():
+		}
+	}
 	return schedule.Grant{}, &schedule.Refusal{Reason: schedule.ReasonDeadline}
 }
 
@@ -179,11 +191,11 @@
 func (w *fakeFleet) Get(name string) (registry.Server, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	started := int64(0)
+	started, version := int64(0), ""
 	if s := w.servers[name]; s != nil {
-		started = s.starts
+		started, version = s.starts, s.version
 	}
-	return registry.Server{Name: name, Address: name, StartedMS: started}, true
+	return setVersion(registry.Server{Name: name, Address: name, StartedMS: started}, version), true
 }
 
 func (w *fakeFleet) Leaving(name string) bool {
@@ -327,9 +339,10 @@
 	s.running[a.Request.ID] = run
 	w.runs = append(w.runs, run)
 	s.begun = append(s.begun, next)
+	mark := versionMark(s.version)
 	w.mu.Unlock()
 	go func() {
-		err := s.write(ctx, pipe, next)
+		err := s.write(ctx, pipe, next, mark)
 		w.mu.Lock()
 		delete(s.running, a.Request.ID)
 		run.ended = time.Now()
@@ -346,9 +359,9 @@
 
 var errBroken = errors.New("connection reset by peer")
 
-// write writes events until the generation ends, the server dies or the connection
-// is closed.
-func (s *fakeServer) write(ctx context.Context, w io.Writer, next int64) error {
+// write writes events that end with mark until the generation ends, the server dies or the
+// connection is closed.
+func (s *fakeServer) write(ctx context.Context, w io.Writer, next int64, mark string) error {
 	for n := 0; next < int64(s.total); n++ {
 		if s.diesAfter > 0 && n == s.diesAfter {
 			if !s.worksOn {
@@ -359,7 +372,7 @@
 		if err := s.pause(ctx, w, next); err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", next, next); err != nil && !s.worksOn {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", next, next, mark); err != nil && !s.worksOn {
 			return err
 		}
 		next++
@@ -399,6 +412,7 @@
 	w.mu.Lock()
 	s := w.servers[from.Name]
 	_, runs := s.running[id]
+	w.copies = append(w.copies, to.Name)
 	w.mu.Unlock()
 	switch {
 	case s.copyFails != Copied:
@@ -532,14 +546,8 @@
 	return nil
 }
 
-// events returns the stream of the events from (inclusive) to (exclusive).
-func events(from, to int) string {
-	var b strings.Builder
-	for i := from; i < to; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
-	}
-	return b.String()
-}
+// events returns the stream of the events from (inclusive) to (exclusive) of servers of firstVersion.
+func events(from, to int) string { return eventsOf(firstVersion, from, to) }
 
 func newRequest(route routing.Route) *Request {
 	now := time.Now()
