Let a stream move again after a move that was given up

A resumable stream whose engine broke while a move was being refused went on at another engine, but never moved from there: its first move was kept, and its result was taken by whichever goroutine received it first.

The relay of an attempt now gives up its move when it ends.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -410,7 +410,10 @@
 func (r *run) relay(ctx context.Context, src *engineStream) *fault.Error {
 	// src changes when the generation moves.
 	defer func() { src.close() }()
-	defer func() { r.moving.abandon() }()
+	defer func() {
+		r.moving.abandon()
+		r.moving = nil // a resumed stream may move again
+	}()
 	r.resetLeaving()
 	defer func() { r.f.untrack(r.server.Name, r) }()
 	r.f.track(r.server.Name, r)
--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -239,6 +239,43 @@
 	}
 }
 
+// Guards against a stream that goes on at another version after its engine has broken it while a destination was asked
+// that then refuses, and against one that never moves again after that, because its first move is kept. It runs in real
+// time, since a goroutine that is left behind would end the tests of the whole package.
+func TestStreamMovesAgainAfterARefusedMove(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions   []string
+		sent, body string
+	}{
+		"engines are left": {[]string{"v1", "v1", "v2", "v1", "v1"}, "a b d e", "0-39 v1"},
+		"one version":      {[]string{"v1", "v1", "v1", "v1"}, "a b c d", "0-39 v1"},
+		"none is left":     {[]string{"v1", "v1", "v2"}, "a b", "0-8 v1"},
+	} {
+		for i := range 8 { // the outcome may depend on which goroutine receives the refusal first
+			t.Run(fmt.Sprint(name, "/", i), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				w := newMixedFleet(40, c.versions...)
+				w.servers["a"].diesAfter, w.servers["a"].copyTime = 9, 10*time.Millisecond
+				w.servers["b"].refuses, w.servers["b"].failsAfter = true, 100*time.Millisecond
+				third := c.sent[len("a b"):]
+				r := &recordingCaller{after: func(n int) {
+					leaveAt("a", 5)(w, n)
+					leaveAt("b", 15)(w, n)
+					if third != "" {
+						leaveAt(third[1:2], 20)(w, n)
+					}
+				}}
+				_, err := w.f.Serve(context.Background(), resumablePlan(), r)
+				is.Equal(spans(r.body.String()), c.body)
+				is.Equal(err == nil, third != "")
+				is.Equal(strings.Join(w.sent, " "), c.sent)
+				is.True(third != "" || time.Since(r.last) <= 200*time.Millisecond) // b refuses after 100 ms
+			})
+		}
+	}
+}
+
 // Guards against a stream that is bound to the version of an engine that failed before the first event, and against
 // one that is not bound to that of the engine which sent its first event.
 func TestRetryBeforeTheFirstEventMayChangeTheVersion(t *testing.T) {
