Take streams up at the software version that began them

Cause: a take-up was a new request with a Last-Event-Id, placed on any engine. No gateway looked at Resumes, knew at which version another one had begun a stream, or could know after a start.

The origin of a stream (service, version) is now found by the attempt that the caller names: from this gateway's memory; because only one version can have begun it; from the store or another gateway; else the take-up is refused at once with 503, not run. While several versions can have begun streams, gateways record the origin in the store before the first event is passed on. The store also has which versions serve and have served, for gateways that start.

TestCallersTakeStreamsUpAtTheirVersion and TestUnknownStreamIsNotTakenUp of package forward: all 10 cases failed before.

--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -617,6 +617,21 @@
 	return out
 }
 
+// Versions returns the software versions of the listed servers of some services, by service.
+func (g *Registry) Versions(services []string) map[string][]string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make(map[string][]string, len(services))
+	for _, service := range services {
+		for _, r := range g.index.services[service] {
+			if !slices.Contains(out[service], r.Version) {
+				out[service] = append(out[service], r.Version)
+			}
+		}
+	}
+	return out
+}
+
 // engineNames returns the names of all engines in no particular order, unless they are the same as those of the
 // set that it returned before.
 func (g *Registry) engineNames(before uint64) (out []string, set uint64) {
--- a/internal/process/storefeed/rows.go
+++ b/internal/process/storefeed/rows.go
@@ -26,6 +26,8 @@
 	Rows []Row
 	// Revision is the newest revision of the store when it made the response, and Era the era of that revision.
 	Revision, Era int64
+	// Clock is the store's steady clock when it made the response, or 0 if it has not told it.
+	Clock time.Duration
 }
 
 // Position returns the store's position when it made the response.
--- a/internal/request/fault/fault.go
+++ b/internal/request/fault/fault.go
@@ -41,6 +41,7 @@
 	RequestCrashes       Code = "request_crashes_servers"
 	NoBackend            Code = "no_backend_server"
 	VersionGone          Code = "software_version_gone"
+	OriginUnknown        Code = "stream_origin_unknown"
 	BackendLost          Code = "backend_lost"
 	BackendRefused       Code = "backend_refused"
 	IdempotencyKeyNeeded Code = "idempotency_key_needed"
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -84,7 +84,13 @@
 
 // stream forwards a request whose answer is an event stream.
 func (f *Forwarder) stream(ctx context.Context, q *Request, w Caller) *fault.Error {
+	if err := f.Resolve(ctx, q); err != nil {
+		return err
+	}
 	r := &run{f: f, q: q, w: w, last: q.After, hasLast: q.Resumes}
+	if q.origin != nil {
+		r.bind(q.origin.Version)
+	}
 	request := f.schedulingRequest(q)
 	var last, failed *fault.Error
 	for sends := 0; sends < maxSends; sends++ {
@@ -431,7 +437,7 @@
 		case e, open := <-src.events:
 			if open {
 				waited := time.Since(r.lastEventAt)
-				err = r.forwardEvent(src, e)
+				err = r.forwardEvent(ctx, src, e)
 				if e.HasID && r.events > 1 && err == nil && r.leavesSlow(waited) {
 					r.moving = r.startMove(ctx, src, moveSlow)
 				}
@@ -501,7 +507,7 @@
 
 // forwardEvent sends one event to the caller and skips events that the caller has
 // already received.
-func (r *run) forwardEvent(src *engineStream, e eventstream.Event) *fault.Error {
+func (r *run) forwardEvent(ctx context.Context, src *engineStream, e eventstream.Event) *fault.Error {
 	if src.continues {
 		if e.Comment {
 			return nil
@@ -523,6 +529,7 @@
 	if !r.begun {
 		r.begun = true
 		r.bind(r.server.Version)
+		r.recordOrigin(ctx)
 		if err := r.w.Begin(src.answer.Status, src.answer.Header, -1); err != nil {
 			return fault.Wrap(err, fault.Cancelled, stepStream, r.server.Name, api.Ran)
 		}
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -15,6 +15,7 @@
 	"persimmonwing/internal/process/crashguard"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/origins"
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/process/telemetry"
@@ -68,6 +69,10 @@
 	// After is the id of the last event that the caller received, if Resumes is set.
 	After   int64
 	Resumes bool
+	// Origin is the id of the attempt that brought the first event of the stream, as the caller names it, or empty.
+	Origin string
+	// origin is where the stream began that the request takes up. It is nil until Resolve has found it.
+	origin *origins.Origin
 }
 
 // PromptPart is a part of a prompt that requests may share.
@@ -256,6 +261,14 @@
 	NoteAnswered(name string)
 }
 
+// Origins knows where streams began that their callers may take up.
+type Origins interface {
+	// Begun records the beginning of a stream before its first event is passed on.
+	Begun(ctx context.Context, s origins.Stream, o origins.Origin)
+	// Find returns where a stream began, or an error if that is not known.
+	Find(ctx context.Context, s origins.Stream) (origins.Origin, error)
+}
+
 // Budget limits retries. Request counts a first send; Allow reports whether a retry
 // may be sent that leaves the fraction reserve (0 to 1) of the budget's slack unused,
 // and counts it if so.
@@ -282,7 +295,10 @@
 	CrashGuard CrashGuard
 	Servers    Servers
 	Budget     Budget
-	Health     func(service string) *health.Set
+	Origins    Origins
+	// RouteServices returns the services to which a route has led within a time.
+	RouteServices func(r *routing.Route, within time.Duration) []string
+	Health        func(service string) *health.Set
 	// Loads returns what is known of the loads of a service's servers, and Random a number in [0, 1).
 	Loads   func(service string) *balance.Loads
 	Random  func() float64
--- a/internal/request/forward/version.go
+++ b/internal/request/forward/version.go
@@ -1,12 +1,17 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
+	"persimmonwing/internal/process/origins"
 	"persimmonwing/internal/request/api"
 	"persimmonwing/internal/request/fault"
+	"persimmonwing/internal/version/routing"
 )
 
 // errVersionGone is the cause of the end of a wait for an engine of a software version whose last engine has left.
@@ -52,6 +57,48 @@
 	return others, left
 }
 
+// Resolve finds where the stream began that a request takes up, and sets the request's service to that one. It returns an error if
+// the stream can't go on, and does nothing for other requests and for those that were resolved before.
+func (f *Forwarder) Resolve(ctx context.Context, q *Request) *fault.Error {
+	if !q.Resumes || q.origin != nil || q.Route.Kind != routing.Streaming {
+		return nil
+	}
+	o, err := f.o.Origins.Find(ctx, f.streamOf(q))
+	if err != nil {
+		f.countTakeUp("unknown")
+		return fault.Wrap(err, fault.OriginUnknown, stepPlace, "", api.NotRun).WithRetryAfter(originRetryAfter)
+	}
+	if !slices.ContainsFunc(q.Route.Split, func(s routing.Share) bool { return s.Service == o.Service }) {
+		f.countTakeUp("gone")
+		return fault.New(fault.VersionGone, stepPlace, "", api.NotRun, "the route does not lead to service %s, which began the stream", o.Service)
+	}
+	f.countTakeUp("found")
+	_ = level.Info(f.logger(q)).Log("msg", "stream taken up", "origin", q.Origin, "after", q.After, "of_service", o.Service, "of_version", o.Version)
+	q.origin, q.Service = &o, o.Service
+	return nil
+}
+
+func (f *Forwarder) countTakeUp(outcome string) { f.o.Metrics.Counter("take_ups", outcome).Inc(1) }
+
+// originRetryAfter is the Retry-After of a take-up whose origin is not known. The store may tell it when it can be read again.
+const originRetryAfter = 500 * time.Millisecond
+
+// streamOf describes the stream of a request to those who keep its origin.
+func (f *Forwarder) streamOf(q *Request) origins.Stream {
+	s := origins.Stream{ID: q.ID, Services: f.o.RouteServices(q.Route, q.Route.Timeout), Lifetime: q.Route.Timeout}
+	if q.Resumes {
+		s.ID = q.Origin
+	}
+	return s
+}
+
+// recordOrigin records where the stream began, before its first event is passed on. Only streams that their callers may take up need it.
+func (r *run) recordOrigin(ctx context.Context) {
+	if s := r.f.streamOf(r.q); r.q.Route.Repeatable() && s.ID != "" {
+		r.f.o.Origins.Begun(ctx, s, origins.Origin{Service: r.q.Service, Version: r.version})
+	}
+}
+
 // versionGoneError returns the error of a stream that can't go on anywhere. It has no Retry-After: its caller has to begin anew.
 func (r *run) versionGoneError() *fault.Error {
 	return fault.New(fault.VersionGone, stepPlace, "", api.NotRun, "no engine of software version %q, which began the stream, is left in service %s", r.version, r.q.Service)
--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonwing/internal/process/origins"
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/process/schedule"
 	"persimmonwing/internal/request/api"
@@ -25,6 +26,41 @@
 	return s
 }
 
+// withOrigin returns q as the request of a caller that takes up the stream which the attempt with
+// this id began, after an event.
+func withOrigin(q *Request, id string, after int64) *Request {
+	q.Resumes, q.After, q.Origin = true, after, id
+	return q
+}
+
+// fakeOrigins remembers where streams began, and knows that of others if only one version serves.
+type fakeOrigins struct {
+	w     *fakeFleet
+	known map[string]origins.Origin
+}
+
+func (f *fakeOrigins) Begun(_ context.Context, s origins.Stream, o origins.Origin) {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	f.known[s.ID] = o
+}
+
+func (f *fakeOrigins) Find(_ context.Context, s origins.Stream) (origins.Origin, error) {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	if o, ok := f.known[s.ID]; ok {
+		return o, nil
+	}
+	only := origins.Origin{Service: s.Services[0]}
+	for _, server := range f.w.servers {
+		if only.Version != "" && server.version != only.Version {
+			return origins.Origin{}, origins.ErrUnknown
+		}
+		only.Version = server.version
+	}
+	return only, nil
+}
+
 // suits reports whether the scheduler may grant a request an engine of this version.
 func suits(schedule.Request, string) bool { return true }
 
@@ -306,3 +342,84 @@
 		})
 	}
 }
+
+// Guards against a stream that its caller takes up at an engine of another version than that which began it, also after
+// a failure before its next event or after a break of the taken-up stream, and against a caller that waits where no engine of that
+// version is left.
+func TestCallersTakeStreamsUpAtTheirVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string
+		// before is called between the two requests.
+		before func(w *fakeFleet)
+		// sent lists the engines that get the second request, and events what its caller receives.
+		sent, events string
+	}{
+		"no engine is left":               {[]string{"v2", "v1", "v2"}, func(w *fakeFleet) { w.leave("b") }, "", ""},
+		"at the same engine":              {[]string{"v2", "v1", "v2"}, func(*fakeFleet) {}, "b", "5-19 v1"},
+		"at another engine":               {[]string{"v2", "v1", "v2", "v1"}, func(w *fakeFleet) { w.leave("b") }, "d", "5-19 v1"},
+		"an engine fails before an event": {[]string{"v2", "v1", "v2", "v1"}, func(w *fakeFleet) { w.servers["b"].fail = errUnknown }, "b d", "5-19 v1"},
+		"an engine is not reached":        {[]string{"v2", "v1", "v2", "v1"}, func(w *fakeFleet) { w.servers["b"].fail = errNotRun }, "b d", "5-19 v1"},
+		"the taken-up stream breaks":      {[]string{"v2", "v1", "v2", "v1"}, func(w *fakeFleet) { w.servers["b"].diesAfter = 3 }, "b d", "5-19 v1"},
+		"its engine has another version":  {[]string{"v2", "v1", "v2"}, func(w *fakeFleet) { w.restart("b", "v2") }, "", ""},
+		"and its engine another one":      {[]string{"v2", "v1", "v2", "v1"}, func(w *fakeFleet) { w.restart("b", "v2") }, "d", "5-19 v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newMixedFleet(20, c.versions...)
+				defer w.settle()
+				for n, s := range w.servers {
+					if n != "b" {
+						s.fail = errNotRun // so that the stream begins at b
+					}
+				}
+				w.servers["b"].diesAfter = 5
+				first := check()
+				first.ID, first.Route.Attempts = "first", 1
+				r := &recordingCaller{}
+				_, err := w.f.Serve(context.Background(), first, r)
+				is.True(err != nil)
+				is.Equal(spans(r.body.String()), "0-4 v1")
+				w.settle()
+				for _, s := range w.servers {
+					s.fail, s.diesAfter = nil, 0
+				}
+				w.sent, w.budget = nil, 10
+				c.before(w)
+				second := check()
+				second.ID = "second"
+				r, began := &recordingCaller{}, time.Now()
+				_, err = w.f.Serve(context.Background(), withOrigin(second, first.ID, 4), r)
+				is.Equal(spans(r.body.String()), c.events)
+				is.Equal(strings.Join(w.sent, " "), c.sent)
+				if c.events == "" {
+					is.True(err != nil)
+					is.Equal(err.Execution, api.NotRun)
+					is.True(time.Since(began) <= atOnce)
+				} else {
+					is.True(err == nil)
+				}
+			})
+		})
+	}
+}
+
+// Guards against serving a take-up of a stream that nobody knows while engines of two versions could have begun it.
+func TestUnknownStreamIsNotTakenUp(t *testing.T) {
+	for _, origin := range []string{"unknown", ""} {
+		t.Run(fmt.Sprintf("origin %q", origin), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newMixedFleet(20, "v1", "v2")
+				defer w.settle()
+				r, began := &recordingCaller{}, time.Now()
+				_, err := w.f.Serve(context.Background(), withOrigin(check(), origin, 4), r)
+				is.Equal(spans(r.body.String()), "")
+				is.Equal(len(w.sent), 0)
+				is.True(err != nil)
+				is.Equal(err.Execution, api.NotRun)
+				is.True(time.Since(began) <= atOnce)
+			})
+		})
+	}
+}
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -20,6 +20,7 @@
 	"persimmonwing/internal/process/daemon"
 	"persimmonwing/internal/process/health"
 	"persimmonwing/internal/process/membership"
+	"persimmonwing/internal/process/origins"
 	"persimmonwing/internal/process/owner"
 	"persimmonwing/internal/process/registry"
 	"persimmonwing/internal/process/schedule"
@@ -134,6 +135,7 @@
 	w.f = New(Options{
 		Client: w, Scheduler: w, CrashGuard: owner.New(owner.Options{View: lonelyView{}, Logger: logger}), Servers: w, Budget: w, Metrics: telemetry.New(), Logger: logger,
 		Health: func(string) *health.Set { return set }, Loads: func(string) *balance.Loads { return loads }, Random: func() float64 { return 0 }, MayRun: func(*Request) bool { return w.mayRun }, Grace: daemon.NewGrace(), StopRetryAfter: func() time.Duration { return time.Millisecond },
+		Origins: &fakeOrigins{w, map[string]origins.Origin{}}, RouteServices: func(r *routing.Route, _ time.Duration) []string { return []string{r.Split[0].Service} },
 	})
 	return w
 }
@@ -551,6 +553,7 @@
 
 func newRequest(route routing.Route) *Request {
 	now := time.Now()
+	route.Split = []routing.Share{{Service: "s", Weight: 1}}
 	return &Request{
 		ID: "r", Route: &route, Service: "s", Engine: &routing.EngineSpec{Moves: true, Stride: 4}, Class: catalogue.Background,
 		Arrived: now, Deadline: now.Add(30 * time.Second),
--- a/internal/version/routing/holder.go
+++ b/internal/version/routing/holder.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -11,6 +12,8 @@
 type Holder struct {
 	mu    sync.RWMutex
 	table *Table
+	// replaced holds the tables before the current one, the newest last.
+	replaced []replacedTable
 	// confirmedAt is a time since boot, or 0 before the first confirmation.
 	confirmedAt time.Duration
 }
@@ -23,17 +26,57 @@
 }
 
 // Install makes t the current table if its version is higher than the current one, and
-// reports whether it did.
-func (h *Holder) Install(t *Table) bool {
+// reports whether it did. now is a time since boot.
+func (h *Holder) Install(t *Table, now time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.table != nil && t.Version <= h.table.Version {
 		return false
 	}
+	if h.table != nil {
+		h.replaced = slices.DeleteFunc(h.replaced, func(r replacedTable) bool { return now-r.at > replacedRetention })
+		h.replaced = append(h.replaced, replacedTable{h.table, now})
+	}
 	h.table = t
 	return true
 }
 
+// replacedRetention is how long a table is kept after it was replaced. It exceeds the lifetime of streams that callers may take up.
+const replacedRetention = time.Minute
+
+// replacedTable is a table with the time since boot at which it was replaced.
+type replacedTable struct {
+	*Table
+	at time.Duration
+}
+
+// Services returns the services to which the route of a name has led within a time before now, a time since boot.
+func (h *Holder) Services(route string, now, within time.Duration) []string {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	var out []string
+	add := func(t *Table) {
+		r := t.named[route]
+		if r == nil {
+			return
+		}
+		for _, s := range r.Split {
+			if !slices.Contains(out, s.Service) {
+				out = append(out, s.Service)
+			}
+		}
+	}
+	for _, t := range h.replaced {
+		if now-t.at <= within {
+			add(t.Table)
+		}
+	}
+	if h.table != nil {
+		add(h.table)
+	}
+	return out
+}
+
 // Confirm records that version was the newest one of the source at sentAt, the time
 // since boot at which the request to the source was sent. The time of the response is
 // not used, because the response may have been delayed. The time is counted from boot,
--- a/internal/version/routing/routing_test.go
+++ b/internal/version/routing/routing_test.go
@@ -71,7 +71,7 @@
 			v := int64(rapid.IntRange(1, 9).Draw(t, "version"))
 			at := time.Duration(rapid.IntRange(1, 1000).Draw(t, "at"))
 			if rapid.Bool().Draw(t, "install") {
-				if h.Install(table(v)) != (v > highest) {
+				if h.Install(table(v), at) != (v > highest) {
 					t.Fatalf("Install of version %d over version %d returned the wrong result", v, highest)
 				}
 				highest = max(highest, v)
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -130,6 +130,7 @@
 
 	hosts      map[string][]*Route
 	routes     []*Route
+	named      map[string]*Route
 	services   map[string]*Service
 	workspaces map[string]*Workspace
 }
@@ -148,13 +149,14 @@
 func NewTable(c TableConfig) *Table {
 	t := &Table{
 		Version: c.Version, Limits: c.Limits, KeysNeeded: c.Keys != nil, workspaces: c.Keys,
-		hosts: map[string][]*Route{}, services: map[string]*Service{},
+		hosts: map[string][]*Route{}, named: map[string]*Route{}, services: map[string]*Service{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 		t.routes = append(t.routes, r)
+		t.named[r.Name] = r
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -176,6 +178,22 @@
 	return nil
 }
 
+// ResumableServices returns the services whose streams callers may take up.
+func (t *Table) ResumableServices() []string {
+	var out []string
+	for _, r := range t.routes {
+		if r.Kind != Streaming || !r.Resumable {
+			continue
+		}
+		for _, s := range r.Split {
+			if !slices.Contains(out, s.Service) {
+				out = append(out, s.Service)
+			}
+		}
+	}
+	return out
+}
+
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
