--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -275,6 +275,48 @@
 	}
 }
 
+// Guards against a stream that goes on at an engine which joined with another version, or started again with one, while
+// the stream waited for an engine: what was excluded before the wait doesn't contain it.
+func TestEngineChangesWhileAStreamWaits(t *testing.T) {
+	for name, c := range map[string]struct {
+		q      func() *Request
+		during func(w *fakeFleet, n int)
+	}{
+		"breaks": {check, func(*fakeFleet, int) {}},
+		"leaves": {plan, leaveAt("a", 5)},
+	} {
+		for _, joins := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/joins %v", name, joins), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := newMixedFleet(40, "v1", "v1", "v1")
+					defer w.settle()
+					changing := w.servers["b"]
+					if joins {
+						delete(w.servers, "b")
+					}
+					if name == "breaks" {
+						w.servers["a"].diesAfter = 5
+					}
+					acquired := 0
+					w.waited = func() {
+						if acquired++; acquired == 2 {
+							changing.version, changing.starts = otherVersion, changing.starts+1
+							w.servers["b"] = changing
+						}
+					}
+					r := &recordingCaller{after: func(n int) { c.during(w, n) }}
+					_, err := w.f.Serve(context.Background(), c.q(), r)
+					is.Equal(spans(r.body.String()), "0-39 v1")
+					is.True(err == nil)
+					is.Equal(strings.Join(w.sent, " "), "a c")
+					is.True(!slices.Contains(w.copies, "b"))
+				})
+			})
+		}
+	}
+}
+
 // Guards against a stream that goes on at another version after its engine has broken it while a destination was asked
 // that then refuses, and against one that never moves again after that, because its first move is kept. It runs in real
 // time, since a goroutine that is left behind would end the tests of the whole package.
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -55,6 +55,8 @@
 	copies []string
 	// refusesAfter is the time that Acquire takes to refuse a request that no server may get.
 	refusesAfter time.Duration
+	// waited is called before Acquire chooses a server, with mu held: the servers may have changed while the request waited.
+	waited func()
 	// budget is the number of retries left; mayRun is the result of MayRun.
 	budget int
 	mayRun bool
@@ -160,6 +162,9 @@
 func (w *fakeFleet) Acquire(ctx context.Context, r schedule.Request) (schedule.Grant, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.waited != nil {
+		w.waited()
+	}
 	for _, n := range w.names() {
 		if !w.leaving[n] && !slices.Contains(r.Exclude, n) && suits(r, w.servers[n].version) && time.Now().Before(r.Deadline) {
 			return schedule.Grant{ID: r.ID, Backend: n}, nil
