Accept a whole table that a change of another table has overtaken

Callers saw a gateway without a configuration, or with an old one, for longer than the store was away: where servers change all the time, each whole read of a table could be thrown away and repeated after 0.1 to 0.6 s.

Cause: the response was compared with the newest revision known after the call. Another watcher of the process reads a later change while a whole read is on its way, so that a response that was right when it was sent counted as out of date.

Now it is compared with what was known before the call. A response below that is from an older copy or an old replica, as before; one that was overtaken meanwhile is as old as one that came a moment earlier, and the feed that follows has the rest.

Ruled out: that a later era which another watcher has read meanwhile could be missed: the next request sees it and reads the whole table.

Before: TestWholeTableThatIsOvertakenIsRead does not read the table in 2 s if each read is overtaken; after: at the first try. Whether it took part in the users' incident isn't known: their log has no answers.

--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -136,7 +136,6 @@
 			w.needsWhole, w.probedAt = true, time.Time{}
 			continue
 		}
-		known = w.Newest.Load()
 		if err == nil && (res.whole && res.Position().Before(known) || res.Era < known.Era) {
 			err = &outdatedError{answered: res.Position(), known: known}
 		}
