Notice a return of the store between the read of the secret and the first table

Callers saw gateways that did not know each other until one was restarted: a gateway that starts reads or writes the secret of the gateways first. If the store came back from an older copy before the gateway had read its first table, the gateway kept a secret that the store no longer had, and another one that started later wrote a new one.

Cause: a return was noticed only against a table that had been read before.

Now the watcher of the operator's table begins with the era that the store's answer to the secret had. Its first table of a later era counts as a return, after which the secret is written again or taken over, as it is at gateways that run.

Ruled out: reading the secret again once a table is there would cost a call at each start, and leaves the same gap in a later place.

--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -75,6 +75,9 @@
 	// failure. It may be called more than once for the same recovery.
 	Recovered func(at time.Time)
 
+	// StartedAt is a position of the store that this process has seen before the first read of the table, or zero.
+	StartedAt Position
+
 	// reader is the gateway whose copy the last response was, or "" for the store.
 	reader string
 	// at is the position of the last response, and read is set once the table has been read. needsWhole is set while the
@@ -122,6 +125,7 @@
 	var asking sync.WaitGroup
 	defer asking.Wait()
 	var lost outage
+	w.at = Position{Era: w.StartedAt.Era}
 	for ctx.Err() == nil {
 		known := w.Newest.Load()
 		whole := w.needsWhole || !w.read || w.at.Era < known.Era
@@ -197,7 +201,9 @@
 }
 
 // returned reports whether a response shows that the store has come back from an older copy since the last one.
-func (w *Watcher) returned(res *result) bool { return w.read && w.at.Era < res.Era }
+func (w *Watcher) returned(res *result) bool {
+	return (w.read || w.StartedAt.Era > 0) && w.at.Era < res.Era
+}
 
 // recoveredAt returns the time at which the store was available again if entries may have expired in an outage before a
 // response, or are missing in the older copy that the store has come back from, and otherwise the zero time.
