Ask every gateway that becomes known for a configuration that the store has lost

Callers saw a revoked key accepted, and a route that had been added missing, at gateways that had started after the store came back from an older copy: until the operator wrote again, if they had asked only each other.

Cause: a starting gateway asked the others in turn and was content with the first answer. One that had just started too, and had read nothing or only the older copy, was among them; a gateway of another data centre that had the newer version in force was not asked.

Now all known gateways are asked at once, some of the own data centre and the first in rank of each one, and those that become known within 2 s as well, each until it has answered once. A gateway that has not read the table yet does not count as an answer.

Tried before and dropped: to end at the first round with an answer.

--- a/internal/process/storefeed/later.go
+++ b/internal/process/storefeed/later.go
@@ -2,21 +2,23 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
 
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/request/pause"
 )
 
 const (
-	// askWithin is how long after its start a gateway tries to ask another one for rows that the store has lost to older ones.
-	// The servers have written new ones by then.
+	// askWithin is how long a gateway asks others for rows that the store has lost to older ones. The servers have written new ones by
+	// then, and the gateways that it can reach are known.
 	askWithin = 2 * time.Second
 	// askPause is the time between two tries. Gateways know each other some 0.1 s after a start.
 	askPause = 50 * time.Millisecond
-	// maxAsked bounds the gateways of this data centre that may be asked.
+	// maxAsked bounds the gateways that are asked, of this data centre and of all.
 	maxAsked = 3
 )
 
@@ -41,30 +43,56 @@
 	return res
 }
 
-// askForLater calls Later with the rows of another gateway, which may have read some before they were overwritten by
-// older ones.
+// askForLater calls Later with the rows of other gateways, which may have read some that the store has lost since. Each gateway that is
+// known in the next time, askWithin, is asked until it has answered once.
 func (w *Watcher) askForLater(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
+	done := map[string]bool{}
 	for failures := 0; ctx.Err() == nil; _ = pause.For(ctx, askPause) {
+		var asked []membership.Gateway
 		for _, g := range w.Copies.others() {
-			rows, err := w.Copies.whole(ctx, g, w.Table)
-			if err == nil {
-				w.Later(g.Name, rows)
-				return
+			if !done[g.Name] {
+				asked = append(asked, g)
 			}
-			if failures++; failures == 1 {
-				_ = level.Info(w.Logger).Log("msg", "gateway with a copy does not respond", "gateway", g.Name, "table", w.Table, "err", err)
+		}
+		replies := make(chan laterReply, len(asked))
+		for _, g := range asked {
+			go func() {
+				rows, err := w.Copies.whole(ctx, g, w.Table)
+				replies <- laterReply{g.Name, rows, err}
+			}()
+		}
+		for range asked {
+			r := <-replies
+			if r.err == nil {
+				done[r.gateway] = true
+				w.Later(r.gateway, r.rows)
+				continue
+			}
+			if failures++; failures == 1 && ctx.Err() == nil {
+				_ = level.Info(w.Logger).Log("msg", "gateway with a copy does not respond", "gateway", r.gateway, "table", w.Table, "err", r.err)
 			}
 		}
 	}
 }
 
-// others returns other gateways, those of this data centre first.
+// laterReply is the answer of a gateway that was asked.
+type laterReply struct {
+	gateway string
+	rows    []Row
+	err     error
+}
+
+// errUnread is the error of a gateway that cannot read the table and has no row of it: its own read comes later.
+var errUnread = eris.New("the gateway has not read the table yet")
+
+// others returns other gateways: some of this data centre, and the first in rank of each one, of which the first maxAsked count.
 func (c *Copies) others() (out []membership.Gateway) {
 	self := c.view.Self()
-	for _, g := range append(c.view.Ranked(purpose, maxAsked), c.view.FirstRanked(purpose)...) {
-		if g.Name != self.Name {
+	first := c.view.FirstRanked(purpose)
+	for _, g := range append(c.view.Ranked(purpose, maxAsked), first[:min(maxAsked, len(first))]...) {
+		if g.Name != self.Name && !slices.ContainsFunc(out, func(o membership.Gateway) bool { return o.Name == g.Name }) {
 			out = append(out, g)
 		}
 	}
@@ -79,6 +107,9 @@
 	if err := c.caller.Call(ctx, g.PeerAddress, ServiceName+".Feed", &Args{Table: table, Since: needsList, Packs: true}, &r); err != nil {
 		return nil, err
 	}
+	if r.Lost && len(r.Rows) == 0 && len(r.Packed) == 0 {
+		return nil, errUnread
+	}
 	if len(r.Packed) > 0 {
 		return unpackRows(r.Packed)
 	}
