Pass on a later configuration that was learned from another gateway

Callers saw a revoked key accepted at a third gateway: one that had started with the older copy of the store and had learned the newer version from another gateway still gave the older one to gateways that read its copy.

Cause: only the row in the copy at the time of a return was kept from being replaced by an older one (keepLater). One that came through Later went to the routes and not to the copy.

Now Later returns the rows that are later than those of this process, and the copy takes them over, with the revisions that it had: the rows are not newer in the store.

Ruled out: giving the learned row a revision of its own, so that followers get it as a change. The number could be given out by the store.

--- a/internal/process/storefeed/later.go
+++ b/internal/process/storefeed/later.go
@@ -43,7 +43,7 @@
 	return res
 }
 
-// askForLater calls Later with the rows of other gateways, which may have read some that the store has lost since. Each gateway that is
+// askForLater calls Later with the rows of other gateways, which may have read some that the store has lost since, and passes on those that are later. Each gateway that is
 // known in the next time, askWithin, is asked until it has answered once.
 func (w *Watcher) askForLater(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
@@ -67,7 +67,7 @@
 			r := <-replies
 			if r.err == nil {
 				done[r.gateway] = true
-				w.Later(r.gateway, r.rows)
+				w.Copies.learn(w.Table, w.Later(r.gateway, r.rows))
 				continue
 			}
 			if failures++; failures == 1 && ctx.Err() == nil {
@@ -87,6 +87,25 @@
 // errUnread is the error of a gateway that cannot read the table and has no row of it: its own read comes later.
 var errUnread = eris.New("the gateway has not read the table yet")
 
+// learn replaces rows of the copy of a table by later ones of another gateway, for gateways that read the whole copy. Revisions stay, as
+// the rows are not newer in the store.
+func (c *Copies) learn(name string, later []Row) {
+	if c == nil || len(later) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table(name)
+	for _, r := range later {
+		old, ok := t.rows[r.Key]
+		if r.Revision = t.at.Revision; ok {
+			r.Revision = old.Revision
+		}
+		t.rows[r.Key] = r
+	}
+	t.packed = packedReply{}
+}
+
 // others returns other gateways: some of this data centre, and the first in rank of each one, of which the first maxAsked count.
 func (c *Copies) others() (out []membership.Gateway) {
 	self := c.view.Self()
--- a/internal/process/storefeed/later_test.go
+++ b/internal/process/storefeed/later_test.go
@@ -45,7 +45,7 @@
 		Source: &m.source, Copies: m.copies, Table: testTable, Logger: log.NewNopLogger(), Newest: new(Newest),
 		Sync: func(_ time.Time, rows []Row) { n.add(rows) }, Change: func(_ time.Time, rows []Row) { n.add(rows) },
 		Confirmed: func(time.Duration) {}, Recovered: func(time.Time) {},
-		Superseded: n.superseded, Later: func(_ string, rows []Row) { n.add(rows) },
+		Superseded: n.superseded, Later: func(_ string, rows []Row) []Row { n.add(rows); return nil },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -64,10 +64,10 @@
 	// current at time at, measured since boot.
 	Confirmed func(at time.Duration)
 	// Superseded reports whether a row of the last call of Sync or Change must not be passed on, because this process
-	// knows a later one of its key. Later is called once after the start, at any time, with the rows of another gateway, the
-	// reader, which may be later than those of the store. Both may be nil.
+	// knows a later one of its key. Later is called after the start, at any time, with the rows of other gateways, which may be
+	// later than those of the store, and returns those that are. Both may be nil.
 	Superseded func(Row) bool
-	Later      func(reader string, rows []Row)
+	Later      func(gateway string, rows []Row) (later []Row)
 	// Returned is called when the store has come back from an older copy, before Sync is called with the table of the new era.
 	// What this process has read or written there may be lost. It may be nil.
 	Returned func(now time.Time, before, after Position)
