Confirm the configuration after a return only when other gateways were asked

Callers saw a revoked key accepted: at a gateway that had been cut off while the key was taken away, for 2 s until the operator wrote again, and at a gateway that started then, with 17 to 19 requests in 52 ms.

Cause: an older copy of the store confirmed the configuration as if it were the newest. A gateway that knows the newer version keeps it, but one that had not read it yet took the older one as confirmed, and asked others only once, after its start and beside its service.

Now the operator's table is confirmed after a start, and after each return of the store from an older copy, only when other gateways have answered, or after 0.3 s; a gateway that has been without a confirmation for 2.4 s waits 1 s, as it may have lost the other gateways too. Until then the version in force keeps the age that it had, so that strict keys and refusals follow revoke_ms and config_ms.

What remains: a gateway that can't reach any other in that time believes the older copy, as nobody else could tell.

Tried before and dropped: 0.3 s in all cases.

A start takes up to 0.3 s longer where no other gateway answers.

--- a/internal/process/storefeed/later.go
+++ b/internal/process/storefeed/later.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
 
+	"persimmonwing/internal/process/boottime"
 	"persimmonwing/internal/process/membership"
 	"persimmonwing/internal/request/pause"
 )
@@ -16,6 +17,12 @@
 	// askWithin is how long a gateway asks others for rows that the store has lost to older ones. The servers have written new ones by
 	// then, and the gateways that it can reach are known.
 	askWithin = 2 * time.Second
+	// confirmationWait bounds the wait for the answers of other gateways before a table is confirmed. They answer in a few milliseconds,
+	// and gateways know each other some 0.1 s after a start.
+	confirmationWait = 300 * time.Millisecond
+	// confirmationWaitAfterCut replaces confirmationWait at a gateway that has read neither the store nor a copy for some time. It may
+	// have been cut off from the other gateways too, and finds them again in about half a second.
+	confirmationWaitAfterCut = time.Second
 	// askPause is the time between two tries. Gateways know each other some 0.1 s after a start.
 	askPause = 50 * time.Millisecond
 	// maxAsked bounds the gateways that are asked, of this data centre and of all.
@@ -43,9 +50,10 @@
 	return res
 }
 
-// askForLater calls Later with the rows of other gateways, which may have read some that the store has lost since, and passes on those that are later. Each gateway that is
-// known in the next time, askWithin, is asked until it has answered once.
-func (w *Watcher) askForLater(ctx context.Context) {
+// askForLater calls Later with the rows of other gateways, which may have read some that the store has lost since, and passes on those
+// that are later. Each gateway that is known in the next time, askWithin, is asked until it has answered once. answered is called when
+// all that were asked at a time have answered or failed, and one of them has answered.
+func (w *Watcher) askForLater(ctx context.Context, answered func()) {
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
 	done := map[string]bool{}
@@ -74,6 +82,24 @@
 				_ = level.Info(w.Logger).Log("msg", "gateway with a copy does not respond", "gateway", r.gateway, "table", w.Table, "err", r.err)
 			}
 		}
+		if len(done) > 0 {
+			answered()
+		}
+	}
+}
+
+// awaitLater waits until other gateways have answered, or for some time.
+func (w *Watcher) awaitLater(ctx context.Context, answered <-chan struct{}) {
+	within := confirmationWait
+	if w.read && boottime.Now()-w.confirmedAt >= maxCopyAge {
+		within = confirmationWaitAfterCut
+	}
+	timeout := time.NewTimer(within)
+	defer timeout.Stop()
+	select {
+	case <-answered:
+	case <-timeout.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/process/storefeed/watcher.go
+++ b/internal/process/storefeed/watcher.go
@@ -68,6 +68,9 @@
 	// later than those of the store, and returns those that are. Both may be nil.
 	Superseded func(Row) bool
 	Later      func(gateway string, rows []Row) (later []Row)
+	// AskFirst is set for a table that is confirmed only after other gateways were asked for later rows: after the start, and each time
+	// that the store has come back from an older copy.
+	AskFirst bool
 	// Returned is called when the store has come back from an older copy, before Sync is called with the table of the new era.
 	// What this process has read or written there may be lost. It may be nil.
 	Returned func(now time.Time, before, after Position)
@@ -165,10 +168,16 @@
 			_ = level.Info(w.Logger).Log(append([]any{"msg", "store regained", "table", w.Table, "revision", res.Revision, "era", res.Era, "reader", res.reader}, lost.fields(now)...)...)
 			lost = outage{}
 		}
+		asks := w.asks(&res)
 		w.use(now, res)
-		if !w.read && res.reader == "" && w.Later != nil && w.Copies != nil {
-			asking.Go(func() { w.askForLater(ctx) })
+		if asks {
+			answered := make(chan struct{})
+			asking.Go(func() { w.askForLater(ctx, sync.OnceFunc(func() { close(answered) })) })
+			if w.AskFirst {
+				w.awaitLater(ctx, answered)
+			}
 		}
+		w.confirm(res)
 		w.read, w.needsWhole, w.substitute = true, false, res.substitute
 		if len(res.Rows.Rows) > 0 || res.whole {
 			_ = pause.For(ctx, changePause)
@@ -193,11 +202,26 @@
 		w.at = res.Position()
 	}
 	w.Newest.Raise(res.Position())
+	w.Copies.update(w.Table, w.Copies.keepLater(w.Table, res, w.Superseded))
+}
+
+// asks reports whether other gateways may have rows that are later than those of a response.
+func (w *Watcher) asks(res *result) bool {
+	if w.Later == nil || w.Copies == nil {
+		return false
+	}
+	if w.AskFirst {
+		return !w.read || w.returned(res)
+	}
+	return !w.read && res.reader == ""
+}
+
+// confirm passes on that the table was current when a response was requested.
+func (w *Watcher) confirm(res result) {
 	if res.confirmedAt > 0 {
 		w.confirmedAt = max(w.confirmedAt, res.confirmedAt)
 		w.Confirmed(res.confirmedAt)
 	}
-	w.Copies.update(w.Table, w.Copies.keepLater(w.Table, res, w.Superseded))
 }
 
 // returned reports whether a response shows that the store has come back from an older copy since the last one.
