Wait for a confirmation that is due before denying a route or a key

Callers saw 503 for a path that does not exist, in calm: since a gateway answers 503 instead of 404 and 401 when its last confirmation is older than config_ms. Without any fault a confirmation may be 2.4 s old, twice the wait of a feed, and config_ms is 2 s on two deployments.

Cause: the age was compared with the bound at one moment, and read after the table, so that a confirmation of a later version could count for the earlier table.

Ruled out: a shorter wait of the feeds costs calls to the store; a larger bound would deny what a version confirmed config_ms ago has.

--- a/internal/version/routing/holder.go
+++ b/internal/version/routing/holder.go
@@ -16,6 +16,26 @@
 	replaced []replacedTable
 	// confirmedAt is a time since boot, or 0 before the first confirmation.
 	confirmedAt time.Duration
+	// changed is closed at the next installation or confirmation, if somebody waits for it.
+	changed chan struct{}
+}
+
+// Changed returns a channel that is closed at the next installation or confirmation.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed == nil {
+		h.changed = make(chan struct{})
+	}
+	return h.changed
+}
+
+// wake closes the channel of Changed. The caller holds the lock.
+func (h *Holder) wake() {
+	if h.changed != nil {
+		close(h.changed)
+		h.changed = nil
+	}
 }
 
 // Current returns the current table, or nil if none was installed yet.
@@ -38,6 +58,7 @@
 		h.replaced = append(h.replaced, replacedTable{h.table, now})
 	}
 	h.table = t
+	h.wake()
 	return true
 }
 
@@ -89,6 +110,7 @@
 		return
 	}
 	h.confirmedAt = max(h.confirmedAt, sentAt)
+	h.wake()
 }
 
 // Age returns the time from the last confirmation to now, a time since boot. It returns
