Refuse a take-up at once where no engine of its version takes work

Callers of a take-up waited 4.2 to 6.0 s for a refusal where the engines of its version refused, had crashed or asked for a pause: since take-ups may wait for an engine until their deadline. The users ask that what is refused is refused at once.

Cause: that wait was meant for engines that are full, and was given to all take-ups before anything was known of the engines.

Now a take-up waits as long as a new stream first, and on until its deadline only if the scheduler says that it lacked something that engines in service will have again: slots, memory, its turn.

Tried before and dropped: to check the list of servers before the wait. An engine that refuses or has crashed is still listed as in service.

TestTakeUpMayWaitUntilItsDeadline looked at the deadline given to the scheduler, which is now that of a new stream; it is replaced by one that serves a take-up 4 s after its arrival at full engines, refuses it at its deadline, and refuses a new stream after 0.75 s.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -131,11 +131,8 @@
 }
 
 // schedulingDeadline returns the time until which a request that joins the queue now
-// may wait for an engine. The caller of a stream that is taken up has its first event, and the target for that is met or missed.
+// may wait for an engine.
 func schedulingDeadline(q *Request) time.Time {
-	if q.Resumes {
-		return q.Deadline
-	}
 	deadline := time.Now().Add(schedule.MaxQueueWait(q.Route.Target))
 	if q.Deadline.Before(deadline) {
 		return q.Deadline
@@ -209,6 +206,9 @@
 			if paused := r.f.pausedError(r.q); paused != nil {
 				return paused
 			}
+			if r.waitsOn(&request) {
+				continue
+			}
 			var refusal *schedule.Refusal
 			if errors.As(err, &refusal) && refusal.Reason == schedule.ReasonNoRoomInTime {
 				r.f.o.Metrics.Counter("refused_at_once", r.q.Route.Name).Inc(1)
@@ -234,6 +234,17 @@
 	}
 }
 
+// waitsOn reports whether a refused request goes on waiting, and then sets its deadline. The caller of a stream that is taken up has the
+// first event, so that the target for that is no reason to end the wait while engines that take work are full.
+func (r *run) waitsOn(request *schedule.Request) bool {
+	full := r.q.Account.Waited() && r.q.Account.Lacked != schedule.LackServer
+	if !r.q.Resumes || !full || request.Deadline.Equal(r.q.Deadline) {
+		return false
+	}
+	request.Deadline = r.q.Deadline
+	return true
+}
+
 // started reports whether an engine has run the request or may have run it, or whether its answer
 // has begun.
 func (r *run) started() bool { return r.runs > 0 || r.begun }
--- a/internal/request/forward/versions_test.go
+++ b/internal/request/forward/versions_test.go
@@ -466,16 +466,47 @@
 	}
 }
 
-// Guards against a take-up that is refused because its first event can't come in time, which its caller has. It may wait for an engine of
-// its version until its caller leaves: on days with full servers 3 of 22 take-ups went on, and 15 of 26.
+// Guards against a take-up that is refused because its first event can't come in time, which its caller has. While engines that take work
+// are full, it may wait for one of its version until its caller leaves: on days with full servers 3 of 22 take-ups went on, and 15 of 26.
+// A new stream is refused in time for its caller to begin elsewhere.
 func TestTakeUpMayWaitUntilItsDeadline(t *testing.T) {
-	is := is.New(t)
-	w := newMixedFleet(20, "v1")
-	first, later := check(), withOrigin(check(), "first", 4)
-	now := w.f.schedulingRequest(first)
-	is.True(now.Deadline.Before(first.Deadline))
-	is.True(!now.FirstTokenBy.IsZero())
-	taken := w.f.schedulingRequest(later)
-	is.Equal(taken.Deadline, later.Deadline)
-	is.True(taken.FirstTokenBy.IsZero())
+	const full = 4 * time.Second
+	for name, c := range map[string]struct {
+		takesUp bool
+		events  string
+		ends    time.Duration
+	}{
+		"new stream":        {false, "", schedule.MaxQueueWait(time.Second)},
+		"take-up":           {true, "5-19 v1", full},
+		"take-up, deadline": {true, "", 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newMixedFleet(20, "v1")
+				defer w.settle()
+				began := time.Now()
+				w.fullUntil = began.Add(full)
+				q := check()
+				q.Deadline = began.Add(time.Minute)
+				if c.takesUp && c.ends < full {
+					q.Deadline = began.Add(c.ends)
+				}
+				if c.takesUp {
+					q = withOrigin(q, "first", 4)
+				}
+				r := &recordingCaller{}
+				waits := w.f.schedulingRequest(q)
+				is.Equal(waits.FirstTokenBy.IsZero(), c.takesUp)
+				_, err := w.f.Serve(context.Background(), q, r)
+				is.Equal(err == nil, c.events != "")
+				is.Equal(spans(r.body.String()), c.events)
+				if c.events == "" {
+					is.Equal(time.Since(began), c.ends)
+				} else {
+					is.True(time.Since(began) >= c.ends)
+				}
+			})
+		})
+	}
 }
--- a/internal/request/forward/world_test.go
+++ b/internal/request/forward/world_test.go
@@ -55,6 +55,8 @@
 	copies []string
 	// refusesAfter is the time that Acquire takes to refuse a request that no server may get.
 	refusesAfter time.Duration
+	// fullUntil is the time until which all servers are full.
+	fullUntil time.Time
 	// waited is called before Acquire chooses a server, with mu held: the servers may have changed while the request waited.
 	waited func()
 	// budget is the number of retries left; mayRun is the result of MayRun.
@@ -165,6 +167,17 @@
 	if w.waited != nil {
 		w.waited()
 	}
+	if full := w.fullUntil; time.Now().Before(full) {
+		if r.Deadline.Before(full) {
+			full = r.Deadline
+		}
+		w.mu.Unlock()
+		time.Sleep(time.Until(full))
+		w.mu.Lock()
+		if full.Equal(r.Deadline) {
+			return schedule.Grant{Account: schedule.Account{Lacked: schedule.LackSlots}}, &schedule.Refusal{Reason: schedule.ReasonDeadline}
+		}
+	}
 	for _, n := range w.names() {
 		if !w.leaving[n] && !slices.Contains(r.Exclude, n) && suits(r, w.servers[n].version) && time.Now().Before(r.Deadline) {
 			return schedule.Grant{ID: r.ID, Backend: n}, nil
