Queue streams that are bound to a software version apart from others of their workspace

Cause, by a log of the account and of each skipped request: "lacked turn, 1 queued ahead", and the request was never looked at. A request that finds no room sets its whole workspace aside for the pass. That was right while all requests could use all engines. A stream that is bound to its version waits for engines that others need not wait for. Since take-ups may wait for full engines until their deadline, it could hold up its workspace for seconds.

Now requests that are bound to a version wait in a queue of their own for each version and workspace, as suspects do. Where one version serves, nothing changes: only a request that excludes other versions is bound.

--- a/internal/process/fairqueue/flow.go
+++ b/internal/process/fairqueue/flow.go
@@ -12,9 +12,10 @@
 type flowKey struct {
 	workspace string
 	isolated  bool
+	apart     string
 }
 
-// flow is the queue of one workspace in one class; isolated requests have a flow
+// flow is the queue of one workspace in one class; isolated requests, and those that wait apart, have flows
 // of their own. Each request served advances virtualTime by its cost in tokens,
 // divided by the weight. virtualTime is negative infinity in a new flow.
 type flow[T any] struct {
--- a/internal/process/fairqueue/queue.go
+++ b/internal/process/fairqueue/queue.go
@@ -42,6 +42,9 @@
 	// Isolated requests are queued apart from the other requests of their workspace:
 	// they may wait long for a replica and must not block the others.
 	Isolated bool
+	// Apart queues requests of the same value apart from the others of their workspace, unless it is empty: they may use only
+	// some of the replicas and must not block those that may use others.
+	Apart string
 	// First puts the request before those of its workspace that are not First.
 	First    bool
 	Weight   float64
@@ -92,11 +95,18 @@
 	return &q.class[0]
 }
 
-func (q *Queue[T]) flowKeyOf(workspace string, isolated bool) flowKey {
+func (q *Queue[T]) flowKeyOf(it *Item[T]) flowKey {
+	k := flowKey{workspace: it.Workspace, isolated: it.Isolated, apart: it.Apart}
 	if q.o.Unfair {
-		workspace = ""
+		k.workspace = ""
 	}
-	return flowKey{workspace: workspace, isolated: isolated}
+	return k
+}
+
+// mainFlow returns the queue of the requests of a workspace that are neither isolated nor apart.
+func (q *Queue[T]) mainFlow(workspace string, class catalogue.Class) (f *flow[T], known bool) {
+	f, known = q.classOf(class).flows[q.flowKeyOf(&Item[T]{Workspace: workspace})]
+	return f, known
 }
 
 // Push adds an item at the end of its workspace's queue, or behind the items there that are First if it is
@@ -109,7 +119,7 @@
 	if q.o.ClassBound > 0 && c.length >= q.o.ClassBound {
 		return ErrClassFull
 	}
-	f := c.flow(q.flowKeyOf(it.Workspace, it.Isolated))
+	f := c.flow(q.flowKeyOf(&it))
 	if q.o.WorkspaceBound > 0 && !q.o.Unfair && f.length >= q.o.WorkspaceBound {
 		return ErrWorkspaceFull
 	}
@@ -135,7 +145,7 @@
 func (q *Queue[T]) Displace(newcomer Item[T]) (T, bool) {
 	c := q.classOf(newcomer.Class)
 	most := 1 / max(newcomer.Weight, MinWeight)
-	if f, known := c.flows[q.flowKeyOf(newcomer.Workspace, newcomer.Isolated)]; known {
+	if f, known := c.flows[q.flowKeyOf(&newcomer)]; known {
 		most *= float64(f.length + 1)
 	}
 	var longest *flow[T]
@@ -161,10 +171,10 @@
 	return c.active[0].head
 }
 
-// NextOf returns the oldest request of a workspace in a class that is neither isolated nor set aside, or nil if
+// NextOf returns the oldest request of a workspace in a class that is neither isolated, apart nor set aside, or nil if
 // there is none. The entry stays queued.
 func (q *Queue[T]) NextOf(workspace string, class catalogue.Class) *Entry[T] {
-	f, known := q.classOf(class).flows[q.flowKeyOf(workspace, false)]
+	f, known := q.mainFlow(workspace, class)
 	if !known || f.aside {
 		return nil
 	}
@@ -232,9 +242,8 @@
 // Charge adds delta tokens, which may be negative, to what a workspace was charged
 // in a class. Unknown workspaces are ignored.
 func (q *Queue[T]) Charge(workspace string, class catalogue.Class, delta float64) {
-	c := q.classOf(class)
-	if f, known := c.flows[q.flowKeyOf(workspace, false)]; known {
-		c.charge(f, delta)
+	if f, known := q.mainFlow(workspace, class); known {
+		q.classOf(class).charge(f, delta)
 	}
 }
 
@@ -252,7 +261,7 @@
 
 // WorkspaceLen returns the number of requests of a workspace waiting in a class.
 func (q *Queue[T]) WorkspaceLen(workspace string, class catalogue.Class) int {
-	if f, known := q.classOf(class).flows[q.flowKeyOf(workspace, false)]; known {
+	if f, known := q.mainFlow(workspace, class); known {
 		return f.length
 	}
 	return 0
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -249,6 +249,7 @@
 		Workspace: r.Workspace,
 		Class:     queueClass(&r),
 		Isolated:  r.Suspect && g.o.Policy != PolicyBaseline,
+		Apart:     r.Bound,
 		First:     t.returning,
 		Weight:    r.Weight,
 		Deadline:  r.Deadline,
