Count only grants at engines that a waiting request may use as a bypass of it

A stream that waits for the full engines of its version stopped all requests of its rank, of every workspace, after four of them had been granted engines of another version: until it was refused, which take-ups may put off until their deadline.

Cause: after four bypasses a rank waits for the request that does not fit, so that large ones are not starved by small ones. Grants at engines that it may not use were counted too, which take nothing from it.

TestBoundRequestsHoldUpNoOthers fails before in all four cases (at the fifth grant) and passes after.

--- a/internal/process/schedule/bound_requests_test.go
+++ b/internal/process/schedule/bound_requests_test.go
@@ -10,10 +10,11 @@
 	"persimmonwing/internal/version/catalogue"
 )
 
-// Guards against a request that may use only full replicas and keeps others of its workspace from free ones, which were queued behind it.
+// Guards against a request that may use only full replicas and keeps others from free ones: those of its workspace, which were queued
+// behind it, and those of its rank, once it was bypassed a few times at replicas that it may not use.
 func TestBoundRequestsHoldUpNoOthers(t *testing.T) {
 	for _, policy := range []Policy{PolicyShared, PolicyOwner} {
-		for name, workspace := range map[string]string{"same workspace": "w"} {
+		for name, workspace := range map[string]string{"same workspace": "w", "another workspace": "x"} {
 			t.Run(fmt.Sprint(policy, "/", name), func(t *testing.T) {
 				is := is.New(t)
 				const batch = 8
@@ -29,7 +30,7 @@
 				is.Equal(len(g.Dispatch(start)), batch)
 				g.Enqueue(start, bound("waits", "w", "v1", "r001"))
 				is.Equal(len(g.Dispatch(start)), 0)
-				for i := range maxBypassed {
+				for i := range maxBypassed + 2 {
 					q := testRequest(fmt.Sprint("new-", i), workspace, catalogue.Urgent)
 					if i%2 == 0 {
 						q = bound(fmt.Sprint("goes-on-", i), workspace, "v2", "r000")
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -168,7 +168,7 @@
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
 		g.grant(p, e, r, reason, s)
-		p.countBypass(rank)
+		p.countBypass(rank, r)
 		return
 	}
 	if why == noneEligible && p.now.Sub(e.Value.enqueued) >= noReplicaTimeout {
--- a/internal/process/schedule/pass.go
+++ b/internal/process/schedule/pass.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"persimmonwing/internal/process/fairqueue"
@@ -122,11 +123,13 @@
 	}
 }
 
-// countBypass counts a grant as a bypass of the requests of the same rank that were
-// skipped before it. Other ranks are not counted, so that a request that yields does
+// countBypass counts a grant of a replica as a bypass of the requests of the same rank that were
+// skipped before it and may use that replica. Other ranks are not counted, so that a request that yields does
 // not block those to which it yields.
-func (p *pass) countBypass(rank rank) {
+func (p *pass) countBypass(rank rank, granted *replica) {
 	for _, e := range p.blocked[rank] {
-		e.Bypassed++
+		if !slices.Contains(e.Value.request.Exclude, granted.Name) {
+			e.Bypassed++
+		}
 	}
 }
