Keep for a bypassed stream of one version only the engines that it may use

A stream that waits for the full engines of its version and that smaller requests have bypassed there four times stopped all requests of its rank, also at the engines of other versions.

Cause: after four bypasses the whole rank waits. That was right while the request that does not fit could use all engines.

Now only the engines that a bound request may use are kept for it. For other requests nothing changes.

TestBypassedBoundRequestKeepsOnlyItsReplicas fails before (both policies) and passes after; it also shows that the rank still waits at the engines of its version.

--- a/internal/process/schedule/bound_requests_test.go
+++ b/internal/process/schedule/bound_requests_test.go
@@ -49,3 +49,34 @@
 		}
 	}
 }
+
+// Guards against stopping all requests of a rank for one that was bypassed often at the replicas that it may use: only those are kept
+// for it.
+func TestBypassedBoundRequestKeepsOnlyItsReplicas(t *testing.T) {
+	for _, policy := range []Policy{PolicyShared, PolicyOwner} {
+		t.Run(string(policy), func(t *testing.T) {
+			is := is.New(t)
+			g := testGroup(Options{Policy: policy}, 2, 8, 10_000)
+			enqueue := func(id, workspace string, prompt int, exclude string) []Decision {
+				q := testRequest(id, workspace, catalogue.Urgent)
+				q.PromptTokens, q.MaxOutputTokens, q.ExpectedOutputTokens = prompt, 100, 100
+				if exclude != "" {
+					q.Bound, q.Exclude = "without "+exclude, []string{exclude}
+				}
+				g.Enqueue(start, q)
+				return g.Dispatch(start)
+			}
+			is.Equal(len(enqueue("first", "w", 1000, "r001")), 1)
+			is.Equal(len(enqueue("large", "w", 9900, "r001")), 0)
+			for i := range maxBypassed {
+				is.Equal(len(enqueue(fmt.Sprint("small-", i), "x", 10, "r001")), 1)
+			}
+			is.Equal(len(enqueue("late", "x", 10, "r001")), 0) // waits for the large one
+			for i, exclude := range []string{"r000", ""} {
+				d := enqueue(fmt.Sprint("other-", i), "y", 10, exclude)
+				is.Equal(len(d), 1)
+				is.Equal(d[0].Grant.Backend, "r001")
+			}
+		})
+	}
+}
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -163,7 +163,7 @@
 		g.skip(p, e, rank, noRoom)
 		return
 	}
-	g.keptFor = p.keptFrom(g, &e.Value)
+	g.keptFor, g.reserved = p.keptFrom(g, &e.Value), p.reserved[rank]
 	s := memory.NewSequence(g.lengthEstimate(q), q.PromptTokens, q.Generated, q.MaxOutputTokens)
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
@@ -254,9 +254,12 @@
 		p.urgentBlocked = p.urgentBlocked || rank != rankBackground
 	}
 	p.skips[rank]++
-	if p.skips[rank] >= limit || e.Bypassed >= maxBypassed {
+	if p.skips[rank] >= limit {
 		p.closed[rank] = true
 	}
+	if e.Bypassed >= maxBypassed {
+		p.waitFor(g, rank, &e.Value.request)
+	}
 	g.queue.SetAside(e)
 }
 
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -161,8 +161,10 @@
 	entitled bool
 	// keptFor holds the replicas that the request being placed leaves to others.
 	keptFor []*replica
-	floors  floors
-	shares  shares
+	// reserved holds the replicas that are kept for a request of its rank which was bypassed too often.
+	reserved []*replica
+	floors   floors
+	shares   shares
 	// numbers holds the sequence number of the newest loads of each other gateway.
 	numbers map[string]uint64
 	// demands holds what waits at other gateways, by their names, and returns the places of callers who were refused.
--- a/internal/process/schedule/pass.go
+++ b/internal/process/schedule/pass.go
@@ -13,9 +13,11 @@
 type pass struct {
 	now       time.Time
 	decisions []Decision
-	// closed is set for ranks from which this pass grants no more requests.
-	closed [ranks]bool
-	skips  [ranks]int
+	// closed is set for ranks from which this pass grants no more requests, and reserved holds, by rank, the replicas that it
+	// does not grant to more requests.
+	closed   [ranks]bool
+	reserved [ranks][]*replica
+	skips    [ranks]int
 	// blocked lists the requests of each rank that were skipped for lack of room.
 	// Later grants of this pass bypass them.
 	blocked [ranks][]*fairqueue.Entry[queuedRequest]
@@ -69,7 +71,11 @@
 	for i := range kept {
 		kept[i].known, kept[i].replicas = false, kept[i].replicas[:0]
 	}
-	*p = pass{now: now, blocked: blocked, kept: kept, hopeless: p.hopeless}
+	reserved := p.reserved
+	for i := range reserved {
+		reserved[i] = reserved[i][:0]
+	}
+	*p = pass{now: now, blocked: blocked, reserved: reserved, kept: kept, hopeless: p.hopeless}
 	return p
 }
 
@@ -123,6 +129,19 @@
 	}
 }
 
+// waitFor makes all requests of a rank wait for one that was bypassed too often, at the replicas that it may use.
+func (p *pass) waitFor(g *Group, rank rank, q *Request) {
+	if q.Bound == "" {
+		p.closed[rank] = true
+		return
+	}
+	for _, r := range g.available {
+		if !slices.Contains(q.Exclude, r.Name) {
+			p.reserved[rank] = append(p.reserved[rank], r)
+		}
+	}
+}
+
 // countBypass counts a grant of a replica as a bypass of the requests of the same rank that were
 // skipped before it and may use that replica. Other ranks are not counted, so that a request that yields does
 // not block those to which it yields.
