Ask the store which versions served while a gateway could not observe the list

A gateway that was cut off from the list, or stood still, while another version came and left took its own version for the only one: it served take-ups of streams of the other version at its own for as long as a stream lasts, without asking anybody (rule ORDER).

Cause: the history of versions was taken for complete since the start of the process. Only the age of the last confirmation was checked, which is young again as soon as the gateway reads on.

Now two confirmations of the list that lie over 2 s apart are a gap: the history is complete only from its end, until the store has told which versions served meanwhile, which the gateways in touch have recorded there. Until then take-ups look for the record of the stream, as after a start. A read that began before the gap was noticed does not count.

The stand-in fleet of these tests no longer has data races of its own.

Not covered: a cut of less than 3 s in which a version comes; then the former one may still be taken for the only one.

--- a/internal/process/origins/history.go
+++ b/internal/process/origins/history.go
@@ -30,6 +30,12 @@
 	h.seen[service][version] = max(now, h.seen[service][version])
 }
 
+// Gap records that the list of servers was not observed for a while until now. Only others know the versions of that time.
+func (h *History) Gap(now time.Duration) {
+	h.since = now
+	clear(h.completeSince)
+}
+
 // CompleteSince returns the time from which on all versions of a service are known.
 func (h *History) CompleteSince(service string) time.Duration {
 	if since, ok := h.completeSince[service]; ok {
--- a/internal/process/origins/origins.go
+++ b/internal/process/origins/origins.go
@@ -29,6 +29,12 @@
 	// lag is how long after the last server of a version has left the list a gateway that can't read the list may still begin a stream
 	// there. Servers serve on for many seconds, but such a gateway refuses requests with a key after 4.3 s.
 	lag = 5 * time.Second
+	// freshList is the age of the last confirmation of the list of servers up to which a version that is not in it has no server. It
+	// is above the age at a gateway that follows a reader through another one.
+	freshList = 3 * time.Second
+	// maxUnobserved is the time between two confirmations after which a version may have come and left between them. A server
+	// serves for longer.
+	maxUnobserved = 2 * time.Second
 	// servedRetention is how long the store keeps a version that no server has. It exceeds the lifetime of a stream and lag.
 	servedRetention = 10 * time.Minute
 	// servedTolerance is a difference of two such times that is not worth a write.
@@ -106,8 +112,8 @@
 	View   View
 	// Versions returns the software versions of the listed servers of each service.
 	Versions func() map[string][]string
-	// Fresh reports whether the list of servers is up to date: a version that began to serve since is known.
-	Fresh func() bool
+	// ConfirmedAt returns the time of the last confirmation of the list of servers, or 0 if there was none.
+	ConfirmedAt func() time.Duration
 	// Now is a clock that runs on while the host is suspended.
 	Now     func() time.Duration
 	Logger  log.Logger
@@ -117,15 +123,19 @@
 // Keeper keeps the origins of streams. It is safe for concurrent use.
 type Keeper struct {
 	o Options
-	// restored is closed once the store has told which versions served before the start.
-	restored chan struct{}
-	// storeReturned makes the keeper read the versions in the store again.
-	storeReturned chan struct{}
-	writes        chan *write
-
-	mu      sync.Mutex
-	history *History
-	streams *table
+	// readAgain makes the keeper read the versions in the store again.
+	readAgain chan struct{}
+	writes    chan *write
+
+	mu sync.Mutex
+	// restored is closed once the store has told which versions served before the start, or during the last gap.
+	restored   chan struct{}
+	isRestored bool
+	// confirmedAt is the last confirmation of the list of servers that was observed, and gaps the number of gaps between two.
+	confirmedAt time.Duration
+	gaps        int
+	history     *History
+	streams     *table
 	// expiring holds the records that this gateway has written, in the order of their end.
 	expiring []expiry
 	served   map[string]ServedRow
@@ -151,7 +161,7 @@
 // New returns a Keeper of a process that has just started.
 func New(o Options) *Keeper {
 	return &Keeper{
-		o: o, restored: make(chan struct{}), storeReturned: make(chan struct{}, 1), writes: make(chan *write, maxStreams),
+		o: o, restored: make(chan struct{}), readAgain: make(chan struct{}, 1), writes: make(chan *write, maxStreams),
 		history: NewHistory(o.Now()), streams: newTable(), differsSince: map[string]time.Duration{},
 	}
 }
@@ -245,38 +255,74 @@
 
 // lookUp returns what this gateway knows of a stream.
 func (k *Keeper) lookUp(s Stream) (Origin, bool) {
-	fresh := k.o.Fresh()
-	versions := k.o.Versions()
+	list := k.readList()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if known := k.streams.streams[s.ID]; known != nil && s.ID != "" {
 		return known.Origin, true
 	}
 	now := k.o.Now()
-	k.observe(now, versions)
+	k.observe(now, list)
 	o, unique := k.unique(now, s)
-	return o, unique && fresh
+	return o, unique && list.fresh(now)
 }
 
-// awaitRestored waits until the store has told which versions served before the start, but not long.
+// awaitRestored waits until the store has told which versions served before the start or during a gap, but not long.
 func (k *Keeper) awaitRestored(ctx context.Context) {
+	k.mu.Lock()
+	restored := k.restored
+	k.mu.Unlock()
 	limit := time.NewTimer(startTimeout)
 	defer limit.Stop()
 	select {
-	case <-k.restored:
+	case <-restored:
 	case <-limit.C:
 	case <-ctx.Done():
 	}
 }
 
-func (k *Keeper) observe(now time.Duration, versions map[string][]string) {
-	for service, list := range versions {
-		for _, version := range list {
+// observation is the versions in the list of servers, which was confirmed at a time.
+type observation struct {
+	confirmedAt time.Duration
+	versions    map[string][]string
+}
+
+func (l observation) fresh(now time.Duration) bool {
+	return l.confirmedAt > 0 && now-l.confirmedAt <= freshList
+}
+
+func (k *Keeper) readList() observation {
+	at := k.o.ConfirmedAt() // first: what changes in between only makes the versions newer
+	return observation{confirmedAt: at, versions: k.o.Versions()}
+}
+
+// observe adds the list to the history. If it was not confirmed for a while before, the store is asked for the versions of that time.
+// The caller holds the lock.
+func (k *Keeper) observe(now time.Duration, l observation) {
+	if k.confirmedAt > 0 && l.confirmedAt-k.confirmedAt > maxUnobserved {
+		k.history.Gap(l.confirmedAt)
+		k.gaps++
+		if k.isRestored {
+			k.restored, k.isRestored = make(chan struct{}), false
+		}
+		k.requestRead()
+	}
+	k.confirmedAt = max(k.confirmedAt, l.confirmedAt)
+	for service, versions := range l.versions {
+		for _, version := range versions {
 			k.history.Observe(now, service, version)
 		}
 	}
 }
 
+// requestRead makes the keeper read the versions in the store.
+func (k *Keeper) requestRead() {
+	select {
+	case k.readAgain <- struct{}{}:
+	default:
+	}
+}
+
 // search asks the store and the other gateways for the origin of a stream, all at once.
 func (k *Keeper) search(ctx context.Context, id string) (Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
@@ -367,10 +413,7 @@
 		s.recorded = false
 	}
 	k.mu.Unlock()
-	select {
-	case k.storeReturned <- struct{}{}:
-	default:
-	}
+	k.requestRead()
 }
 
 // Run does the work in the background until ctx ends.
@@ -388,11 +431,11 @@
 
 // upkeep observes the list of servers and records the streams that began before several versions could have begun them.
 func (k *Keeper) upkeep() {
-	versions := k.o.Versions()
+	list := k.readList()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.o.Now()
-	k.observe(now, versions)
+	k.observe(now, list)
 	k.history.Prune(now)
 	k.streams.prune(now)
 	for _, id := range k.streams.order {
--- a/internal/process/origins/origins_test.go
+++ b/internal/process/origins/origins_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,13 +113,28 @@
 	stop context.CancelFunc
 	done chan struct{}
 	// cut is set while the gateway can't read the list. list is the list as last read, at readAt.
-	cut    bool
-	list   []string
-	readAt time.Duration
+	cut bool
+	// stopped is set while the process stands still.
+	stopped atomic.Bool
+	list    []string
+	readAt  time.Duration
 }
 
 func (f *fleet) now() time.Duration { return time.Since(f.began) + time.Hour }
 
+// set changes what gateways read.
+func (f *fleet) set(change func()) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	change()
+}
+
+// recorded returns the number of records in the store.
+func (f *fleet) recorded() (n int) {
+	f.set(func() { n = len(f.store.records) })
+	return n
+}
+
 func newFleet(t *testing.T, gateways int, versions ...string) *fleet {
 	f := &fleet{t: t, store: newFakeStore(), began: time.Now(), listed: versions}
 	for i := range gateways {
@@ -142,12 +158,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stop, g.done = cancel, make(chan struct{})
 	g.read()
-	g.keep = New(Options{
+	keep := New(Options{
 		Store: g.f.store, Caller: g, View: g, Now: g.f.now, Logger: log.NewNopLogger(), Metrics: telemetry.New(),
-		Versions: func() map[string][]string { g.read(); return map[string][]string{testService: slices.Clone(g.list)} },
-		Fresh:    func() bool { return g.f.now()-g.readAt < 3*time.Second },
+		Versions: func() map[string][]string {
+			g.read()
+			g.f.store.mu.Lock()
+			defer g.f.store.mu.Unlock()
+			return map[string][]string{testService: slices.Clone(g.list)}
+		},
+		ConfirmedAt: g.read,
 	})
-	go func() { defer close(g.done); _ = g.keep.Run(ctx) }()
+	g.f.set(func() { g.keep = keep })
+	go func() { defer close(g.done); _ = keep.Run(ctx) }()
 }
 
 func (g *gateway) kill() {
@@ -155,12 +177,17 @@
 	<-g.done
 }
 
-func (g *gateway) read() {
+// read reads the list if the gateway can, and returns the time of the last read.
+func (g *gateway) read() time.Duration {
+	for g.stopped.Load() {
+		time.Sleep(time.Millisecond)
+	}
 	g.f.store.mu.Lock()
 	defer g.f.store.mu.Unlock()
 	if !g.cut && !g.f.store.away {
 		g.list, g.readAt = slices.Clone(g.f.listed), g.f.now()
 	}
+	return g.readAt
 }
 
 // The following methods implement View and membership.Caller.
@@ -179,7 +206,9 @@
 
 func (g *gateway) Call(_ context.Context, address, _ string, args, reply any) error {
 	i := slices.IndexFunc(g.f.gateways, func(o *gateway) bool { return o.name == address })
-	return g.f.gateways[i].keep.RPC().Find(args.(*FindArgs), reply.(*FindReply))
+	var keep *Keeper
+	g.f.set(func() { keep = g.f.gateways[i].keep })
+	return keep.RPC().Find(args.(*FindArgs), reply.(*FindReply))
 }
 
 func stream(id string) Stream {
@@ -208,23 +237,23 @@
 		"its gateway was killed":          {[]string{"v1", "v2"}, func(f *fleet) { f.gateways[0].kill(); f.gateways[0].start() }, "a", "v2"},
 		"all were killed":                 {[]string{"v1", "v2"}, killAll, "a", "v2"},
 		"all were killed, one version":    {[]string{"v2"}, killAll, "unknown", "v2"},
-		"all were killed, version gone":   {[]string{"v1", "v2"}, func(f *fleet) { f.listed = []string{"v1"}; killAll(f) }, "a", "v2"},
-		"all killed, only version gone":   {[]string{"v2"}, func(f *fleet) { f.listed = []string{"v3"}; killAll(f) }, "unknown", ""},
-		"another version has just come":   {[]string{"v2"}, func(f *fleet) { f.listed = []string{"v1", "v2"}; time.Sleep(observePeriod) }, "a", "v2"},
-		"it has come and all were killed": {[]string{"v2"}, func(f *fleet) { f.listed = []string{"v1", "v2"}; time.Sleep(time.Second); killAll(f) }, "a", "v2"},
-		"store away":                      {[]string{"v1", "v2"}, func(f *fleet) { f.store.away = true }, "a", "v2"},
-		"store away, unknown":             {[]string{"v1", "v2"}, func(f *fleet) { f.store.away = true }, "unknown", ""},
+		"all were killed, version gone":   {[]string{"v1", "v2"}, func(f *fleet) { f.set(func() { f.listed = []string{"v1"} }); killAll(f) }, "a", "v2"},
+		"all killed, only version gone":   {[]string{"v2"}, func(f *fleet) { f.set(func() { f.listed = []string{"v3"} }); killAll(f) }, "unknown", ""},
+		"another version has just come":   {[]string{"v2"}, func(f *fleet) { f.set(func() { f.listed = []string{"v1", "v2"} }); time.Sleep(observePeriod) }, "a", "v2"},
+		"it has come and all were killed": {[]string{"v2"}, func(f *fleet) { f.set(func() { f.listed = []string{"v1", "v2"} }); time.Sleep(time.Second); killAll(f) }, "a", "v2"},
+		"store away":                      {[]string{"v1", "v2"}, func(f *fleet) { f.set(func() { f.store.away = true }) }, "a", "v2"},
+		"store away, unknown":             {[]string{"v1", "v2"}, func(f *fleet) { f.set(func() { f.store.away = true }) }, "unknown", ""},
 		"another version long gone": {[]string{"v1", "v2"}, func(f *fleet) {
-			f.listed = []string{"v1"}
+			f.set(func() { f.listed = []string{"v1"} })
 			time.Sleep(testLifetime + lag + observePeriod)
 		}, "unknown", "v1"},
-		"another version gone": {[]string{"v1", "v2"}, func(f *fleet) { f.listed = []string{"v1"}; time.Sleep(time.Second) }, "unknown", ""},
+		"another version gone": {[]string{"v1", "v2"}, func(f *fleet) { f.set(func() { f.listed = []string{"v1"} }); time.Sleep(time.Second) }, "unknown", ""},
 		"list not read for long": {[]string{"v1"}, func(f *fleet) {
-			f.gateways[1].cut = true
+			f.set(func() { f.gateways[1].cut = true })
 			time.Sleep(4 * time.Second)
 		}, "unknown", ""},
 		"store came back without the record": {[]string{"v1", "v2"}, func(f *fleet) {
-			f.store.records = map[string]Origin{}
+			f.set(func() { f.store.records = map[string]Origin{} })
 			for _, g := range f.gateways {
 				g.keep.StoreReturned()
 			}
@@ -276,11 +305,11 @@
 				g := f.gateways[rng.IntN(len(f.gateways))]
 				switch rng.IntN(16) {
 				case 0:
-					f.listed = append(slices.Clone(f.listed), fmt.Sprint("v", next))
+					f.set(func() { f.listed = append(slices.Clone(f.listed), fmt.Sprint("v", next)) })
 					next++
 				case 1:
 					if len(f.listed) > 1 {
-						f.listed = slices.Delete(slices.Clone(f.listed), 0, 1)
+						f.set(func() { f.listed = slices.Delete(slices.Clone(f.listed), 0, 1) })
 					}
 				case 2:
 					g.kill()
@@ -288,11 +317,9 @@
 				case 3:
 					killAll(f)
 				case 4:
-					g.cut = !g.cut
+					f.set(func() { g.cut = !g.cut })
 				case 5:
-					f.store.mu.Lock()
-					f.store.away = !f.store.away
-					f.store.mu.Unlock()
+					f.set(func() { f.store.away = !f.store.away })
 				case 6:
 					f.store.mu.Lock()
 					clear(f.store.records)
@@ -302,11 +329,12 @@
 						g.keep.StoreReturned()
 					}
 				case 7, 8, 9, 10:
-					g.read()
 					// A gateway that can't read the list refuses requests with a key soon.
-					if f.now()-g.readAt < lag {
+					if f.now()-g.read() < lag {
 						id := fmt.Sprint("stream-", step)
-						version := g.list[rng.IntN(len(g.list))]
+						var versions []string
+						f.set(func() { versions = g.list })
+						version := versions[rng.IntN(len(versions))]
 						g.begin(id, version)
 						streams[id] = begun{version, time.Now()}
 					}
@@ -345,13 +373,13 @@
 		for i := range 3 * maxBatch {
 			f.gateways[i%3].begin(fmt.Sprint("stream-", i), "v1")
 		}
-		is.Equal(len(f.store.records), 3*maxBatch)
+		is.Equal(f.recorded(), 3*maxBatch)
 		f.gateways[2].kill()
 		f.gateways[2].start()
 		time.Sleep(testLifetime + 2*dropPeriod)
-		is.Equal(len(f.store.records), maxBatch) // of the gateway that was killed
+		is.Equal(f.recorded(), maxBatch) // of the gateway that was killed
 		time.Sleep(3 * sweepPeriod)
-		is.Equal(len(f.store.records), 0)
+		is.Equal(f.recorded(), 0)
 	})
 }
 
@@ -365,7 +393,7 @@
 			f.gateways[i%3].begin(fmt.Sprint("stream-", i), "v1")
 		}
 		time.Sleep(time.Second)
-		is.Equal(len(f.store.records), 0)
+		is.Equal(f.recorded(), 0)
 		is.Equal(f.store.revision, int64(1)) // the versions that serve were recorded once
 	})
 }
--- a/internal/process/origins/records.go
+++ b/internal/process/origins/records.go
@@ -147,28 +147,37 @@
 	return -1
 }
 
-// keepServed reads which versions served before the start, and then keeps what the store has of them up to date.
+// keepServed reads which versions served before the start or during a gap, and keeps what the store has of them up to date.
 func (k *Keeper) keepServed(ctx context.Context) {
-	for restored := false; ; {
-		if !restored && k.readServed(ctx) == nil {
-			restored = true
-			close(k.restored)
+	for read := true; ; {
+		if read || !k.hasRestored() {
+			_ = k.readServed(ctx) // a failed read is made up for before the next write
+		}
+		if k.hasRestored() {
+			k.updateServed(ctx)
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-k.storeReturned:
-			_ = k.readServed(ctx) // a failed read is made up for before the next write
+		case <-k.readAgain:
+			read = true
 		case <-time.After(servedPeriod):
-		}
-		if restored {
-			k.updateServed(ctx)
+			read = false
 		}
 	}
 }
 
+func (k *Keeper) hasRestored() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.isRestored
+}
+
 // readServed reads what the store has of all services.
 func (k *Keeper) readServed(ctx context.Context) error {
+	k.mu.Lock()
+	gaps := k.gaps
+	k.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	rows, clock, err := k.o.Store.ReadServed(call)
@@ -178,12 +187,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.o.Now()
-	first := k.served == nil
 	k.served, k.servedReadAt, k.clock = rows, now, clock
-	if first {
+	if !k.isRestored && k.gaps == gaps {
 		for service, row := range rows {
 			k.history.Restore(now, clock, service, row.Served)
 		}
+		k.isRestored = true
+		close(k.restored)
 	}
 	return nil
 }
@@ -192,11 +202,11 @@
 // if it has not been done for a while.
 func (k *Keeper) updateServed(ctx context.Context) {
 	rank := k.rank()
-	if rank < 0 || rank >= servedWriters || !k.o.Fresh() {
+	list := k.readList()
+	if rank < 0 || rank >= servedWriters || !list.fresh(k.o.Now()) {
 		return
 	}
-	versions := k.o.Versions()
-	for service, present := range versions {
+	for service, present := range list.versions {
 		k.mu.Lock()
 		now := k.o.Now()
 		_, differs := k.history.Update(now, k.clock+now-k.servedReadAt, service, k.served[service].Served, present)
