Delete records of streams as fast as they come

Records of streams that had ended stayed in the store for long, without a bound, where over 10 streams a second begin at a gateway while two versions serve: 50 were deleted each 5 s.

Now a gateway deletes batch after batch, in turn with the records of streams that begin and wait for them.

Tried before and dropped: a loop that ended when a record was queued. The test failed in 1 of 3 runs with it.

TestRecordsAreDeletedAsFastAsTheyCome (40 streams a second for a minute) fails before and passes after in 20 of 20 runs.

--- a/internal/process/origins/origins_test.go
+++ b/internal/process/origins/origins_test.go
@@ -383,6 +383,21 @@
 	})
 }
 
+// Guards against records that pile up in the store because streams end faster than their records are deleted.
+func TestRecordsAreDeletedAsFastAsTheyCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const perSecond, seconds = 40, 60
+		f := newFleet(t, 1, "v1", "v2")
+		defer f.close()
+		for i := range seconds * perSecond {
+			go f.gateways[0].begin(fmt.Sprint("stream-", i), "v1")
+			time.Sleep(time.Second / perSecond)
+		}
+		is.True(f.recorded() < perSecond*(int(testLifetime/time.Second)+2*int(dropPeriod/time.Second)))
+	})
+}
+
 // Guards against calls to the store for streams that can have begun at one version only.
 func TestOneVersionNeedsNoRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/origins/records.go
+++ b/internal/process/origins/records.go
@@ -20,12 +20,20 @@
 func (k *Keeper) writeRecords(ctx context.Context) {
 	drop := time.NewTicker(dropPeriod)
 	defer drop.Stop()
-	for {
+	always := make(chan struct{})
+	close(always)
+	for more := false; ; {
+		var next <-chan struct{}
+		if more {
+			next = always // in turn with writes, which streams wait for
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-drop.C:
-			k.dropRecords(ctx)
+			more = k.dropRecords(ctx)
+		case <-next:
+			more = k.dropRecords(ctx)
 		case w := <-k.writes:
 			k.writeBatch(ctx, k.batch(w))
 		}
@@ -77,33 +85,37 @@
 	}
 }
 
-// dropRecords deletes records of this gateway whose streams have ended.
-func (k *Keeper) dropRecords(ctx context.Context) {
+// dropRecords deletes up to maxBatch records of this gateway whose streams have ended, and reports whether more are left.
+func (k *Keeper) dropRecords(ctx context.Context) (more bool) {
 	k.mu.Lock()
 	now := k.o.Now()
 	var keys []string
 	var kept []expiry
 	for _, e := range k.expiring {
-		if e.at < now && len(keys) < maxBatch {
-			keys = append(keys, e.key)
-		} else {
+		switch {
+		case e.at >= now:
 			kept = append(kept, e)
+		case len(keys) < maxBatch:
+			keys = append(keys, e.key)
+		default:
+			kept, more = append(kept, e), true
 		}
 	}
 	k.mu.Unlock()
 	if len(keys) == 0 {
-		return
+		return false
 	}
 	call, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if err := k.o.Store.DropRecords(call, keys); err != nil {
 		_ = level.Debug(k.o.Logger).Log("msg", "cannot delete records of streams that have ended", "streams", len(keys), "err", err)
-		return
+		return false
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	// Only this goroutine adds records.
 	k.expiring = kept
+	return more
 }
 
 // sweep deletes the records of gateways that have ended, at the gateway that is first in rank.
