Read the rows of versions that serve past one that can't be decoded

One row of the table software-versions that can't be decoded kept all gateways from reading which versions served before their start, and from writing it: take-ups would need records on every service, and unknown ones be refused.

TestRestoreOfAnEmptyRow shows that such a row is not taken for a service without any other version.

--- a/internal/process/origins/gaps_test.go
+++ b/internal/process/origins/gaps_test.go
@@ -100,3 +100,17 @@
 		is.Equal(f.recorded(), 0)
 	})
 }
+
+// Guards against taking the versions of a service for known since long ago where the store has a row that says nothing.
+func TestRestoreOfAnEmptyRow(t *testing.T) {
+	is := is.New(t)
+	const started, now = time.Hour, time.Hour + time.Second
+	h := NewHistory(started)
+	h.Observe(now, testService, "v1")
+	h.Restore(now, time.Hour, testService, Served{})
+	_, known := h.Possible(now, testService, testLifetime)
+	is.True(!known)
+	h.Restore(now, time.Hour, testService, Served{Versions: map[string]time.Duration{"v1": 0}, Since: time.Minute})
+	_, known = h.Possible(now, testService, testLifetime)
+	is.True(known)
+}
--- a/internal/process/origins/history.go
+++ b/internal/process/origins/history.go
@@ -46,6 +46,9 @@
 
 // Restore adds what the store has of a service. clock is the store's clock at time now.
 func (h *History) Restore(now, clock time.Duration, service string, s Served) {
+	if len(s.Versions) == 0 {
+		return // nothing is recorded, or it can't be read
+	}
 	for version, left := range s.Versions {
 		at := now // a version that is recorded as present may have lost its last server just now
 		if left > 0 {
