Pass over requests that may not use all engines instead of queueing them apart

Now a request that excludes engines and finds no room is passed over alone: those behind it in its workspace are looked at in the same pass. It no longer counts for the limit of skipped workspaces and stops no background work; instead the engines that it may use are kept from background work (unless that is below its floor), and after four bypasses from its rank and those that give way to it. Its queue is the one of its workspace again, so that shares, floors, charges and bounds hold as before, and schedule.Request.Bound is gone.

--- a/internal/process/fairqueue/flow.go
+++ b/internal/process/fairqueue/flow.go
@@ -12,10 +12,9 @@
 type flowKey struct {
 	workspace string
 	isolated  bool
-	apart     string
 }
 
-// flow is the queue of one workspace in one class; isolated requests, and those that wait apart, have flows
+// flow is the queue of one workspace in one class; isolated requests have a flow
 // of their own. Each request served advances virtualTime by its cost in tokens,
 // divided by the weight. virtualTime is negative infinity in a new flow.
 type flow[T any] struct {
@@ -26,6 +25,17 @@
 	// index is the position in the active heap, or -1.
 	index int
 	aside bool
+	// next is the first entry that is not passed over, while passing is set.
+	next    *Entry[T]
+	passing bool
+}
+
+// first returns the oldest entry that is not passed over, or nil.
+func (f *flow[T]) first() *Entry[T] {
+	if f.passing {
+		return f.next
+	}
+	return f.head
 }
 
 // classQueue is the queue of one class. A flow with waiting requests is in active,
@@ -34,7 +44,9 @@
 	flows  map[flowKey]*flow[T]
 	active flowHeap[T]
 	aside  []*flow[T]
-	length int
+	// passing are the flows of which entries are passed over.
+	passing []*flow[T]
+	length  int
 	// virtualTime is the highest virtual time at which a request was served.
 	virtualTime float64
 }
@@ -131,6 +143,25 @@
 	default:
 		heap.Fix(&c.active, f.index)
 	}
+	if f.passing && f.next == e {
+		c.passTo(f, e.next)
+	}
+}
+
+// passOver makes the entry behind e the first one of its flow, and sets the flow aside if there is none.
+func (c *classQueue[T]) passOver(e *Entry[T]) {
+	if f := e.flow; !f.passing {
+		f.passing = true
+		c.passing = append(c.passing, f)
+	}
+	c.passTo(e.flow, e.next)
+}
+
+func (c *classQueue[T]) passTo(f *flow[T], next *Entry[T]) {
+	f.next = next
+	if next == nil && f.length > 0 && !f.aside {
+		c.setAside(f)
+	}
 }
 
 func (c *classQueue[T]) charge(f *flow[T], delta float64) {
@@ -150,6 +181,11 @@
 }
 
 func (c *classQueue[T]) restore() {
+	for _, f := range c.passing {
+		f.next, f.passing = nil, false
+	}
+	clear(c.passing)
+	c.passing = c.passing[:0]
 	for i, f := range c.aside {
 		f.aside = false
 		if f.length > 0 {
--- a/internal/process/fairqueue/queue.go
+++ b/internal/process/fairqueue/queue.go
@@ -42,9 +42,6 @@
 	// Isolated requests are queued apart from the other requests of their workspace:
 	// they may wait long for a replica and must not block the others.
 	Isolated bool
-	// Apart queues requests of the same value apart from the others of their workspace, unless it is empty: they may use only
-	// some of the replicas and must not block those that may use others.
-	Apart string
 	// First puts the request before those of its workspace that are not First.
 	First    bool
 	Weight   float64
@@ -95,18 +92,11 @@
 	return &q.class[0]
 }
 
-func (q *Queue[T]) flowKeyOf(it *Item[T]) flowKey {
-	k := flowKey{workspace: it.Workspace, isolated: it.Isolated, apart: it.Apart}
+func (q *Queue[T]) flowKeyOf(workspace string, isolated bool) flowKey {
 	if q.o.Unfair {
-		k.workspace = ""
+		workspace = ""
 	}
-	return k
-}
-
-// mainFlow returns the queue of the requests of a workspace that are neither isolated nor apart.
-func (q *Queue[T]) mainFlow(workspace string, class catalogue.Class) (f *flow[T], known bool) {
-	f, known = q.classOf(class).flows[q.flowKeyOf(&Item[T]{Workspace: workspace})]
-	return f, known
+	return flowKey{workspace: workspace, isolated: isolated}
 }
 
 // Push adds an item at the end of its workspace's queue, or behind the items there that are First if it is
@@ -119,7 +109,7 @@
 	if q.o.ClassBound > 0 && c.length >= q.o.ClassBound {
 		return ErrClassFull
 	}
-	f := c.flow(q.flowKeyOf(&it))
+	f := c.flow(q.flowKeyOf(it.Workspace, it.Isolated))
 	if q.o.WorkspaceBound > 0 && !q.o.Unfair && f.length >= q.o.WorkspaceBound {
 		return ErrWorkspaceFull
 	}
@@ -145,7 +135,7 @@
 func (q *Queue[T]) Displace(newcomer Item[T]) (T, bool) {
 	c := q.classOf(newcomer.Class)
 	most := 1 / max(newcomer.Weight, MinWeight)
-	if f, known := c.flows[q.flowKeyOf(&newcomer)]; known {
+	if f, known := c.flows[q.flowKeyOf(newcomer.Workspace, newcomer.Isolated)]; known {
 		most *= float64(f.length + 1)
 	}
 	var longest *flow[T]
@@ -161,24 +151,24 @@
 	return q.remove(longest.tail), true
 }
 
-// Next returns the oldest request of the workspace that has the lowest virtual time
+// Next returns the oldest request that is not passed over of the workspace that has the lowest virtual time
 // among those not set aside, or nil if there is none. The entry stays queued.
 func (q *Queue[T]) Next(class catalogue.Class) *Entry[T] {
 	c := q.classOf(class)
 	if len(c.active) == 0 {
 		return nil
 	}
-	return c.active[0].head
+	return c.active[0].first()
 }
 
-// NextOf returns the oldest request of a workspace in a class that is neither isolated, apart nor set aside, or nil if
+// NextOf returns the oldest request of a workspace in a class that is neither isolated, passed over nor set aside, or nil if
 // there is none. The entry stays queued.
 func (q *Queue[T]) NextOf(workspace string, class catalogue.Class) *Entry[T] {
-	f, known := q.mainFlow(workspace, class)
+	f, known := q.classOf(class).flows[q.flowKeyOf(workspace, false)]
 	if !known || f.aside {
 		return nil
 	}
-	return f.head
+	return f.first()
 }
 
 // Take removes an entry that is about to be served and charges its workspace cost
@@ -195,7 +185,12 @@
 	q.classOf(e.Class).setAside(e.flow)
 }
 
-// Restore makes Next consider again all workspaces that were set aside.
+// PassOver makes Next skip e until Restore is called, but not the requests of its workspace behind it.
+func (q *Queue[T]) PassOver(e *Entry[T]) {
+	q.classOf(e.Class).passOver(e)
+}
+
+// Restore makes Next consider again all workspaces that were set aside and requests that were passed over.
 func (q *Queue[T]) Restore() {
 	for i := range q.class {
 		q.class[i].restore()
@@ -242,8 +237,9 @@
 // Charge adds delta tokens, which may be negative, to what a workspace was charged
 // in a class. Unknown workspaces are ignored.
 func (q *Queue[T]) Charge(workspace string, class catalogue.Class, delta float64) {
-	if f, known := q.mainFlow(workspace, class); known {
-		q.classOf(class).charge(f, delta)
+	c := q.classOf(class)
+	if f, known := c.flows[q.flowKeyOf(workspace, false)]; known {
+		c.charge(f, delta)
 	}
 }
 
@@ -261,7 +257,7 @@
 
 // WorkspaceLen returns the number of requests of a workspace waiting in a class.
 func (q *Queue[T]) WorkspaceLen(workspace string, class catalogue.Class) int {
-	if f, known := q.mainFlow(workspace, class); known {
+	if f, known := q.classOf(class).flows[q.flowKeyOf(workspace, false)]; known {
 		return f.length
 	}
 	return 0
--- a/internal/process/fairqueue/queue_test.go
+++ b/internal/process/fairqueue/queue_test.go
@@ -269,3 +269,34 @@
 	_, ok = q.Displace(item("small4", "small"))
 	is.True(!ok) // 5 and 4 are waiting; displacing one would only swap the lengths
 }
+
+// Guards against losing requests, or their order, when some are passed over and taken from the middle.
+func TestPassOver(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Options{})
+	for i, id := range []string{"a", "b", "c", "d"} {
+		is.NoErr(q.Push(Item[int]{ID: id, Workspace: "w", Class: catalogue.Urgent, Weight: 1, Value: i}))
+	}
+	is.NoErr(q.Push(Item[int]{ID: "x", Workspace: "x", Class: catalogue.Urgent, Weight: 1}))
+	next := func() string {
+		if e := q.Next(catalogue.Urgent); e != nil {
+			return e.ID
+		}
+		return ""
+	}
+	q.PassOver(q.Next(catalogue.Urgent))
+	is.Equal(next(), "b")
+	q.Take(q.Next(catalogue.Urgent), 0)
+	is.Equal(next(), "c")
+	q.PassOver(q.Next(catalogue.Urgent))
+	q.Take(q.Next(catalogue.Urgent), 0) // d, the last one
+	is.Equal(next(), "x")
+	q.PassOver(q.Next(catalogue.Urgent))
+	is.Equal(next(), "")
+	q.Restore()
+	is.Equal(next(), "a")
+	_, cancelled := q.Cancel("a")
+	is.True(cancelled)
+	is.Equal(next(), "c")
+	is.Equal(q.Len(catalogue.Urgent), 2)
+}
--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -117,6 +117,7 @@
 // returns false if there is nothing to serve.
 func (g *Group) nextClass(p *pass) (catalogue.Class, bool) {
 	g.reservedTokens = p.urgent.tokens
+	p.floorDue = false
 	urgent := !p.closed[rankUrgent] && g.queue.Next(catalogue.Urgent) != nil
 	background := !p.closed[rankBackground] && g.queue.Next(catalogue.Background) != nil
 	switch {
@@ -126,6 +127,7 @@
 	case background && g.floorDue(p.now):
 		// The floor is granted regardless of the urgent work that is expected.
 		g.reservedTokens = 0
+		p.floorDue = true
 		return catalogue.Background, true
 	case urgent:
 		g.reservedTokens = 0
@@ -164,6 +166,9 @@
 		return
 	}
 	g.keptFor, g.reserved = p.keptFrom(g, &e.Value), p.reserved[rank]
+	if p.floorDue && rank == rankBackground {
+		g.reserved = nil
+	}
 	s := memory.NewSequence(g.lengthEstimate(q), q.PromptTokens, q.Generated, q.MaxOutputTokens)
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
@@ -244,22 +249,33 @@
 	g.admitted.add(now, q.Class, tokens, counted)
 }
 
-// skip leaves a request queued and lets other workspaces go first in this Dispatch.
+// skip leaves a request queued and lets others go first in this Dispatch: those of other workspaces, and those of its own behind it if it
+// lacks room only at the replicas that it may use.
 func (g *Group) skip(p *pass, e *fairqueue.Entry[queuedRequest], rank rank, why placement) {
 	g.noteSkip(&e.Value.entry, why)
+	q := &e.Value.request
+	if why == noRoom {
+		p.blocked[rank] = append(p.blocked[rank], e)
+	}
+	if e.Bypassed >= maxBypassed {
+		p.waitFor(g, rank, q)
+	}
+	if len(q.Exclude) > 0 && why != reservedForOthers {
+		if why == noRoom && rank != rankBackground {
+			p.reserve(g, rankBackground, q)
+		}
+		p.limitedSkips[rank]++
+		p.closed[rank] = p.closed[rank] || p.limitedSkips[rank] >= maxIsolatedSkips
+		g.queue.PassOver(e)
+		return
+	}
 	limit := maxIsolatedSkips
 	if why == noRoom {
 		limit = maxSkips
-		p.blocked[rank] = append(p.blocked[rank], e)
 		p.urgentBlocked = p.urgentBlocked || rank != rankBackground
 	}
 	p.skips[rank]++
-	if p.skips[rank] >= limit {
-		p.closed[rank] = true
-	}
-	if e.Bypassed >= maxBypassed {
-		p.waitFor(g, rank, &e.Value.request)
-	}
+	p.closed[rank] = p.closed[rank] || p.skips[rank] >= limit
 	g.queue.SetAside(e)
 }
 
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -161,7 +161,7 @@
 	entitled bool
 	// keptFor holds the replicas that the request being placed leaves to others.
 	keptFor []*replica
-	// reserved holds the replicas that are kept for a request of its rank which was bypassed too often.
+	// reserved holds the replicas that are kept for requests of its rank, or above it, which may not use all.
 	reserved []*replica
 	floors   floors
 	shares   shares
@@ -251,7 +251,6 @@
 		Workspace: r.Workspace,
 		Class:     queueClass(&r),
 		Isolated:  r.Suspect && g.o.Policy != PolicyBaseline,
-		Apart:     r.Bound,
 		First:     t.returning,
 		Weight:    r.Weight,
 		Deadline:  r.Deadline,
--- a/internal/process/schedule/pass.go
+++ b/internal/process/schedule/pass.go
@@ -8,8 +8,7 @@
 	"persimmonwing/internal/version/catalogue"
 )
 
-// pass is the state of one call of Dispatch. skips is the number of requests that were
-// skipped, by rank.
+// pass is the state of one call of Dispatch.
 type pass struct {
 	now       time.Time
 	decisions []Decision
@@ -17,7 +16,10 @@
 	// does not grant to more requests.
 	closed   [ranks]bool
 	reserved [ranks][]*replica
-	skips    [ranks]int
+	// skips is the number of requests that were skipped, by rank, and limitedSkips that of those which may not use all replicas.
+	skips, limitedSkips [ranks]int
+	// floorDue is set while background work is granted to reach its floor, regardless of urgent work.
+	floorDue bool
 	// blocked lists the requests of each rank that were skipped for lack of room.
 	// Later grants of this pass bypass them.
 	blocked [ranks][]*fairqueue.Entry[queuedRequest]
@@ -129,14 +131,22 @@
 	}
 }
 
-// waitFor makes all requests of a rank wait for one that was bypassed too often, at the replicas that it may use.
+// waitFor makes all requests of a rank, and those that give way to it, wait for one that was bypassed too often: at the replicas that
+// it may use.
 func (p *pass) waitFor(g *Group, rank rank, q *Request) {
-	if q.Bound == "" {
+	if len(q.Exclude) == 0 {
 		p.closed[rank] = true
 		return
 	}
+	for lower := rank; lower <= max(rank, rankOverShare); lower++ {
+		p.reserve(g, lower, q)
+	}
+}
+
+// reserve keeps the replicas that a request may use from others of a rank.
+func (p *pass) reserve(g *Group, rank rank, q *Request) {
 	for _, r := range g.available {
-		if !slices.Contains(q.Exclude, r.Name) {
+		if !slices.Contains(q.Exclude, r.Name) && !slices.Contains(p.reserved[rank], r) {
 			p.reserved[rank] = append(p.reserved[rank], r)
 		}
 	}
--- a/internal/process/schedule/types.go
+++ b/internal/process/schedule/types.go
@@ -75,11 +75,9 @@
 	// SlowFrom names the replica that a generation would leave because it has become slow. It is granted a
 	// clearly faster one of its data centre, and only while no other request waits.
 	SlowFrom string
-	// Exclude names replicas that already failed this request, or that it may not use because of Bound.
+	// Exclude names replicas that already failed this request, or that it may not use, such as those of another software version
+	// than the one that began its stream.
 	Exclude []string
-	// Bound names the replicas that the request may use if it may never use others, such as those of the software version that began
-	// its stream, or is empty. It waits apart from requests that are bound otherwise or not at all.
-	Bound string
 	// FirstTokenBy is the time by which the first token is on time, or zero if the entry has no target.
 	// Under the shared policy the request is placed where its first token is expected by then.
 	FirstTokenBy time.Time
--- a/internal/request/forward/move.go
+++ b/internal/request/forward/move.go
@@ -150,9 +150,6 @@
 	version := r.server.Version
 	others, left := r.f.serversOf(r.q.Service, version, append([]string{r.server.Name}, r.exclude...))
 	request.Exclude = slices.Concat([]string{r.server.Name}, r.exclude, others)
-	if len(others) > 0 {
-		request.Bound = version
-	}
 	if reason == moveSlow {
 		request.SlowFrom = r.server.Name
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -176,10 +176,7 @@
 	}
 	ctx, done := r.boundByServers(ctx, request.Exclude)
 	defer done()
-	request.Exclude = slices.Clone(request.Exclude)
-	if unfit := r.unfit(); len(unfit) > 0 {
-		request.Exclude, request.Bound = append(request.Exclude, unfit...), r.version
-	}
+	request.Exclude = append(slices.Clone(request.Exclude), r.unfit()...)
 	for try := 0; ; try++ {
 		if paused := r.f.pausedError(r.q); paused != nil {
 			return paused
