Count the versions of a service as known only since the list was read and the service observed

A gateway that read the list of servers only seconds after its start, or that began to observe a service when its streams became resumable, took the versions that it had seen for all since its start: streams of a version that had left meanwhile would have gone on at another (rule ORDER).

TestVersionThatCameAndLeftBeforeTheFirstRead and TestServiceObservedLater fail before and pass after.

--- a/internal/process/origins/gaps_test.go
+++ b/internal/process/origins/gaps_test.go
@@ -114,3 +114,50 @@
 	_, known = h.Possible(now, testService, testLifetime)
 	is.True(known)
 }
+
+// startUnread starts a gateway anew that can read the store's rows but not the list until cut is reset.
+func (g *gateway) startUnread() {
+	g.kill()
+	g.f.set(func() { g.cut, g.list, g.readAt = true, nil, 0 })
+	g.start()
+}
+
+// Guards against a gateway that takes its start for the time from which on it knows all versions, although it reads the list only later.
+func TestVersionThatCameAndLeftBeforeTheFirstRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3, "v1")
+		defer f.close()
+		g := f.gateways[1]
+		g.startUnread()
+		time.Sleep(time.Second) // the rows of versions are read
+		began := time.Now()
+		f.set(func() { f.listed = []string{"v1", "v2"} })
+		time.Sleep(away)
+		f.gateways[2].begin("stream", "v2")
+		f.set(func() { f.listed = []string{"v1"} })
+		time.Sleep(300 * time.Millisecond)
+		f.set(func() { g.cut = false })
+		for ; time.Since(began) < away+testLifetime-time.Second; time.Sleep(100 * time.Millisecond) {
+			o, err := g.keep.Find(context.Background(), stream("stream"))
+			if err == nil && o.Version != "v2" {
+				t.Fatalf("%v after the other version came: a stream of v2 goes on at %s", time.Since(began), o.Version)
+			}
+			is.NoErr(err)
+		}
+	})
+}
+
+// Guards against taking the versions of a service for known from the start although the service is observed only since later, when it
+
+// became one whose streams can be taken up.
+func TestServiceObservedLater(t *testing.T) {
+	is := is.New(t)
+	const started, became = time.Hour, 2 * time.Hour
+	h := NewHistory(started)
+	h.Observe(became, "other", "v1")
+	// v1 of the service left a second ago; since then the service is one whose streams can be taken up.
+	h.Observe(became, testService, "v2")
+	_, known := h.Possible(became+time.Second, testService, testLifetime)
+	is.True(!known)
+}
--- a/internal/process/origins/history.go
+++ b/internal/process/origins/history.go
@@ -13,19 +13,23 @@
 	// all versions of a service are known from others.
 	since         time.Duration
 	completeSince map[string]time.Duration
+	// observedSince is the first time at which each service was observed: one may have been added to those that are.
+	observedSince map[string]time.Duration
 	// seen is the last time at which a version had a server, by service and version.
 	seen map[string]map[string]time.Duration
 }
 
 // NewHistory returns the history of a process that observes the list of servers from now on.
 func NewHistory(now time.Duration) *History {
-	return &History{since: now, completeSince: map[string]time.Duration{}, seen: map[string]map[string]time.Duration{}}
+	return &History{
+		since: now, completeSince: map[string]time.Duration{}, observedSince: map[string]time.Duration{}, seen: map[string]map[string]time.Duration{},
+	}
 }
 
 // Observe records that a version has a server, or that a stream has begun at one.
 func (h *History) Observe(now time.Duration, service, version string) {
 	if h.seen[service] == nil {
-		h.seen[service] = map[string]time.Duration{}
+		h.seen[service], h.observedSince[service] = map[string]time.Duration{}, now
 	}
 	h.seen[service][version] = max(now, h.seen[service][version])
 }
@@ -38,10 +42,11 @@
 
 // CompleteSince returns the time from which on all versions of a service are known.
 func (h *History) CompleteSince(service string) time.Duration {
+	own := max(h.since, h.observedSince[service])
 	if since, ok := h.completeSince[service]; ok {
-		return min(since, h.since)
+		return min(since, own)
 	}
-	return h.since
+	return own
 }
 
 // Restore adds what the store has of a service. clock is the store's clock at time now.
--- a/internal/process/origins/origins.go
+++ b/internal/process/origins/origins.go
@@ -134,8 +134,10 @@
 	// confirmedAt is the last confirmation of the list of servers that was observed, and gaps the number of gaps between two.
 	confirmedAt time.Duration
 	gaps        int
-	history     *History
-	streams     *table
+	// gapAt is the time at which the last gap was noticed.
+	gapAt   time.Duration
+	history *History
+	streams *table
 	// expiring holds the records that this gateway has written, in the order of their end.
 	expiring []expiry
 	served   map[string]ServedRow
@@ -160,9 +162,12 @@
 
 // New returns a Keeper of a process that has just started.
 func New(o Options) *Keeper {
+	now := o.Now()
 	return &Keeper{
 		o: o, restored: make(chan struct{}), readAgain: make(chan struct{}, 1), writes: make(chan *write, maxStreams),
-		history: NewHistory(o.Now()), streams: newTable(), differsSince: map[string]time.Duration{},
+		// A list that is first read long after the start is a gap, too.
+		confirmedAt: now,
+		history:     NewHistory(now), streams: newTable(), differsSince: map[string]time.Duration{},
 	}
 }
 
@@ -299,7 +304,7 @@
 // observe adds the list to the history. If it was not confirmed for a while before, the store is asked for the versions of that time.
 // The caller holds the lock.
 func (k *Keeper) observe(now time.Duration, l observation) {
-	if k.confirmedAt > 0 && l.confirmedAt-k.confirmedAt > maxUnobserved {
+	if l.confirmedAt-k.confirmedAt > maxUnobserved {
 		k.history.Gap(l.confirmedAt)
 		k.gaps++
 		if k.isRestored {
@@ -438,6 +443,7 @@
 	k.observe(now, list)
 	k.history.Prune(now)
 	k.streams.prune(now)
+	k.o.Metrics.Gauge("streams_remembered").Update(int64(len(k.streams.order)))
 	for _, id := range k.streams.order {
 		s := k.streams.streams[id]
 		if s.recorded {
@@ -447,5 +453,4 @@
 			k.enqueue(id, s)
 		}
 	}
-	k.o.Metrics.Gauge("streams_remembered").Update(int64(len(k.streams.order)))
 }
