Don't record the streams of the only version after each short outage of the store

Cause: the gap in the observation makes the history incomplete until the store has told what served, some 10 ms later, and the upkeep that notices the gap records in the same step.

Now streams that began before a gap are not recorded for a second, unless the store has answered.

TestOneVersionRecordsNoStreamsAfterAnOutage fails before (300 records) and passes after (none).

--- a/internal/process/origins/gaps_test.go
+++ b/internal/process/origins/gaps_test.go
@@ -161,3 +161,21 @@
 	_, known := h.Possible(became+time.Second, testService, testLifetime)
 	is.True(!known)
 }
+
+// Guards against recording all streams that run at each short outage of the store where one version serves.
+func TestOneVersionRecordsNoStreamsAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, "v1")
+		defer f.close()
+		for i := range 300 {
+			f.gateways[i%3].begin(fmt.Sprint("stream-", i), "v1")
+		}
+		f.set(func() { f.store.away = true })
+		time.Sleep(2500 * time.Millisecond)
+		f.set(func() { f.store.away = false })
+		time.Sleep(time.Second)
+		if n := f.recorded(); n > 0 {
+			t.Errorf("%d records", n)
+		}
+	})
+}
--- a/internal/process/origins/origins.go
+++ b/internal/process/origins/origins.go
@@ -35,6 +35,9 @@
 	// maxUnobserved is the time between two confirmations after which a version may have come and left between them. A server
 	// serves for longer.
 	maxUnobserved = 2 * time.Second
+	// recordAfterGap is how long after a gap streams that began before it are not recorded while the store has not told whether one
+	// version served all the time. It usually does within 20 ms.
+	recordAfterGap = time.Second
 	// servedRetention is how long the store keeps a version that no server has. It exceeds the lifetime of a stream and lag.
 	servedRetention = 10 * time.Minute
 	// servedTolerance is a difference of two such times that is not worth a write.
@@ -307,6 +310,7 @@
 	if l.confirmedAt-k.confirmedAt > maxUnobserved {
 		k.history.Gap(l.confirmedAt)
 		k.gaps++
+		k.gapAt = now
 		if k.isRestored {
 			k.restored, k.isRestored = make(chan struct{}), false
 		}
@@ -444,6 +448,9 @@
 	k.history.Prune(now)
 	k.streams.prune(now)
 	k.o.Metrics.Gauge("streams_remembered").Update(int64(len(k.streams.order)))
+	if !k.isRestored && k.gapAt > 0 && now-k.gapAt < recordAfterGap {
+		return
+	}
 	for _, id := range k.streams.order {
 		s := k.streams.streams[id]
 		if s.recorded {
