--- a/internal/process/origins/origins_test.go
+++ b/internal/process/origins/origins_test.go
@@ -383,6 +383,22 @@
 	})
 }
 
+// Guards against records of killed gateways that pile up because few are deleted at once.
+func TestRecordsOfKilledGatewaysAreDeletedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, "v1", "v2")
+		defer f.close()
+		for i := range 4 * maxBatch {
+			f.gateways[1].begin(fmt.Sprint("stream-", i), "v1")
+		}
+		f.gateways[1].kill()
+		f.gateways[1].start()
+		time.Sleep(3 * sweepPeriod)
+		is.Equal(f.recorded(), 0)
+	})
+}
+
 // Guards against records that pile up in the store because streams end faster than their records are deleted.
 func TestRecordsAreDeletedAsFastAsTheyCome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/origins/records.go
+++ b/internal/process/origins/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -135,14 +136,14 @@
 		found, left := map[string]bool{}, []string(nil)
 		for _, key := range keys {
 			found[key] = true
-			if before[key] && len(left) < maxBatch {
+			if before[key] {
 				left = append(left, key)
 			}
 		}
 		before = found
-		if len(left) > 0 {
+		for batch := range slices.Chunk(left, maxBatch) {
 			call, cancel := context.WithTimeout(ctx, writeTimeout)
-			_ = k.o.Store.DropRecords(call, left) // they are found again
+			_ = k.o.Store.DropRecords(call, batch) // they are found again
 			cancel()
 		}
 	}
