Mark kept replicas by the pass instead of listing them

Each request that is passed over compared all replicas with the list of those kept so far: up to 64 times in a pass, and with the square of the replicas. By reading; not measured. A mark on the replica tells the same.

--- a/internal/process/schedule/dispatch.go
+++ b/internal/process/schedule/dispatch.go
@@ -165,10 +165,8 @@
 		g.skip(p, e, rank, noRoom)
 		return
 	}
-	g.keptFor, g.reserved = p.keptFrom(g, &e.Value), p.reserved[rank]
-	if p.floorDue && rank == rankBackground {
-		g.reserved = nil
-	}
+	g.keptFor = p.keptFrom(g, &e.Value)
+	g.placingRank, g.placingFloor = rank, p.floorDue && rank == rankBackground
 	s := memory.NewSequence(g.lengthEstimate(q), q.PromptTokens, q.Generated, q.MaxOutputTokens)
 	r, reason, why := g.place(p.now, q, &s)
 	if why == placed {
@@ -262,7 +260,7 @@
 	}
 	if len(q.Exclude) > 0 && why != reservedForOthers {
 		if why == noRoom && rank != rankBackground {
-			p.reserve(g, rankBackground, q)
+			g.reserve(rankBackground, q)
 		}
 		p.limitedSkips[rank]++
 		p.closed[rank] = p.closed[rank] || p.limitedSkips[rank] >= maxIsolatedSkips
--- a/internal/process/schedule/group.go
+++ b/internal/process/schedule/group.go
@@ -161,10 +161,11 @@
 	entitled bool
 	// keptFor holds the replicas that the request being placed leaves to others.
 	keptFor []*replica
-	// reserved holds the replicas that are kept for requests of its rank, or above it, which may not use all.
-	reserved []*replica
-	floors   floors
-	shares   shares
+	// placingRank is the rank of the request being placed, and placingFloor is set if that is granted regardless of urgent work.
+	placingRank  rank
+	placingFloor bool
+	floors       floors
+	shares       shares
 	// numbers holds the sequence number of the newest loads of each other gateway.
 	numbers map[string]uint64
 	// demands holds what waits at other gateways, by their names, and returns the places of callers who were refused.
--- a/internal/process/schedule/pass.go
+++ b/internal/process/schedule/pass.go
@@ -12,10 +12,8 @@
 type pass struct {
 	now       time.Time
 	decisions []Decision
-	// closed is set for ranks from which this pass grants no more requests, and reserved holds, by rank, the replicas that it
-	// does not grant to more requests.
-	closed   [ranks]bool
-	reserved [ranks][]*replica
+	// closed is set for ranks from which this pass grants no more requests.
+	closed [ranks]bool
 	// skips is the number of requests that were skipped, by rank, and limitedSkips that of those which may not use all replicas.
 	skips, limitedSkips [ranks]int
 	// floorDue is set while background work is granted to reach its floor, regardless of urgent work.
@@ -73,11 +71,7 @@
 	for i := range kept {
 		kept[i].known, kept[i].replicas = false, kept[i].replicas[:0]
 	}
-	reserved := p.reserved
-	for i := range reserved {
-		reserved[i] = reserved[i][:0]
-	}
-	*p = pass{now: now, blocked: blocked, reserved: reserved, kept: kept, hopeless: p.hopeless}
+	*p = pass{now: now, blocked: blocked, kept: kept, hopeless: p.hopeless}
 	return p
 }
 
@@ -139,19 +133,24 @@
 		return
 	}
 	for lower := rank; lower <= max(rank, rankOverShare); lower++ {
-		p.reserve(g, lower, q)
+		g.reserve(lower, q)
 	}
 }
 
-// reserve keeps the replicas that a request may use from others of a rank.
-func (p *pass) reserve(g *Group, rank rank, q *Request) {
+// reserve keeps the replicas that a request may use from others of a rank, until the end of the pass.
+func (g *Group) reserve(rank rank, q *Request) {
 	for _, r := range g.available {
-		if !slices.Contains(q.Exclude, r.Name) && !slices.Contains(p.reserved[rank], r) {
-			p.reserved[rank] = append(p.reserved[rank], r)
+		if !slices.Contains(q.Exclude, r.Name) {
+			r.reservedIn[rank] = g.accounting.passes
 		}
 	}
 }
 
+// isReserved reports whether a replica is kept from requests of a rank.
+func (g *Group) isReserved(r *replica, rank rank) bool {
+	return r.reservedIn[rank] == g.accounting.passes
+}
+
 // countBypass counts a grant of a replica as a bypass of the requests of the same rank that were
 // skipped before it and may use that replica. Other ranks are not counted, so that a request that yields does
 // not block those to which it yields.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -200,7 +200,7 @@
 func (g *Group) roomLack(now time.Time, r *replica, q *Request, s *memory.Sequence) Lack {
 	lack := LackNone
 	switch {
-	case slices.Contains(g.keptFor, r), slices.Contains(g.reserved, r):
+	case slices.Contains(g.keptFor, r), !g.placingFloor && g.isReserved(r, g.placingRank):
 		lack = LackTurn
 	case !g.hasSlot(now, r):
 		lack = LackSlots
--- a/internal/process/schedule/replica.go
+++ b/internal/process/schedule/replica.go
@@ -25,6 +25,9 @@
 	bound    int
 	running  []*grant
 	suspects int
+	// reservedIn is the number of the last pass, by rank, in which the replica was kept from requests of the rank, because others that
+	// may not use all replicas wait for it.
+	reservedIn [ranks]uint64
 	// yielding is the number of running grants that engines preempt first.
 	yielding int
 	// projection is the projected memory use of all sequences.
